--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# The two commands of the README, and the measurements. Meson does the work.
+PACKAGES = pkg-config gcc meson ninja-build libglib2.0-dev libsoup-3.0-dev \
+  libzmq3-dev libargtable2-dev liblog4c-dev libcunit1-dev libjansson-dev \
+  libxxhash-dev scdoc clang-format clang-tidy curl
+
+.PHONY: deps build run test lint bench replay capacity asan tsan clean
+
+deps:
+	@if ! pkg-config --exists glib-2.0 libsoup-3.0 libzmq log4c cunit \
+	    jansson libxxhash 2>/dev/null || ! command -v scdoc >/dev/null || \
+	    ! command -v meson >/dev/null || ! command -v clang-tidy >/dev/null; \
+	then apt-get update -qq && DEBIAN_FRONTEND=noninteractive \
+	    apt-get install -y -qq $(PACKAGES); fi
+
+build: deps
+	@test -f build/build.ninja || meson setup build >/dev/null
+	@ninja -C build >build/ninja.log 2>&1 || { cat build/ninja.log; exit 1; }
+
+asan: deps
+	@test -f build-asan/build.ninja || meson setup build-asan \
+	    -Db_sanitize=address,undefined -Db_lundef=false >/dev/null
+	@ninja -C build-asan >build-asan/ninja.log 2>&1 || \
+	    { cat build-asan/ninja.log; exit 1; }
+
+tsan: deps
+	@test -f build-tsan/build.ninja || meson setup build-tsan \
+	    -Db_sanitize=thread -Db_lundef=false >/dev/null
+	@ninja -C build-tsan >build-tsan/ninja.log 2>&1 || \
+	    { cat build-tsan/ninja.log; exit 1; }
+
+run: build
+	@sh samples/run.sh build
+
+test: build asan tsan
+	@sh tests/run.sh
+
+lint: build
+	@clang-format --dry-run -Werror $$(git ls-files '*.c' '*.h')
+	@git ls-files '*.c' | xargs -P 8 -n 4 clang-tidy --quiet -p build \
+	    2>/dev/null
+
+bench: build
+	@./build/bench/bench
+
+replay: build
+	@./build/replay/replay
+
+capacity: build
+	@./build/bench/capacity
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/completions/carobloom.bash
@@ -0,0 +1,1 @@
+# completions
--- /dev/null
+++ b/include/carobloom/policy/quantile.h
@@ -0,0 +1,26 @@
+/* Online quantiles of positive values, in log-spaced buckets that fade.
+ *
+ * Two buckets to each doubling, from 1 to 2^20: a quantile is right within
+ * a factor of 1.42. Old samples lose weight as new ones arrive. */
+#ifndef CAROBLOOM_POLICY_QUANTILE_H
+#define CAROBLOOM_POLICY_QUANTILE_H
+
+#include <glib.h>
+
+enum { QUANTILE_BUCKETS = 41 };
+
+typedef struct {
+    float weights[QUANTILE_BUCKETS];
+    float total;
+} quantile_t;
+
+void
+quantile_add(quantile_t *quantile, double value);
+/* The value below which share `q` lies; `fallback` when nothing is known. */
+double
+quantile_get(const quantile_t *quantile, double q, double fallback);
+/* The mean of what lies below the 95th percentile, for adding up queues. */
+double
+quantile_trimmed_mean(const quantile_t *quantile, double fallback);
+
+#endif
--- /dev/null
+++ b/include/carobloom/policy/rendezvous.h
@@ -0,0 +1,18 @@
+/* Rendezvous hashing (highest random weight): who owns a key.
+ *
+ * When a member goes, only its own keys move. */
+#ifndef CAROBLOOM_POLICY_RENDEZVOUS_H
+#define CAROBLOOM_POLICY_RENDEZVOUS_H
+
+#include <glib.h>
+
+#include "carobloom/common/str.h"
+
+/* A stable 64-bit hash of text (XXH3), the same on every machine. */
+guint64
+hash_text(str_t text);
+/* The index of the member that owns `key`, or -1 when there is none. */
+gssize
+rendezvous_owner(guint64 key, const guint64 *members, gsize count);
+
+#endif
--- /dev/null
+++ b/policy/endpoint_set.c
@@ -0,0 +1,509 @@
+#include "carobloom/policy/endpoint_set.h"
+
+#include <math.h>
+
+static const double SMOOTHING = 0.2;
+static const double SLOW_RATIO = 2.0;   /* against the median: straggler */
+static const double HEALED_RATIO = 1.5; /* and back */
+static const double EJECT_SHARE = 0.34; /* never more of a pool at once */
+enum {
+    FAILURES_TO_EJECT = 2,
+    SAMPLES_TO_JUDGE = 3,
+    SLOW_SLOT_DIVISOR = 4,
+    PREFIX_HOLDERS = 2,
+};
+static const gint64 FIRST_BACKOFF_US = 1 * G_USEC_PER_SEC;
+static const gint64 LAST_BACKOFF_US = 30 * G_USEC_PER_SEC;
+
+/* Who was last known to hold a prefix. */
+typedef struct {
+    guint64 prefix;
+    guint64 holders[PREFIX_HOLDERS];
+    GList link;
+} prefix_entry_t;
+
+struct endpoint_set {
+    GHashTable *by_id; /* id -> endpoint_state_t */
+    heap_t heap;       /* endpoints with a free slot, least loaded first */
+    GHashTable *prefixes;
+    GQueue prefix_order; /* oldest first, bounds the table */
+    guint slots;
+    guint free;
+    double median_token_us;
+};
+
+endpoint_set_t *
+endpoint_set_create(void)
+{
+    endpoint_set_t *set = g_new0(endpoint_set_t, 1);
+    set->by_id =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    set->prefixes =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    heap_init(&set->heap);
+    g_queue_init(&set->prefix_order);
+    return set;
+}
+
+void
+endpoint_set_destroy(endpoint_set_t *set)
+{
+    g_hash_table_unref(set->prefixes);
+    heap_clear(&set->heap);
+    g_hash_table_unref(set->by_id);
+    g_free(set);
+}
+
+/* Slots the endpoint may fill in its present health. */
+static guint
+usable_slots(const endpoint_state_t *e)
+{
+    switch (e->health) {
+    case ENDPOINT_OK:
+        return e->slots;
+    case ENDPOINT_SLOW:
+        return MAX(1, e->slots / SLOW_SLOT_DIVISOR);
+    case ENDPOINT_PROBING:
+        return 1;
+    case ENDPOINT_EJECTED:
+    case ENDPOINT_LEAVING:
+        break;
+    }
+    return 0;
+}
+
+static guint
+free_slots(const endpoint_state_t *e)
+{
+    guint usable = usable_slots(e);
+    guint used = e->inflight + e->foreign;
+    return usable > used ? usable - used : 0;
+}
+
+/* The share of slots in use after one more, scaled by slowness. */
+static double
+load_key(const endpoint_set_t *set, const endpoint_state_t *e)
+{
+    double load = (double)(e->inflight + e->foreign + 1) / MAX(e->slots, 1);
+    double slowness = 1;
+    if (e->samples >= SAMPLES_TO_JUDGE && set->median_token_us > 0) {
+        slowness = MAX(e->token_us / set->median_token_us, 0.25);
+    }
+    return load * slowness;
+}
+
+/* Takes the endpoint's free slots out of the sums before a change. */
+static void
+endpoint_detach(endpoint_set_t *set, endpoint_state_t *e)
+{
+    set->free -= free_slots(e);
+    set->slots -= usable_slots(e);
+}
+
+/* Puts them back after it, and the endpoint at its place in the heap. */
+static void
+endpoint_attach(endpoint_set_t *set, endpoint_state_t *e)
+{
+    guint available = free_slots(e);
+    set->free += available;
+    set->slots += usable_slots(e);
+    e->node.key = load_key(set, e);
+    if (available == 0) {
+        if (e->node.index >= 0) {
+            heap_remove(&set->heap, &e->node);
+        }
+    }
+    else if (e->node.index >= 0) {
+        heap_update(&set->heap, &e->node);
+    }
+    else {
+        heap_push(&set->heap, &e->node);
+    }
+}
+
+static void
+remember_inflight(endpoint_state_t *e, gint64 now_us)
+{
+    e->history[e->history_next % ENDPOINT_HISTORY] = (endpoint_sample_t){
+        .at_us = now_us,
+        .inflight = e->inflight,
+    };
+    e->history_next++;
+}
+
+/* What was in flight here when a report was taken. */
+static guint
+inflight_at(const endpoint_state_t *e, gint64 at_us)
+{
+    guint count = MIN(e->history_next, ENDPOINT_HISTORY);
+    for (guint i = 1; i <= count; i++) {
+        const endpoint_sample_t *s =
+            &e->history[(e->history_next - i) % ENDPOINT_HISTORY];
+        if (s->at_us <= at_us) {
+            return s->inflight;
+        }
+    }
+    /* Older than what is remembered: assume nothing is foreign. */
+    return count == ENDPOINT_HISTORY ? G_MAXUINT : 0;
+}
+
+void
+endpoint_set_put(endpoint_set_t *set, guint64 id, guint slots, gint64 now_us)
+{
+    endpoint_state_t *e = g_hash_table_lookup(set->by_id, &id);
+    if (e == NULL) {
+        e = g_new0(endpoint_state_t, 1);
+        *e = (endpoint_state_t){
+            .node = {.tie = id, .index = -1},
+            .id = id,
+            .health = ENDPOINT_OK,
+            .backoff_us = FIRST_BACKOFF_US,
+        };
+        g_hash_table_insert(set->by_id, &e->id, e);
+        remember_inflight(e, now_us);
+    }
+    else {
+        endpoint_detach(set, e);
+    }
+    e->slots = slots;
+    if (e->health == ENDPOINT_LEAVING) {
+        e->health = ENDPOINT_OK;
+    }
+    endpoint_attach(set, e);
+}
+
+static void
+remove_if_idle(endpoint_set_t *set, endpoint_state_t *e)
+{
+    if (e->health == ENDPOINT_LEAVING && e->inflight == 0) {
+        g_hash_table_remove(set->by_id, &e->id);
+    }
+}
+
+void
+endpoint_set_leave(endpoint_set_t *set, guint64 id)
+{
+    endpoint_state_t *e = g_hash_table_lookup(set->by_id, &id);
+    if (e == NULL) {
+        return;
+    }
+    endpoint_detach(set, e);
+    e->health = ENDPOINT_LEAVING;
+    endpoint_attach(set, e);
+    remove_if_idle(set, e);
+}
+
+static void
+observe_speed(endpoint_state_t *e, double token_us)
+{
+    if (token_us <= 0 || !isfinite(token_us)) {
+        return;
+    }
+    if (e->samples == 0) {
+        e->token_us = token_us;
+    }
+    e->token_us += SMOOTHING * (token_us - e->token_us);
+    e->samples++;
+}
+
+void
+endpoint_set_report(endpoint_set_t *set, guint64 id, guint busy,
+                    double token_us, gint64 at_us)
+{
+    endpoint_state_t *e = g_hash_table_lookup(set->by_id, &id);
+    /* A report that is not newer than the last one tells nothing. */
+    if (e == NULL || at_us <= e->report_us) {
+        return;
+    }
+    e->report_us = at_us;
+    guint own = inflight_at(e, at_us);
+    endpoint_detach(set, e);
+    e->foreign = busy > own ? busy - own : 0;
+    observe_speed(e, token_us);
+    endpoint_attach(set, e);
+}
+
+static void
+prefix_store(endpoint_set_t *set, guint64 prefix, guint64 id)
+{
+    prefix_entry_t *entry = g_hash_table_lookup(set->prefixes, &prefix);
+    if (entry == NULL) {
+        if (set->prefix_order.length >= ENDPOINT_PREFIXES) {
+            prefix_entry_t *oldest =
+                g_queue_peek_head_link(&set->prefix_order)->data;
+            g_queue_unlink(&set->prefix_order, &oldest->link);
+            g_hash_table_remove(set->prefixes, &oldest->prefix);
+        }
+        entry = g_new0(prefix_entry_t, 1);
+        entry->prefix = prefix;
+        entry->link.data = entry;
+        g_hash_table_insert(set->prefixes, &entry->prefix, entry);
+    }
+    else {
+        g_queue_unlink(&set->prefix_order, &entry->link);
+    }
+    g_queue_push_tail_link(&set->prefix_order, &entry->link);
+    if (entry->holders[0] != id) {
+        entry->holders[1] = entry->holders[0];
+        entry->holders[0] = id;
+    }
+}
+
+void
+endpoint_set_prefix(endpoint_set_t *set, guint64 prefix, guint64 id,
+                    gboolean present)
+{
+    if (prefix == 0) {
+        return;
+    }
+    if (present) {
+        prefix_store(set, prefix, id);
+        return;
+    }
+    prefix_entry_t *entry = g_hash_table_lookup(set->prefixes, &prefix);
+    for (int i = 0; entry && i < PREFIX_HOLDERS; i++) {
+        if (entry->holders[i] == id) {
+            entry->holders[i] = 0;
+        }
+    }
+}
+
+/* An endpoint that can take one more, or NULL. */
+static endpoint_state_t *
+find_free(const endpoint_set_t *set, guint64 id)
+{
+    endpoint_state_t *e = id ? g_hash_table_lookup(set->by_id, &id) : NULL;
+    return e && e->node.index >= 0 ? e : NULL;
+}
+
+/* The least loaded endpoint other than `avoid`, if there is another. */
+static endpoint_state_t *
+least_loaded(const endpoint_set_t *set, guint64 avoid)
+{
+    endpoint_state_t *best = (endpoint_state_t *)heap_peek(&set->heap);
+    if (best == NULL || best->id != avoid || heap_size(&set->heap) == 1) {
+        return best;
+    }
+    endpoint_state_t *left = set->heap.nodes->pdata[1];
+    if (heap_size(&set->heap) == 2) {
+        return left;
+    }
+    endpoint_state_t *right = set->heap.nodes->pdata[2];
+    return left->node.key <= right->node.key ? left : right;
+}
+
+endpoint_state_t *
+endpoint_set_choose(endpoint_set_t *set, guint64 prefix, guint64 avoid,
+                    double prefill_us, double tokens, gint64 now_us)
+{
+    (void)now_us;
+    endpoint_state_t *best = least_loaded(set, avoid);
+    if (best == NULL || prefix == 0) {
+        return best;
+    }
+    const prefix_entry_t *entry = g_hash_table_lookup(set->prefixes, &prefix);
+    double token_us = set->median_token_us;
+    for (int i = 0; entry && i < PREFIX_HOLDERS; i++) {
+        endpoint_state_t *holder = find_free(set, entry->holders[i]);
+        if (holder == NULL || holder->id == avoid) {
+            continue;
+        }
+        double penalty_us =
+            tokens * token_us * (holder->node.key - best->node.key);
+        if (penalty_us <= prefill_us) {
+            return holder;
+        }
+    }
+    return best;
+}
+
+void
+endpoint_set_taken(endpoint_set_t *set, endpoint_state_t *endpoint,
+                   guint64 prefix, gint64 now_us)
+{
+    endpoint_detach(set, endpoint);
+    endpoint->inflight++;
+    remember_inflight(endpoint, now_us);
+    endpoint_attach(set, endpoint);
+    endpoint_set_prefix(set, prefix, endpoint->id, TRUE);
+}
+
+static guint
+count_ejected(const endpoint_set_t *set)
+{
+    guint count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, set->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        endpoint_health_t health = ((endpoint_state_t *)value)->health;
+        count += health == ENDPOINT_EJECTED || health == ENDPOINT_SLOW ||
+                 health == ENDPOINT_PROBING;
+    }
+    return count;
+}
+
+static gboolean
+may_eject_one(const endpoint_set_t *set)
+{
+    guint count = g_hash_table_size(set->by_id);
+    return count_ejected(set) + 1 <= MAX(1, (guint)(EJECT_SHARE * count)) &&
+           count > 1;
+}
+
+static void
+note_failure(endpoint_set_t *set, endpoint_state_t *e, gint64 now_us)
+{
+    e->failures++;
+    gboolean probing = e->health == ENDPOINT_PROBING;
+    gboolean can_eject = e->health == ENDPOINT_OK && may_eject_one(set);
+    if (e->failures < FAILURES_TO_EJECT && !probing) {
+        return;
+    }
+    if (probing || can_eject || e->health == ENDPOINT_SLOW) {
+        e->health = ENDPOINT_EJECTED;
+        e->probe_at_us = now_us + e->backoff_us;
+        e->backoff_us = MIN(e->backoff_us * 2, LAST_BACKOFF_US);
+    }
+}
+
+static void
+note_success(endpoint_state_t *e)
+{
+    e->failures = 0;
+    if (e->health == ENDPOINT_PROBING) {
+        e->health = ENDPOINT_OK;
+        e->backoff_us = FIRST_BACKOFF_US;
+    }
+}
+
+void
+endpoint_set_done(endpoint_set_t *set, guint64 id, gboolean failed,
+                  double token_us, gint64 now_us)
+{
+    endpoint_state_t *e = g_hash_table_lookup(set->by_id, &id);
+    if (e == NULL) {
+        return;
+    }
+    endpoint_detach(set, e);
+    if (e->inflight > 0) {
+        e->inflight--;
+    }
+    remember_inflight(e, now_us);
+    observe_speed(e, token_us);
+    if (failed) {
+        note_failure(set, e, now_us);
+    }
+    else {
+        note_success(e);
+    }
+    endpoint_attach(set, e);
+    remove_if_idle(set, e);
+}
+
+static gint
+compare_double(gconstpointer a, gconstpointer b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return x < y ? -1 : x > y;
+}
+
+static double
+median_speed(const endpoint_set_t *set)
+{
+    GArray *speeds = g_array_new(FALSE, FALSE, sizeof(double));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, set->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const endpoint_state_t *e = value;
+        if (e->samples >= SAMPLES_TO_JUDGE) {
+            g_array_append_val(speeds, e->token_us);
+        }
+    }
+    g_array_sort(speeds, compare_double);
+    double median =
+        speeds->len ? g_array_index(speeds, double, (speeds->len - 1) / 2) : 0;
+    g_array_unref(speeds);
+    return median;
+}
+
+static void
+review_one(endpoint_set_t *set, endpoint_state_t *e, gint64 now_us)
+{
+    gboolean judged =
+        e->samples >= SAMPLES_TO_JUDGE && set->median_token_us > 0;
+    double ratio = judged ? e->token_us / set->median_token_us : 1;
+    if (e->health == ENDPOINT_OK && ratio > SLOW_RATIO && may_eject_one(set)) {
+        e->health = ENDPOINT_SLOW;
+    }
+    else if (e->health == ENDPOINT_SLOW && ratio < HEALED_RATIO) {
+        e->health = ENDPOINT_OK;
+    }
+    else if (e->health == ENDPOINT_EJECTED && now_us >= e->probe_at_us) {
+        e->health = ENDPOINT_PROBING;
+    }
+}
+
+void
+endpoint_set_review(endpoint_set_t *set, gint64 now_us)
+{
+    set->median_token_us = median_speed(set);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, set->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        endpoint_state_t *e = value;
+        endpoint_detach(set, e);
+        review_one(set, e, now_us);
+        endpoint_attach(set, e);
+    }
+}
+
+guint
+endpoint_set_free(const endpoint_set_t *set)
+{
+    return set->free;
+}
+
+guint
+endpoint_set_slots(const endpoint_set_t *set)
+{
+    return set->slots;
+}
+
+guint
+endpoint_set_count(const endpoint_set_t *set)
+{
+    return g_hash_table_size(set->by_id);
+}
+
+const endpoint_state_t *
+endpoint_set_find(const endpoint_set_t *set, guint64 id)
+{
+    return g_hash_table_lookup(set->by_id, &id);
+}
+
+void
+endpoint_set_each(const endpoint_set_t *set, endpoint_visit_t visit,
+                  void *data)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, set->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        visit(value, data);
+    }
+}
+
+const char *
+endpoint_health_name(endpoint_health_t health)
+{
+    static const char *const names[] = {
+        [ENDPOINT_OK] = "ok",           [ENDPOINT_SLOW] = "slow",
+        [ENDPOINT_EJECTED] = "ejected", [ENDPOINT_PROBING] = "probing",
+        [ENDPOINT_LEAVING] = "leaving",
+    };
+    return names[health];
+}
--- /dev/null
+++ b/policy/scheduler.c
@@ -0,0 +1,882 @@
+#include "carobloom/policy/scheduler.h"
+
+#include <string.h>
+
+#include "carobloom/policy/quantile.h"
+#include "carobloom/policy/queue.h"
+
+static const double LENGTH_QUANTILE = 0.6;
+static const double PEAK_HALF_LIFE_US = 60e6;
+static const double HEADROOM_CAP = 0.5; /* of the pool's slots */
+static const double HEADROOM_LEAST = 0.05;
+static const double PREFILL_US_A_TOKEN = 50; /* until measured */
+static const gint64 LEAST_RETRY_US = G_USEC_PER_SEC;
+static const gint64 MOST_RETRY_US = 600 * G_USEC_PER_SEC;
+static const double DEFAULT_TOKEN_US = 25000;
+static const double PLAIN_SERVICE_US = 20000;
+enum {
+    MOST_PREEMPTIONS = 2, /* of one ticket */
+    AGED_EVERY = 4,       /* one grant in so many may go to the aged */
+    TEAM_LENGTHS = 4096,  /* teams whose lengths are remembered */
+    PREEMPT_WAIT_DIVISOR = 8,
+};
+
+/* Lengths of one class and team. */
+typedef struct {
+    guint64 key;
+    quantile_t tokens;
+    GList link;
+} team_length_t;
+
+/* One class of the pool. */
+typedef struct {
+    class_spec_t spec;
+    queue_t waiting;
+    GQueue running; /* job_t, newest first */
+    double virtual_time;
+    quantile_t tokens;
+    quantile_t service_ms;
+    class_stats_t stats;
+} class_state_t;
+
+/* The recent peak of what a tier wanted at once. */
+typedef struct {
+    double peak;
+    gint64 at_us;
+} tier_state_t;
+
+struct scheduler {
+    class_state_t classes[CLASS_MAX];
+    guint count;
+    tier_state_t tiers[TIER_COUNT];
+    endpoint_set_t *endpoints;
+    GHashTable *jobs; /* ticket id -> job_t */
+    heap_t deadlines;
+    GHashTable *team_lengths;
+    GQueue team_order;
+    scheduler_ablation_t ablation;
+    guint preempts_pending;
+    guint grants_since_aged;
+    gint64 grace_until_us;
+};
+
+static void
+class_init(class_state_t *c, const class_spec_t *spec)
+{
+    *c = (class_state_t){.spec = *spec};
+    queue_init(&c->waiting);
+    g_queue_init(&c->running);
+}
+
+scheduler_t *
+scheduler_create(const class_spec_t *classes, guint count)
+{
+    scheduler_t *s = g_new0(scheduler_t, 1);
+    s->count = MIN(count, CLASS_MAX);
+    for (guint i = 0; i < s->count; i++) {
+        class_init(&s->classes[i], &classes[i]);
+    }
+    s->endpoints = endpoint_set_create();
+    s->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    s->team_lengths =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    heap_init(&s->deadlines);
+    g_queue_init(&s->team_order);
+    return s;
+}
+
+void
+scheduler_destroy(scheduler_t *s)
+{
+    for (guint i = 0; i < s->count; i++) {
+        queue_clear(&s->classes[i].waiting);
+    }
+    heap_clear(&s->deadlines);
+    g_hash_table_unref(s->jobs);
+    g_hash_table_unref(s->team_lengths);
+    endpoint_set_destroy(s->endpoints);
+    g_free(s);
+}
+
+static void
+class_drain_into(class_state_t *from, class_state_t *to, guint to_index)
+{
+    job_t *job;
+    while ((job = queue_oldest(&from->waiting)) != NULL) {
+        queue_remove(&from->waiting, job);
+        job->ticket.class_index = to_index;
+        queue_push(&to->waiting, job);
+    }
+    GList *link;
+    while ((link = g_queue_pop_head_link(&from->running)) != NULL) {
+        ((job_t *)link->data)->ticket.class_index = to_index;
+        g_queue_push_tail_link(&to->running, link);
+    }
+}
+
+void
+scheduler_set_classes(scheduler_t *s, const class_spec_t *classes, guint count)
+{
+    count = CLAMP(count, 1, CLASS_MAX);
+    for (guint i = 0; i < count; i++) {
+        if (i >= s->count) {
+            class_init(&s->classes[i], &classes[i]);
+        }
+        s->classes[i].spec = classes[i];
+    }
+    for (guint i = count; i < s->count; i++) {
+        class_drain_into(&s->classes[i], &s->classes[count - 1], count - 1);
+        queue_clear(&s->classes[i].waiting);
+    }
+    s->count = count;
+}
+
+void
+scheduler_set_ablation(scheduler_t *s, scheduler_ablation_t ablation)
+{
+    s->ablation = ablation;
+}
+
+void
+scheduler_set_grace(scheduler_t *s, gint64 until_us)
+{
+    s->grace_until_us = until_us;
+}
+
+endpoint_set_t *
+scheduler_endpoints(scheduler_t *s)
+{
+    return s->endpoints;
+}
+
+/* ---- lengths ---- */
+
+static guint64
+length_key(guint class_index, guint64 team)
+{
+    return team ^ (class_index * 0x9e3779b97f4a7c15ULL);
+}
+
+double
+scheduler_length(const scheduler_t *s, guint class_index, guint64 team,
+                 double q)
+{
+    const class_state_t *c = &s->classes[class_index];
+    guint64 key = length_key(class_index, team);
+    const team_length_t *known = g_hash_table_lookup(s->team_lengths, &key);
+    if (known && known->tokens.total >= 8) {
+        return quantile_get(&known->tokens, q, c->spec.typical_tokens);
+    }
+    return quantile_get(&c->tokens, q, MAX(c->spec.typical_tokens, 1));
+}
+
+static void
+learn_length(scheduler_t *s, const job_t *job, guint tokens)
+{
+    class_state_t *c = &s->classes[job->ticket.class_index];
+    quantile_add(&c->tokens, tokens);
+    guint64 key = length_key(job->ticket.class_index, job->ticket.team);
+    team_length_t *known = g_hash_table_lookup(s->team_lengths, &key);
+    if (known == NULL) {
+        if (s->team_order.length >= TEAM_LENGTHS) {
+            team_length_t *oldest = s->team_order.head->data;
+            g_queue_unlink(&s->team_order, &oldest->link);
+            g_hash_table_remove(s->team_lengths, &oldest->key);
+        }
+        known = g_new0(team_length_t, 1);
+        known->key = key;
+        known->link.data = known;
+        g_hash_table_insert(s->team_lengths, &known->key, known);
+        g_queue_push_tail_link(&s->team_order, &known->link);
+    }
+    quantile_add(&known->tokens, tokens);
+}
+
+static double
+expected_service_us(const scheduler_t *s, const ticket_t *ticket,
+                    double tokens)
+{
+    const class_state_t *c = &s->classes[ticket->class_index];
+    if (ticket->plain) {
+        return quantile_trimmed_mean(&c->service_ms, PLAIN_SERVICE_US / 1e3) *
+               1e3;
+    }
+    double fallback_ms = tokens * DEFAULT_TOKEN_US / 1e3;
+    return quantile_trimmed_mean(&c->service_ms, MAX(fallback_ms, 1)) * 1e3;
+}
+
+/* ---- tiers ---- */
+
+static guint
+tier_running(const scheduler_t *s, int tier)
+{
+    guint sum = 0;
+    for (guint i = 0; i < s->count; i++) {
+        if (s->classes[i].spec.tier == tier) {
+            sum += s->classes[i].running.length;
+        }
+    }
+    return sum;
+}
+
+static guint
+tier_waiting(const scheduler_t *s, int tier)
+{
+    guint sum = 0;
+    for (guint i = 0; i < s->count; i++) {
+        if (s->classes[i].spec.tier == tier) {
+            sum += s->classes[i].waiting.order.length;
+        }
+    }
+    return sum;
+}
+
+/* Lets the peak fade, then raises it to the present demand. */
+static void
+tier_observe(scheduler_t *s, int tier, gint64 now_us)
+{
+    tier_state_t *t = &s->tiers[tier];
+    double elapsed = (double)(now_us - t->at_us);
+    if (elapsed > 0) {
+        t->peak /= 1 + elapsed / PEAK_HALF_LIFE_US;
+        t->at_us = now_us;
+    }
+    double demand = tier_running(s, tier) + tier_waiting(s, tier);
+    t->peak = MAX(t->peak, demand);
+}
+
+static gboolean
+tier_protected(const scheduler_t *s, int tier)
+{
+    for (guint i = 0; i < s->count; i++) {
+        if (s->classes[i].spec.tier == tier && s->classes[i].spec.protect) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+guint
+scheduler_headroom(const scheduler_t *s, int tier)
+{
+    if (s->ablation.no_headroom) {
+        return 0;
+    }
+    double slots = endpoint_set_slots(s->endpoints);
+    double sum = 0;
+    gboolean any = FALSE;
+    for (int t = 0; t < tier; t++) {
+        if (!tier_protected(s, t)) {
+            continue;
+        }
+        any = TRUE;
+        sum += MAX(0, s->tiers[t].peak - tier_running(s, t));
+    }
+    if (!any) {
+        return 0;
+    }
+    return (guint)CLAMP(sum, HEADROOM_LEAST * slots, HEADROOM_CAP * slots);
+}
+
+guint
+scheduler_floor(const scheduler_t *s, guint class_index)
+{
+    if (s->ablation.no_floors) {
+        return 0;
+    }
+    double share = s->classes[class_index].spec.least_share;
+    guint slots = endpoint_set_slots(s->endpoints);
+    return share > 0 ? MAX(1, (guint)(share * slots)) : 0;
+}
+
+/* ---- choosing a class ---- */
+
+static gint64
+oldest_wait(const class_state_t *c, gint64 now_us)
+{
+    const job_t *job = queue_oldest(&c->waiting);
+    return job ? now_us - job->queued_us : 0;
+}
+
+/* The class most overdue against its own bound on waiting. */
+static class_state_t *
+pick_aged(scheduler_t *s, gint64 now_us)
+{
+    class_state_t *best = NULL;
+    double best_ratio = 1;
+    for (guint i = 0; i < s->count; i++) {
+        class_state_t *c = &s->classes[i];
+        if (c->waiting.order.length == 0 || c->spec.max_wait_us <= 0) {
+            continue;
+        }
+        double ratio =
+            (double)oldest_wait(c, now_us) / (double)c->spec.max_wait_us;
+        if (ratio > best_ratio) {
+            best = c;
+            best_ratio = ratio;
+        }
+    }
+    return best;
+}
+
+static class_state_t *
+pick_below_floor(scheduler_t *s)
+{
+    class_state_t *best = NULL;
+    for (guint i = 0; i < s->count; i++) {
+        class_state_t *c = &s->classes[i];
+        if (c->waiting.order.length == 0 ||
+            c->running.length >= scheduler_floor(s, i)) {
+            continue;
+        }
+        if (best == NULL || c->spec.tier < best->spec.tier) {
+            best = c;
+        }
+    }
+    return best;
+}
+
+/* By tier, then by weighted virtual time; lower tiers leave the headroom. */
+static class_state_t *
+pick_strict(scheduler_t *s, guint available)
+{
+    class_state_t *best = NULL;
+    for (guint i = 0; i < s->count; i++) {
+        class_state_t *c = &s->classes[i];
+        if (c->waiting.order.length == 0) {
+            continue;
+        }
+        if (best == NULL || c->spec.tier < best->spec.tier ||
+            (c->spec.tier == best->spec.tier &&
+             c->virtual_time < best->virtual_time)) {
+            best = c;
+        }
+    }
+    if (best && available <= scheduler_headroom(s, best->spec.tier)) {
+        return NULL;
+    }
+    return best;
+}
+
+static class_state_t *
+pick_class(scheduler_t *s, gint64 now_us, gboolean *aged)
+{
+    *aged = FALSE;
+    guint available = endpoint_set_free(s->endpoints);
+    if (available == 0) {
+        return NULL;
+    }
+    if (s->grants_since_aged >= AGED_EVERY) {
+        class_state_t *c = pick_aged(s, now_us);
+        if (c != NULL) {
+            *aged = TRUE;
+            return c;
+        }
+    }
+    class_state_t *c = pick_below_floor(s);
+    return c ? c : pick_strict(s, available);
+}
+
+/* ---- grants ---- */
+
+static double
+class_least_virtual_time(const scheduler_t *s, int tier)
+{
+    double least = -1;
+    for (guint i = 0; i < s->count; i++) {
+        const class_state_t *c = &s->classes[i];
+        if (c->spec.tier == tier && c->waiting.order.length > 0 &&
+            (least < 0 || c->virtual_time < least)) {
+            least = c->virtual_time;
+        }
+    }
+    return MAX(least, 0);
+}
+
+static void
+job_start(scheduler_t *s, job_t *job, guint64 endpoint, gint64 now_us)
+{
+    class_state_t *c = &s->classes[job->ticket.class_index];
+    job->state = JOB_RUNNING;
+    job->endpoint = endpoint;
+    job->started_us = now_us;
+    job->in_class.data = job;
+    g_queue_push_head_link(&c->running, &job->in_class);
+}
+
+static void
+job_unqueue(scheduler_t *s, job_t *job)
+{
+    queue_remove(&s->classes[job->ticket.class_index].waiting, job);
+    if (job->deadline.index >= 0) {
+        heap_remove(&s->deadlines, &job->deadline);
+    }
+}
+
+static void
+add_grant(const job_t *job, gint64 waited_us, GArray *actions)
+{
+    action_t action = {
+        .type = ACTION_GRANT,
+        .ticket = job->ticket.id,
+        .endpoint = job->endpoint,
+        .waited_us = waited_us,
+    };
+    g_array_append_val(actions, action);
+}
+
+static void
+grant(scheduler_t *s, class_state_t *c, job_t *job, endpoint_state_t *e,
+      gint64 now_us, GArray *actions)
+{
+    job_unqueue(s, job);
+    queue_served(&c->waiting, job);
+    c->virtual_time += job->service_us / MAX(c->spec.weight, 0.001);
+    guint64 prefix = s->ablation.no_affinity ? 0 : job->ticket.prefix;
+    endpoint_set_taken(s->endpoints, e, prefix, now_us);
+    job_start(s, job, e->id, now_us);
+    gint64 waited = now_us - job->queued_us;
+    c->stats.granted++;
+    c->stats.longest_wait_us = MAX(c->stats.longest_wait_us, waited);
+    add_grant(job, waited, actions);
+}
+
+static gboolean
+grant_next(scheduler_t *s, gint64 now_us, GArray *actions)
+{
+    gboolean aged;
+    class_state_t *c = pick_class(s, now_us, &aged);
+    if (c == NULL) {
+        return FALSE;
+    }
+    /* The aged go by arrival, so that the bound holds for each ticket. */
+    job_t *job = aged ? queue_oldest(&c->waiting) : queue_peek(&c->waiting);
+    double prefill_us = job->ticket.prompt_tokens * PREFILL_US_A_TOKEN;
+    guint64 prefix = s->ablation.no_affinity ? 0 : job->ticket.prefix;
+    endpoint_state_t *e =
+        endpoint_set_choose(s->endpoints, prefix, job->ticket.avoid,
+                            prefill_us, job->expected_tokens, now_us);
+    if (e == NULL) {
+        return FALSE;
+    }
+    s->grants_since_aged = aged ? 0 : s->grants_since_aged + 1;
+    grant(s, c, job, e, now_us, actions);
+    return TRUE;
+}
+
+/* ---- refusal ---- */
+
+gint64
+scheduler_expected_wait(const scheduler_t *s, guint class_index)
+{
+    const class_state_t *own = &s->classes[class_index];
+    guint slots = endpoint_set_slots(s->endpoints);
+    if (slots == 0) {
+        return LEAST_RETRY_US;
+    }
+    double ahead_us = 0;
+    guint held = 0;
+    gboolean lower_runs = FALSE;
+    for (guint i = 0; i < s->count; i++) {
+        const class_state_t *c = &s->classes[i];
+        if (c->spec.tier <= own->spec.tier) {
+            ahead_us += c->waiting.service_us;
+        }
+        else {
+            guint floor = MIN(scheduler_floor(s, i), c->running.length);
+            held += floor;
+            lower_runs |= c->running.length > floor;
+        }
+    }
+    if (endpoint_set_free(s->endpoints) > 0 && ahead_us == 0) {
+        return 0;
+    }
+    guint usable = slots > held ? slots - held : 1;
+    double service_us =
+        quantile_trimmed_mean(&own->service_ms, DEFAULT_TOKEN_US / 1e3) * 1e3;
+    double next_slot_us = lower_runs ? 0 : service_us / usable;
+    return (gint64)(ahead_us / usable + next_slot_us);
+}
+
+static void
+refuse(scheduler_t *s, job_t *job, refuse_reason_t reason,
+       gint64 retry_after_us, gint64 now_us, GArray *actions)
+{
+    class_state_t *c = &s->classes[job->ticket.class_index];
+    c->stats.refused++;
+    action_t action = {
+        .type = ACTION_REFUSE,
+        .ticket = job->ticket.id,
+        .reason = reason,
+        .retry_after_us = CLAMP(retry_after_us, LEAST_RETRY_US, MOST_RETRY_US),
+        .waited_us = now_us - job->queued_us,
+    };
+    g_array_append_val(actions, action);
+    g_hash_table_remove(s->jobs, &job->ticket.id);
+}
+
+/* Whether work of a lower tier could still give way to `tier`. */
+static gboolean
+lower_work_could_yield(const scheduler_t *s, int tier)
+{
+    for (guint i = 0; i < s->count; i++) {
+        const class_state_t *c = &s->classes[i];
+        if (c->spec.tier > tier && c->running.length > 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* A protected class is refused only when no lower tier holds a slot. */
+static gboolean
+may_refuse(const scheduler_t *s, const class_state_t *c)
+{
+    return !c->spec.protect || !lower_work_could_yield(s, c->spec.tier);
+}
+
+static refuse_reason_t
+refusal_at_arrival(const scheduler_t *s, const job_t *job, gint64 wait_us,
+                   gint64 now_us)
+{
+    const class_state_t *c = &s->classes[job->ticket.class_index];
+    if (endpoint_set_count(s->endpoints) == 0) {
+        return now_us < s->grace_until_us ? REFUSE_NONE : REFUSE_POOL;
+    }
+    if (!may_refuse(s, c)) {
+        return REFUSE_NONE;
+    }
+    if (c->waiting.order.length >= c->spec.queue_limit) {
+        return REFUSE_QUEUE;
+    }
+    gint64 latest_us = job->ticket.arrived_us + c->spec.deadline_us;
+    gboolean resumed = job->ticket.done_tokens > 0;
+    if (!s->ablation.no_early_refusal && !resumed &&
+        now_us + wait_us > latest_us) {
+        return REFUSE_DEADLINE;
+    }
+    return REFUSE_NONE;
+}
+
+/* ---- preemption ---- */
+
+/* The newest resumable job of the lowest tier below `tier`, above its
+ * class's floor. */
+static job_t *
+find_victim(scheduler_t *s, int tier)
+{
+    job_t *victim = NULL;
+    int victim_tier = tier;
+    for (guint i = 0; i < s->count; i++) {
+        class_state_t *c = &s->classes[i];
+        if (c->spec.tier <= victim_tier || !c->spec.resume ||
+            c->running.length <= scheduler_floor(s, i)) {
+            continue;
+        }
+        for (GList *l = c->running.head; l; l = l->next) {
+            job_t *job = l->data;
+            if (!job->preempting &&
+                job->ticket.preemptions < MOST_PREEMPTIONS) {
+                victim = job;
+                victim_tier = c->spec.tier;
+                break;
+            }
+        }
+    }
+    return victim;
+}
+
+static void
+preempt_for(scheduler_t *s, class_state_t *c, gint64 now_us, GArray *actions)
+{
+    gint64 patience = c->spec.first_token_us / PREEMPT_WAIT_DIVISOR;
+    if (!c->spec.protect || oldest_wait(c, now_us) < patience) {
+        return;
+    }
+    guint wanted = c->waiting.order.length;
+    while (s->preempts_pending < wanted) {
+        job_t *victim = find_victim(s, c->spec.tier);
+        if (victim == NULL) {
+            return;
+        }
+        victim->preempting = TRUE;
+        s->preempts_pending++;
+        s->classes[victim->ticket.class_index].stats.preempted++;
+        action_t action = {
+            .type = ACTION_PREEMPT,
+            .ticket = victim->ticket.id,
+            .endpoint = victim->endpoint,
+        };
+        g_array_append_val(actions, action);
+    }
+}
+
+static void
+preempt(scheduler_t *s, gint64 now_us, GArray *actions)
+{
+    if (s->ablation.no_preemption || endpoint_set_free(s->endpoints) > 0) {
+        return;
+    }
+    for (guint i = 0; i < s->count; i++) {
+        class_state_t *c = &s->classes[i];
+        if (c->waiting.order.length > 0) {
+            preempt_for(s, c, now_us, actions);
+        }
+    }
+}
+
+/* ---- events ---- */
+
+void
+scheduler_run(scheduler_t *s, gint64 now_us, GArray *actions)
+{
+    while (grant_next(s, now_us, actions)) {
+    }
+    preempt(s, now_us, actions);
+}
+
+static job_t *
+job_create(scheduler_t *s, const ticket_t *ticket, gint64 now_us)
+{
+    job_t *job = g_new0(job_t, 1);
+    job->ticket = *ticket;
+    job->ticket.class_index = MIN(ticket->class_index, s->count - 1);
+    job->queued_us = now_us;
+    job->deadline.index = -1;
+    job->deadline.tie = ticket->id;
+    double length = scheduler_length(s, job->ticket.class_index, ticket->team,
+                                     LENGTH_QUANTILE);
+    job->expected_tokens = MAX(length - ticket->done_tokens, 1);
+    job->service_us =
+        expected_service_us(s, &job->ticket, job->expected_tokens);
+    g_hash_table_insert(s->jobs, &job->ticket.id, job);
+    return job;
+}
+
+void
+scheduler_submit(scheduler_t *s, const ticket_t *ticket, gint64 now_us,
+                 GArray *actions)
+{
+    job_t *known = g_hash_table_lookup(s->jobs, &ticket->id);
+    if (known != NULL) {
+        if (known->state == JOB_RUNNING) {
+            add_grant(known, 0, actions);
+        }
+        return;
+    }
+    job_t *job = job_create(s, ticket, now_us);
+    class_state_t *c = &s->classes[job->ticket.class_index];
+    c->stats.submitted++;
+    gint64 wait_us = scheduler_expected_wait(s, job->ticket.class_index);
+    refuse_reason_t reason = refusal_at_arrival(s, job, wait_us, now_us);
+    if (reason != REFUSE_NONE) {
+        refuse(s, job, reason, wait_us - c->spec.deadline_us, now_us, actions);
+        return;
+    }
+    if (c->waiting.order.length == 0) {
+        c->virtual_time =
+            MAX(c->virtual_time, class_least_virtual_time(s, c->spec.tier));
+    }
+    queue_push(&c->waiting, job);
+    job->deadline.key = (double)(job->ticket.arrived_us + c->spec.deadline_us);
+    heap_push(&s->deadlines, &job->deadline);
+    tier_observe(s, c->spec.tier, now_us);
+    scheduler_run(s, now_us, actions);
+}
+
+void
+scheduler_adopt(scheduler_t *s, const ticket_t *ticket, guint64 endpoint,
+                gint64 now_us)
+{
+    if (g_hash_table_contains(s->jobs, &ticket->id)) {
+        return;
+    }
+    job_t *job = job_create(s, ticket, now_us);
+    endpoint_state_t *e =
+        (endpoint_state_t *)endpoint_set_find(s->endpoints, endpoint);
+    if (e != NULL) {
+        endpoint_set_taken(s->endpoints, e, ticket->prefix, now_us);
+    }
+    job_start(s, job, endpoint, now_us);
+}
+
+void
+scheduler_cancel(scheduler_t *s, guint64 id)
+{
+    job_t *job = g_hash_table_lookup(s->jobs, &id);
+    if (job == NULL || job->state != JOB_WAITING) {
+        return;
+    }
+    job_unqueue(s, job);
+    g_hash_table_remove(s->jobs, &id);
+}
+
+/* Takes a running job out of its class. */
+static void
+job_stop(scheduler_t *s, job_t *job)
+{
+    class_state_t *c = &s->classes[job->ticket.class_index];
+    g_queue_unlink(&c->running, &job->in_class);
+    if (job->preempting && s->preempts_pending > 0) {
+        s->preempts_pending--;
+    }
+}
+
+void
+scheduler_settle(scheduler_t *s, guint64 id, const settlement_t *settlement,
+                 gint64 now_us, GArray *actions)
+{
+    job_t *job = g_hash_table_lookup(s->jobs, &id);
+    if (job == NULL || job->state != JOB_RUNNING) {
+        return;
+    }
+    job_stop(s, job);
+    class_state_t *c = &s->classes[job->ticket.class_index];
+    gboolean failed = settlement->result == SETTLE_FAILED;
+    endpoint_set_done(s->endpoints, job->endpoint, failed,
+                      settlement->token_us, now_us);
+    double held_ms = (double)(now_us - job->started_us) / 1e3;
+    if (settlement->result == SETTLE_COMPLETE) {
+        quantile_add(&c->service_ms, MAX(held_ms, 1));
+        if (!job->ticket.plain) {
+            learn_length(s, job, settlement->tokens);
+        }
+    }
+    g_hash_table_remove(s->jobs, &id);
+    scheduler_run(s, now_us, actions);
+}
+
+static void
+expire(scheduler_t *s, gint64 now_us, GArray *actions)
+{
+    for (;;) {
+        heap_node_t *node = heap_peek(&s->deadlines);
+        if (node == NULL || node->key > (double)now_us) {
+            return;
+        }
+        job_t *job = (job_t *)node;
+        class_state_t *c = &s->classes[job->ticket.class_index];
+        if (!may_refuse(s, c) || job->ticket.done_tokens > 0) {
+            /* It waits on for lower work to yield; looked at again soon. */
+            job->deadline.key = (double)(now_us + c->spec.first_token_us + 1);
+            heap_update(&s->deadlines, node);
+            continue;
+        }
+        guint class_index = job->ticket.class_index;
+        job_unqueue(s, job);
+        refuse(s, job, REFUSE_DEADLINE,
+               scheduler_expected_wait(s, class_index), now_us, actions);
+    }
+}
+
+/* A pool whose last endpoint is gone tells its callers at once. */
+static void
+refuse_all(scheduler_t *s, gint64 now_us, GArray *actions)
+{
+    for (guint i = 0; i < s->count; i++) {
+        job_t *job;
+        while ((job = queue_oldest(&s->classes[i].waiting)) != NULL) {
+            job_unqueue(s, job);
+            refuse(s, job, REFUSE_POOL, LEAST_RETRY_US, now_us, actions);
+        }
+    }
+}
+
+void
+scheduler_tick(scheduler_t *s, gint64 now_us, GArray *actions)
+{
+    endpoint_set_review(s->endpoints, now_us);
+    for (int t = 0; t < TIER_COUNT; t++) {
+        tier_observe(s, t, now_us);
+    }
+    if (endpoint_set_count(s->endpoints) == 0 && now_us >= s->grace_until_us) {
+        refuse_all(s, now_us, actions);
+    }
+    expire(s, now_us, actions);
+    scheduler_run(s, now_us, actions);
+}
+
+/* Ends a job whose entry no longer knows it. */
+static void
+job_abandon(scheduler_t *s, job_t *job, gint64 now_us)
+{
+    if (job->state == JOB_WAITING) {
+        job_unqueue(s, job);
+        return;
+    }
+    job_stop(s, job);
+    endpoint_set_done(s->endpoints, job->endpoint, FALSE, 0, now_us);
+}
+
+static gboolean
+contains_id(const guint64 *ids, gsize count, guint64 id)
+{
+    for (gsize i = 0; i < count; i++) {
+        if (ids[i] == id) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+guint
+scheduler_reconcile(scheduler_t *s, guint32 entry, const guint64 *ids,
+                    gsize count, gint64 before_us, gint64 now_us,
+                    GArray *actions)
+{
+    guint ended = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        if (job->state != JOB_RUNNING || job->started_us >= before_us ||
+            (guint32)(job->ticket.id >> 32) != entry ||
+            contains_id(ids, count, job->ticket.id)) {
+            continue;
+        }
+        job_abandon(s, job, now_us);
+        g_hash_table_iter_remove(&iter);
+        ended++;
+    }
+    if (ended > 0) {
+        scheduler_run(s, now_us, actions);
+    }
+    return ended;
+}
+
+void
+scheduler_drop_entry(scheduler_t *s, guint32 entry, gint64 now_us,
+                     GArray *actions)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        if ((guint32)(job->ticket.id >> 32) != entry) {
+            continue;
+        }
+        job_abandon(s, job, now_us);
+        g_hash_table_iter_remove(&iter);
+    }
+    scheduler_run(s, now_us, actions);
+}
+
+guint
+scheduler_waiting(const scheduler_t *s, guint class_index)
+{
+    return s->classes[class_index].waiting.order.length;
+}
+
+guint
+scheduler_running(const scheduler_t *s, guint class_index)
+{
+    return s->classes[class_index].running.length;
+}
+
+const class_stats_t *
+scheduler_stats(const scheduler_t *s, guint class_index)
+{
+    return &s->classes[class_index].stats;
+}
--- /dev/null
+++ b/tests/test_policy.c
@@ -0,0 +1,296 @@
+/* The pure parts: strings, queues, quantiles, limits, life, events. */
+#include <string.h>
+
+#include "carobloom/common/timers.h"
+#include "carobloom/policy/heap.h"
+#include "carobloom/policy/lifecycle.h"
+#include "carobloom/policy/limits.h"
+#include "carobloom/policy/quantile.h"
+#include "carobloom/policy/rendezvous.h"
+#include "carobloom/policy/sse.h"
+#include "check.h"
+
+static void
+test_heap_orders(void)
+{
+    heap_t heap;
+    heap_node_t nodes[200];
+    GRand *rand = g_rand_new_with_seed(7);
+    heap_init(&heap);
+    for (guint i = 0; i < G_N_ELEMENTS(nodes); i++) {
+        nodes[i] = (heap_node_t){
+            .key = g_rand_int_range(rand, 0, 50), .tie = i, .index = -1};
+        heap_push(&heap, &nodes[i]);
+    }
+    for (guint i = 0; i < 100; i++) {
+        guint at = (guint)g_rand_int_range(rand, 0, 200);
+        nodes[at].key = g_rand_int_range(rand, 0, 50);
+        heap_update(&heap, &nodes[at]);
+    }
+    heap_remove(&heap, &nodes[3]);
+    CU_ASSERT_EQUAL(nodes[3].index, -1);
+    double last = -1;
+    for (guint i = 0; i < 199; i++) {
+        heap_node_t *node = heap_peek(&heap);
+        CU_ASSERT(node->key >= last);
+        last = node->key;
+        heap_remove(&heap, node);
+    }
+    CU_ASSERT_EQUAL(heap_size(&heap), 0);
+    heap_clear(&heap);
+    g_rand_free(rand);
+}
+
+static void
+test_quantile_within_factor(void)
+{
+    quantile_t q = {0};
+    CU_ASSERT_EQUAL(quantile_get(&q, 0.5, 77), 77);
+    for (int i = 1; i <= 300; i++) {
+        quantile_add(&q, i);
+    }
+    static const struct {
+        double q;
+        double truth;
+    } cases[] = {{0.1, 30}, {0.5, 150}, {0.9, 270}};
+    for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+        double value = quantile_get(&q, cases[i].q, 0);
+        CU_ASSERT(value > cases[i].truth / 1.45);
+        CU_ASSERT(value < cases[i].truth * 1.45);
+    }
+    for (int i = 0; i < 4000; i++) {
+        quantile_add(&q, 4000);
+    }
+    CU_ASSERT(quantile_get(&q, 0.5, 0) > 2800);
+}
+
+static void
+test_bucket_says_when(void)
+{
+    bucket_t b = {0};
+    CU_ASSERT_EQUAL(bucket_take(&b, 10, 2, 1, 0), 0);
+    CU_ASSERT_EQUAL(bucket_take(&b, 10, 2, 1, 0), 0);
+    gint64 wait = bucket_take(&b, 10, 2, 1, 0);
+    CU_ASSERT(wait > 99000 && wait < 101000);
+    CU_ASSERT(bucket_take(&b, 10, 2, 1, wait - 1000) > 0);
+    CU_ASSERT_EQUAL(bucket_take(&b, 10, 2, 1, wait), 0);
+    CU_ASSERT_EQUAL(bucket_take(&b, 0, 0, 1, 0), 0);
+    /* A clock that goes back neither refunds nor locks the bucket. */
+    CU_ASSERT(bucket_take(&b, 10, 2, 1, 0) > 0);
+    CU_ASSERT_EQUAL(bucket_take(&b, 10, 2, 1, 10 * G_USEC_PER_SEC), 0);
+}
+
+static void
+test_retry_budget_bounds_storm(void)
+{
+    retry_budget_t budget = {0};
+    int retries = 0;
+    for (int i = 0; i < 1000; i++) {
+        retry_budget_earn(&budget, 0.1);
+        retries += retry_budget_take(&budget);
+    }
+    CU_ASSERT(retries >= 99 && retries <= 100);
+}
+
+static void
+test_rendezvous_moves_little(void)
+{
+    guint64 members[9];
+    for (guint i = 0; i < 9; i++) {
+        members[i] = 1000 + i * 17;
+    }
+    int moved = 0;
+    int counts[9] = {0};
+    for (guint64 key = 0; key < 9000; key++) {
+        gssize all = rendezvous_owner(key, members, 9);
+        gssize fewer = rendezvous_owner(key, members, 8);
+        counts[all]++;
+        if (all != 8 && fewer != all) {
+            moved++;
+        }
+    }
+    CU_ASSERT_EQUAL(moved, 0);
+    for (int i = 0; i < 9; i++) {
+        CU_ASSERT(counts[i] > 850 && counts[i] < 1150);
+    }
+    CU_ASSERT_EQUAL(rendezvous_owner(1, members, 0), -1);
+}
+
+typedef struct {
+    int events;
+    char data[256];
+} seen_t;
+
+static int
+on_event(str_t data, str_t raw, void *user)
+{
+    seen_t *seen = user;
+    (void)raw;
+    seen->events++;
+    g_snprintf(seen->data, sizeof(seen->data), "%.*s", (int)data.length,
+               data.data);
+    return str_equal(data, STR("stop"));
+}
+
+static void
+test_sse_cases(void)
+{
+    static const struct {
+        const char *text;
+        int events;
+        const char *last;
+        int result;
+    } cases[] = {
+        {"data: a\n\n", 1, "a", SSE_OK},
+        {"data: a\r\n\r\ndata:b\n\n", 2, "b", SSE_OK},
+        {"data: a\ndata: b\n\n", 1, "a\nb", SSE_OK},
+        {": comment\n\ndata: x\n\n", 2, "x", SSE_OK},
+        {"event: e\nid: 3\ndata: y\n\n", 1, "y", SSE_OK},
+        {"data: half", 0, "", SSE_OK},
+        {"data: stop\n\ndata: after\n\n", 1, "stop", SSE_ERROR_STOP},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+        for (gsize step = 1; step < 20; step += 6) {
+            sse_t sse;
+            seen_t seen = {0};
+            int result = SSE_OK;
+            sse_init(&sse);
+            gsize length = strlen(cases[i].text);
+            for (gsize at = 0; at < length && result == SSE_OK; at += step) {
+                str_t part = {.data = cases[i].text + at,
+                              .length = MIN(step, length - at)};
+                result = sse_feed(&sse, part, on_event, &seen);
+            }
+            CU_ASSERT_EQUAL(result, cases[i].result);
+            CU_ASSERT_EQUAL(seen.events, cases[i].events);
+            CU_ASSERT_STRING_EQUAL(seen.data, cases[i].last);
+            sse_clear(&sse);
+        }
+    }
+}
+
+static void
+test_sse_bounds_memory(void)
+{
+    sse_t sse;
+    seen_t seen = {0};
+    char *block = g_strnfill(64 * 1024, 'x');
+    int result = SSE_OK;
+    sse_init(&sse);
+    for (int i = 0; i < 6 && result == SSE_OK; i++) {
+        result = sse_feed(&sse, str_from_cstr(block), on_event, &seen);
+    }
+    CU_ASSERT_EQUAL(result, SSE_ERROR_LONG);
+    sse_clear(&sse);
+    g_free(block);
+}
+
+/* Whatever happens after a byte left, a call that may not be repeated is
+ * dispatched once; and what is told not-run never left, unless the endpoint
+ * itself said so. */
+static void
+test_life_at_most_once(void)
+{
+    GRand *rand = g_rand_new_with_seed(11);
+    for (int round = 0; round < 20000; round++) {
+        life_t life = {.repeatable = FALSE, .attempts_max = 3};
+        int dispatches_sent = 0;
+        gboolean left = FALSE;
+        gboolean said_not_run = FALSE;
+        life_apply(&life, LIFE_EVENT_ADMIT);
+        for (int i = 0; i < 30 && life.state != LIFE_DONE; i++) {
+            life_event_t event =
+                (life_event_t)g_rand_int_range(rand, 1, LIFE_EVENT_COUNT);
+            life_state_t before = life.state;
+            life.retry_allowed = g_rand_boolean(rand);
+            life_apply(&life, event);
+            if (before == LIFE_CONNECTING && life.state == LIFE_SENT) {
+                dispatches_sent++;
+                left = TRUE;
+                said_not_run = FALSE;
+            }
+            if (before == LIFE_SENT && event == LIFE_EVENT_NOT_RUN) {
+                said_not_run = TRUE;
+                dispatches_sent--;
+            }
+        }
+        CU_ASSERT_FATAL(dispatches_sent <= 1);
+        if (life.state == LIFE_DONE && life.outcome == OUTCOME_NOT_RUN) {
+            CU_ASSERT_FATAL(!left || said_not_run);
+        }
+    }
+    g_rand_free(rand);
+}
+
+static void
+test_life_resume_only_where_permitted(void)
+{
+    static const struct {
+        gboolean repeatable;
+        gboolean resume;
+        life_state_t next;
+    } cases[] = {
+        {TRUE, TRUE, LIFE_QUEUED},
+        {TRUE, FALSE, LIFE_DONE},
+        {FALSE, FALSE, LIFE_DONE},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+        life_t life = {.state = LIFE_STREAMING,
+                       .repeatable = cases[i].repeatable,
+                       .resume = cases[i].resume,
+                       .attempts = 1,
+                       .attempts_max = 3,
+                       .retry_allowed = TRUE};
+        life_apply(&life, LIFE_EVENT_BROKEN);
+        CU_ASSERT_EQUAL(life.state, cases[i].next);
+    }
+}
+
+static void
+count_call(void *data)
+{
+    (*(int *)data)++;
+}
+
+static void
+test_timers_manual_clock(void)
+{
+    timers_t *timers = timers_create(0);
+    int once = 0;
+    int often = 0;
+    timers_subscribe(timers, 100, 0, count_call, &once);
+    guint64 id = timers_subscribe(timers, 10, 10, count_call, &often);
+    CU_ASSERT_EQUAL(timers_next(timers), 10);
+    timers_advance(timers, 9);
+    CU_ASSERT_EQUAL(often, 0);
+    for (gint64 now = 10; now <= 100; now += 10) {
+        timers_advance(timers, now);
+    }
+    CU_ASSERT_EQUAL(often, 10);
+    CU_ASSERT_EQUAL(once, 1);
+    /* A jump runs a periodic timer once, not once for each period. */
+    timers_advance(timers, 100000);
+    CU_ASSERT_EQUAL(often, 11);
+    /* A clock that goes back runs nothing. */
+    timers_advance(timers, 50);
+    CU_ASSERT_EQUAL(often, 11);
+    timers_cancel(timers, id);
+    timers_advance(timers, 200000);
+    CU_ASSERT_EQUAL(often, 11);
+    timers_destroy(timers);
+}
+
+static const test_case_t cases[] = {
+    {"heap orders", test_heap_orders},
+    {"quantile within its factor", test_quantile_within_factor},
+    {"bucket says when", test_bucket_says_when},
+    {"retry budget bounds a storm", test_retry_budget_bounds_storm},
+    {"rendezvous moves little", test_rendezvous_moves_little},
+    {"events are read however they are cut", test_sse_cases},
+    {"events are bounded", test_sse_bounds_memory},
+    {"not repeatable runs at most once", test_life_at_most_once},
+    {"resumes only where permitted", test_life_resume_only_where_permitted},
+    {"timers on a manual clock", test_timers_manual_clock},
+};
+
+CHECK_MAIN("policy", cases)
