--- a/carobloomd/process/policy_pool.h
+++ b/carobloomd/process/policy_pool.h
@@ -22,22 +22,16 @@
     gint64 owned_us;
 } pool_t;
 
-pool_t *
-pool_create(guint64 id, const document_t *document, gint64 now_us);
-void
-pool_destroy(pool_t *pool);
+pool_t *pool_create(guint64 id, const document_t *document, gint64 now_us);
+void pool_destroy(pool_t *pool);
 /* Takes a full announcement. */
-void
-pool_endpoint_put(pool_t *pool, endpoint_info_t *info, gint64 now_us);
+void pool_endpoint_put(pool_t *pool, endpoint_info_t *info, gint64 now_us);
 /* Takes a load delta; FALSE when the endpoint is not known here. */
-gboolean
-pool_endpoint_load(pool_t *pool, const wire_load_t *load, gint64 now_us);
-void
-pool_endpoint_leave(pool_t *pool, guint64 id);
+gboolean pool_endpoint_load(pool_t *pool, const wire_load_t *load,
+                            gint64 now_us);
+void pool_endpoint_leave(pool_t *pool, guint64 id);
 /* Removes endpoints silent for three intervals; returns how many. */
-guint
-pool_expire(pool_t *pool, gint64 now_us);
-json_t *
-pool_dump(const pool_t *pool, const document_t *document);
+guint pool_expire(pool_t *pool, gint64 now_us);
+json_t *pool_dump(const pool_t *pool, const document_t *document);
 
 #endif
--- a/carobloomd/process/policy_task.c
+++ b/carobloomd/process/policy_task.c
@@ -176,9 +176,8 @@
 
 /* ---- decisions on their way to the entry ---- */
 
-static void
-settle_at_owner(policy_task_t *p, guint64 owner, guint64 pool, guint64 ticket,
-                const settlement_t *settlement);
+static void settle_at_owner(policy_task_t *p, guint64 owner, guint64 pool,
+                            guint64 ticket, const settlement_t *settlement);
 
 /* A decision for a ticket that entered here. */
 static void
--- a/carobloomd/process/wire.c
+++ b/carobloomd/process/wire.c
@@ -1,5 +1,7 @@
 #include "carobloom/process/wire.h"
 
+#include "carobloom/common/codec.h"
+
 #define TICKET_TYPE "(tttttuuuuuud)"
 #define SETTLE_TYPE "(ttuud)"
 #define DECISION_TYPE "(ttuyyss)"
@@ -9,44 +11,12 @@
 #define PAIR_TYPE "(tttb)"
 enum { FLAG_PLAIN = 1 };
 
-GBytes *
-wire_variant_bytes(GVariant *variant)
-{
-    g_variant_ref_sink(variant);
-    GVariant *ordered = variant;
-    if (G_BYTE_ORDER == G_BIG_ENDIAN) {
-        ordered = g_variant_byteswap(variant);
-        g_variant_unref(variant);
-    }
-    GBytes *bytes = g_variant_get_data_as_bytes(ordered);
-    g_variant_unref(ordered);
-    return bytes;
-}
-
-GVariant *
-wire_bytes_variant(GBytes *bytes, const char *type)
-{
-    GVariant *variant =
-        g_variant_new_from_bytes(G_VARIANT_TYPE(type), bytes, FALSE);
-    g_variant_ref_sink(variant);
-    if (!g_variant_is_normal_form(variant)) {
-        g_variant_unref(variant);
-        return NULL;
-    }
-    if (G_BYTE_ORDER == G_BIG_ENDIAN) {
-        GVariant *swapped = g_variant_byteswap(variant);
-        g_variant_unref(variant);
-        return swapped;
-    }
-    return variant;
-}
-
 GBytes *
 wire_ticket_write(const wire_ticket_t *w)
 {
     const ticket_t *t = &w->ticket;
     guint32 flags = t->plain ? FLAG_PLAIN : 0;
-    return wire_variant_bytes(g_variant_new(
+    return codec_write(g_variant_new(
         TICKET_TYPE, t->id, t->team, t->prefix, w->pool,
         w->endpoint ? w->endpoint : t->avoid, w->class_hash, t->prompt_tokens,
         t->done_tokens, t->preemptions, w->waited_ms, flags, t->team_weight));
@@ -56,7 +26,7 @@
 wire_ticket_read(GBytes *bytes, wire_ticket_t *w)
 {
     *w = (wire_ticket_t){0};
-    GVariant *v = wire_bytes_variant(bytes, TICKET_TYPE);
+    GVariant *v = codec_read(bytes, TICKET_TYPE);
     if (v == NULL) {
         return FALSE;
     }
@@ -75,7 +45,7 @@
 GBytes *
 wire_settle_write(const wire_settle_t *w)
 {
-    return wire_variant_bytes(g_variant_new(
+    return codec_write(g_variant_new(
         SETTLE_TYPE, w->ticket, w->pool, (guint32)w->settlement.result,
         w->settlement.tokens, w->settlement.token_us));
 }
@@ -84,7 +54,7 @@
 wire_settle_read(GBytes *bytes, wire_settle_t *w)
 {
     *w = (wire_settle_t){0};
-    GVariant *v = wire_bytes_variant(bytes, SETTLE_TYPE);
+    GVariant *v = codec_read(bytes, SETTLE_TYPE);
     if (v == NULL) {
         return FALSE;
     }
@@ -99,17 +69,17 @@
 GBytes *
 wire_decision_write(const wire_decision_t *w)
 {
-    return wire_variant_bytes(
-        g_variant_new(DECISION_TYPE, w->ticket, w->endpoint, w->retry_after_ms,
-                      w->action, w->reason, w->address ? w->address : "",
-                      w->protocol ? w->protocol : ""));
+    return codec_write(g_variant_new(DECISION_TYPE, w->ticket, w->endpoint,
+                                     w->retry_after_ms, w->action, w->reason,
+                                     w->address ? w->address : "",
+                                     w->protocol ? w->protocol : ""));
 }
 
 gboolean
 wire_decision_read(GBytes *bytes, wire_decision_t *w)
 {
     *w = (wire_decision_t){0};
-    GVariant *v = wire_bytes_variant(bytes, DECISION_TYPE);
+    GVariant *v = codec_read(bytes, DECISION_TYPE);
     if (v == NULL) {
         return FALSE;
     }
@@ -128,7 +98,7 @@
     for (int i = 0; e->adapters && e->adapters[i]; i++) {
         g_variant_builder_add(&adapters, "s", e->adapters[i]);
     }
-    return wire_variant_bytes(g_variant_new(
+    return codec_write(g_variant_new(
         ENDPOINT_TYPE, e->address, e->serves, e->kind, e->protocol,
         e->role ? e->role : "", e->version ? e->version : "", &adapters,
         (guint32)e->slots, (guint32)e->interval_ms, (guint32)e->running,
@@ -140,7 +110,7 @@
 wire_endpoint_read(GBytes *bytes, endpoint_info_t *e)
 {
     *e = (endpoint_info_t){0};
-    GVariant *v = wire_bytes_variant(bytes, ENDPOINT_TYPE);
+    GVariant *v = codec_read(bytes, ENDPOINT_TYPE);
     if (v == NULL) {
         return FALSE;
     }
@@ -177,13 +147,13 @@
         g_variant_builder_add(&b, "(ttuqq)", l->id, l->pool, l->token_us,
                               l->busy, l->age_ms);
     }
-    return wire_variant_bytes(g_variant_builder_end(&b));
+    return codec_write(g_variant_builder_end(&b));
 }
 
 GArray *
 wire_loads_read(GBytes *bytes)
 {
-    GVariant *v = wire_bytes_variant(bytes, LOADS_TYPE);
+    GVariant *v = codec_read(bytes, LOADS_TYPE);
     if (v == NULL) {
         return NULL;
     }
@@ -204,13 +174,13 @@
 {
     GVariant *list = g_variant_new_fixed_array(
         G_VARIANT_TYPE_UINT64, ids->data, ids->len, sizeof(guint64));
-    return wire_variant_bytes(g_variant_new("(t@at)", pool, list));
+    return codec_write(g_variant_new("(t@at)", pool, list));
 }
 
 GArray *
 wire_ids_read(GBytes *bytes, guint64 *pool)
 {
-    GVariant *v = wire_bytes_variant(bytes, IDS_TYPE);
+    GVariant *v = codec_read(bytes, IDS_TYPE);
     if (v == NULL) {
         return NULL;
     }
@@ -231,14 +201,14 @@
 GBytes *
 wire_pair_write(guint64 a, guint64 b, guint64 c, gboolean flag)
 {
-    return wire_variant_bytes(g_variant_new(PAIR_TYPE, a, b, c, flag));
+    return codec_write(g_variant_new(PAIR_TYPE, a, b, c, flag));
 }
 
 gboolean
 wire_pair_read(GBytes *bytes, guint64 *a, guint64 *b, guint64 *c,
                gboolean *flag)
 {
-    GVariant *v = wire_bytes_variant(bytes, PAIR_TYPE);
+    GVariant *v = codec_read(bytes, PAIR_TYPE);
     if (v == NULL) {
         return FALSE;
     }
--- a/carobloomd/request/attempt.c
+++ b/carobloomd/request/attempt.c
@@ -34,8 +34,7 @@
     guint64 silence_timer;
 };
 
-static void
-read_next(attempt_t *a);
+static void read_next(attempt_t *a);
 
 static void
 attempt_unref(attempt_t *a)
--- a/carobloomd/request/request.c
+++ b/carobloomd/request/request.c
@@ -18,8 +18,7 @@
 static const gint64 KEEP_ALIVE_US = 10 * G_USEC_PER_SEC;
 static const gint64 RUN_US = 3600 * (gint64)G_USEC_PER_SEC;
 
-static void
-execute(request_t *r, life_step_t step);
+static void execute(request_t *r, life_step_t step);
 
 /* ---- creation and end ---- */
 
--- /dev/null
+++ b/include/carobloom/common/codec.h
@@ -0,0 +1,13 @@
+/* GVariant as bytes for other machines and later times: normal form only,
+ * little-endian whatever the machine. Reading is safe on untrusted bytes. */
+#ifndef CAROBLOOM_COMMON_CODEC_H
+#define CAROBLOOM_COMMON_CODEC_H
+
+#include <glib.h>
+
+/* Sinks the variant. */
+GBytes *codec_write(GVariant *variant);
+/* NULL when malformed; the caller unrefs it. */
+GVariant *codec_read(GBytes *bytes, const char *type);
+
+#endif
--- a/include/carobloom/common/fields.h
+++ b/include/carobloom/common/fields.h
@@ -38,20 +38,15 @@
 } fault_t;
 
 /* A growing list of fault_t. */
-GPtrArray *
-faults_create(void);
-void
-faults_destroy(GPtrArray *faults);
-void
-faults_add(GPtrArray *faults, const char *base, const char *key,
-           const char *format, ...) G_GNUC_PRINTF(4, 5);
+GPtrArray *faults_create(void);
+void faults_destroy(GPtrArray *faults);
+void faults_add(GPtrArray *faults, const char *base, const char *key,
+                const char *format, ...) G_GNUC_PRINTF(4, 5);
 
 /* Fills `target` from `object`; returns the number of faults added. */
-guint
-fields_read(json_t *object, const char *base, const field_t *fields,
-            gsize count, void *target, GPtrArray *faults);
+guint fields_read(json_t *object, const char *base, const field_t *fields,
+                  gsize count, void *target, GPtrArray *faults);
 /* Frees what fields_read put into `target`. */
-void
-fields_clear(const field_t *fields, gsize count, void *target);
+void fields_clear(const field_t *fields, gsize count, void *target);
 
 #endif
--- a/include/carobloom/common/jsonc.h
+++ b/include/carobloom/common/jsonc.h
@@ -21,11 +21,9 @@
 
 /* Parses `text`; NULL with `error` filled on a fault. The caller owns the
  * reference. */
-json_t *
-jsonc_parse(str_t text, jsonc_error_t *error);
+json_t *jsonc_parse(str_t text, jsonc_error_t *error);
 /* Line (from 1) at which the value at `path` (keys and indexes joined with
  * '.') stands; of its nearest parent if it is absent. */
-int
-jsonc_line(str_t text, const char *path);
+int jsonc_line(str_t text, const char *path);
 
 #endif
--- a/include/carobloom/common/log.h
+++ b/include/carobloom/common/log.h
@@ -20,14 +20,11 @@
 
 /* Starts logging. `json` picks the form; `level` is the least one shown.
  * Returns 0, or -1 when log4c refuses. */
-int
-log_start(gboolean json, log_level_t level);
-void
-log_stop(void);
+int log_start(gboolean json, log_level_t level);
+void log_stop(void);
 /* Logs one line. `request` is a request id or NULL. */
-void
-log_write(log_part_t part, log_level_t level, const char *request,
-          const char *format, ...) G_GNUC_PRINTF(4, 5);
+void log_write(log_part_t part, log_level_t level, const char *request,
+               const char *format, ...) G_GNUC_PRINTF(4, 5);
 
 #define log_debug(part, ...) log_write((part), LOG_DEBUG, NULL, __VA_ARGS__)
 #define log_info(part, ...) log_write((part), LOG_INFO, NULL, __VA_ARGS__)
--- a/include/carobloom/common/str.h
+++ b/include/carobloom/common/str.h
@@ -18,20 +18,14 @@
     ((str_t){.data = (literal), .length = sizeof(literal) - 1})
 
 /* A view of a zero-terminated string; NULL gives an empty view. */
-str_t
-str_from_cstr(const char *cstr);
-gboolean
-str_equal(str_t a, str_t b);
-gboolean
-str_has_prefix(str_t s, str_t prefix);
+str_t str_from_cstr(const char *cstr);
+gboolean str_equal(str_t a, str_t b);
+gboolean str_has_prefix(str_t s, str_t prefix);
 /* Offset of the first `needle` at or after `from`, or -1. */
-gssize
-str_find(str_t s, str_t needle, gsize from);
+gssize str_find(str_t s, str_t needle, gsize from);
 /* The part of `s` from `from` on; empty when `from` is past the end. */
-str_t
-str_tail(str_t s, gsize from);
+str_t str_tail(str_t s, gsize from);
 /* A zero-terminated copy; the caller frees it with g_free. */
-char *
-str_dup(str_t s);
+char *str_dup(str_t s);
 
 #endif
--- a/include/carobloom/common/task.h
+++ b/include/carobloom/common/task.h
@@ -31,25 +31,17 @@
 
 /* Makes a task over `context`, or over a new context with a thread of its
  * own when that is NULL. `state` is passed to `handle`. */
-task_t *
-task_create(const task_ops_t *ops, void *state, GMainContext *context);
+task_t *task_create(const task_ops_t *ops, void *state, GMainContext *context);
 /* Starts the thread; `begin` runs first on it and may be NULL. */
-void
-task_start(task_t *task, void (*begin)(void *state));
+void task_start(task_t *task, void (*begin)(void *state));
 /* Ends the thread after the messages already sent; `end` runs last on it. */
-void
-task_stop(task_t *task, void (*end)(void *state));
-void
-task_destroy(task_t *task);
+void task_stop(task_t *task, void (*end)(void *state));
+void task_destroy(task_t *task);
 /* Hands over a message. On an error the message is destroyed. */
-int
-task_send(task_t *task, message_t *message);
-timers_t *
-task_timers(task_t *task);
-GMainContext *
-task_context(task_t *task);
+int task_send(task_t *task, message_t *message);
+timers_t *task_timers(task_t *task);
+GMainContext *task_context(task_t *task);
 /* Messages waiting, for the dump. */
-guint
-task_backlog(task_t *task);
+guint task_backlog(task_t *task);
 
 #endif
--- a/include/carobloom/common/timers.h
+++ b/include/carobloom/common/timers.h
@@ -10,24 +10,17 @@
 typedef struct timers timers_t;
 typedef void (*timer_fn_t)(void *data);
 
-timers_t *
-timers_create(gint64 now_us);
-void
-timers_destroy(timers_t *timers);
+timers_t *timers_create(gint64 now_us);
+void timers_destroy(timers_t *timers);
 /* Calls `fn` once after `delay_us`, and then every `period_us` if that is
  * above zero. Returns an id for timers_cancel, never 0. */
-guint64
-timers_subscribe(timers_t *timers, gint64 delay_us, gint64 period_us,
-                 timer_fn_t fn, void *data);
-void
-timers_cancel(timers_t *timers, guint64 id);
+guint64 timers_subscribe(timers_t *timers, gint64 delay_us, gint64 period_us,
+                         timer_fn_t fn, void *data);
+void timers_cancel(timers_t *timers, guint64 id);
 /* Runs what is due at `now_us`, in order of time; returns how many ran. */
-guint
-timers_advance(timers_t *timers, gint64 now_us);
+guint timers_advance(timers_t *timers, gint64 now_us);
 /* The next due time, or G_MAXINT64. */
-gint64
-timers_next(const timers_t *timers);
-gint64
-timers_now(const timers_t *timers);
+gint64 timers_next(const timers_t *timers);
+gint64 timers_now(const timers_t *timers);
 
 #endif
--- a/include/carobloom/connection/http.h
+++ b/include/carobloom/connection/http.h
@@ -32,38 +32,26 @@
     guint32 last_ticket;
 } http_t;
 
-http_t *
-http_create(process_t *process, guint index);
-void
-http_destroy(http_t *http);
+http_t *http_create(process_t *process, guint index);
+void http_destroy(http_t *http);
 /* Opens the callers' listener; `port` passes an ephemeral port from the
  * first task to the others. Returns 0 or -1 with the fault logged. */
-int
-http_listen(http_t *http, guint16 *port);
-void
-http_begin(void *state);
-void
-http_end(void *state);
-void
-http_handle(void *state, message_t *message);
+int http_listen(http_t *http, guint16 *port);
+void http_begin(void *state);
+void http_end(void *state);
+void http_handle(void *state, message_t *message);
 
 /* Registers a question; its id goes into the message that asks. */
-guint64
-http_call_create(http_t *http, call_fn_t fn, void *data);
+guint64 http_call_create(http_t *http, call_fn_t fn, void *data);
 /* A ticket id no other request of the process has. */
-guint64
-http_next_ticket(http_t *http);
+guint64 http_next_ticket(http_t *http);
 /* A JSON answer. */
-void
-http_reply_json(SoupServerMessage *message, int status, const char *text,
-                gssize length);
+void http_reply_json(SoupServerMessage *message, int status, const char *text,
+                     gssize length);
 
 /* Adds the handlers of one listener. */
-void
-callers_register(http_t *http);
-void
-platform_register(http_t *http);
-void
-operators_register(http_t *http);
+void callers_register(http_t *http);
+void platform_register(http_t *http);
+void operators_register(http_t *http);
 
 #endif
--- a/include/carobloom/policy/endpoint_set.h
+++ b/include/carobloom/policy/endpoint_set.h
@@ -48,57 +48,44 @@
 
 typedef struct endpoint_set endpoint_set_t;
 
-endpoint_set_t *
-endpoint_set_create(void);
-void
-endpoint_set_destroy(endpoint_set_t *set);
+endpoint_set_t *endpoint_set_create(void);
+void endpoint_set_destroy(endpoint_set_t *set);
 
 /* Adds an endpoint or changes its slots. */
-void
-endpoint_set_put(endpoint_set_t *set, guint64 id, guint slots, gint64 now_us);
+void endpoint_set_put(endpoint_set_t *set, guint64 id, guint slots,
+                      gint64 now_us);
 /* Nothing new is granted; the entry goes when nothing is in flight. */
-void
-endpoint_set_leave(endpoint_set_t *set, guint64 id);
+void endpoint_set_leave(endpoint_set_t *set, guint64 id);
 /* A load report taken at `at_us`: streams running and waiting, and the time
  * a token of one stream takes (0 when unknown). */
-void
-endpoint_set_report(endpoint_set_t *set, guint64 id, guint busy,
-                    double token_us, gint64 at_us);
+void endpoint_set_report(endpoint_set_t *set, guint64 id, guint busy,
+                         double token_us, gint64 at_us);
 /* A cache event: the endpoint holds, or no longer holds, a prefix. */
-void
-endpoint_set_prefix(endpoint_set_t *set, guint64 prefix, guint64 id,
-                    gboolean present);
+void endpoint_set_prefix(endpoint_set_t *set, guint64 prefix, guint64 id,
+                         gboolean present);
 
 /* Chooses where a request goes; NULL when nothing is free. `avoid` is an
  * endpoint just tried (0 for none); `prefill_us` is what a cached prefix
  * would save and `tokens` the length expected. */
-endpoint_state_t *
-endpoint_set_choose(endpoint_set_t *set, guint64 prefix, guint64 avoid,
-                    double prefill_us, double tokens, gint64 now_us);
-void
-endpoint_set_taken(endpoint_set_t *set, endpoint_state_t *endpoint,
-                   guint64 prefix, gint64 now_us);
+endpoint_state_t *endpoint_set_choose(endpoint_set_t *set, guint64 prefix,
+                                      guint64 avoid, double prefill_us,
+                                      double tokens, gint64 now_us);
+void endpoint_set_taken(endpoint_set_t *set, endpoint_state_t *endpoint,
+                        guint64 prefix, gint64 now_us);
 /* One piece of work ended. `token_us` is 0 when not known. */
-void
-endpoint_set_done(endpoint_set_t *set, guint64 id, gboolean failed,
-                  double token_us, gint64 now_us);
+void endpoint_set_done(endpoint_set_t *set, guint64 id, gboolean failed,
+                       double token_us, gint64 now_us);
 /* Reconsiders health: stragglers, ejections, probes. */
-void
-endpoint_set_review(endpoint_set_t *set, gint64 now_us);
+void endpoint_set_review(endpoint_set_t *set, gint64 now_us);
 
-guint
-endpoint_set_free(const endpoint_set_t *set);
-guint
-endpoint_set_slots(const endpoint_set_t *set);
-guint
-endpoint_set_count(const endpoint_set_t *set);
-const endpoint_state_t *
-endpoint_set_find(const endpoint_set_t *set, guint64 id);
+guint endpoint_set_free(const endpoint_set_t *set);
+guint endpoint_set_slots(const endpoint_set_t *set);
+guint endpoint_set_count(const endpoint_set_t *set);
+const endpoint_state_t *endpoint_set_find(const endpoint_set_t *set,
+                                          guint64 id);
 typedef void (*endpoint_visit_t)(const endpoint_state_t *endpoint, void *data);
-void
-endpoint_set_each(const endpoint_set_t *set, endpoint_visit_t visit,
-                  void *data);
-const char *
-endpoint_health_name(endpoint_health_t health);
+void endpoint_set_each(const endpoint_set_t *set, endpoint_visit_t visit,
+                       void *data);
+const char *endpoint_health_name(endpoint_health_t health);
 
 #endif
--- a/include/carobloom/policy/lifecycle.h
+++ b/include/carobloom/policy/lifecycle.h
@@ -78,18 +78,12 @@
 } life_step_t;
 
 /* Applies one event. An event that has no transition changes nothing. */
-life_step_t
-life_apply(life_t *life, life_event_t event);
-const char *
-life_state_name(life_state_t state);
-const char *
-life_event_name(life_event_t event);
-const char *
-life_command_name(life_command_t command);
-const char *
-outcome_name(outcome_t outcome);
+life_step_t life_apply(life_t *life, life_event_t event);
+const char *life_state_name(life_state_t state);
+const char *life_event_name(life_event_t event);
+const char *life_command_name(life_command_t command);
+const char *outcome_name(outcome_t outcome);
 /* The table as Markdown rows, for the docs and the test that compares it. */
-char *
-life_table_markdown(void);
+char *life_table_markdown(void);
 
 #endif
--- a/include/carobloom/policy/limits.h
+++ b/include/carobloom/policy/limits.h
@@ -13,9 +13,8 @@
 
 /* Takes `cost`; returns 0 or the microseconds after which it would fit.
  * `rate` of 0 or less means no limit. */
-gint64
-bucket_take(bucket_t *bucket, double rate, double burst, double cost,
-            gint64 now_us);
+gint64 bucket_take(bucket_t *bucket, double rate, double burst, double cost,
+                   gint64 now_us);
 
 /* A retry budget: each first attempt earns a part of a retry, so that a crash
  * of many endpoints can not double the load. */
@@ -25,9 +24,7 @@
 
 enum { RETRY_BUDGET_MAX = 50 };
 
-void
-retry_budget_earn(retry_budget_t *budget, double ratio);
-gboolean
-retry_budget_take(retry_budget_t *budget);
+void retry_budget_earn(retry_budget_t *budget, double ratio);
+gboolean retry_budget_take(retry_budget_t *budget);
 
 #endif
--- a/include/carobloom/policy/quantile.h
+++ b/include/carobloom/policy/quantile.h
@@ -14,13 +14,10 @@
     float total;
 } quantile_t;
 
-void
-quantile_add(quantile_t *quantile, double value);
+void quantile_add(quantile_t *quantile, double value);
 /* The value below which share `q` lies; `fallback` when nothing is known. */
-double
-quantile_get(const quantile_t *quantile, double q, double fallback);
+double quantile_get(const quantile_t *quantile, double q, double fallback);
 /* The mean of what lies below the 95th percentile, for adding up queues. */
-double
-quantile_trimmed_mean(const quantile_t *quantile, double fallback);
+double quantile_trimmed_mean(const quantile_t *quantile, double fallback);
 
 #endif
--- a/include/carobloom/policy/queue.h
+++ b/include/carobloom/policy/queue.h
@@ -37,21 +37,14 @@
     double service_us; /* sum over all that wait */
 } queue_t;
 
-void
-queue_init(queue_t *queue);
-void
-queue_clear(queue_t *queue);
-void
-queue_push(queue_t *queue, job_t *job);
-void
-queue_remove(queue_t *queue, job_t *job);
+void queue_init(queue_t *queue);
+void queue_clear(queue_t *queue);
+void queue_push(queue_t *queue, job_t *job);
+void queue_remove(queue_t *queue, job_t *job);
 /* The job next in fair order; it stays in the queue. */
-job_t *
-queue_peek(const queue_t *queue);
+job_t *queue_peek(const queue_t *queue);
 /* Tells the queue that `job`, just removed, was served. */
-void
-queue_served(queue_t *queue, const job_t *job);
-job_t *
-queue_oldest(const queue_t *queue);
+void queue_served(queue_t *queue, const job_t *job);
+job_t *queue_oldest(const queue_t *queue);
 
 #endif
--- a/include/carobloom/policy/rendezvous.h
+++ b/include/carobloom/policy/rendezvous.h
@@ -9,10 +9,8 @@
 #include "carobloom/common/str.h"
 
 /* A stable 64-bit hash of text (XXH3), the same on every machine. */
-guint64
-hash_text(str_t text);
+guint64 hash_text(str_t text);
 /* The index of the member that owns `key`, or -1 when there is none. */
-gssize
-rendezvous_owner(guint64 key, const guint64 *members, gsize count);
+gssize rendezvous_owner(guint64 key, const guint64 *members, gsize count);
 
 #endif
--- a/include/carobloom/policy/scheduler.h
+++ b/include/carobloom/policy/scheduler.h
@@ -83,75 +83,57 @@
 
 typedef struct scheduler scheduler_t;
 
-scheduler_t *
-scheduler_create(const class_spec_t *classes, guint count);
-void
-scheduler_destroy(scheduler_t *scheduler);
+scheduler_t *scheduler_create(const class_spec_t *classes, guint count);
+void scheduler_destroy(scheduler_t *scheduler);
 /* Takes a new table; what waits in a class that is gone moves to the last. */
-void
-scheduler_set_classes(scheduler_t *scheduler, const class_spec_t *classes,
-                      guint count);
-void
-scheduler_set_ablation(scheduler_t *scheduler, scheduler_ablation_t ablation);
-endpoint_set_t *
-scheduler_endpoints(scheduler_t *scheduler);
+void scheduler_set_classes(scheduler_t *scheduler, const class_spec_t *classes,
+                           guint count);
+void scheduler_set_ablation(scheduler_t *scheduler,
+                            scheduler_ablation_t ablation);
+endpoint_set_t *scheduler_endpoints(scheduler_t *scheduler);
 /* Until then a pool without endpoints holds its tickets: a new owner has yet
  * to hear the announcements. */
-void
-scheduler_set_grace(scheduler_t *scheduler, gint64 until_us);
+void scheduler_set_grace(scheduler_t *scheduler, gint64 until_us);
 
 /* A ticket arrives, or comes back after a failure or a preemption. One that
  * is known already changes nothing; if it was granted, it is told again. */
-void
-scheduler_submit(scheduler_t *scheduler, const ticket_t *ticket, gint64 now_us,
-                 GArray *actions);
+void scheduler_submit(scheduler_t *scheduler, const ticket_t *ticket,
+                      gint64 now_us, GArray *actions);
 /* A ticket that is already running elsewhere, told by its entry to a new
  * owner of the pool. */
-void
-scheduler_adopt(scheduler_t *scheduler, const ticket_t *ticket,
-                guint64 endpoint, gint64 now_us);
+void scheduler_adopt(scheduler_t *scheduler, const ticket_t *ticket,
+                     guint64 endpoint, gint64 now_us);
 /* A waiting ticket is withdrawn; unknown ids are ignored. */
-void
-scheduler_cancel(scheduler_t *scheduler, guint64 id);
+void scheduler_cancel(scheduler_t *scheduler, guint64 id);
 /* A granted ticket ended. */
-void
-scheduler_settle(scheduler_t *scheduler, guint64 id,
-                 const settlement_t *settlement, gint64 now_us,
-                 GArray *actions);
+void scheduler_settle(scheduler_t *scheduler, guint64 id,
+                      const settlement_t *settlement, gint64 now_us,
+                      GArray *actions);
 /* Expiry, health, headroom; call it every 100 ms or so. */
-void
-scheduler_tick(scheduler_t *scheduler, gint64 now_us, GArray *actions);
+void scheduler_tick(scheduler_t *scheduler, gint64 now_us, GArray *actions);
 /* Grants what can be granted; for after endpoints changed. */
-void
-scheduler_run(scheduler_t *scheduler, gint64 now_us, GArray *actions);
+void scheduler_run(scheduler_t *scheduler, gint64 now_us, GArray *actions);
 /* Forgets every ticket of one entry (the id's upper half), which died. */
-void
-scheduler_drop_entry(scheduler_t *scheduler, guint32 entry, gint64 now_us,
-                     GArray *actions);
+void scheduler_drop_entry(scheduler_t *scheduler, guint32 entry, gint64 now_us,
+                          GArray *actions);
 
 /* Ends the granted tickets of `entry` older than `before_us` that are not
  * among `ids`: their settlement was lost. Returns how many. */
-guint
-scheduler_reconcile(scheduler_t *scheduler, guint32 entry, const guint64 *ids,
-                    gsize count, gint64 before_us, gint64 now_us,
-                    GArray *actions);
-
-guint
-scheduler_waiting(const scheduler_t *scheduler, guint class_index);
-guint
-scheduler_running(const scheduler_t *scheduler, guint class_index);
-guint
-scheduler_headroom(const scheduler_t *scheduler, int tier);
-guint
-scheduler_floor(const scheduler_t *scheduler, guint class_index);
-const class_stats_t *
-scheduler_stats(const scheduler_t *scheduler, guint class_index);
+guint scheduler_reconcile(scheduler_t *scheduler, guint32 entry,
+                          const guint64 *ids, gsize count, gint64 before_us,
+                          gint64 now_us, GArray *actions);
+
+guint scheduler_waiting(const scheduler_t *scheduler, guint class_index);
+guint scheduler_running(const scheduler_t *scheduler, guint class_index);
+guint scheduler_headroom(const scheduler_t *scheduler, int tier);
+guint scheduler_floor(const scheduler_t *scheduler, guint class_index);
+const class_stats_t *scheduler_stats(const scheduler_t *scheduler,
+                                     guint class_index);
 /* Length at quantile `q` learnt for a class and team, in tokens. */
-double
-scheduler_length(const scheduler_t *scheduler, guint class_index, guint64 team,
-                 double q);
+double scheduler_length(const scheduler_t *scheduler, guint class_index,
+                        guint64 team, double q);
 /* The wait a new ticket of that class would see now. */
-gint64
-scheduler_expected_wait(const scheduler_t *scheduler, guint class_index);
+gint64 scheduler_expected_wait(const scheduler_t *scheduler,
+                               guint class_index);
 
 #endif
--- a/include/carobloom/policy/sse.h
+++ b/include/carobloom/policy/sse.h
@@ -25,12 +25,9 @@
  * line. Returns 0 to go on. */
 typedef int (*sse_event_fn_t)(str_t data, str_t raw, void *user);
 
-void
-sse_init(sse_t *sse);
-void
-sse_clear(sse_t *sse);
+void sse_init(sse_t *sse);
+void sse_clear(sse_t *sse);
 /* Feeds bytes; calls `fn` for each whole event. Returns SSE_OK or an error. */
-int
-sse_feed(sse_t *sse, str_t bytes, sse_event_fn_t fn, void *user);
+int sse_feed(sse_t *sse, str_t bytes, sse_event_fn_t fn, void *user);
 
 #endif
--- a/include/carobloom/process/messages.h
+++ b/include/carobloom/process/messages.h
@@ -57,8 +57,7 @@
     message_t base;
 } plain_message_t;
 
-void
-message_free(message_t *message);
+void message_free(message_t *message);
 
 /* HTTP_GRANT, HTTP_REFUSE, HTTP_PREEMPT. */
 typedef struct {
@@ -71,8 +70,7 @@
     gint64 retry_after_us;
 } decision_message_t;
 
-void
-decision_message_free(message_t *message);
+void decision_message_free(message_t *message);
 
 /* POLICY_TICKET: `http` gets the decision. */
 typedef struct {
@@ -82,8 +80,7 @@
     task_t *http;
 } ticket_message_t;
 
-void
-ticket_message_free(message_t *message);
+void ticket_message_free(message_t *message);
 
 /* POLICY_WITHDRAW and POLICY_SETTLE. */
 typedef struct {
@@ -111,8 +108,7 @@
     gint64 age_ms; /* of the load figures */
 } endpoint_info_t;
 
-void
-endpoint_info_clear(endpoint_info_t *info);
+void endpoint_info_clear(endpoint_info_t *info);
 
 /* POLICY_ENDPOINT. */
 typedef struct {
@@ -120,8 +116,7 @@
     endpoint_info_t info;
 } endpoint_message_t;
 
-void
-endpoint_message_free(message_t *message);
+void endpoint_message_free(message_t *message);
 
 /* POLICY_GOODBYE and POLICY_PREFIX. */
 typedef struct {
@@ -132,8 +127,7 @@
     gboolean present;
 } endpoint_event_message_t;
 
-void
-endpoint_event_message_free(message_t *message);
+void endpoint_event_message_free(message_t *message);
 
 /* HTTP_DOCUMENT and POLICY_DOCUMENT. */
 typedef struct {
@@ -141,8 +135,7 @@
     document_t *document;
 } document_message_t;
 
-void
-document_message_free(message_t *message);
+void document_message_free(message_t *message);
 
 /* HTTP_REPLY: the answer to a question asked under `call`. */
 typedef struct {
@@ -153,8 +146,7 @@
     gsize length;
 } reply_message_t;
 
-void
-reply_message_free(message_t *message);
+void reply_message_free(message_t *message);
 
 /* POLICY_DUMP, PEERS_DUMP, VOTER_DUMP, VOTER_HISTORY. */
 typedef struct {
@@ -181,8 +173,7 @@
     GArray *members; /* member_info_t */
 } members_message_t;
 
-void
-members_message_free(message_t *message);
+void members_message_free(message_t *message);
 
 /* PEERS_SEND, POLICY_WIRE, VOTER_WIRE: bytes to or from a member. */
 typedef struct {
@@ -192,8 +183,7 @@
     GBytes *bytes;
 } wire_message_t;
 
-void
-wire_message_free(message_t *message);
+void wire_message_free(message_t *message);
 
 /* VOTER_SUBMIT: a change of the site document. */
 typedef struct {
@@ -208,8 +198,7 @@
     gsize length;
 } submit_message_t;
 
-void
-submit_message_free(message_t *message);
+void submit_message_free(message_t *message);
 
 /* VOTER_CLAIM and VOTER_FINISH. A finish with status 0 gives it back. */
 typedef struct {
@@ -226,8 +215,7 @@
     GBytes *answer;
 } claim_message_t;
 
-void
-claim_message_free(message_t *message);
+void claim_message_free(message_t *message);
 
 typedef enum {
     CLAIM_WON,
@@ -249,8 +237,7 @@
     GBytes *answer;
 } claimed_message_t;
 
-void
-claimed_message_free(message_t *message);
+void claimed_message_free(message_t *message);
 
 /* VOTER_ORDER: an order to an engine, from an operator. */
 typedef struct {
@@ -262,8 +249,7 @@
     char *value;
 } order_message_t;
 
-void
-order_message_free(message_t *message);
+void order_message_free(message_t *message);
 
 /* VOTER_ENGINES: how many endpoints this owner's pool has, and whether one
  * checks fencing numbers. */
@@ -274,7 +260,6 @@
     gboolean gone;
 } engine_message_t;
 
-void
-engine_message_free(message_t *message);
+void engine_message_free(message_t *message);
 
 #endif
--- a/include/carobloom/process/policy_task.h
+++ b/include/carobloom/process/policy_task.h
@@ -7,15 +7,10 @@
 
 typedef struct policy_task policy_task_t;
 
-policy_task_t *
-policy_task_create(process_t *process);
-void
-policy_task_destroy(policy_task_t *policy);
-void
-policy_task_begin(void *state);
-void
-policy_task_end(void *state);
-void
-policy_task_handle(void *state, message_t *message);
+policy_task_t *policy_task_create(process_t *process);
+void policy_task_destroy(policy_task_t *policy);
+void policy_task_begin(void *state);
+void policy_task_end(void *state);
+void policy_task_handle(void *state, message_t *message);
 
 #endif
--- a/include/carobloom/process/process.h
+++ b/include/carobloom/process/process.h
@@ -26,10 +26,8 @@
 } process_t;
 
 /* The upper half of this instance's ticket ids. */
-guint32
-process_entry(const process_t *process);
+guint32 process_entry(const process_t *process);
 /* Sends the same document to all tasks that use it. */
-void
-process_publish_document(process_t *process, document_t *document);
+void process_publish_document(process_t *process, document_t *document);
 
 #endif
--- a/include/carobloom/process/settings.h
+++ b/include/carobloom/process/settings.h
@@ -53,17 +53,12 @@
 } settings_t;
 
 /* Reads a file; `faults` get "line N: path: text" ready to print. */
-int
-settings_load(const char *path, settings_t **settings, GPtrArray *faults);
+int settings_load(const char *path, settings_t **settings, GPtrArray *faults);
 /* The same from memory. */
-int
-settings_parse(str_t text, settings_t **settings, GPtrArray *faults);
-void
-settings_destroy(settings_t *settings);
+int settings_parse(str_t text, settings_t **settings, GPtrArray *faults);
+void settings_destroy(settings_t *settings);
 /* Parses "host:port"; FALSE unless the host is an IP number. */
-gboolean
-address_parse(const char *text, char **host, guint16 *port);
-gboolean
-address_is_loopback(const char *text);
+gboolean address_parse(const char *text, char **host, guint16 *port);
+gboolean address_is_loopback(const char *text);
 
 #endif
--- a/include/carobloom/process/voter_task.h
+++ b/include/carobloom/process/voter_task.h
@@ -8,15 +8,10 @@
 typedef struct voter_task voter_task_t;
 
 /* NULL with the fault logged when the data folder can not be used. */
-voter_task_t *
-voter_task_create(process_t *process);
-void
-voter_task_destroy(voter_task_t *voter);
-void
-voter_task_begin(void *state);
-void
-voter_task_end(void *state);
-void
-voter_task_handle(void *state, message_t *message);
+voter_task_t *voter_task_create(process_t *process);
+void voter_task_destroy(voter_task_t *voter);
+void voter_task_begin(void *state);
+void voter_task_end(void *state);
+void voter_task_handle(void *state, message_t *message);
 
 #endif
--- a/include/carobloom/process/wire.h
+++ b/include/carobloom/process/wire.h
@@ -66,43 +66,24 @@
 
 /* All builders return new bytes; all readers return FALSE on malformed ones
  * and leave the target empty. */
-GBytes *
-wire_variant_bytes(GVariant *variant);
-/* A trusted-form variant of the type, or NULL. The caller unrefs it. */
-GVariant *
-wire_bytes_variant(GBytes *bytes, const char *type);
 
-GBytes *
-wire_ticket_write(const wire_ticket_t *ticket);
-gboolean
-wire_ticket_read(GBytes *bytes, wire_ticket_t *ticket);
-GBytes *
-wire_settle_write(const wire_settle_t *settle);
-gboolean
-wire_settle_read(GBytes *bytes, wire_settle_t *settle);
-GBytes *
-wire_decision_write(const wire_decision_t *decision);
-gboolean
-wire_decision_read(GBytes *bytes, wire_decision_t *decision);
-GBytes *
-wire_endpoint_write(const endpoint_info_t *info);
-gboolean
-wire_endpoint_read(GBytes *bytes, endpoint_info_t *info);
-GBytes *
-wire_loads_write(const GArray *loads);
+GBytes *wire_ticket_write(const wire_ticket_t *ticket);
+gboolean wire_ticket_read(GBytes *bytes, wire_ticket_t *ticket);
+GBytes *wire_settle_write(const wire_settle_t *settle);
+gboolean wire_settle_read(GBytes *bytes, wire_settle_t *settle);
+GBytes *wire_decision_write(const wire_decision_t *decision);
+gboolean wire_decision_read(GBytes *bytes, wire_decision_t *decision);
+GBytes *wire_endpoint_write(const endpoint_info_t *info);
+gboolean wire_endpoint_read(GBytes *bytes, endpoint_info_t *info);
+GBytes *wire_loads_write(const GArray *loads);
 /* A GArray of wire_load_t, or NULL. */
-GArray *
-wire_loads_read(GBytes *bytes);
-GBytes *
-wire_ids_write(guint64 pool, const GArray *ids);
+GArray *wire_loads_read(GBytes *bytes);
+GBytes *wire_ids_write(guint64 pool, const GArray *ids);
 /* A GArray of guint64, or NULL. */
-GArray *
-wire_ids_read(GBytes *bytes, guint64 *pool);
+GArray *wire_ids_read(GBytes *bytes, guint64 *pool);
 /* Two numbers and a flag: withdrawals, goodbyes, prefixes, needs. */
-GBytes *
-wire_pair_write(guint64 a, guint64 b, guint64 c, gboolean flag);
-gboolean
-wire_pair_read(GBytes *bytes, guint64 *a, guint64 *b, guint64 *c,
-               gboolean *flag);
+GBytes *wire_pair_write(guint64 a, guint64 b, guint64 c, gboolean flag);
+gboolean wire_pair_read(GBytes *bytes, guint64 *a, guint64 *b, guint64 *c,
+                        gboolean *flag);
 
 #endif
--- a/include/carobloom/request/attempt.h
+++ b/include/carobloom/request/attempt.h
@@ -26,21 +26,17 @@
 } endpoint_protocol_t;
 
 /* Finds a protocol by name; NULL when there is none. */
-const endpoint_protocol_t *
-endpoint_protocol_find(const char *name);
+const endpoint_protocol_t *endpoint_protocol_find(const char *name);
 
 typedef struct attempt attempt_t;
 
-attempt_t *
-attempt_create(request_t *request, const char *address, const char *protocol);
+attempt_t *attempt_create(request_t *request, const char *address,
+                          const char *protocol);
 /* Lets go of it; what still comes is dropped. Cancels work in flight. */
-void
-attempt_destroy(attempt_t *attempt);
+void attempt_destroy(attempt_t *attempt);
 /* Reads on after the caller took what was pending. */
-void
-attempt_resume(attempt_t *attempt);
+void attempt_resume(attempt_t *attempt);
 /* Observed time a token, in microseconds; 0 when not known. */
-double
-attempt_token_us(const attempt_t *attempt);
+double attempt_token_us(const attempt_t *attempt);
 
 #endif
--- a/include/carobloom/request/request.h
+++ b/include/carobloom/request/request.h
@@ -77,30 +77,20 @@
 } request_spec_t;
 
 /* Starts a request; it lives until its answer is complete. */
-void
-request_create(http_t *http, const request_spec_t *spec);
+void request_create(http_t *http, const request_spec_t *spec);
 /* Events from the other tasks. */
-void
-request_granted(request_t *request, const decision_message_t *decision);
-void
-request_refused(request_t *request, const decision_message_t *decision);
-void
-request_preempted(request_t *request);
-void
-request_claimed(request_t *request, const claimed_message_t *claimed);
+void request_granted(request_t *request, const decision_message_t *decision);
+void request_refused(request_t *request, const decision_message_t *decision);
+void request_preempted(request_t *request);
+void request_claimed(request_t *request, const claimed_message_t *claimed);
 /* Events from its attempt. */
-void
-request_event(request_t *request, life_event_t event);
+void request_event(request_t *request, life_event_t event);
 /* A part of a stream for the caller; `text` is what it says. */
-void
-request_part(request_t *request, str_t raw, str_t text, guint tokens);
+void request_part(request_t *request, str_t raw, str_t text, guint tokens);
 /* The attempt may read on: the caller keeps up. */
-gboolean
-request_can_take(const request_t *request);
+gboolean request_can_take(const request_t *request);
 /* Once a second: keep-alive comments. */
-void
-request_tick(request_t *request, gint64 now_us);
-json_t *
-request_dump(const request_t *request);
+void request_tick(request_t *request, gint64 now_us);
+json_t *request_dump(const request_t *request);
 
 #endif
--- a/include/carobloom/version/document.h
+++ b/include/carobloom/version/document.h
@@ -72,41 +72,31 @@
 typedef struct document document_t;
 
 /* Parses and checks; NULL with `faults` filled. `version` is its number. */
-document_t *
-document_parse(str_t text, guint64 version, GPtrArray *faults);
-document_t *
-document_ref(document_t *document);
-void
-document_unref(document_t *document);
+document_t *document_parse(str_t text, guint64 version, GPtrArray *faults);
+document_t *document_ref(document_t *document);
+void document_unref(document_t *document);
 
-guint64
-document_version(const document_t *document);
-str_t
-document_text(const document_t *document);
-guint
-document_class_count(const document_t *document);
-const document_class_t *
-document_class(const document_t *document, guint index);
+guint64 document_version(const document_t *document);
+str_t document_text(const document_t *document);
+guint document_class_count(const document_t *document);
+const document_class_t *document_class(const document_t *document,
+                                       guint index);
 /* The same classes as the decisions want them. */
-const class_spec_t *
-document_class_specs(const document_t *document);
-const document_limits_t *
-document_limits(const document_t *document);
+const class_spec_t *document_class_specs(const document_t *document);
+const document_limits_t *document_limits(const document_t *document);
 /* The team whose key this is, or NULL. */
-const document_team_t *
-document_find_team(const document_t *document, str_t key);
-const document_service_t *
-document_find_service(const document_t *document, const char *name);
+const document_team_t *document_find_team(const document_t *document,
+                                          str_t key);
+const document_service_t *document_find_service(const document_t *document,
+                                                const char *name);
 typedef const char *(*header_fn_t)(const char *name, void *data);
 /* The class of a call, or -1 when no route fits. */
-int
-document_find_class(const document_t *document, const char *path,
-                    const char *model, const char *team, header_fn_t header,
-                    void *data);
-gboolean
-document_class_allows(const document_class_t *class_info, const char *pool);
+int document_find_class(const document_t *document, const char *path,
+                        const char *model, const char *team,
+                        header_fn_t header, void *data);
+gboolean document_class_allows(const document_class_t *class_info,
+                               const char *pool);
 /* What differs between two texts, a line each; freed with g_free. */
-char *
-document_difference(str_t from, str_t to);
+char *document_difference(str_t from, str_t to);
 
 #endif
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -46,15 +46,11 @@
     gboolean silent; /* announces no more */
 } standin_t;
 
-void
-engine_register(standin_t *standin);
-void
-announce_start(standin_t *standin);
-void
-announce_goodbye(standin_t *standin);
+void engine_register(standin_t *standin);
+void announce_start(standin_t *standin);
+void announce_goodbye(standin_t *standin);
 /* A line in the log of what ran. */
-void
-standin_log(standin_t *standin, const char *what, const char *id,
-            const char *key);
+void standin_log(standin_t *standin, const char *what, const char *id,
+                 const char *key);
 
 #endif
