Join the instances: gossip, voters' log with its disk, document, claims

Cause: one instance kept the document in memory.

Found: with 9 real processes two or three groups formed, each asking only one seed at the start and then every 64 pings: 26 s until they met. Ruled out: CURVE and its ZAP handler, which delivered 20 of 20 in isolation.

--- a/carobloomd/connection/callers.c
+++ b/carobloomd/connection/callers.c
@@ -153,10 +153,11 @@
         *key = NULL;
         return TRUE;
     }
-    if (*key == NULL || **key == '\0' || strlen(*key) > KEY_BYTES_MAX) {
+    if (*key == NULL || **key == '\0' || strlen(*key) > KEY_BYTES_MAX ||
+        !g_str_is_ascii(*key)) {
         reply_error(message, 400, "invalid_request_error",
                     "This class is not repeatable: send an Idempotency-Key "
-                    "header of 1 to 255 bytes.");
+                    "header of 1 to 255 ASCII bytes.");
         return FALSE;
     }
     return TRUE;
--- a/carobloomd/connection/http.c
+++ b/carobloomd/connection/http.c
@@ -1,6 +1,7 @@
 #include "carobloom/connection/http.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -290,6 +291,30 @@
     }
 }
 
+/* The requests of this task: to who asked, or on standard error. */
+static void
+handle_ask(http_t *http, const ask_message_t *m)
+{
+    json_t *list = json_array();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, http->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        json_array_append_new(list, request_dump(value));
+    }
+    char *text = json_dumps(list, JSON_COMPACT);
+    json_decref(list);
+    if (m->http == NULL) {
+        fprintf(stderr, "# requests of http task %u: %s\n", http->index, text);
+        free(text);
+        return;
+    }
+    task_send(m->http, MESSAGE(reply_message_t,
+                               .base = {HTTP_REPLY, reply_message_free},
+                               .call = m->call, .status = 200, .text = text,
+                               .length = strlen(text)));
+}
+
 void
 http_handle(void *state, message_t *message)
 {
@@ -308,6 +333,12 @@
         http->document =
             document_ref(((document_message_t *)message)->document);
         break;
+    case HTTP_ASK:
+        handle_ask(http, (ask_message_t *)message);
+        break;
+    case HTTP_ORDER:
+        orders_give(http, (engine_message_t *)message);
+        break;
     case HTTP_REPLY:
         handle_reply(http, (reply_message_t *)message);
         break;
--- a/carobloomd/process/main.c
+++ b/carobloomd/process/main.c
@@ -3,10 +3,12 @@
 #include <glib-unix.h>
 #include <stdio.h>
 
+#include "carobloom/common/counters.h"
 #include "carobloom/common/fields.h"
 #include "carobloom/common/log.h"
 #include "carobloom/connection/http.h"
 #include "carobloom/policy/rendezvous.h"
+#include "carobloom/process/peers_task.h"
 #include "carobloom/process/policy_task.h"
 #include "carobloom/process/process.h"
 #include "carobloom/process/voter_task.h"
@@ -28,6 +30,7 @@
     http_t *http[HTTP_TASKS_MAX];
     policy_task_t *policy;
     voter_task_t *voter;
+    peers_task_t *peers; /* NULL when alone */
     GMainLoop *loop;
     guint quiet_polls;
     int exit_code;
@@ -38,6 +41,9 @@
 static const task_ops_t POLICY_OPS = {.name = "policy",
                                       .mailbox_bound = MAILBOX_BOUND,
                                       .handle = policy_task_handle};
+static const task_ops_t PEERS_OPS = {.name = "peers",
+                                     .mailbox_bound = MAILBOX_BOUND,
+                                     .handle = peers_task_handle};
 static const task_ops_t VOTER_OPS = {.name = "voter",
                                      .mailbox_bound = MAILBOX_BOUND,
                                      .handle = voter_task_handle};
@@ -136,6 +142,13 @@
     if (d->voter == NULL) {
         return FALSE;
     }
+    if (settings->peers.address != NULL) {
+        d->peers = peers_task_create(p);
+        if (d->peers == NULL) {
+            return FALSE;
+        }
+        p->peers = task_create(&PEERS_OPS, d->peers, NULL);
+    }
     p->policy = task_create(&POLICY_OPS, d->policy, NULL);
     p->voter = task_create(&VOTER_OPS, d->voter, NULL);
     guint16 port = 0;
@@ -159,6 +172,9 @@
         task_start(p->http[i], http_begin);
     }
     task_start(p->voter, voter_task_begin);
+    if (p->peers != NULL) {
+        task_start(p->peers, peers_task_begin);
+    }
 }
 
 static void
@@ -170,6 +186,45 @@
     }
     task_stop(p->voter, voter_task_end);
     task_stop(p->policy, policy_task_end);
+    if (p->peers != NULL) {
+        task_stop(p->peers, peers_task_end);
+    }
+}
+
+/* Lets go of everything, so that a sanitizer can tell what was lost. */
+static void
+daemon_destroy(daemon_t *d)
+{
+    process_t *p = &d->process;
+    for (guint i = 0; i < p->http_count; i++) {
+        http_destroy(d->http[i]);
+        task_destroy(p->http[i]);
+    }
+    task_destroy(p->policy);
+    policy_task_destroy(d->policy);
+    task_destroy(p->voter);
+    voter_task_destroy(d->voter);
+    if (p->peers != NULL) {
+        task_destroy(p->peers);
+        peers_task_destroy(d->peers);
+    }
+}
+
+/* Counters and requests in flight, on standard error. */
+static gboolean
+on_dump(gpointer data)
+{
+    daemon_t *d = data;
+    char *text = counters_text();
+    fprintf(stderr, "# dump of %s, %d in flight\n%s# end of dump\n",
+            d->process.settings->instance,
+            g_atomic_int_get(&d->process.in_flight), text);
+    g_free(text);
+    for (guint i = 0; i < d->process.http_count; i++) {
+        task_send(d->process.http[i],
+                  MESSAGE(ask_message_t, .base = {HTTP_ASK, message_free}));
+    }
+    return G_SOURCE_CONTINUE;
 }
 
 static gboolean
@@ -188,6 +243,19 @@
     return G_SOURCE_REMOVE;
 }
 
+/* Hands over what this instance leads and owns, while it still answers. */
+static void
+hand_over(daemon_t *d)
+{
+    process_t *p = &d->process;
+    task_send(p->voter, MESSAGE(plain_message_t,
+                                .base = {VOTER_HANDOVER, message_free}));
+    if (p->peers != NULL) {
+        task_send(p->peers, MESSAGE(plain_message_t,
+                                    .base = {PEERS_LEAVE, message_free}));
+    }
+}
+
 /* The notice is over: new calls are refused, those in flight go on. */
 static gboolean
 drain_refuse(gpointer data)
@@ -212,6 +280,7 @@
     log_info(LOG_PART_PROCESS, "Draining %d requests.",
              g_atomic_int_get(&d->process.in_flight));
     g_atomic_int_set(&d->process.draining, 1);
+    hand_over(d);
     g_timeout_add((guint)d->process.settings->drain_notice_ms, drain_refuse,
                   d);
     return G_SOURCE_CONTINUE;
@@ -227,11 +296,13 @@
         d.loop = g_main_loop_new(NULL, FALSE);
         g_unix_signal_add(SIGTERM, on_terminate, &d);
         g_unix_signal_add(SIGINT, on_terminate, &d);
+        g_unix_signal_add(SIGUSR1, on_dump, &d);
         daemon_start(&d);
         log_info(LOG_PART_PROCESS, "Instance %s of %s runs.",
                  settings->instance, settings->data_centre);
         g_main_loop_run(d.loop);
         daemon_stop(&d);
+        daemon_destroy(&d);
         g_main_loop_unref(d.loop);
     }
     return d.exit_code;
--- a/carobloomd/process/messages.c
+++ b/carobloomd/process/messages.c
@@ -132,5 +132,7 @@
 {
     engine_message_t *m = (engine_message_t *)message;
     g_free(m->address);
+    g_free(m->verb);
+    g_free(m->value);
     g_free(m);
 }
--- a/carobloomd/process/wire.c
+++ b/carobloomd/process/wire.c
@@ -216,3 +216,166 @@
     g_variant_unref(v);
     return TRUE;
 }
+
+/* ---- voters ---- */
+
+static GVariant *
+bytes_variant(GBytes *bytes)
+{
+    if (bytes == NULL) {
+        return g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, NULL, 0, 1);
+    }
+    return g_variant_new_from_bytes(G_VARIANT_TYPE("ay"), bytes, TRUE);
+}
+
+static GBytes *
+bytes_take(GVariant *array)
+{
+    GBytes *bytes = g_variant_get_data_as_bytes(array);
+    g_variant_unref(array);
+    return bytes;
+}
+
+GBytes *
+wire_call_write(const wire_call_t *w)
+{
+    return codec_write(g_variant_new("(tyts@ay)", w->call, (guchar)w->kind,
+                                     w->version, w->name ? w->name : "",
+                                     bytes_variant(w->body)));
+}
+
+gboolean
+wire_call_read(GBytes *bytes, wire_call_t *w)
+{
+    *w = (wire_call_t){0};
+    GVariant *v = codec_read(bytes, "(tytsay)");
+    if (v == NULL) {
+        return FALSE;
+    }
+    guchar kind;
+    GVariant *body;
+    g_variant_get(v, "(tyts@ay)", &w->call, &kind, &w->version, &w->name,
+                  &body);
+    w->kind = (call_kind_t)kind;
+    w->body = bytes_take(body);
+    g_variant_unref(v);
+    return TRUE;
+}
+
+void
+wire_call_clear(wire_call_t *w)
+{
+    g_clear_pointer(&w->body, g_bytes_unref);
+    g_clear_pointer(&w->name, g_free);
+}
+
+GBytes *
+wire_reply_write(const wire_reply_t *w)
+{
+    return codec_write(
+        g_variant_new("(tiitiss@ay)", w->call, w->result, w->outcome,
+                      w->version, w->status, w->text ? w->text : "",
+                      w->type ? w->type : "", bytes_variant(w->body)));
+}
+
+gboolean
+wire_reply_read(GBytes *bytes, wire_reply_t *w)
+{
+    *w = (wire_reply_t){0};
+    GVariant *v = codec_read(bytes, "(tiitissay)");
+    if (v == NULL) {
+        return FALSE;
+    }
+    GVariant *body;
+    g_variant_get(v, "(tiitiss@ay)", &w->call, &w->result, &w->outcome,
+                  &w->version, &w->status, &w->text, &w->type, &body);
+    w->body = bytes_take(body);
+    g_variant_unref(v);
+    return TRUE;
+}
+
+void
+wire_reply_clear(wire_reply_t *w)
+{
+    g_clear_pointer(&w->body, g_bytes_unref);
+    g_clear_pointer(&w->text, g_free);
+    g_clear_pointer(&w->type, g_free);
+}
+
+static void
+step_clear(gpointer data)
+{
+    g_bytes_unref(((wire_step_t *)data)->inserted);
+}
+
+GArray *
+wire_steps_create(void)
+{
+    GArray *steps = g_array_new(FALSE, TRUE, sizeof(wire_step_t));
+    g_array_set_clear_func(steps, step_clear);
+    return steps;
+}
+
+GBytes *
+wire_steps_write(const GArray *steps)
+{
+    GVariantBuilder b;
+    g_variant_builder_init(&b, G_VARIANT_TYPE("a(ttttay)"));
+    for (guint i = 0; i < steps->len; i++) {
+        const wire_step_t *s = &g_array_index(steps, wire_step_t, i);
+        g_variant_builder_add(&b, "(tttt@ay)", s->version, s->base, s->prefix,
+                              s->removed, bytes_variant(s->inserted));
+    }
+    return codec_write(g_variant_builder_end(&b));
+}
+
+GArray *
+wire_steps_read(GBytes *bytes)
+{
+    GVariant *v = codec_read(bytes, "a(ttttay)");
+    if (v == NULL) {
+        return NULL;
+    }
+    GArray *steps = wire_steps_create();
+    GVariantIter iter;
+    wire_step_t s;
+    GVariant *inserted;
+    g_variant_iter_init(&iter, v);
+    while (g_variant_iter_next(&iter, "(tttt@ay)", &s.version, &s.base,
+                               &s.prefix, &s.removed, &inserted)) {
+        s.inserted = bytes_take(inserted);
+        g_array_append_val(steps, s);
+    }
+    g_variant_unref(v);
+    return steps;
+}
+
+GBytes *
+wire_found_write(const wire_found_t *w)
+{
+    return codec_write(g_variant_new("(tsbb@ay)", w->id, w->name, w->empty,
+                                     w->answer, bytes_variant(w->config)));
+}
+
+gboolean
+wire_found_read(GBytes *bytes, wire_found_t *w)
+{
+    *w = (wire_found_t){0};
+    GVariant *v = codec_read(bytes, "(tsbbay)");
+    if (v == NULL) {
+        return FALSE;
+    }
+    GVariant *config;
+    g_variant_get(v, "(tsbb@ay)", &w->id, &w->name, &w->empty, &w->answer,
+                  &config);
+    w->config = bytes_take(config);
+    g_variant_unref(v);
+    return TRUE;
+}
+
+void
+wire_found_clear(wire_found_t *w)
+{
+    g_clear_pointer(&w->config, g_bytes_unref);
+    g_clear_pointer(&w->name, g_free);
+}
--- a/include/carobloom/connection/http.h
+++ b/include/carobloom/connection/http.h
@@ -53,5 +53,11 @@
 void callers_register(http_t *http);
 void platform_register(http_t *http);
 void operators_register(http_t *http);
+/* The operator whose key a call carries, or NULL. */
+const char *operators_find(http_t *http, SoupServerMessage *message);
+void console_register(http_t *http);
+
+/* Gives an engine an order and tells the voter task what came of it. */
+void orders_give(http_t *http, const engine_message_t *order);
 
 #endif
--- a/include/carobloom/process/messages.h
+++ b/include/carobloom/process/messages.h
@@ -20,8 +20,8 @@
     HTTP_CLAIMED,
     HTTP_DOCUMENT,
     HTTP_REPLY,
-    HTTP_READY,
-    HTTP_DRAIN,
+    HTTP_ORDER,
+    HTTP_ASK,
     /* to the policy task */
     POLICY_TICKET,
     POLICY_WITHDRAW,
@@ -33,12 +33,11 @@
     POLICY_MEMBERS,
     POLICY_WIRE,
     POLICY_DUMP,
-    POLICY_HANDOVER,
     /* to the peers task */
     PEERS_SEND,
     PEERS_DUMP,
     PEERS_LEAVE,
-    PEERS_STATUS,
+    PEERS_VERSION,
     /* to the voter task */
     VOTER_WIRE,
     VOTER_SUBMIT,
@@ -49,7 +48,8 @@
     VOTER_MEMBERS,
     VOTER_HANDOVER,
     VOTER_ORDER,
-    VOTER_ENGINES,
+    VOTER_ORDER_DONE,
+    VOTER_VERSION,
 } message_type_t;
 
 /* A message with nothing but its type. */
@@ -251,15 +251,26 @@
 
 void order_message_free(message_t *message);
 
-/* VOTER_ENGINES: how many endpoints this owner's pool has, and whether one
- * checks fencing numbers. */
+/* HTTP_ORDER and VOTER_ORDER_DONE: an order on its way to an engine, and what
+ * came of it; `status` 0 means that it may or may not have arrived. */
 typedef struct {
     message_t base;
+    guint64 fence;
     char *address;
-    gboolean fencing;
-    gboolean gone;
+    char *verb;
+    char *value;
+    gint64 latest_us; /* give up by then, monotonic */
+    int status;
 } engine_message_t;
 
 void engine_message_free(message_t *message);
 
+/* PEERS_VERSION and VOTER_VERSION: the document in force here, or the highest
+ * heard of and who has it. */
+typedef struct {
+    message_t base;
+    guint64 version;
+    guint64 member;
+} version_message_t;
+
 #endif
--- a/include/carobloom/process/wire.h
+++ b/include/carobloom/process/wire.h
@@ -22,10 +22,11 @@
     WIRE_PREFIX,
     WIRE_RUNNING,
     WIRE_GOSSIP,
-    WIRE_VOTER,
+    WIRE_VOTER, /* from here on: for the voter task */
     WIRE_VOTER_CALL,
     WIRE_VOTER_REPLY,
     WIRE_DOCUMENT,
+    WIRE_FOUND,
 } wire_kind_t;
 
 /* A ticket with its pool. `waited_us` stands for the arrival, since clocks
@@ -64,6 +65,63 @@
     settlement_t settlement;
 } wire_settle_t;
 
+/* What an instance asks of the leader. */
+typedef enum {
+    CALL_SUBMIT = 1,
+    CALL_CLAIM,
+    CALL_FINISH,
+    CALL_ORDER,
+    CALL_SYNC, /* the document since `version`, confirmed by the lease */
+    CALL_HISTORY,
+    CALL_ACK, /* `version` is in force here; no reply */
+    CALL_KINDS,
+} call_kind_t;
+
+/* A question. `body` is a site command without its time for the first four,
+ * which the leader stamps. */
+typedef struct {
+    guint64 call;
+    call_kind_t kind;
+    guint64 version;
+    GBytes *body;
+    char *name; /* of the asking instance */
+} wire_call_t;
+
+enum {
+    REPLY_OK = 0,
+    REPLY_NOT_LEADER = -1, /* `text` names the leader, if known */
+    REPLY_REFUSED = -2,    /* faults in the document, as JSON */
+};
+
+typedef struct {
+    guint64 call;
+    gint32 result;
+    gint32 outcome; /* site_outcome_t */
+    guint64 version;
+    gint32 status;
+    char *text;
+    char *type;
+    GBytes *body;
+} wire_reply_t;
+
+/* A step of the document, or the whole with base 0 and all removed. */
+typedef struct {
+    guint64 version;
+    guint64 base;
+    guint64 prefix;
+    guint64 removed;
+    GBytes *inserted;
+} wire_step_t;
+
+/* How voters first meet: who has state, and the founding membership. */
+typedef struct {
+    guint64 id;
+    char *name;
+    gboolean empty;
+    gboolean answer; /* to a question; else it is one */
+    GBytes *config;  /* empty unless it founds */
+} wire_found_t;
+
 /* All builders return new bytes; all readers return FALSE on malformed ones
  * and leave the target empty. */
 
@@ -86,4 +144,18 @@
 gboolean wire_pair_read(GBytes *bytes, guint64 *a, guint64 *b, guint64 *c,
                         gboolean *flag);
 
+GBytes *wire_call_write(const wire_call_t *call);
+gboolean wire_call_read(GBytes *bytes, wire_call_t *call);
+void wire_call_clear(wire_call_t *call);
+GBytes *wire_reply_write(const wire_reply_t *reply);
+gboolean wire_reply_read(GBytes *bytes, wire_reply_t *reply);
+void wire_reply_clear(wire_reply_t *reply);
+GBytes *wire_steps_write(const GArray *steps);
+/* A GArray of wire_step_t that clears its items, or NULL. */
+GArray *wire_steps_read(GBytes *bytes);
+GArray *wire_steps_create(void);
+GBytes *wire_found_write(const wire_found_t *found);
+gboolean wire_found_read(GBytes *bytes, wire_found_t *found);
+void wire_found_clear(wire_found_t *found);
+
 #endif
--- /dev/null
+++ b/policy/membership.c
@@ -0,0 +1,656 @@
+#include "carobloom/policy/membership.h"
+
+#include <string.h>
+
+#include "carobloom/common/codec.h"
+
+#define RECORD_TYPE "(tuytssssbb)"
+#define MESSAGE_TYPE "(yttuta(tuytssssbb))"
+enum {
+    RECORDS_A_MESSAGE = 8,
+    RECORDS_A_SYNC = 4096,
+    SEEDS_A_PERIOD = 3,
+    HELPERS = 2,       /* asked to ping in our place */
+    SPREAD_FACTOR = 3, /* tellings of a change: factor * log2(n + 1) */
+};
+
+typedef enum {
+    GOSSIP_PING,
+    GOSSIP_ACK,
+    GOSSIP_PING_REQUEST, /* ping `target` for the sender */
+    GOSSIP_JOIN,         /* asks for all records */
+    GOSSIP_SYNC,         /* all records */
+    GOSSIP_KINDS,
+} gossip_kind_t;
+
+typedef struct {
+    member_record_t record;
+    gint64 changed_us;
+    guint tellings; /* left */
+} member_t;
+
+/* A ping on its way. */
+typedef struct {
+    guint64 target;
+    gint64 sent_us;
+    gboolean helped; /* others were asked */
+} probe_t;
+
+struct membership {
+    membership_settings_t settings;
+    GRand *rand;
+    member_t *self;
+    GHashTable *members; /* id -> member_t, self included */
+    GPtrArray *order;    /* member ids in the order of pinging */
+    guint order_at;
+    GPtrArray *seeds;
+    guint seed_at;
+    GPtrArray *sends;
+    gint64 now_us;
+    gint64 next_us;
+    guint32 sequence;
+    probe_t probe;       /* target 0: none */
+    GHashTable *helping; /* sequence -> id to pass the ack on to */
+    gboolean changed;
+    guint64 version;
+    guint64 best_version;
+    guint64 best_member;
+};
+
+static void
+send_free(gpointer data)
+{
+    membership_send_t *send = data;
+    g_bytes_unref(send->bytes);
+    g_free(send);
+}
+
+static GPtrArray *
+sends_create(void)
+{
+    return g_ptr_array_new_with_free_func(send_free);
+}
+
+membership_t *
+membership_create(const member_record_t *self,
+                  const membership_settings_t *settings, gint64 now_us)
+{
+    membership_t *m = g_new0(membership_t, 1);
+    m->settings = *settings;
+    m->rand = g_rand_new_with_seed((guint32)settings->seed);
+    m->members =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    m->order = g_ptr_array_new();
+    m->seeds = g_ptr_array_new_with_free_func(g_free);
+    m->helping = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    m->sends = sends_create();
+    m->now_us = now_us;
+    m->next_us = now_us;
+    m->self = g_new0(member_t, 1);
+    m->self->record = *self;
+    g_hash_table_insert(m->members, &m->self->record.id, m->self);
+    m->changed = TRUE;
+    return m;
+}
+
+void
+membership_destroy(membership_t *m)
+{
+    g_rand_free(m->rand);
+    g_hash_table_unref(m->members);
+    g_hash_table_unref(m->helping);
+    g_ptr_array_unref(m->order);
+    g_ptr_array_unref(m->seeds);
+    g_ptr_array_unref(m->sends);
+    g_free(m);
+}
+
+void
+membership_add_seed(membership_t *m, const char *address)
+{
+    g_ptr_array_add(m->seeds, g_strdup(address));
+}
+
+/* ---- writing ---- */
+
+static GVariant *
+record_variant(const member_record_t *r)
+{
+    return g_variant_new(RECORD_TYPE, r->id, r->rumor, (guchar)r->state,
+                         r->started, r->name, r->region, r->data_centre,
+                         r->address, r->control, r->draining);
+}
+
+static guint
+telling_budget(const membership_t *m)
+{
+    guint n = g_hash_table_size(m->members) + 1;
+    guint log2 = g_bit_storage(n);
+    return SPREAD_FACTOR * log2;
+}
+
+/* Adds changes still to be told, up to the bound. */
+static void
+add_changes(membership_t *m, GVariantBuilder *records, guint most)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->members);
+    while (most > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+        member_t *member = value;
+        if (member->tellings > 0) {
+            member->tellings--;
+            most--;
+            g_variant_builder_add_value(records,
+                                        record_variant(&member->record));
+        }
+    }
+}
+
+static void
+add_all(membership_t *m, GVariantBuilder *records)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_variant_builder_add_value(
+            records, record_variant(&((member_t *)value)->record));
+    }
+}
+
+static membership_send_t *
+post(membership_t *m, const char *address, guint64 to, gossip_kind_t kind,
+     guint32 sequence, guint64 target)
+{
+    GVariantBuilder records;
+    g_variant_builder_init(&records, G_VARIANT_TYPE("a" RECORD_TYPE));
+    if (kind == GOSSIP_SYNC) {
+        add_all(m, &records);
+    }
+    else if (kind == GOSSIP_JOIN) {
+        g_variant_builder_add_value(&records,
+                                    record_variant(&m->self->record));
+    }
+    else {
+        add_changes(m, &records, RECORDS_A_MESSAGE);
+    }
+    membership_send_t *send = g_new0(membership_send_t, 1);
+    g_strlcpy(send->address, address, sizeof(send->address));
+    send->to = to;
+    send->bytes = codec_write(g_variant_new(
+        "(yttuta" RECORD_TYPE ")", (guchar)kind, m->self->record.id, target,
+        sequence, m->version, &records));
+    g_ptr_array_add(m->sends, send);
+    return send;
+}
+
+/* ---- changes ---- */
+
+static void
+tell(membership_t *m, member_t *member)
+{
+    member->tellings = telling_budget(m);
+    member->changed_us = m->now_us;
+    m->changed = TRUE;
+}
+
+static void
+set_state(membership_t *m, member_t *member, member_state_t state)
+{
+    if (member->record.state != state) {
+        member->record.state = state;
+        tell(m, member);
+    }
+}
+
+/* Raises the own rumor above one that is wrong about us. */
+static void
+refute(membership_t *m, const member_record_t *wrong)
+{
+    if (wrong->state == MEMBER_ALIVE &&
+        wrong->rumor <= m->self->record.rumor) {
+        return;
+    }
+    if (wrong->rumor >= m->self->record.rumor &&
+        m->self->record.state != MEMBER_LEFT) {
+        m->self->record.rumor = wrong->rumor + 1;
+        tell(m, m->self);
+    }
+}
+
+/* Another start of the same instance makes this one dead. */
+static void
+supersede(membership_t *m, const member_record_t *fresh)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        member_t *member = value;
+        if (member->record.id != fresh->id && member != m->self &&
+            strcmp(member->record.name, fresh->name) == 0 &&
+            member->record.started < fresh->started) {
+            set_state(m, member, MEMBER_DEAD);
+        }
+    }
+}
+
+static gboolean
+is_news(const member_record_t *known, const member_record_t *r)
+{
+    if (known->state == MEMBER_LEFT || known->state == MEMBER_DEAD) {
+        /* Only the member itself, with a higher rumor, comes back. */
+        return r->state == MEMBER_ALIVE && r->rumor > known->rumor &&
+               known->state == MEMBER_DEAD;
+    }
+    if (r->state >= MEMBER_DEAD) {
+        return r->rumor >= known->rumor;
+    }
+    if (r->rumor != known->rumor) {
+        return r->rumor > known->rumor;
+    }
+    return r->state > known->state;
+}
+
+static void
+learn(membership_t *m, const member_record_t *r)
+{
+    if (r->id == m->self->record.id) {
+        refute(m, r);
+        return;
+    }
+    member_t *member = g_hash_table_lookup(m->members, &r->id);
+    if (member == NULL) {
+        if (r->state >= MEMBER_DEAD ||
+            g_hash_table_size(m->members) >= MEMBERSHIP_MAX) {
+            return;
+        }
+        member = g_new0(member_t, 1);
+        member->record = *r;
+        g_hash_table_insert(m->members, &member->record.id, member);
+        supersede(m, r);
+        tell(m, member);
+        return;
+    }
+    if (is_news(&member->record, r)) {
+        member->record = *r;
+        tell(m, member);
+    }
+}
+
+/* ---- pinging ---- */
+
+static void
+shuffle_order(membership_t *m)
+{
+    g_ptr_array_set_size(m->order, 0);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        member_t *member = value;
+        if (member != m->self && member->record.state <= MEMBER_SUSPECT) {
+            g_ptr_array_add(m->order, (gpointer)member->record.id);
+        }
+    }
+    for (guint i = m->order->len; i > 1; i--) {
+        guint k = (guint)g_rand_int_range(m->rand, 0, (gint)i);
+        gpointer swap = m->order->pdata[i - 1];
+        m->order->pdata[i - 1] = m->order->pdata[k];
+        m->order->pdata[k] = swap;
+    }
+    m->order_at = 0;
+}
+
+/* The next member to ping, each once a round; NULL when alone. */
+static member_t *
+next_target(membership_t *m)
+{
+    for (int rounds = 0; rounds < 2; rounds++) {
+        while (m->order_at < m->order->len) {
+            guint64 id = (guint64)m->order->pdata[m->order_at++];
+            member_t *member = g_hash_table_lookup(m->members, &id);
+            if (member && member->record.state <= MEMBER_SUSPECT) {
+                return member;
+            }
+        }
+        shuffle_order(m);
+    }
+    return NULL;
+}
+
+static void
+ping(membership_t *m, const member_t *target, gboolean reconnect)
+{
+    membership_send_t *send =
+        post(m, target->record.address, target->record.id, GOSSIP_PING,
+             ++m->sequence, 0);
+    send->reconnect = reconnect;
+}
+
+/* No answer so far: a new connection, and others are asked too. */
+static void
+ask_helpers(membership_t *m, member_t *target)
+{
+    m->probe.helped = TRUE;
+    ping(m, target, TRUE);
+    for (int i = 0; i < HELPERS; i++) {
+        member_t *helper = next_target(m);
+        if (helper && helper != target) {
+            post(m, helper->record.address, helper->record.id,
+                 GOSSIP_PING_REQUEST, m->sequence, target->record.id);
+        }
+    }
+}
+
+static void
+end_probe(membership_t *m)
+{
+    if (m->probe.target != 0) {
+        member_t *member = g_hash_table_lookup(m->members, &m->probe.target);
+        if (member && member->record.state == MEMBER_ALIVE) {
+            set_state(m, member, MEMBER_SUSPECT);
+        }
+    }
+    m->probe = (probe_t){0};
+}
+
+static void
+start_probe(membership_t *m)
+{
+    end_probe(m);
+    member_t *target = next_target(m);
+    if (target != NULL) {
+        m->probe =
+            (probe_t){.target = target->record.id, .sent_us = m->now_us};
+        ping(m, target, FALSE);
+    }
+}
+
+static void
+age_members(membership_t *m)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        member_t *member = value;
+        gint64 age = m->now_us - member->changed_us;
+        if (member->record.state == MEMBER_SUSPECT &&
+            age > m->settings.suspicion_us) {
+            set_state(m, member, MEMBER_DEAD);
+        }
+        else if (member != m->self && member->record.state >= MEMBER_DEAD &&
+                 age > m->settings.forget_us) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+static gboolean
+address_is_alive(membership_t *m, const char *address)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const member_record_t *r = &((member_t *)value)->record;
+        if (r->state == MEMBER_ALIVE && strcmp(r->address, address) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Each seed that is not among the living is asked, a few a period: at the
+ * start all of them, so that no two groups form; later it is what joins two
+ * halves that lost each other for long enough to forget. */
+static void
+join_seeds(membership_t *m)
+{
+    guint asked = 0;
+    for (guint i = 0; i < m->seeds->len && asked < SEEDS_A_PERIOD; i++) {
+        const char *seed = m->seeds->pdata[m->seed_at++ % m->seeds->len];
+        if (!address_is_alive(m, seed)) {
+            post(m, seed, 0, GOSSIP_JOIN, ++m->sequence, 0);
+            asked++;
+        }
+    }
+}
+
+void
+membership_tick(membership_t *m, gint64 now_us)
+{
+    m->now_us = MAX(m->now_us, now_us);
+    if (m->probe.target != 0 && !m->probe.helped &&
+        m->now_us - m->probe.sent_us > m->settings.period_us / 2) {
+        member_t *target = g_hash_table_lookup(m->members, &m->probe.target);
+        if (target != NULL) {
+            ask_helpers(m, target);
+        }
+    }
+    age_members(m);
+    if (m->now_us < m->next_us) {
+        return;
+    }
+    m->next_us = m->now_us + m->settings.period_us;
+    join_seeds(m);
+    start_probe(m);
+}
+
+/* ---- receiving ---- */
+
+static void
+heard_from(membership_t *m, guint64 id, guint64 version)
+{
+    if (m->probe.target == id) {
+        m->probe = (probe_t){0};
+    }
+    if (version > m->best_version) {
+        m->best_version = version;
+        m->best_member = id;
+    }
+}
+
+static void
+handle_ack(membership_t *m, guint64 from, guint32 sequence, guint64 target)
+{
+    guint64 about = target ? target : from;
+    if (m->probe.target == about) {
+        m->probe = (probe_t){0};
+    }
+    guint64 *asker =
+        g_hash_table_lookup(m->helping, GUINT_TO_POINTER(sequence));
+    if (asker == NULL || target != 0) {
+        return;
+    }
+    member_t *member = g_hash_table_lookup(m->members, asker);
+    if (member != NULL) {
+        post(m, member->record.address, *asker, GOSSIP_ACK, 0, from);
+    }
+    g_hash_table_remove(m->helping, GUINT_TO_POINTER(sequence));
+}
+
+static void
+handle_ping_request(membership_t *m, guint64 from, guint64 target)
+{
+    member_t *member = g_hash_table_lookup(m->members, &target);
+    if (member == NULL) {
+        return;
+    }
+    if (g_hash_table_size(m->helping) > RECORDS_A_SYNC) {
+        g_hash_table_remove_all(m->helping);
+    }
+    ping(m, member, FALSE);
+    g_hash_table_insert(m->helping, GUINT_TO_POINTER(m->sequence),
+                        g_memdup2(&from, sizeof(from)));
+}
+
+static gboolean
+read_record(GVariantIter *iter, member_record_t *r)
+{
+    guchar state;
+    const char *name;
+    const char *region;
+    const char *data_centre;
+    const char *address;
+    *r = (member_record_t){0};
+    if (!g_variant_iter_next(iter, "(tuyt&s&s&s&sbb)", &r->id, &r->rumor,
+                             &state, &r->started, &name, &region, &data_centre,
+                             &address, &r->control, &r->draining)) {
+        return FALSE;
+    }
+    r->state = (member_state_t)MIN(state, MEMBER_LEFT);
+    g_strlcpy(r->name, name, sizeof(r->name));
+    g_strlcpy(r->region, region, sizeof(r->region));
+    g_strlcpy(r->data_centre, data_centre, sizeof(r->data_centre));
+    g_strlcpy(r->address, address, sizeof(r->address));
+    return TRUE;
+}
+
+static void
+reply(membership_t *m, gossip_kind_t kind, guint64 from, guint32 sequence,
+      guint64 target)
+{
+    member_t *sender = g_hash_table_lookup(m->members, &from);
+    if (sender == NULL) {
+        return;
+    }
+    const char *address = sender->record.address;
+    if (kind == GOSSIP_PING) {
+        post(m, address, from, GOSSIP_ACK, sequence, 0);
+    }
+    else if (kind == GOSSIP_JOIN) {
+        post(m, address, from, GOSSIP_SYNC, sequence, 0);
+    }
+    else if (kind == GOSSIP_PING_REQUEST) {
+        handle_ping_request(m, from, target);
+    }
+}
+
+gboolean
+membership_receive(membership_t *m, GBytes *bytes, gint64 now_us)
+{
+    m->now_us = MAX(m->now_us, now_us);
+    GVariant *v = codec_read(bytes, MESSAGE_TYPE);
+    if (v == NULL) {
+        return FALSE;
+    }
+    guchar kind;
+    guint64 from;
+    guint64 target;
+    guint32 sequence;
+    guint64 version;
+    GVariantIter *records;
+    g_variant_get(v, MESSAGE_TYPE, &kind, &from, &target, &sequence, &version,
+                  &records);
+    member_record_t r;
+    while (read_record(records, &r)) {
+        learn(m, &r);
+    }
+    g_variant_iter_free(records);
+    g_variant_unref(v);
+    if (kind >= GOSSIP_KINDS || from == m->self->record.id) {
+        return FALSE;
+    }
+    heard_from(m, from, version);
+    if (kind == GOSSIP_ACK) {
+        handle_ack(m, from, sequence, target);
+    }
+    reply(m, (gossip_kind_t)kind, from, sequence, target);
+    return TRUE;
+}
+
+/* ---- self ---- */
+
+static void
+tell_some(membership_t *m)
+{
+    for (guint i = 0; i < 2 * HELPERS; i++) {
+        member_t *target = next_target(m);
+        if (target != NULL) {
+            ping(m, target, FALSE);
+        }
+    }
+}
+
+void
+membership_leave(membership_t *m, gint64 now_us)
+{
+    m->now_us = MAX(m->now_us, now_us);
+    m->self->record.rumor++;
+    set_state(m, m->self, MEMBER_LEFT);
+    tell_some(m);
+}
+
+void
+membership_set_draining(membership_t *m, gint64 now_us)
+{
+    m->now_us = MAX(m->now_us, now_us);
+    m->self->record.rumor++;
+    m->self->record.draining = TRUE;
+    tell(m, m->self);
+    tell_some(m);
+}
+
+void
+membership_set_version(membership_t *m, guint64 version)
+{
+    m->version = version;
+    if (version >= m->best_version) {
+        m->best_version = version;
+        m->best_member = m->self->record.id;
+    }
+}
+
+guint64
+membership_version(const membership_t *m, guint64 *member)
+{
+    *member = m->best_member;
+    return m->best_version;
+}
+
+GPtrArray *
+membership_take_sends(membership_t *m)
+{
+    GPtrArray *sends = m->sends;
+    m->sends = sends_create();
+    return sends;
+}
+
+gboolean
+membership_take_changed(membership_t *m)
+{
+    gboolean changed = m->changed;
+    m->changed = FALSE;
+    return changed;
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+    return strcmp(((const member_record_t *)a)->name,
+                  ((const member_record_t *)b)->name);
+}
+
+GArray *
+membership_list(const membership_t *m)
+{
+    GArray *list = g_array_new(FALSE, TRUE, sizeof(member_record_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_array_append_val(list, ((member_t *)value)->record);
+    }
+    g_array_sort(list, by_name);
+    return list;
+}
+
+const member_record_t *
+membership_find(const membership_t *m, guint64 id)
+{
+    const member_t *member = g_hash_table_lookup(m->members, &id);
+    return member ? &member->record : NULL;
+}
--- /dev/null
+++ b/policy/voter_repair.c
@@ -0,0 +1,64 @@
+#include "carobloom/policy/voter_repair.h"
+
+#include <string.h>
+
+gboolean
+voter_config_remove(voter_config_t *config, guint64 id)
+{
+    for (guint i = 0; i < config->count; i++) {
+        if (config->members[i].id == id) {
+            config->members[i] = config->members[--config->count];
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* The other identity under the same name, or 0. */
+static guint64
+old_identity(const voter_config_t *config, const char *name, guint64 id)
+{
+    for (guint i = 0; i < config->count; i++) {
+        const voter_member_t *m = &config->members[i];
+        if (m->id != id && strcmp(m->name, name) == 0) {
+            return m->id;
+        }
+    }
+    return 0;
+}
+
+static void
+add_learner(voter_config_t *config, const char *name, guint64 id)
+{
+    voter_member_t *m = &config->members[config->count++];
+    *m = (voter_member_t){.id = id, .learner = TRUE};
+    g_strlcpy(m->name, name, sizeof(m->name));
+}
+
+repair_state_t
+voter_repair_step(voter_t *voter, const char *name, guint64 id, gint64 now_us)
+{
+    voter_config_t config = *voter_config(voter);
+    voter_member_t *member = (voter_member_t *)voter_config_find(&config, id);
+    if (member && !member->learner) {
+        return voter_config_pending(voter) ? REPAIR_WAITING : REPAIR_WHOLE;
+    }
+    guint64 old = old_identity(&config, name, id);
+    if (member == NULL) {
+        if (config.count >= VOTER_MEMBERS_MAX) {
+            return REPAIR_WAITING;
+        }
+        add_learner(&config, name, id);
+    }
+    else if (voter_match(voter, id) < voter_commit(voter)) {
+        return REPAIR_WAITING;
+    }
+    else if (old != 0) {
+        voter_config_remove(&config, old);
+    }
+    else {
+        member->learner = FALSE;
+    }
+    int result = voter_change(voter, &config, now_us);
+    return result == VOTER_OK ? REPAIR_CHANGED : REPAIR_WAITING;
+}
--- a/tests/test_voter.c
+++ b/tests/test_voter.c
@@ -9,6 +9,7 @@
 
 #include "carobloom/policy/voter.h"
 #include "carobloom/policy/voter_codec.h"
+#include "carobloom/policy/voter_repair.h"
 #include "check.h"
 
 enum {
@@ -380,70 +381,6 @@
     node_start(w, n);
 }
 
-static void
-config_remove(voter_config_t *config, guint64 id)
-{
-    for (guint i = 0; i < config->count; i++) {
-        if (config->members[i].id == id) {
-            config->members[i] = config->members[--config->count];
-            return;
-        }
-    }
-}
-
-static voter_member_t *
-config_member(voter_config_t *config, guint64 id)
-{
-    return (voter_member_t *)voter_config_find(config, id);
-}
-
-/* The other identity under a node's name, or NULL. */
-static const voter_member_t *
-old_identity(const voter_config_t *config, char name, guint64 id)
-{
-    for (guint i = 0; i < config->count; i++) {
-        if (config->members[i].name[0] == name &&
-            config->members[i].id != id) {
-            return &config->members[i];
-        }
-    }
-    return NULL;
-}
-
-/* One step of a rejoin: a learner first; once it has the log the old identity
- * goes; then it votes. FALSE when the node needs none. */
-static gboolean
-repair_node(world_t *w, node_t *leader, guint at)
-{
-    node_t *n = &w->nodes[at];
-    voter_config_t config = *voter_config(leader->voter);
-    voter_member_t *member = config_member(&config, n->id);
-    const voter_member_t *old = old_identity(&config, (char)('a' + at), n->id);
-    if (member && !member->learner) {
-        /* Whole again only once the change is committed. */
-        if (!voter_config_pending(leader->voter)) {
-            n->lost = FALSE;
-        }
-        return FALSE;
-    }
-    if (member == NULL) {
-        voter_member_t learner = {.id = n->id, .learner = TRUE};
-        learner.name[0] = (char)('a' + at);
-        config.members[config.count++] = learner;
-    }
-    else if (voter_match(leader->voter, n->id) < voter_commit(leader->voter)) {
-        return FALSE;
-    }
-    else if (old != NULL) {
-        config_remove(&config, old->id);
-    }
-    else {
-        member->learner = FALSE;
-    }
-    voter_change(leader->voter, &config, clock_of(w, leader));
-    return TRUE;
-}
-
 static void
 repair(world_t *w, node_t *leader)
 {
@@ -451,7 +388,14 @@
         return;
     }
     for (guint i = 0; i < w->count; i++) {
-        if (repair_node(w, leader, i)) {
+        node_t *n = &w->nodes[i];
+        char name[] = {(char)('a' + i), 0};
+        repair_state_t state =
+            voter_repair_step(leader->voter, name, n->id, clock_of(w, leader));
+        if (state == REPAIR_WHOLE) {
+            n->lost = FALSE;
+        }
+        if (state == REPAIR_CHANGED) {
             return;
         }
     }
