Size headroom from bursts; let floors yield until a class is overdue

Cause: headroom was the fading peak of a tier's demand less what ran, up to half the pool, and preemption waited for a full pool, so chat neither started nor preempted beside empty slots. Now headroom is the measured rise: what arrived in 200 ms beyond what came free, fading by half in 28 s; a tier that is blocked by headroom counts as blocked.

Cause: with two engines down and one slow, the drafts' least share (64 slots) went before chat all the time. A class now keeps one slot, and its whole share only once its oldest ticket waited longer than max_wait.

--- a/policy/scheduler.c
+++ b/policy/scheduler.c
@@ -6,9 +6,11 @@
 #include "carobloom/policy/queue.h"
 
 static const double LENGTH_QUANTILE = 0.6;
-static const double PEAK_HALF_LIFE_US = 60e6;
-static const double HEADROOM_CAP = 0.5; /* of the pool's slots */
-static const double HEADROOM_LEAST = 0.05;
+/* Headroom covers what arrives before a preempted slot is free again. */
+static const gint64 RISE_WINDOW_US = 200 * 1000;
+static const double RISE_FADE = 0.995;  /* a window: half in 28 s */
+static const double HEADROOM_CAP = 0.2; /* of the pool's slots */
+static const double HEADROOM_LEAST = 0.01;
 static const double PREFILL_US_A_TOKEN = 50; /* until measured */
 static const gint64 LEAST_RETRY_US = G_USEC_PER_SEC;
 static const gint64 MOST_RETRY_US = 600 * G_USEC_PER_SEC;
@@ -39,10 +41,10 @@
     class_stats_t stats;
 } class_state_t;
 
-/* The recent peak of what a tier wanted at once. */
+/* How fast a tier's demand has risen lately, beyond what came free. */
 typedef struct {
-    double peak;
-    gint64 at_us;
+    guint arrivals; /* in the present window */
+    double rise;    /* fading peak, in slots a window */
 } tier_state_t;
 
 struct scheduler {
@@ -57,6 +59,8 @@
     scheduler_ablation_t ablation;
     guint preempts_pending;
     guint grants_since_aged;
+    guint frees; /* slots that came free in the present window */
+    gint64 window_us;
     gint64 grace_until_us;
 };
 
@@ -207,42 +211,24 @@
 
 /* ---- tiers ---- */
 
-static guint
-tier_running(const scheduler_t *s, int tier)
-{
-    guint sum = 0;
-    for (guint i = 0; i < s->count; i++) {
-        if (s->classes[i].spec.tier == tier) {
-            sum += s->classes[i].running.length;
-        }
-    }
-    return sum;
-}
-
-static guint
-tier_waiting(const scheduler_t *s, int tier)
-{
-    guint sum = 0;
-    for (guint i = 0; i < s->count; i++) {
-        if (s->classes[i].spec.tier == tier) {
-            sum += s->classes[i].waiting.order.length;
-        }
-    }
-    return sum;
-}
-
-/* Lets the peak fade, then raises it to the present demand. */
+/* Ends a window: the rise is what arrived beyond what came free. */
 static void
-tier_observe(scheduler_t *s, int tier, gint64 now_us)
+tiers_observe(scheduler_t *s, gint64 now_us)
 {
-    tier_state_t *t = &s->tiers[tier];
-    double elapsed = (double)(now_us - t->at_us);
-    if (elapsed > 0) {
-        t->peak /= 1 + elapsed / PEAK_HALF_LIFE_US;
-        t->at_us = now_us;
+    if (now_us - s->window_us < RISE_WINDOW_US) {
+        return;
+    }
+    s->window_us = now_us;
+    guint frees = s->frees;
+    s->frees = 0;
+    for (int t = 0; t < TIER_COUNT; t++) {
+        tier_state_t *tier = &s->tiers[t];
+        guint covered = MIN(frees, tier->arrivals);
+        double rise = tier->arrivals - covered;
+        frees -= covered;
+        tier->arrivals = 0;
+        tier->rise = MAX(tier->rise * RISE_FADE, rise);
     }
-    double demand = tier_running(s, tier) + tier_waiting(s, tier);
-    t->peak = MAX(t->peak, demand);
 }
 
 static gboolean
@@ -270,7 +256,7 @@
             continue;
         }
         any = TRUE;
-        sum += MAX(0, s->tiers[t].peak - tier_running(s, t));
+        sum += s->tiers[t].rise;
     }
     if (!any) {
         return 0;
@@ -298,6 +284,17 @@
     return job ? now_us - job->queued_us : 0;
 }
 
+/* A class keeps a slot at all times, and its whole least share once its
+ * oldest ticket has waited longer than the class allows. */
+static guint
+floor_now(const scheduler_t *s, guint class_index, gint64 now_us)
+{
+    const class_state_t *c = &s->classes[class_index];
+    guint floor = scheduler_floor(s, class_index);
+    gboolean overdue = oldest_wait(c, now_us) > c->spec.max_wait_us;
+    return overdue ? floor : MIN(floor, 1);
+}
+
 /* The class most overdue against its own bound on waiting. */
 static class_state_t *
 pick_aged(scheduler_t *s, gint64 now_us)
@@ -320,13 +317,13 @@
 }
 
 static class_state_t *
-pick_below_floor(scheduler_t *s)
+pick_below_floor(scheduler_t *s, gint64 now_us)
 {
     class_state_t *best = NULL;
     for (guint i = 0; i < s->count; i++) {
         class_state_t *c = &s->classes[i];
         if (c->waiting.order.length == 0 ||
-            c->running.length >= scheduler_floor(s, i)) {
+            c->running.length >= floor_now(s, i, now_us)) {
             continue;
         }
         if (best == NULL || c->spec.tier < best->spec.tier) {
@@ -373,7 +370,7 @@
             return c;
         }
     }
-    class_state_t *c = pick_below_floor(s);
+    class_state_t *c = pick_below_floor(s, now_us);
     return c ? c : pick_strict(s, available);
 }
 
@@ -563,14 +560,14 @@
 /* The newest resumable job of the lowest tier below `tier`, above its
  * class's floor. */
 static job_t *
-find_victim(scheduler_t *s, int tier)
+find_victim(scheduler_t *s, int tier, gint64 now_us)
 {
     job_t *victim = NULL;
     int victim_tier = tier;
     for (guint i = 0; i < s->count; i++) {
         class_state_t *c = &s->classes[i];
         if (c->spec.tier <= victim_tier || !c->spec.resume ||
-            c->running.length <= scheduler_floor(s, i)) {
+            c->running.length <= floor_now(s, i, now_us)) {
             continue;
         }
         for (GList *l = c->running.head; l; l = l->next) {
@@ -595,7 +592,7 @@
     }
     guint wanted = c->waiting.order.length;
     while (s->preempts_pending < wanted) {
-        job_t *victim = find_victim(s, c->spec.tier);
+        job_t *victim = find_victim(s, c->spec.tier, now_us);
         if (victim == NULL) {
             return;
         }
@@ -614,12 +611,15 @@
 static void
 preempt(scheduler_t *s, gint64 now_us, GArray *actions)
 {
-    if (s->ablation.no_preemption || endpoint_set_free(s->endpoints) > 0) {
+    if (s->ablation.no_preemption) {
         return;
     }
+    guint available = endpoint_set_free(s->endpoints);
     for (guint i = 0; i < s->count; i++) {
         class_state_t *c = &s->classes[i];
-        if (c->waiting.order.length > 0) {
+        /* What is free may be headroom for those above: no use to it. */
+        gboolean blocked = available <= scheduler_headroom(s, c->spec.tier);
+        if (c->waiting.order.length > 0 && blocked) {
             preempt_for(s, c, now_us, actions);
         }
     }
@@ -680,7 +680,7 @@
     queue_push(&c->waiting, job);
     job->deadline.key = (double)(job->ticket.arrived_us + c->spec.deadline_us);
     heap_push(&s->deadlines, &job->deadline);
-    tier_observe(s, c->spec.tier, now_us);
+    s->tiers[c->spec.tier].arrivals++;
     scheduler_run(s, now_us, actions);
 }
 
@@ -731,6 +731,7 @@
         return;
     }
     job_stop(s, job);
+    s->frees++;
     class_state_t *c = &s->classes[job->ticket.class_index];
     gboolean failed = settlement->result == SETTLE_FAILED;
     endpoint_set_done(s->endpoints, job->endpoint, failed,
@@ -786,9 +787,7 @@
 scheduler_tick(scheduler_t *s, gint64 now_us, GArray *actions)
 {
     endpoint_set_review(s->endpoints, now_us);
-    for (int t = 0; t < TIER_COUNT; t++) {
-        tier_observe(s, t, now_us);
-    }
+    tiers_observe(s, now_us);
     if (endpoint_set_count(s->endpoints) == 0 && now_us >= s->grace_until_us) {
         refuse_all(s, now_us, actions);
     }
