Preempt only what will not come free in time

Cause: each waiting ticket of a top tier past an eighth of its target took a slot from a draft, though 60 slots a second come free by themselves; each preemption computes a prompt again.

--- a/policy/scheduler.c
+++ b/policy/scheduler.c
@@ -8,7 +8,8 @@
 static const double LENGTH_QUANTILE = 0.6;
 /* Headroom covers what arrives before a preempted slot is free again. */
 static const gint64 RISE_WINDOW_US = 200 * 1000;
-static const double RISE_FADE = 0.995;  /* a window: half in 28 s */
+static const double RISE_FADE = 0.995; /* a window: half in 28 s */
+static const double FREE_SMOOTHING = 0.1;
 static const double HEADROOM_CAP = 0.2; /* of the pool's slots */
 static const double HEADROOM_LEAST = 0.01;
 static const double PREFILL_US_A_TOKEN = 50; /* until measured */
@@ -59,7 +60,8 @@
     scheduler_ablation_t ablation;
     guint preempts_pending;
     guint grants_since_aged;
-    guint frees; /* slots that came free in the present window */
+    guint frees;      /* slots that came free in the present window */
+    double free_rate; /* slots a window, smoothed */
     gint64 window_us;
     gint64 grace_until_us;
 };
@@ -221,6 +223,7 @@
     s->window_us = now_us;
     guint frees = s->frees;
     s->frees = 0;
+    s->free_rate += FREE_SMOOTHING * (frees - s->free_rate);
     for (int t = 0; t < TIER_COUNT; t++) {
         tier_state_t *tier = &s->tiers[t];
         guint covered = MIN(frees, tier->arrivals);
@@ -586,11 +589,19 @@
 static void
 preempt_for(scheduler_t *s, class_state_t *c, gint64 now_us, GArray *actions)
 {
+    gint64 waited = oldest_wait(c, now_us);
     gint64 patience = c->spec.first_token_us / PREEMPT_WAIT_DIVISOR;
-    if (!c->spec.protect || oldest_wait(c, now_us) < patience) {
+    if (!c->spec.protect || waited < patience) {
         return;
     }
-    guint wanted = c->waiting.order.length;
+    /* What comes free by itself in time need not be taken from anyone. */
+    gint64 slack = MAX(c->spec.first_token_us / 2 - waited, 0);
+    double coming = s->free_rate * (double)slack / (double)RISE_WINDOW_US;
+    double missing = c->waiting.order.length - coming;
+    if (missing < 1) {
+        return;
+    }
+    guint wanted = (guint)missing;
     while (s->preempts_pending < wanted) {
         job_t *victim = find_victim(s, c->spec.tier, now_us);
         if (victim == NULL) {
