Keep protected classes off stragglers

Cause: with faults 142 counter and 80 claim streams were too slow between tokens: an engine at a quarter of its speed still got a quarter of its slots, its load looking low.

Now stragglers and probed endpoints stand in a heap of their own, which only unprotected classes draw from.

--- a/include/carobloom/policy/endpoint_set.h
+++ b/include/carobloom/policy/endpoint_set.h
@@ -64,12 +64,13 @@
 void endpoint_set_prefix(endpoint_set_t *set, guint64 prefix, guint64 id,
                          gboolean present);
 
-/* Chooses where a request goes; NULL when nothing is free. `avoid` is an
- * endpoint just tried (0 for none); `prefill_us` is what a cached prefix
- * would save and `tokens` the length expected. */
-endpoint_state_t *endpoint_set_choose(endpoint_set_t *set, guint64 prefix,
-                                      guint64 avoid, double prefill_us,
-                                      double tokens, gint64 now_us);
+/* Chooses where a request goes; NULL when nothing is free. `sound` leaves out
+ * stragglers and those being probed. `avoid` is an endpoint just tried (0 for
+ * none); `prefill_us` is what a cached prefix would save and `tokens` the
+ * length expected. */
+endpoint_state_t *endpoint_set_choose(endpoint_set_t *set, gboolean sound,
+                                      guint64 prefix, guint64 avoid,
+                                      double prefill_us, double tokens);
 void endpoint_set_taken(endpoint_set_t *set, endpoint_state_t *endpoint,
                         guint64 prefix, gint64 now_us);
 /* One piece of work ended. `token_us` is 0 when not known. */
@@ -78,7 +79,7 @@
 /* Reconsiders health: stragglers, ejections, probes. */
 void endpoint_set_review(endpoint_set_t *set, gint64 now_us);
 
-guint endpoint_set_free(const endpoint_set_t *set);
+guint endpoint_set_free(const endpoint_set_t *set, gboolean sound);
 guint endpoint_set_slots(const endpoint_set_t *set);
 guint endpoint_set_count(const endpoint_set_t *set);
 const endpoint_state_t *endpoint_set_find(const endpoint_set_t *set,
--- a/policy/endpoint_set.c
+++ b/policy/endpoint_set.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 static const double SMOOTHING = 0.2;
+static const double IDLE_COST = 0.5;    /* of a full endpoint's token time */
 static const double SLOW_RATIO = 2.0;   /* against the median: straggler */
 static const double HEALED_RATIO = 1.5; /* and back */
 static const double EJECT_SHARE = 0.34; /* never more of a pool at once */
@@ -24,11 +25,13 @@
 
 struct endpoint_set {
     GHashTable *by_id; /* id -> endpoint_state_t */
-    heap_t heap;       /* endpoints with a free slot, least loaded first */
+    heap_t heap;       /* sound, with a free slot, least loaded first */
+    heap_t doubtful;   /* the same of stragglers and those probed */
     GHashTable *prefixes;
     GQueue prefix_order; /* oldest first, bounds the table */
     guint slots;
     guint free;
+    guint doubtful_free;
     double median_token_us;
 };
 
@@ -41,6 +44,7 @@
     set->prefixes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     heap_init(&set->heap);
+    heap_init(&set->doubtful);
     g_queue_init(&set->prefix_order);
     return set;
 }
@@ -50,6 +54,7 @@
 {
     g_hash_table_unref(set->prefixes);
     heap_clear(&set->heap);
+    heap_clear(&set->doubtful);
     g_hash_table_unref(set->by_id);
     g_free(set);
 }
@@ -80,11 +85,13 @@
     return usable > used ? usable - used : 0;
 }
 
-/* The share of slots in use after one more, scaled by slowness. */
+/* What a token takes there against elsewhere: a stream alone still needs its
+ * part of it, so a straggler is chosen only when nothing better is free. */
 static double
 load_key(const endpoint_set_t *set, const endpoint_state_t *e)
 {
-    double load = (double)(e->inflight + e->foreign + 1) / MAX(e->slots, 1);
+    double used = (double)(e->inflight + e->foreign + 1) / MAX(e->slots, 1);
+    double load = IDLE_COST + used;
     double slowness = 1;
     if (e->samples >= SAMPLES_TO_JUDGE && set->median_token_us > 0) {
         slowness = MAX(e->token_us / set->median_token_us, 0.25);
@@ -92,32 +99,35 @@
     return load * slowness;
 }
 
-/* Takes the endpoint's free slots out of the sums before a change. */
+static gboolean
+is_doubtful(const endpoint_state_t *e)
+{
+    return e->health != ENDPOINT_OK;
+}
+
+/* Takes the endpoint out of the sums and its heap before a change. */
 static void
 endpoint_detach(endpoint_set_t *set, endpoint_state_t *e)
 {
-    set->free -= free_slots(e);
+    gboolean doubtful = is_doubtful(e);
+    *(doubtful ? &set->doubtful_free : &set->free) -= free_slots(e);
     set->slots -= usable_slots(e);
+    if (e->node.index >= 0) {
+        heap_remove(doubtful ? &set->doubtful : &set->heap, &e->node);
+    }
 }
 
-/* Puts them back after it, and the endpoint at its place in the heap. */
+/* Puts it back after it, at its place. */
 static void
 endpoint_attach(endpoint_set_t *set, endpoint_state_t *e)
 {
+    gboolean doubtful = is_doubtful(e);
     guint available = free_slots(e);
-    set->free += available;
+    *(doubtful ? &set->doubtful_free : &set->free) += available;
     set->slots += usable_slots(e);
     e->node.key = load_key(set, e);
-    if (available == 0) {
-        if (e->node.index >= 0) {
-            heap_remove(&set->heap, &e->node);
-        }
-    }
-    else if (e->node.index >= 0) {
-        heap_update(&set->heap, &e->node);
-    }
-    else {
-        heap_push(&set->heap, &e->node);
+    if (available > 0) {
+        heap_push(doubtful ? &set->doubtful : &set->heap, &e->node);
     }
 }
 
@@ -270,41 +280,54 @@
 
 /* An endpoint that can take one more, or NULL. */
 static endpoint_state_t *
-find_free(const endpoint_set_t *set, guint64 id)
+find_free(const endpoint_set_t *set, guint64 id, gboolean sound)
 {
     endpoint_state_t *e = id ? g_hash_table_lookup(set->by_id, &id) : NULL;
-    return e && e->node.index >= 0 ? e : NULL;
+    if (e == NULL || e->node.index < 0 || (sound && is_doubtful(e))) {
+        return NULL;
+    }
+    return e;
 }
 
-/* The least loaded endpoint other than `avoid`, if there is another. */
+/* The first of a heap other than `avoid`, if there is another. */
 static endpoint_state_t *
-least_loaded(const endpoint_set_t *set, guint64 avoid)
+first_of(const heap_t *heap, guint64 avoid)
 {
-    endpoint_state_t *best = (endpoint_state_t *)heap_peek(&set->heap);
-    if (best == NULL || best->id != avoid || heap_size(&set->heap) == 1) {
+    endpoint_state_t *best = (endpoint_state_t *)heap_peek(heap);
+    if (best == NULL || best->id != avoid || heap_size(heap) == 1) {
         return best;
     }
-    endpoint_state_t *left = set->heap.nodes->pdata[1];
-    if (heap_size(&set->heap) == 2) {
+    endpoint_state_t *left = heap->nodes->pdata[1];
+    if (heap_size(heap) == 2) {
         return left;
     }
-    endpoint_state_t *right = set->heap.nodes->pdata[2];
+    endpoint_state_t *right = heap->nodes->pdata[2];
     return left->node.key <= right->node.key ? left : right;
 }
 
+static endpoint_state_t *
+least_loaded(const endpoint_set_t *set, guint64 avoid, gboolean sound)
+{
+    endpoint_state_t *best = first_of(&set->heap, avoid);
+    endpoint_state_t *other = sound ? NULL : first_of(&set->doubtful, avoid);
+    if (best == NULL || other == NULL) {
+        return best ? best : other;
+    }
+    return best->node.key <= other->node.key ? best : other;
+}
+
 endpoint_state_t *
-endpoint_set_choose(endpoint_set_t *set, guint64 prefix, guint64 avoid,
-                    double prefill_us, double tokens, gint64 now_us)
+endpoint_set_choose(endpoint_set_t *set, gboolean sound, guint64 prefix,
+                    guint64 avoid, double prefill_us, double tokens)
 {
-    (void)now_us;
-    endpoint_state_t *best = least_loaded(set, avoid);
+    endpoint_state_t *best = least_loaded(set, avoid, sound);
     if (best == NULL || prefix == 0) {
         return best;
     }
     const prefix_entry_t *entry = g_hash_table_lookup(set->prefixes, &prefix);
     double token_us = set->median_token_us;
     for (int i = 0; entry && i < PREFIX_HOLDERS; i++) {
-        endpoint_state_t *holder = find_free(set, entry->holders[i]);
+        endpoint_state_t *holder = find_free(set, entry->holders[i], sound);
         if (holder == NULL || holder->id == avoid) {
             continue;
         }
@@ -462,9 +485,9 @@
 }
 
 guint
-endpoint_set_free(const endpoint_set_t *set)
+endpoint_set_free(const endpoint_set_t *set, gboolean sound)
 {
-    return set->free;
+    return sound ? set->free : set->free + set->doubtful_free;
 }
 
 guint
--- a/policy/scheduler.c
+++ b/policy/scheduler.c
@@ -298,6 +298,13 @@
     return overdue ? floor : MIN(floor, 1);
 }
 
+/* Free slots a class may use: a protected one is not sent to stragglers. */
+static guint
+slots_open(const scheduler_t *s, const class_state_t *c)
+{
+    return endpoint_set_free(s->endpoints, c->spec.protect);
+}
+
 /* The class most overdue against its own bound on waiting. */
 static class_state_t *
 pick_aged(scheduler_t *s, gint64 now_us)
@@ -306,7 +313,7 @@
     double best_ratio = 1;
     for (guint i = 0; i < s->count; i++) {
         class_state_t *c = &s->classes[i];
-        if (c->waiting.order.length == 0 || c->spec.max_wait_us <= 0) {
+        if (c->waiting.order.length == 0 || slots_open(s, c) == 0) {
             continue;
         }
         double ratio =
@@ -325,7 +332,7 @@
     class_state_t *best = NULL;
     for (guint i = 0; i < s->count; i++) {
         class_state_t *c = &s->classes[i];
-        if (c->waiting.order.length == 0 ||
+        if (c->waiting.order.length == 0 || slots_open(s, c) == 0 ||
             c->running.length >= floor_now(s, i, now_us)) {
             continue;
         }
@@ -338,12 +345,12 @@
 
 /* By tier, then by weighted virtual time; lower tiers leave the headroom. */
 static class_state_t *
-pick_strict(scheduler_t *s, guint available)
+pick_strict(scheduler_t *s)
 {
     class_state_t *best = NULL;
     for (guint i = 0; i < s->count; i++) {
         class_state_t *c = &s->classes[i];
-        if (c->waiting.order.length == 0) {
+        if (c->waiting.order.length == 0 || slots_open(s, c) == 0) {
             continue;
         }
         if (best == NULL || c->spec.tier < best->spec.tier ||
@@ -352,7 +359,8 @@
             best = c;
         }
     }
-    if (best && available <= scheduler_headroom(s, best->spec.tier)) {
+    if (best &&
+        slots_open(s, best) <= scheduler_headroom(s, best->spec.tier)) {
         return NULL;
     }
     return best;
@@ -362,8 +370,7 @@
 pick_class(scheduler_t *s, gint64 now_us, gboolean *aged)
 {
     *aged = FALSE;
-    guint available = endpoint_set_free(s->endpoints);
-    if (available == 0) {
+    if (endpoint_set_free(s->endpoints, FALSE) == 0) {
         return NULL;
     }
     if (s->grants_since_aged >= AGED_EVERY) {
@@ -374,7 +381,7 @@
         }
     }
     class_state_t *c = pick_below_floor(s, now_us);
-    return c ? c : pick_strict(s, available);
+    return c ? c : pick_strict(s);
 }
 
 /* ---- grants ---- */
@@ -488,7 +495,7 @@
             lower_runs |= c->running.length > floor;
         }
     }
-    if (endpoint_set_free(s->endpoints) > 0 && ahead_us == 0) {
+    if (slots_open(s, own) > 0 && ahead_us == 0) {
         return 0;
     }
     guint usable = slots > held ? slots - held : 1;
@@ -625,11 +632,11 @@
     if (s->ablation.no_preemption) {
         return;
     }
-    guint available = endpoint_set_free(s->endpoints);
     for (guint i = 0; i < s->count; i++) {
         class_state_t *c = &s->classes[i];
         /* What is free may be headroom for those above: no use to it. */
-        gboolean blocked = available <= scheduler_headroom(s, c->spec.tier);
+        gboolean blocked =
+            slots_open(s, c) <= scheduler_headroom(s, c->spec.tier);
         if (c->waiting.order.length > 0 && blocked) {
             preempt_for(s, c, now_us, actions);
         }
--- a/replay/run.c
+++ b/replay/run.c
@@ -238,6 +238,7 @@
     guint preempted = 0;
     gint64 longest = 0;
     double goodput = 0;
+    guint late_first = 0;
     for (guint i = 0; i < w->trace->requests->len; i++) {
         const request_t *r = &g_array_index(w->trace->requests, request_t, i);
         if (r->class_index != index) {
@@ -248,18 +249,22 @@
         lost += r->state == REQUEST_LOST || r->state <= REQUEST_RUNNING;
         preempted += r->preemptions;
         longest = MAX(longest, r->wait_us);
+        gboolean late = r->first_us - r->arrive_us > c->spec.first_token_us;
+        late_first += r->state == REQUEST_DONE && late;
         if (attained(c, r)) {
             met++;
             goodput += r->tokens;
         }
     }
     return json_pack(
-        "{s:s, s:i, s:i, s:f, s:f, s:i, s:i, s:i, s:f, s:b}", "class", c->name,
-        "tier", c->spec.tier, "requests", (int)count, "attainment",
-        count ? (double)met / count : 1.0, "goodput", goodput / seconds,
-        "refused", (int)refused, "lost", (int)lost, "preempted",
-        (int)preempted, "longest_wait_s", (double)longest / 1e6,
-        "within_bound", (int)(longest <= c->wait_bound_us));
+        "{s:s, s:i, s:i, s:f, s:f, s:i, s:i, s:i, s:i, s:i, s:f, s:b}",
+        "class", c->name, "tier", c->spec.tier, "requests", (int)count,
+        "attainment", count ? (double)met / count : 1.0, "goodput",
+        goodput / seconds, "late", (int)late_first, "slow",
+        (int)(count - met - late_first - refused - lost), "refused",
+        (int)refused, "lost", (int)lost, "preempted", (int)preempted,
+        "longest_wait_s", (double)longest / 1e6, "within_bound",
+        (int)(longest <= c->wait_bound_us));
 }
 
 static json_t *
