--- a/common/log.c
+++ b/common/log.c
@@ -2,7 +2,6 @@
 
 #include <jansson.h>
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -83,6 +82,19 @@
     .format = format_json,
 };
 
+/* log4c's own stream appenders put their name before each line. */
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t LINE_TYPE = {
+    .name = "carobloom_line",
+    .append = append_line,
+};
+
 int
 log_start(gboolean json, log_level_t level)
 {
@@ -93,11 +105,9 @@
     log4c_layout_type_set(type);
     log4c_layout_t *layout = log4c_layout_get(type->name);
     log4c_layout_set_type(layout, type);
-    /* "stream2" writes the line as it is; "stream" puts its name before. */
+    log4c_appender_type_set(&LINE_TYPE);
     log4c_appender_t *appender = log4c_appender_get("carobloom");
-    log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
-    log4c_stream2_set_fp(appender, stderr);
-    log4c_stream2_set_flags(appender, LOG4C_STREAM2_UNBUFFERED);
+    log4c_appender_set_type(appender, &LINE_TYPE);
     log4c_appender_set_layout(appender, layout);
     for (int i = 0; i < LOG_PART_COUNT; i++) {
         categories[i] = log4c_category_get(PART_NAMES[i]);
