--- /dev/null
+++ b/tests/test_failures.c
@@ -0,0 +1,488 @@
+/* The brief's promises against real processes, engines that misbehave, kills,
+ * stops and cuts. Each test first shows that its trouble happened. */
+#include <signal.h>
+#include <string.h>
+
+#include "check.h"
+#include "harness.h"
+
+enum { STREAMS = 200 };
+
+static site_t *
+site_up(guint instances, guint voters)
+{
+    site_t *site = site_create(instances, voters);
+    site_start_all(site);
+    gboolean ok = FALSE;
+    for (int i = 0; i < 200 && !ok; i++) {
+        answer_t *a = site_submit(site, 0, "first", 0, NULL);
+        ok = a->status == 200;
+        answer_free(a);
+        if (!ok) {
+            sleep_ms(100);
+        }
+    }
+    CU_ASSERT_FATAL(ok);
+    for (guint i = 0; i < instances; i++) {
+        CU_ASSERT_FATAL(site_wait_ready(site, i));
+    }
+    return site;
+}
+
+static chat_t *
+chats_create(guint count, guint instances, int tokens, const char *task)
+{
+    chat_t *chats = g_new0(chat_t, count);
+    for (guint i = 0; i < count; i++) {
+        chats[i] = (chat_t){.at = i % instances,
+                            .tokens = tokens + (int)(i % 7),
+                            .task = task};
+    }
+    return chats;
+}
+
+/* Whole and own, or an error that can be told from an answer. */
+static guint
+count_wrong(const chat_t *chats, guint count, guint *whole)
+{
+    guint wrong = 0;
+    *whole = 0;
+    for (guint i = 0; i < count; i++) {
+        const chat_t *c = &chats[i];
+        *whole += c->whole && !c->error_event;
+        gboolean told = c->error_event || c->status != 200;
+        gboolean looks_whole = c->whole && c->words != c->tokens;
+        if (!c->in_order || looks_whole || (!c->whole && !told)) {
+            wrong++;
+        }
+    }
+    return wrong;
+}
+
+/* ---- own answers ---- */
+
+static void
+test_own_answers(void)
+{
+    static const char *const faults[] = {
+        "truncate", "swap", "delay", "close", "stall", "repeat", "refuse"};
+    site_t *site = site_up(2, 0 + 1);
+    engine_t *engines[4];
+    for (int i = 0; i < 4; i++) {
+        char name[16];
+        g_snprintf(name, sizeof(name), "engine-%d", i);
+        engines[i] = engine_start(site, name, "draft-7b", "model",
+                                  "--slots=80 --token-us=4000");
+    }
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 320));
+    for (guint f = 0; f < G_N_ELEMENTS(faults); f++) {
+        engine_fault(site, engines[f % 4], faults[f], 5);
+        chat_t *chats = chats_create(STREAMS / 4, 2, 20, NULL);
+        guint whole;
+        chats_run(site, chats, STREAMS / 4, NULL, NULL);
+        guint wrong = count_wrong(chats, STREAMS / 4, &whole);
+        printf("%s: %u whole, %u wrong; ", faults[f], whole, wrong);
+        CU_ASSERT_EQUAL(wrong, 0);
+        CU_ASSERT(whole >= STREAMS / 4 - 5);
+        g_free(chats);
+    }
+    chat_t *chats = chats_create(STREAMS, 2, 30, NULL);
+    guint whole;
+    chats_run(site, chats, STREAMS, NULL, NULL);
+    CU_ASSERT_EQUAL(count_wrong(chats, STREAMS, &whole), 0);
+    CU_ASSERT_EQUAL(whole, STREAMS);
+    g_free(chats);
+    for (int i = 0; i < 4; i++) {
+        engine_destroy(engines[i]);
+    }
+    site_destroy(site);
+}
+
+/* ---- an engine killed amid streams ---- */
+
+typedef struct {
+    site_t *site;
+    engine_t *engine;
+    guint at;
+    int signal;
+    int after; /* calls of during */
+} strike_t;
+
+static void
+strike_engine(guint open, void *data)
+{
+    strike_t *s = data;
+    (void)open;
+    if (--s->after == 0) {
+        g_subprocess_send_signal(s->engine->process, s->signal);
+    }
+}
+
+static void
+run_engine_strike(int signal)
+{
+    site_t *site = site_up(1, 0);
+    engine_t *a = engine_start(site, "a", "draft-7b", "model",
+                               "--slots=60 --token-us=10000");
+    engine_t *b = engine_start(site, "b", "draft-7b", "model",
+                               "--slots=60 --token-us=10000");
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 120));
+    chat_t *chats = chats_create(40, 1, 60, NULL);
+    strike_t strike = {
+        .site = site, .engine = a, .signal = signal, .after = 20};
+    guint whole;
+    chats_run(site, chats, 40, strike_engine, &strike);
+    CU_ASSERT(strike.after <= 0);
+    guint wrong = count_wrong(chats, 40, &whole);
+    double resumed = site_metric(site, 0, "silent_attempts_total");
+    printf("%u of 40 whole, %u wrong, %.0f found silent; ", whole, wrong,
+           resumed);
+    CU_ASSERT_EQUAL(wrong, 0);
+    /* Chat resumes elsewhere, within the retry budget. */
+    CU_ASSERT(whole >= 30);
+    g_subprocess_send_signal(a->process, SIGCONT);
+    g_free(chats);
+    engine_destroy(a);
+    engine_destroy(b);
+    site_destroy(site);
+}
+
+static void
+test_engine_killed(void)
+{
+    run_engine_strike(SIGKILL);
+}
+
+/* A stopped engine's connections stay open and silent. */
+static void
+test_engine_frozen(void)
+{
+    run_engine_strike(SIGSTOP);
+}
+
+/* ---- leavers ---- */
+
+static void
+test_leaver_gets_nothing(void)
+{
+    static const char *const ways[] = {"goodbye", "mute"};
+    static const int within_ms[] = {1000, 4500};
+    for (guint w = 0; w < G_N_ELEMENTS(ways); w++) {
+        site_t *site = site_up(2, 1);
+        engine_t *stays = engine_start(site, "stays", "draft-7b", "model",
+                                       "--token-us=1000");
+        engine_t *leaves = engine_start(site, "leaves", "draft-7b", "model",
+                                        "--token-us=1000");
+        CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 32));
+        /* Both are used before. */
+        chat_t *chats = chats_create(20, 2, 5, NULL);
+        chats_run(site, chats, 20, NULL, NULL);
+        g_free(chats);
+        CU_ASSERT(engine_count(leaves, "run", NULL) > 0);
+        engine_fault(site, leaves, ways[w], 1);
+        sleep_ms(within_ms[w]);
+        guint before = engine_count(leaves, "run", NULL);
+        chats = chats_create(30, 2, 5, NULL);
+        guint whole;
+        chats_run(site, chats, 30, NULL, NULL);
+        CU_ASSERT_EQUAL(count_wrong(chats, 30, &whole), 0);
+        CU_ASSERT_EQUAL(whole, 30);
+        CU_ASSERT_EQUAL(engine_count(leaves, "run", NULL), before);
+        g_free(chats);
+        engine_destroy(stays);
+        engine_destroy(leaves);
+        site_destroy(site);
+    }
+}
+
+/* ---- drain ---- */
+
+static void
+strike_instance(guint open, void *data)
+{
+    strike_t *s = data;
+    (void)open;
+    if (--s->after == 0) {
+        site_signal(s->site, s->at, s->signal);
+    }
+}
+
+static void
+test_drain_cuts_nothing(void)
+{
+    site_t *site = site_up(3, 3);
+    engine_t *a = engine_start(site, "a", "draft-7b", "model",
+                               "--slots=90 --token-us=10000");
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 90));
+    /* Each instance in turn, twice: leader and pool owner among them. */
+    for (int round = 0; round < 6; round++) {
+        guint at = (guint)round % 3;
+        chat_t *chats = chats_create(30, 3, 50, NULL);
+        strike_t strike = {
+            .site = site, .at = at, .signal = SIGTERM, .after = 15};
+        guint whole;
+        chats_run(site, chats, 30, strike_instance, &strike);
+        CU_ASSERT(strike.after <= 0);
+        CU_ASSERT_EQUAL(count_wrong(chats, 30, &whole), 0);
+        CU_ASSERT_EQUAL(whole, 30);
+        CU_ASSERT_EQUAL(site_wait_exit(site, at), 0);
+        g_free(chats);
+        site_start(site, at);
+        CU_ASSERT_FATAL(site_wait_ready(site, at));
+        CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 90));
+    }
+    engine_destroy(a);
+    site_destroy(site);
+}
+
+/* ---- at most once, and not-run means not run ---- */
+
+typedef struct {
+    site_t *site;
+    guint at;
+    const char *key;
+    answer_t *answer;
+} shot_t;
+
+static gpointer
+fire(gpointer data)
+{
+    shot_t *shot = data;
+    shot->answer = call_whole(shot->site, shot->at, "/services/tagging/x",
+                              shot->key, "tag this");
+    return NULL;
+}
+
+/* The same key through all instances at once. */
+static void
+volley(site_t *site, const char *key, guint *complete, guint *not_run)
+{
+    shot_t shots[SITE_INSTANCES_MAX];
+    GThread *threads[SITE_INSTANCES_MAX];
+    guint count = 0;
+    for (guint i = 0; i < site->count; i++) {
+        if (site->instances[i].process != NULL) {
+            shots[count] = (shot_t){.site = site, .at = i, .key = key};
+            threads[count] = g_thread_new("shot", fire, &shots[count]);
+            count++;
+        }
+    }
+    *complete = 0;
+    *not_run = 0;
+    for (guint i = 0; i < count; i++) {
+        g_thread_join(threads[i]);
+        *complete += shots[i].answer->status == 200;
+        *not_run += strcmp(shots[i].answer->outcome, "not-run") == 0;
+        answer_free(shots[i].answer);
+    }
+}
+
+static void
+test_key_runs_at_most_once(void)
+{
+    site_t *site = site_up(5, 3);
+    engine_t *tag =
+        engine_start(site, "tag", "tagging", "service", "--first-us=20000");
+    CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
+    guint runs_more = 0;
+    guint completed = 0;
+    guint refused = 0;
+    for (int round = 0; round < 12; round++) {
+        char key[32];
+        g_snprintf(key, sizeof(key), "key-%d", round);
+        if (round == 3 || round == 7) {
+            /* A voter goes down by kill -9, and back two rounds later. */
+            site_signal(site, round == 3 ? 1 : 2, SIGKILL);
+            site_wait_exit(site, round == 3 ? 1 : 2);
+        }
+        if (round == 5 || round == 9) {
+            guint at = round == 5 ? 1 : 2;
+            site_start(site, at);
+            CU_ASSERT_FATAL(site_wait_ready(site, at));
+        }
+        if (round == 10) {
+            site_signal(site, 0, SIGSTOP);
+        }
+        guint complete = 0;
+        guint not_run = 0;
+        if (round == 10) {
+            shot_t shot = {.site = site, .at = 3, .key = key};
+            fire(&shot);
+            complete = shot.answer->status == 200;
+            not_run = strcmp(shot.answer->outcome, "not-run") == 0;
+            answer_free(shot.answer);
+            site_signal(site, 0, SIGCONT);
+        }
+        else {
+            volley(site, key, &complete, &not_run);
+        }
+        guint runs = engine_count(tag, "run", key);
+        runs_more += runs > 1;
+        completed += runs;
+        refused += not_run;
+        /* Again, later: the kept answer or the state, never a second run. */
+        sleep_ms(50);
+        volley(site, key, &complete, &not_run);
+        CU_ASSERT(engine_count(tag, "run", key) <= 1);
+    }
+    printf("12 keys, %u ran, %u calls told not-run, %u ran twice; ", completed,
+           refused, runs_more);
+    CU_ASSERT_EQUAL(runs_more, 0);
+    CU_ASSERT(completed >= 10);
+    engine_destroy(tag);
+    site_destroy(site);
+}
+
+/* An endpoint that reads the call and closes: it went out once. */
+static void
+test_read_and_close_goes_out_once(void)
+{
+    site_t *site = site_up(1, 0);
+    engine_t *tag = engine_start(site, "tag", "tagging", "service", NULL);
+    CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
+    /* A kept connection first: the trap is in its reuse. */
+    answer_t *a = call_whole(site, 0, "/services/tagging/x", "warm", "x");
+    CU_ASSERT_EQUAL(a->status, 200);
+    answer_free(a);
+    engine_fault(site, tag, "close", 3);
+    a = call_whole(site, 0, "/services/tagging/x", "once", "x");
+    CU_ASSERT_EQUAL(a->status, 502);
+    CU_ASSERT_STRING_EQUAL(a->outcome, "unknown");
+    answer_free(a);
+    CU_ASSERT_EQUAL(engine_count(tag, "run", "once"), 1);
+    /* The same key is told what is known, and nothing runs. */
+    a = call_whole(site, 0, "/services/tagging/x", "once", "x");
+    CU_ASSERT_EQUAL(a->status, 409);
+    answer_free(a);
+    CU_ASSERT_EQUAL(engine_count(tag, "run", "once"), 1);
+    engine_destroy(tag);
+    site_destroy(site);
+}
+
+/* What is told not-run did not run: refused by the endpoint, no endpoint,
+ * no quorum. */
+static void
+test_not_run_means_not_run(void)
+{
+    site_t *site = site_up(3, 3);
+    engine_t *tag = engine_start(site, "tag", "tagging", "service", NULL);
+    CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
+    engine_fault(site, tag, "refuse", 100);
+    answer_t *a = call_whole(site, 0, "/services/tagging/x", "refused", "x");
+    CU_ASSERT_EQUAL(a->status, 503);
+    CU_ASSERT_STRING_EQUAL(a->outcome, "not-run");
+    answer_free(a);
+    engine_fault(site, tag, "none", 0);
+    CU_ASSERT_EQUAL(engine_count(tag, "run", "refused"), 0);
+    /* The claim was given back: the same key may run now. */
+    sleep_ms(3000);
+    a = call_whole(site, 0, "/services/tagging/x", "refused", "x");
+    CU_ASSERT_EQUAL(a->status, 200);
+    answer_free(a);
+    CU_ASSERT_EQUAL(engine_count(tag, "run", "refused"), 1);
+    /* No quorum: two of three voters stopped. */
+    site_signal(site, 1, SIGSTOP);
+    site_signal(site, 2, SIGSTOP);
+    a = call_whole(site, 0, "/services/tagging/x", "minority", "x");
+    printf("without a quorum: %u %s; ", a->status, a->outcome);
+    CU_ASSERT_EQUAL(a->status, 503);
+    CU_ASSERT_STRING_EQUAL(a->outcome, "not-run");
+    answer_free(a);
+    site_signal(site, 1, SIGCONT);
+    site_signal(site, 2, SIGCONT);
+    sleep_ms(4000);
+    CU_ASSERT_EQUAL(engine_count(tag, "run", "minority"), 0);
+    engine_destroy(tag);
+    site_destroy(site);
+}
+
+/* A caller that leaves cancels the engine's work at once. */
+static void
+test_caller_leaving_cancels(void)
+{
+    site_t *site = site_up(1, 0);
+    engine_t *a =
+        engine_start(site, "a", "draft-7b", "model", "--token-us=50000");
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 16));
+    GSocketClient *client = g_socket_client_new();
+    GSocketConnection *c = g_socket_client_connect_to_host(
+        client, "127.0.0.1", (guint16)site->instances[0].callers, NULL, NULL);
+    static const char body[] =
+        "{\"model\":\"draft-7b\",\"stream\":true,\"max_tokens\":400,"
+        "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+    char *head = g_strdup_printf(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: "
+        "Bearer workshop-key\r\nContent-Length: %zu\r\n\r\n%s",
+        strlen(body), body);
+    g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(c)),
+                              head, strlen(head), NULL, NULL, NULL);
+    for (int i = 0; i < 100 && engine_count(a, "run", NULL) == 0; i++) {
+        sleep_ms(50);
+    }
+    CU_ASSERT_EQUAL(engine_count(a, "run", NULL), 1);
+    g_io_stream_close(G_IO_STREAM(c), NULL, NULL);
+    gint64 left = g_get_monotonic_time();
+    for (int i = 0; i < 100 && engine_count(a, "cancelled", NULL) == 0; i++) {
+        sleep_ms(10);
+    }
+    gint64 took_ms = (g_get_monotonic_time() - left) / 1000;
+    printf("cancelled after %d ms; ", (int)took_ms);
+    CU_ASSERT_EQUAL(engine_count(a, "cancelled", NULL), 1);
+    g_free(head);
+    g_object_unref(c);
+    g_object_unref(client);
+    engine_destroy(a);
+    site_destroy(site);
+}
+
+/* An instance killed while its callers stream: the others lose nothing, and
+ * the slots it held come free. */
+static void
+test_instance_killed(void)
+{
+    site_t *site = site_up(3, 3);
+    engine_t *a = engine_start(site, "a", "draft-7b", "model",
+                               "--slots=60 --token-us=10000");
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 60));
+    for (guint at = 0; at < 3; at++) {
+        chat_t *chats = chats_create(30, 3, 80, NULL);
+        strike_t strike = {
+            .site = site, .at = at, .signal = SIGKILL, .after = 20};
+        chats_run(site, chats, 30, strike_instance, &strike);
+        site_wait_exit(site, at);
+        guint others = 0;
+        for (guint i = 0; i < 30; i++) {
+            CU_ASSERT(chats[i].in_order);
+            others += chats[i].at != at && chats[i].whole;
+        }
+        printf("%u of 20 others whole; ", others);
+        CU_ASSERT_EQUAL(others, 20);
+        g_free(chats);
+        site_start(site, at);
+        CU_ASSERT_FATAL(site_wait_ready(site, at));
+        CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 60));
+    }
+    chat_t *chats = chats_create(60, 3, 10, NULL);
+    guint whole;
+    chats_run(site, chats, 60, NULL, NULL);
+    CU_ASSERT_EQUAL(count_wrong(chats, 60, &whole), 0);
+    CU_ASSERT_EQUAL(whole, 60);
+    g_free(chats);
+    engine_destroy(a);
+    site_destroy(site);
+}
+
+static const test_case_t cases[] = {
+    {"every caller its own whole answer", test_own_answers},
+    {"an engine killed amid streams", test_engine_killed},
+    {"an engine frozen amid streams", test_engine_frozen},
+    {"a leaver gets nothing", test_leaver_gets_nothing},
+    {"drain cuts nothing", test_drain_cuts_nothing},
+    {"a key runs at most once", test_key_runs_at_most_once},
+    {"read and close goes out once", test_read_and_close_goes_out_once},
+    {"not-run means not run", test_not_run_means_not_run},
+    {"a caller leaving cancels", test_caller_leaving_cancels},
+    {"an instance killed", test_instance_killed},
+};
+
+CHECK_MAIN("failures", cases)
