--- a/carobloomd/connection/http.c
+++ b/carobloomd/connection/http.c
@@ -8,6 +8,7 @@
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/log.h"
+#include "carobloom/connection/hangups.h"
 #include "carobloom/request/request.h"
 
 enum {
@@ -45,6 +46,7 @@
     g_clear_object(&http->platform);
     g_clear_object(&http->operators);
     g_clear_object(&http->session);
+    g_clear_pointer(&http->hangups, hangups_destroy);
     g_hash_table_unref(http->requests);
     g_hash_table_unref(http->calls);
     g_hash_table_unref(http->teams);
@@ -80,6 +82,24 @@
     return fd;
 }
 
+/* The tasks share an address, so another process could share it unseen, and
+ * take half of the calls. A plain bind first finds it out. */
+static gboolean
+address_is_free(GSocketAddress *target)
+{
+    struct sockaddr_storage native;
+    gssize size = g_socket_address_get_native_size(target);
+    g_socket_address_to_native(target, &native, sizeof(native), NULL);
+    int fd = socket(native.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    gboolean ok = bind(fd, (struct sockaddr *)&native, (socklen_t)size) == 0;
+    int fault = errno;
+    close(fd);
+    errno = fault;
+    return ok;
+}
+
 static GSocket *
 socket_listen(const char *address, guint16 port, GError **error)
 {
@@ -90,7 +110,14 @@
         g_inet_socket_address_new_from_string(host, port ? port : own_port);
     g_free(host);
     const char *step = NULL;
-    int fd = fd_listen(target, &step);
+    gboolean first = port == 0;
+    int fd = -1;
+    if (first && !address_is_free(target)) {
+        step = "bind";
+    }
+    else {
+        fd = fd_listen(target, &step);
+    }
     g_object_unref(target);
     if (fd < 0) {
         g_set_error(error, G_IO_ERROR, (gint)g_io_error_from_errno(errno),
@@ -204,7 +231,9 @@
     http->session = soup_session_new_with_options(
         "max-conns", ENDPOINT_CONNECTIONS, "max-conns-per-host",
         ENDPOINT_CONNECTIONS, "timeout", 0, "idle-timeout", ENDPOINT_IDLE_S,
-        NULL);
+        /* The default one asks a pool of threads for each connection. */
+        "proxy-resolver", NULL, NULL);
+    http->hangups = hangups_create(task_context(http->task), request_hung_up);
     soup_session_remove_feature_by_type(http->session,
                                         SOUP_TYPE_CONTENT_DECODER);
     timers_subscribe(task_timers(http->task), TICK_US, TICK_US, tick, http);
--- a/carobloomd/process/peers_auth.c
+++ b/carobloomd/process/peers_auth.c
@@ -85,10 +85,10 @@
 void
 peers_auth_destroy(peers_auth_t *auth)
 {
-    /* The thread ends once the context is shut down, which its owner does
-     * right after; joining here would wait for that. */
+    /* The context is shut down by now, which ends the thread. */
     if (auth != NULL) {
-        g_thread_unref(auth->thread);
+        g_thread_join(auth->thread);
+        g_free(auth);
     }
 }
 
--- a/carobloomd/process/peers_auth.h
+++ b/carobloomd/process/peers_auth.h
@@ -11,6 +11,7 @@
 
 /* NULL when the settings have no keys. */
 peers_auth_t *peers_auth_create(const settings_t *settings, void *context);
+/* After zmq_ctx_shutdown of the context. */
 void peers_auth_destroy(peers_auth_t *auth);
 void peers_auth_server(const settings_t *settings, void *socket);
 void peers_auth_client(const settings_t *settings, void *socket);
--- a/carobloomd/process/peers_task.c
+++ b/carobloomd/process/peers_task.c
@@ -405,6 +405,7 @@
     int none = 0;
     zmq_setsockopt(p->router, ZMQ_LINGER, &none, sizeof(none));
     zmq_close(p->router);
+    zmq_ctx_shutdown(p->context);
     peers_auth_destroy(p->auth);
     zmq_ctx_term(p->context);
     g_free(p);
--- a/carobloomd/process/settings.c
+++ b/carobloomd/process/settings.c
@@ -38,7 +38,7 @@
                .max = 4096),
     ROOT_FIELD(voters, FIELD_STRINGS, settings.voters, .max = 9),
     ROOT_FIELD(http_threads, FIELD_INT, settings.http_threads, .min = 1,
-               .max = 64, .fallback = "2"),
+               .max = 64, .fallback = "4"),
     ROOT_FIELD(connections, FIELD_INT, settings.connections, .min = 1,
                .max = 100000, .fallback = "4096"),
     ROOT_FIELD(drain_notice_ms, FIELD_INT, settings.drain_notice_ms, .min = 0,
--- a/carobloomd/process/voter_task.c
+++ b/carobloomd/process/voter_task.c
@@ -9,7 +9,8 @@
 #include "carobloom/version/document.h"
 #include "voter_state.h"
 
-static const gint64 TICK_US = 10 * 1000;
+static const gint64 TICK_US = 20 * 1000;
+static const gint64 TICK_OTHERS_US = 100 * 1000; /* where nobody votes */
 static const gint64 SUBMIT_PATIENCE_US = 5 * G_USEC_PER_SEC;
 static const gint64 CLAIM_PATIENCE_US = 3 * G_USEC_PER_SEC;
 static const gint64 FINISH_PATIENCE_US = 600 * (gint64)G_USEC_PER_SEC;
@@ -419,7 +420,8 @@
 voter_task_begin(void *state)
 {
     voter_task_t *v = state;
-    timers_subscribe(task_timers(v->process->voter), 0, TICK_US, tick, v);
+    gint64 period_us = v->votes ? TICK_US : TICK_OTHERS_US;
+    timers_subscribe(task_timers(v->process->voter), 0, period_us, tick, v);
 }
 
 void
--- a/carobloomd/request/request.c
+++ b/carobloomd/request/request.c
@@ -1,12 +1,11 @@
 #include "carobloom/request/request.h"
 
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "../connection/openai_error.h"
 #include "carobloom/common/counters.h"
 #include "carobloom/common/log.h"
+#include "carobloom/connection/hangups.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/request/attempt.h"
 
@@ -80,6 +79,15 @@
     }
 }
 
+static void
+forget_caller(request_t *r)
+{
+    if (r->caller_fd >= 0) {
+        hangups_forget(r->http->hangups, r->caller_fd);
+        r->caller_fd = -1;
+    }
+}
+
 static void
 request_destroy(request_t *r)
 {
@@ -87,10 +95,7 @@
     if (r->attempt != NULL) {
         attempt_destroy(r->attempt);
     }
-    if (r->hangup != NULL) {
-        g_source_destroy(r->hangup);
-        g_source_unref(r->hangup);
-    }
+    forget_caller(r);
     if (r->message != NULL) {
         g_signal_handlers_disconnect_by_data(r->message, r);
         g_object_unref(r->message);
@@ -568,6 +573,7 @@
     if (r->message == NULL) {
         return;
     }
+    forget_caller(r);
     g_signal_handlers_disconnect_by_data(r->message, r);
     SoupServerMessage *message = g_steal_pointer(&r->message);
     if (!r->head_sent) {
@@ -584,27 +590,12 @@
     request_event(r, LIFE_EVENT_CALLER_LEFT);
 }
 
-static gboolean
-on_hangup(GSocket *socket, GIOCondition condition, gpointer data)
+void
+request_hung_up(void *data)
 {
-    (void)condition;
     request_t *r = data;
-    char byte;
-    gssize got =
-        recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (got > 0) {
-        /* The next call is there already: no more can be learnt. */
-        g_source_unref(r->hangup);
-        r->hangup = NULL;
-        return G_SOURCE_REMOVE;
-    }
-    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return G_SOURCE_CONTINUE;
-    }
-    g_source_unref(r->hangup);
-    r->hangup = NULL;
+    forget_caller(r);
     caller_left(r);
-    return G_SOURCE_REMOVE;
 }
 
 static void
@@ -625,13 +616,11 @@
     g_signal_connect(r->message, "wrote-body-data", G_CALLBACK(on_wrote), r);
     g_signal_connect(r->message, "finished", G_CALLBACK(on_finished), r);
     GSocket *socket = soup_server_message_get_socket(r->message);
-    if (socket == NULL) {
-        return;
+    if (socket != NULL) {
+        g_socket_set_timeout(socket, 0);
+        r->caller_fd = g_socket_get_fd(socket);
+        hangups_watch(r->http->hangups, r->caller_fd, r);
     }
-    g_socket_set_timeout(socket, 0);
-    r->hangup = g_socket_create_source(socket, G_IO_IN | G_IO_HUP, NULL);
-    g_source_set_callback(r->hangup, G_SOURCE_FUNC(on_hangup), r, NULL);
-    g_source_attach(r->hangup, task_context(r->http->task));
 }
 
 static void
@@ -696,6 +685,7 @@
         .said = g_string_new(NULL),
         .answer = g_string_new(NULL),
         .answer_status = 200,
+        .caller_fd = -1,
     };
     g_snprintf(r->name, sizeof(r->name), "%016" G_GINT64_MODIFIER "x", r->id);
     g_hash_table_insert(http->requests, &r->id, r);
--- a/common/jsonc.c
+++ b/common/jsonc.c
@@ -166,6 +166,7 @@
         if (!cursor_enter(&c, parts[i])) {
             break;
         }
+        cursor_skip_space(&c);
         line = c.line;
     }
     g_strfreev(parts);
--- a/include/carobloom/connection/http.h
+++ b/include/carobloom/connection/http.h
@@ -24,10 +24,11 @@
     SoupServer *platform;  /* first task only */
     SoupServer *operators; /* first task only */
     SoupSession *session;  /* towards endpoints */
-    GHashTable *requests;  /* ticket id -> struct request */
-    GHashTable *calls;     /* call id -> call_t */
-    GHashTable *teams;     /* team name -> team_usage_t */
-    GHashTable *budgets;   /* class name -> retry_budget_t */
+    struct hangups *hangups;
+    GHashTable *requests; /* ticket id -> struct request */
+    GHashTable *calls;    /* call id -> call_t */
+    GHashTable *teams;    /* team name -> team_usage_t */
+    GHashTable *budgets;  /* class name -> retry_budget_t */
     guint64 last_call;
     guint32 last_ticket;
 } http_t;
--- a/include/carobloom/request/request.h
+++ b/include/carobloom/request/request.h
@@ -27,7 +27,7 @@
     const document_team_t *team;
     team_usage_t *usage;
     SoupServerMessage *message; /* NULL once the caller is gone */
-    GSource *hangup;
+    int caller_fd;              /* watched for a hang-up, -1 when not */
     char *method;
     char *path; /* towards the endpoint, with the query */
     char *pool;
@@ -83,6 +83,8 @@
 void request_refused(request_t *request, const decision_message_t *decision);
 void request_preempted(request_t *request);
 void request_claimed(request_t *request, const claimed_message_t *claimed);
+/* Its caller closed the connection; for hangups_create. */
+void request_hung_up(void *data);
 /* Events from its attempt. */
 void request_event(request_t *request, life_event_t event);
 /* A part of a stream for the caller; `text` is what it says. */
--- /dev/null
+++ b/tests/test_parsers.c
@@ -0,0 +1,453 @@
+/* Every reader of outside bytes, on cases and on seeded mutations: refused
+ * with a place or read, never crashed (the sanitizers watch). */
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "carobloom/common/fields.h"
+#include "carobloom/common/jsonc.h"
+#include "carobloom/policy/membership.h"
+#include "carobloom/policy/sse.h"
+#include "carobloom/policy/voter_codec.h"
+#include "carobloom/process/log_store.h"
+#include "carobloom/process/settings.h"
+#include "carobloom/process/wire.h"
+#include "carobloom/version/document.h"
+#include "carobloom/version/site_state.h"
+#include "check.h"
+
+enum { MUTATIONS = 4000 };
+
+static char *
+read_sample(const char *name)
+{
+    char *path = g_strdup_printf("%s/samples/%s", SOURCE_ROOT, name);
+    char *text = NULL;
+    g_file_get_contents(path, &text, NULL, NULL);
+    g_free(path);
+    return text;
+}
+
+typedef void (*reader_t)(GBytes *bytes);
+
+static void
+mutate(GBytes *good, reader_t reader, guint seed)
+{
+    GRand *rand = g_rand_new_with_seed(seed);
+    gsize length;
+    const guint8 *raw = g_bytes_get_data(good, &length);
+    for (int i = 0; i < MUTATIONS; i++) {
+        guint8 *copy = g_memdup2(raw, length + 1);
+        for (int k = g_rand_int_range(rand, 0, 6); k > 0; k--) {
+            copy[g_rand_int_range(rand, 0, (gint)length)] =
+                (guint8)g_rand_int(rand);
+        }
+        gsize cut = g_rand_boolean(rand)
+                        ? length
+                        : (gsize)g_rand_int_range(rand, 0, (gint)length + 1);
+        GBytes *bytes = g_bytes_new_take(copy, cut);
+        reader(bytes);
+        g_bytes_unref(bytes);
+    }
+    g_rand_free(rand);
+}
+
+static str_t
+view(GBytes *bytes)
+{
+    gsize length;
+    const char *data = g_bytes_get_data(bytes, &length);
+    return (str_t){.data = data ? data : "", .length = length};
+}
+
+static void
+read_document(GBytes *bytes)
+{
+    GPtrArray *faults = faults_create();
+    document_t *d = document_parse(view(bytes), 1, faults);
+    CU_ASSERT((d != NULL) == (faults->len == 0));
+    for (guint i = 0; i < faults->len; i++) {
+        CU_ASSERT(
+            jsonc_line(view(bytes), ((fault_t *)faults->pdata[i])->path) >= 1);
+    }
+    document_unref(d);
+    faults_destroy(faults);
+}
+
+static void
+read_settings(GBytes *bytes)
+{
+    GPtrArray *faults = faults_create();
+    settings_t *s = NULL;
+    if (settings_parse(view(bytes), &s, faults) == SETTINGS_OK) {
+        settings_destroy(s);
+    }
+    else {
+        CU_ASSERT(faults->len > 0);
+    }
+    faults_destroy(faults);
+}
+
+static int
+ignore_event(str_t data, str_t raw, void *user)
+{
+    (void)data;
+    (void)raw;
+    (void)user;
+    return 0;
+}
+
+static void
+read_events(GBytes *bytes)
+{
+    sse_t sse;
+    sse_init(&sse);
+    sse_feed(&sse, view(bytes), ignore_event, NULL);
+    sse_clear(&sse);
+}
+
+static void
+read_wire(GBytes *bytes)
+{
+    wire_ticket_t ticket;
+    wire_settle_t settle;
+    wire_decision_t decision;
+    endpoint_info_t info;
+    wire_call_t call;
+    wire_reply_t reply;
+    wire_found_t found;
+    wire_ticket_read(bytes, &ticket);
+    wire_settle_read(bytes, &settle);
+    wire_decision_read(bytes, &decision);
+    g_free(decision.address);
+    g_free(decision.protocol);
+    wire_endpoint_read(bytes, &info);
+    endpoint_info_clear(&info);
+    wire_call_read(bytes, &call);
+    wire_call_clear(&call);
+    wire_reply_read(bytes, &reply);
+    wire_reply_clear(&reply);
+    wire_found_read(bytes, &found);
+    wire_found_clear(&found);
+    GArray *loads = wire_loads_read(bytes);
+    g_clear_pointer(&loads, g_array_unref);
+    GArray *steps = wire_steps_read(bytes);
+    g_clear_pointer(&steps, g_array_unref);
+}
+
+static void
+read_command(GBytes *bytes)
+{
+    site_state_t *state = site_state_create();
+    site_result_t result;
+    site_state_apply(state, 1, bytes, &result);
+    site_state_restore(state, bytes);
+    site_state_destroy(state);
+}
+
+static void
+read_gossip(GBytes *bytes)
+{
+    member_record_t self = {.id = 1, .name = "a"};
+    membership_settings_t settings = {
+        .period_us = 1, .suspicion_us = 1, .forget_us = 1, .seed = 1};
+    membership_t *m = membership_create(&self, &settings, 0);
+    membership_receive(m, bytes, 1);
+    membership_tick(m, 2);
+    membership_destroy(m);
+}
+
+static void
+mutate_text(const char *text, reader_t reader, guint seed)
+{
+    GBytes *bytes = g_bytes_new(text, strlen(text));
+    mutate(bytes, reader, seed);
+    g_bytes_unref(bytes);
+}
+
+static void
+test_mutations(void)
+{
+    char *site = read_sample("site.jsonc");
+    char *settings = read_sample("settings.jsonc");
+    mutate_text(site, read_document, 1);
+    mutate_text(settings, read_settings, 2);
+    mutate_text("event: x\r\ndata: {\"id\":\"a\"}\n\ndata: b\ndata: c\n\n",
+                read_events, 3);
+    g_free(site);
+    g_free(settings);
+    wire_ticket_t ticket = {.ticket = {.id = 5, .team_weight = 1}};
+    wire_reply_t reply = {.call = 3, .text = (char *)"x"};
+    endpoint_info_t info = {.address = (char *)"127.0.0.1:1",
+                            .serves = (char *)"m",
+                            .kind = (char *)"model",
+                            .protocol = (char *)"openai"};
+    GBytes *all[] = {wire_ticket_write(&ticket), wire_reply_write(&reply),
+                     wire_endpoint_write(&info),
+                     site_claim_write(1, "team", "key", 2, 3, 4)};
+    for (guint i = 0; i < G_N_ELEMENTS(all); i++) {
+        mutate(all[i], read_wire, 10 + i);
+        mutate(all[i], read_command, 20 + i);
+        mutate(all[i], read_gossip, 30 + i);
+        g_bytes_unref(all[i]);
+    }
+}
+
+static void
+test_settings_faults(void)
+{
+    static const struct {
+        const char *text;
+        const char *place; /* must stand in a fault */
+    } cases[] = {
+        {"{", "line 1"},
+        {"{\n\"instance\": \"a\",\n\"instance\": \"b\"}", "line 3"},
+        {"{\n\"oops\": 1}", "line 2: oops: unknown key"},
+        {"{\n\n\"instance\": 7}", "line 3: instance: must be a string"},
+        {"{\"http_threads\":\n 99}", "line 2: http_threads: must be 1 to 64"},
+        {"{\"callers\": {\n\"address\": \"localhost:1\"}}",
+         "line 2: callers.address: must be IP:PORT"},
+        {"{\"callers\": {\"address\": \"10.0.0.1:1\"}}",
+         "needs certificate and key"},
+        {"{\"voters\": [\"a\", \"b\"]}", "odd number"},
+        {"{\"platform\": {\"port\": 1}}", "platform.port: unknown key"},
+        {"{\"http_threads\": 1e400}", "line 1"},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GPtrArray *faults = faults_create();
+        settings_t *s = NULL;
+        int result = settings_parse(str_from_cstr(cases[i].text), &s, faults);
+        CU_ASSERT_EQUAL(result, SETTINGS_ERROR_FAULTS);
+        gboolean found = FALSE;
+        for (guint k = 0; k < faults->len; k++) {
+            found |= strstr(((fault_t *)faults->pdata[k])->text,
+                            cases[i].place) != NULL;
+        }
+        if (!found) {
+            printf("case %zu lacks: %s\n", i, cases[i].place);
+        }
+        CU_ASSERT(found);
+        faults_destroy(faults);
+    }
+}
+
+/* ---- the voter's disk ---- */
+
+static char *
+folder_create(void)
+{
+    return g_dir_make_tmp("carobloom-store-XXXXXX", NULL);
+}
+
+static void
+folder_remove(char *folder)
+{
+    static const char *const files[] = {"identity",    "hard",    "log",
+                                        "snapshot",    "log.new", "hard.new",
+                                        "snapshot.new"};
+    for (guint i = 0; i < G_N_ELEMENTS(files); i++) {
+        char *path = g_build_filename(folder, files[i], NULL);
+        g_unlink(path);
+        g_free(path);
+    }
+    g_rmdir(folder);
+    g_free(folder);
+}
+
+static void
+log_add(replica_log_t *log, guint64 index)
+{
+    char text[32];
+    g_snprintf(text, sizeof(text), "entry %lu", (unsigned long)index);
+    GBytes *data = g_bytes_new(text, strlen(text));
+    log_entry_t entry = {
+        .index = index, .term = 1, .kind = ENTRY_COMMAND, .data = data};
+    replica_log_append(log, &entry);
+    g_bytes_unref(data);
+}
+
+/* Writes so many entries, a frame each; returns the log's bytes. */
+static guint64
+store_fill(const char *folder, guint64 entries)
+{
+    log_store_t *store;
+    store_state_t state;
+    char *why = NULL;
+    CU_ASSERT_EQUAL_FATAL(log_store_open(folder, &store, &state, &why),
+                          STORE_OK);
+    store_state_clear(&state);
+    replica_log_t log;
+    replica_log_init(&log);
+    for (guint64 i = 1; i <= entries; i++) {
+        log_add(&log, i);
+        CU_ASSERT_EQUAL(log_store_append(store, &log, i, &why), STORE_OK);
+    }
+    guint64 bytes = log_store_bytes(store);
+    log_store_close(store);
+    replica_log_clear(&log);
+    return bytes;
+}
+
+static int
+store_count(const char *folder, guint *entries, guint64 *cut, char **why)
+{
+    log_store_t *store;
+    store_state_t state;
+    int result = log_store_open(folder, &store, &state, why);
+    if (result == STORE_OK) {
+        *entries = state.entries->len;
+        *cut = state.cut_bytes;
+        store_state_clear(&state);
+        log_store_close(store);
+    }
+    return result;
+}
+
+static void
+test_torn_tail_is_cut(void)
+{
+    guint64 frame = 8;
+    for (guint lost = 1; lost < frame; lost += 7) {
+        char *folder = folder_create();
+        guint64 bytes = store_fill(folder, 5);
+        frame = bytes / 5; /* no more than the last one is torn */
+        char *path = g_build_filename(folder, "log", NULL);
+        CU_ASSERT_EQUAL(truncate(path, (off_t)(bytes - lost)), 0);
+        guint entries = 0;
+        guint64 cut = 0;
+        char *why = NULL;
+        CU_ASSERT_EQUAL(store_count(folder, &entries, &cut, &why), STORE_OK);
+        CU_ASSERT_EQUAL(entries, 4);
+        CU_ASSERT(cut > 0);
+        /* And it is whole again after that. */
+        CU_ASSERT_EQUAL(store_count(folder, &entries, &cut, &why), STORE_OK);
+        CU_ASSERT_EQUAL(cut, 0);
+        g_free(path);
+        folder_remove(folder);
+    }
+}
+
+static void
+test_damaged_middle_is_refused(void)
+{
+    char *folder = folder_create();
+    store_fill(folder, 5);
+    char *path = g_build_filename(folder, "log", NULL);
+    FILE *file = fopen(path, "r+");
+    fseek(file, 100, SEEK_SET);
+    fputc('X', file);
+    fclose(file);
+    guint entries = 0;
+    guint64 cut = 0;
+    char *why = NULL;
+    CU_ASSERT_EQUAL(store_count(folder, &entries, &cut, &why),
+                    STORE_ERROR_DAMAGED);
+    CU_ASSERT(why && strstr(why, "damaged at byte") != NULL);
+    g_free(why);
+    g_free(path);
+    folder_remove(folder);
+}
+
+/* A limit on the file's size stands for a full disk. */
+static void
+test_full_disk_is_told(void)
+{
+    char *folder = folder_create();
+    log_store_t *store;
+    store_state_t state;
+    char *why = NULL;
+    CU_ASSERT_EQUAL_FATAL(log_store_open(folder, &store, &state, &why),
+                          STORE_OK);
+    store_state_clear(&state);
+    replica_log_t log;
+    replica_log_init(&log);
+    struct rlimit before;
+    getrlimit(RLIMIT_FSIZE, &before);
+    struct rlimit small = {.rlim_cur = 2000, .rlim_max = before.rlim_max};
+    signal(SIGXFSZ, SIG_IGN);
+    setrlimit(RLIMIT_FSIZE, &small);
+    int result = STORE_OK;
+    guint64 written = 0;
+    for (guint64 i = 1; i <= 200 && result == STORE_OK; i++) {
+        log_add(&log, i);
+        result = log_store_append(store, &log, i, &why);
+        written += result == STORE_OK;
+    }
+    setrlimit(RLIMIT_FSIZE, &before);
+    CU_ASSERT_EQUAL(result, STORE_ERROR_WRITE);
+    CU_ASSERT(why != NULL);
+    g_clear_pointer(&why, g_free);
+    log_store_close(store);
+    /* What was acknowledged is there, and no more. */
+    guint entries = 0;
+    guint64 cut = 0;
+    CU_ASSERT_EQUAL(store_count(folder, &entries, &cut, &why), STORE_OK);
+    CU_ASSERT_EQUAL(entries, written);
+    replica_log_clear(&log);
+    folder_remove(folder);
+}
+
+/* ---- the document's text ---- */
+
+static void
+test_splices_rebuild_any_version(void)
+{
+    GRand *rand = g_rand_new_with_seed(4);
+    site_state_t *state = site_state_create();
+    GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(texts, g_strdup(""));
+    for (guint i = 1; i <= 40; i++) {
+        GString *next = g_string_new(texts->pdata[i - 1]);
+        gssize at = g_rand_int_range(rand, 0, (gint)next->len + 1);
+        g_string_insert(next, at, "some words ");
+        if (next->len > 30) {
+            g_string_erase(next, 3, 9);
+        }
+        char *text = g_string_free(next, FALSE);
+        splice_t s = splice_between(str_from_cstr(texts->pdata[i - 1]),
+                                    str_from_cstr(text));
+        char id[16];
+        g_snprintf(id, sizeof(id), "c%u", i);
+        GBytes *command = site_submit_write(i, id, i - 1, "a", "", &s);
+        site_result_t result;
+        CU_ASSERT(site_state_apply(state, i, command, &result));
+        CU_ASSERT_EQUAL(result.outcome, SITE_OK);
+        /* The same change again: the first version. */
+        site_state_apply(state, i, command, &result);
+        CU_ASSERT_EQUAL(result.outcome, SITE_REPEATED);
+        CU_ASSERT_EQUAL(result.version, i);
+        g_bytes_unref(command);
+        splice_clear(&s);
+        g_ptr_array_add(texts, text);
+    }
+    for (guint i = 0; i <= 40; i++) {
+        gsize length;
+        char *text = site_state_text_at(state, i, &length);
+        CU_ASSERT_STRING_EQUAL(text, (char *)texts->pdata[i]);
+        g_free(text);
+    }
+    GBytes *snapshot = site_state_snapshot(state);
+    site_state_t *copy = site_state_create();
+    CU_ASSERT(site_state_restore(copy, snapshot));
+    CU_ASSERT(str_equal(site_state_text(copy), site_state_text(state)));
+    CU_ASSERT_PTR_NOT_NULL(site_state_find_change(copy, "c17"));
+    g_bytes_unref(snapshot);
+    site_state_destroy(copy);
+    site_state_destroy(state);
+    g_ptr_array_unref(texts);
+    g_rand_free(rand);
+}
+
+static const test_case_t cases[] = {
+    {"mutated input is refused or read", test_mutations},
+    {"settings' faults have their place", test_settings_faults},
+    {"a torn tail is cut", test_torn_tail_is_cut},
+    {"a damaged middle is refused", test_damaged_middle_is_refused},
+    {"a full disk is told", test_full_disk_is_told},
+    {"steps rebuild any version", test_splices_rebuild_any_version},
+};
+
+CHECK_MAIN("parsers", cases)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -246,6 +246,19 @@
     }
 }
 
+/* The page that lists the transitions is the table. */
+static void
+test_life_page_is_the_table(void)
+{
+    char *page = NULL;
+    char *table = life_table_markdown();
+    g_file_get_contents(SOURCE_ROOT "/docs/design/request-lifecycle.md", &page,
+                        NULL, NULL);
+    CU_ASSERT(page != NULL && strstr(page, table) != NULL);
+    g_free(page);
+    g_free(table);
+}
+
 static void
 count_call(void *data)
 {
@@ -290,6 +303,7 @@
     {"events are bounded", test_sse_bounds_memory},
     {"not repeatable runs at most once", test_life_at_most_once},
     {"resumes only where permitted", test_life_resume_only_where_permitted},
+    {"the life's page is its table", test_life_page_is_the_table},
     {"timers on a manual clock", test_timers_manual_clock},
 };
 
--- /dev/null
+++ b/tests/test_scheduler.c
@@ -0,0 +1,383 @@
+/* The invariants of the decisions, over seeded random orders of events. */
+#include <string.h>
+
+#include "carobloom/policy/scheduler.h"
+#include "check.h"
+
+enum { SEEDS = 60, EVENTS = 4000, CLASSES = 5, ENDPOINTS = 6, TICKETS = 8192 };
+
+typedef enum { NONE, WAITING, RUNNING, OVER } place_t;
+
+typedef struct {
+    place_t place;
+    guint class_index;
+    guint64 endpoint;
+    ticket_t ticket;
+} seen_t;
+
+typedef struct {
+    scheduler_t *scheduler;
+    GRand *rand;
+    GArray *actions;
+    gint64 now;
+    class_spec_t classes[CLASSES];
+    seen_t seen[TICKETS];
+    guint next;
+    guint slots[ENDPOINTS];
+    guint used[ENDPOINTS];
+    gboolean gone[ENDPOINTS];
+    guint granted[CLASSES];
+    guint preempted;
+    guint refused;
+    const char *wrong;
+} model_t;
+
+static guint
+running_below(const model_t *m, int tier)
+{
+    guint count = 0;
+    for (guint i = 1; i < m->next; i++) {
+        count += m->seen[i].place == RUNNING &&
+                 m->classes[m->seen[i].class_index].tier > tier;
+    }
+    return count;
+}
+
+static gboolean
+protected_waits_above(const model_t *m, int tier)
+{
+    for (guint i = 1; i < m->next; i++) {
+        const class_spec_t *c = &m->classes[m->seen[i].class_index];
+        if (m->seen[i].place == WAITING && c->protect && c->tier < tier) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+check_grant(model_t *m, const action_t *a, seen_t *s)
+{
+    guint at = (guint)a->endpoint - 1;
+    if (s->place != WAITING) {
+        m->wrong = "granted what does not wait";
+    }
+    if (m->gone[at]) {
+        m->wrong = "granted at an endpoint that left";
+    }
+    if (++m->used[at] > m->slots[at]) {
+        m->wrong = "granted beyond an endpoint's slots";
+    }
+    s->place = RUNNING;
+    s->endpoint = a->endpoint;
+    m->granted[s->class_index]++;
+}
+
+static void
+check_preempt(model_t *m, const seen_t *s)
+{
+    const class_spec_t *c = &m->classes[s->class_index];
+    if (s->place != RUNNING || !c->resume) {
+        m->wrong = "preempted what can not be resumed";
+    }
+    if (!protected_waits_above(m, c->tier)) {
+        m->wrong = "preempted for nothing above it";
+    }
+    m->preempted++;
+}
+
+static void
+check_refuse(model_t *m, seen_t *s, const action_t *a)
+{
+    const class_spec_t *c = &m->classes[s->class_index];
+    if (c->protect && a->reason == REFUSE_DEADLINE &&
+        running_below(m, c->tier) > 0) {
+        m->wrong = "refused a protected ticket while lower work ran";
+    }
+    if (a->retry_after_us < G_USEC_PER_SEC) {
+        m->wrong = "refused without a time to come back";
+    }
+    s->place = OVER;
+    m->refused++;
+}
+
+static void end_ticket(model_t *m, guint at, settle_result_t result);
+
+static void
+take_actions(model_t *m)
+{
+    while (m->actions->len > 0 && m->wrong == NULL) {
+        action_t a = g_array_index(m->actions, action_t, 0);
+        g_array_remove_index(m->actions, 0);
+        seen_t *s = &m->seen[a.ticket];
+        switch (a.type) {
+        case ACTION_GRANT:
+            check_grant(m, &a, s);
+            break;
+        case ACTION_PREEMPT:
+            check_preempt(m, s);
+            end_ticket(m, (guint)a.ticket, SETTLE_CANCELLED);
+            s->ticket.preemptions++;
+            s->ticket.done_tokens += 10;
+            s->place = WAITING;
+            scheduler_submit(m->scheduler, &s->ticket, m->now, m->actions);
+            break;
+        case ACTION_REFUSE:
+            check_refuse(m, s, &a);
+            break;
+        }
+    }
+}
+
+static void
+end_ticket(model_t *m, guint at, settle_result_t result)
+{
+    seen_t *s = &m->seen[at];
+    settlement_t settlement = {
+        .result = result, .tokens = 50, .token_us = 20000};
+    s->place = OVER;
+    m->used[s->endpoint - 1]--;
+    scheduler_settle(m->scheduler, at, &settlement, m->now, m->actions);
+}
+
+static void
+submit_some(model_t *m)
+{
+    if (m->next >= TICKETS) {
+        return;
+    }
+    seen_t *s = &m->seen[m->next];
+    s->class_index = (guint)g_rand_int_range(m->rand, 0, CLASSES);
+    s->place = WAITING;
+    s->ticket = (ticket_t){
+        .id = m->next,
+        .class_index = s->class_index,
+        .team = (guint64)g_rand_int_range(m->rand, 1, 6),
+        .team_weight = 1 + g_rand_int_range(m->rand, 0, 3),
+        .prompt_tokens = 100,
+        .prefix = (guint64)g_rand_int_range(m->rand, 0, 4),
+        .arrived_us = m->now,
+    };
+    m->next++;
+    scheduler_submit(m->scheduler, &s->ticket, m->now, m->actions);
+}
+
+static guint
+some_in(model_t *m, place_t place)
+{
+    guint start = (guint)g_rand_int_range(m->rand, 1, (gint)MAX(m->next, 2));
+    for (guint i = 0; i + 1 < m->next; i++) {
+        guint at = 1 + (start + i) % (m->next - 1);
+        if (m->seen[at].place == place) {
+            return at;
+        }
+    }
+    return 0;
+}
+
+static void
+endpoint_event(model_t *m)
+{
+    guint at = (guint)g_rand_int_range(m->rand, 0, ENDPOINTS);
+    endpoint_set_t *set = scheduler_endpoints(m->scheduler);
+    if (m->gone[at] || m->used[at] > 0) {
+        endpoint_set_report(set, at + 1,
+                            (guint)g_rand_int_range(m->rand, 0, 6),
+                            g_rand_double_range(m->rand, 1e4, 9e4), m->now);
+        if (!m->gone[at]) {
+            return;
+        }
+        m->gone[at] = FALSE;
+        endpoint_set_put(set, at + 1, m->slots[at], m->now);
+        return;
+    }
+    m->gone[at] = TRUE;
+    endpoint_set_leave(set, at + 1);
+}
+
+static void
+one_event(model_t *m)
+{
+    guint at;
+    m->now += g_rand_int_range(m->rand, 1, 30000);
+    switch (g_rand_int_range(m->rand, 0, 14)) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+    case 12:
+    case 13: /* more arrives than is served, so that some is refused */
+        submit_some(m);
+        break;
+    case 4:
+    case 5:
+    case 6:
+        if ((at = some_in(m, RUNNING)) != 0) {
+            end_ticket(m, at, SETTLE_COMPLETE);
+        }
+        break;
+    case 7:
+        if ((at = some_in(m, RUNNING)) != 0) {
+            end_ticket(m, at, SETTLE_FAILED);
+        }
+        break;
+    case 8:
+        if ((at = some_in(m, WAITING)) != 0) {
+            m->seen[at].place = OVER;
+            scheduler_cancel(m->scheduler, at);
+        }
+        break;
+    case 9:
+        endpoint_event(m);
+        scheduler_run(m->scheduler, m->now, m->actions);
+        break;
+    case 10:
+        /* Sent again: nothing may change, or the same grant comes again. */
+        if ((at = some_in(m, WAITING)) != 0) {
+            scheduler_submit(m->scheduler, &m->seen[at].ticket, m->now,
+                             m->actions);
+        }
+        break;
+    default:
+        scheduler_tick(m->scheduler, m->now, m->actions);
+        break;
+    }
+    take_actions(m);
+}
+
+static void
+model_run(guint seed, guint *granted, guint *preempted, guint *refused)
+{
+    model_t *m = g_new0(model_t, 1);
+    m->rand = g_rand_new_with_seed(seed);
+    m->actions = g_array_new(FALSE, FALSE, sizeof(action_t));
+    m->now = 1000000;
+    m->next = 1;
+    for (guint i = 0; i < CLASSES; i++) {
+        m->classes[i] = (class_spec_t){.tier = (int)i,
+                                       .least_share = 0.05,
+                                       .weight = 1,
+                                       .first_token_us = 200000,
+                                       .deadline_us = 1500000 + i * 4000000,
+                                       .max_wait_us = 1000000 + i * 2000000,
+                                       .queue_limit = 200,
+                                       .typical_tokens = 50,
+                                       .resume = i >= 2,
+                                       .protect = i < 2};
+    }
+    m->scheduler = scheduler_create(m->classes, CLASSES);
+    for (guint i = 0; i < ENDPOINTS; i++) {
+        m->slots[i] = 2 + i % 3;
+        endpoint_set_put(scheduler_endpoints(m->scheduler), i + 1, m->slots[i],
+                         m->now);
+    }
+    for (guint i = 0; i < EVENTS && m->wrong == NULL; i++) {
+        one_event(m);
+    }
+    if (m->wrong != NULL) {
+        printf("seed %u: %s\n", seed, m->wrong);
+        CU_FAIL("an invariant is broken");
+    }
+    for (guint i = 0; i < CLASSES; i++) {
+        CU_ASSERT(m->granted[i] > 0); /* none starves */
+        *granted += m->granted[i];
+    }
+    *preempted += m->preempted;
+    *refused += m->refused;
+    scheduler_destroy(m->scheduler);
+    g_array_unref(m->actions);
+    g_rand_free(m->rand);
+    g_free(m);
+}
+
+static void
+test_invariants(void)
+{
+    guint granted = 0;
+    guint preempted = 0;
+    guint refused = 0;
+    for (guint seed = 1; seed <= SEEDS; seed++) {
+        model_run(seed, &granted, &preempted, &refused);
+    }
+    printf("%u granted, %u preempted, %u refused ", granted, preempted,
+           refused);
+    CU_ASSERT(granted > 10000);
+    CU_ASSERT(preempted > 100);
+    CU_ASSERT(refused > 100);
+}
+
+/* Teams share a class by weight: one with many waiting does not crowd out
+ * one with few. */
+static void
+test_teams_share(void)
+{
+    class_spec_t spec = {.tier = 0,
+                         .weight = 1,
+                         .first_token_us = 1000000,
+                         .deadline_us = 1000 * (gint64)G_USEC_PER_SEC,
+                         .max_wait_us = 1000 * (gint64)G_USEC_PER_SEC,
+                         .queue_limit = 10000,
+                         .typical_tokens = 100};
+    scheduler_t *s = scheduler_create(&spec, 1);
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(action_t));
+    gint64 now = 1000000;
+    endpoint_set_put(scheduler_endpoints(s), 1, 1, now);
+    for (guint64 i = 1; i <= 300; i++) {
+        ticket_t t = {.id = i,
+                      .team = i <= 200 ? 1 : 2,
+                      .team_weight = i <= 200 ? 1 : 3,
+                      .arrived_us = now};
+        scheduler_submit(s, &t, now, actions);
+    }
+    guint served[3] = {0};
+    for (int i = 0; i < 80; i++) {
+        guint64 id = g_array_index(actions, action_t, actions->len - 1).ticket;
+        served[id <= 200 ? 1 : 2]++;
+        g_array_set_size(actions, 0);
+        now += 10000;
+        settlement_t done = {.result = SETTLE_COMPLETE, .tokens = 100};
+        scheduler_settle(s, id, &done, now, actions);
+    }
+    /* By weight 1 to 3. */
+    printf("%u to %u ", served[1], served[2]);
+    CU_ASSERT(served[2] >= 55 && served[2] <= 65);
+    g_array_unref(actions);
+    scheduler_destroy(s);
+}
+
+/* A lost settlement does not hold a slot for good. */
+static void
+test_lost_settlement(void)
+{
+    class_spec_t spec = {.tier = 0,
+                         .weight = 1,
+                         .deadline_us = 60000000,
+                         .max_wait_us = 60000000,
+                         .queue_limit = 10,
+                         .typical_tokens = 10};
+    scheduler_t *s = scheduler_create(&spec, 1);
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(action_t));
+    endpoint_set_put(scheduler_endpoints(s), 1, 1, 0);
+    ticket_t a = {.id = 7ULL << 32 | 1};
+    ticket_t b = {.id = 7ULL << 32 | 2};
+    scheduler_submit(s, &a, 0, actions);
+    scheduler_submit(s, &b, 0, actions);
+    CU_ASSERT_EQUAL(actions->len, 1);
+    guint64 none = 0;
+    CU_ASSERT_EQUAL(scheduler_reconcile(s, 7, &a.id, 1, 100, 100, actions), 0);
+    CU_ASSERT_EQUAL(scheduler_reconcile(s, 7, &none, 0, 100, 100, actions), 1);
+    CU_ASSERT_EQUAL(actions->len, 2);
+    /* And an entry that died gives all of its back. */
+    scheduler_drop_entry(s, 7, 200, actions);
+    CU_ASSERT_EQUAL(scheduler_running(s, 0), 0);
+    g_array_unref(actions);
+    scheduler_destroy(s);
+}
+
+static const test_case_t cases[] = {
+    {"invariants over random orders", test_invariants},
+    {"teams share by weight", test_teams_share},
+    {"a lost settlement gives its slot back", test_lost_settlement},
+};
+
+CHECK_MAIN("scheduler", cases)
