--- a/bench/control.c
+++ b/bench/control.c
@@ -147,27 +147,13 @@
 
 /* ---- changes of the document ---- */
 
-static char *
-site_with(int weight)
-{
-    char *sample = site_sample();
-    char *edit =
-        g_strdup_printf("\"weight\": %d, \"name\": \"workshop\"", weight);
-    char **parts = g_strsplit(sample, "\"name\": \"workshop\"", 2);
-    char *text = g_strjoinv(edit, parts);
-    g_strfreev(parts);
-    g_free(edit);
-    g_free(sample);
-    return text;
-}
-
 /* Submits until it is accepted; the same change id each time. */
 static guint64
 change_once(site_t *site, guint at, int number, guint64 base)
 {
     char id[32];
     g_snprintf(id, sizeof(id), "change-%d", number);
-    char *text = site_with(number % 900 + 1);
+    char *text = site_sample_with_weight(number % 900 + 1);
     guint64 version = 0;
     for (int i = 0; i < 40 && version == 0; i++) {
         guint to = (at + (guint)i) % site->count;
--- a/bench/load.c
+++ b/bench/load.c
@@ -249,22 +249,10 @@
 site_t *
 bench_site(guint instances, guint voters)
 {
-    site_t *site = site_create(instances, voters);
-    site_start_all(site);
-    for (int i = 0; i < 300; i++) {
-        answer_t *a = site_submit(site, 0, "first", 0, NULL);
-        gboolean ok = a->status == 200;
-        answer_free(a);
-        if (ok) {
-            break;
-        }
-        sleep_ms(100);
-    }
-    for (guint i = 0; i < instances; i++) {
-        if (!site_wait_ready(site, i)) {
-            printf("instance %u is not ready\n", i);
-            exit(1);
-        }
+    site_t *site = site_up(instances, voters);
+    if (site == NULL) {
+        printf("%u instances did not come up\n", instances);
+        exit(1);
     }
     return site;
 }
--- a/carobloomd/connection/console.c
+++ b/carobloomd/connection/console.c
@@ -172,16 +172,6 @@
     json_decref(root);
 }
 
-static void
-on_reply(const reply_message_t *reply, void *data)
-{
-    SoupServerMessage *message = data;
-    http_reply_json(message, reply->status, reply->text,
-                    (gssize)reply->length);
-    soup_server_message_unpause(message);
-    g_object_unref(message);
-}
-
 static void
 handle_history(http_t *http, SoupServerMessage *message)
 {
@@ -189,11 +179,9 @@
         http_reply_json(message, 401, "{\"text\":\"sign in first\"}", -1);
         return;
     }
-    soup_server_message_pause(message);
     task_send(http->process->voter,
               MESSAGE(ask_message_t, .base = {VOTER_HISTORY, message_free},
-                      .call = http_call_create(http, on_reply,
-                                               g_object_ref(message)),
+                      .call = http_call_for(http, message),
                       .http = http->task));
 }
 
@@ -232,16 +220,14 @@
         return;
     }
     guint64 version = base ? g_ascii_strtoull(base, NULL, 10) : 0;
-    soup_server_message_pause(message);
-    task_send(
-        http->process->voter,
-        MESSAGE(submit_message_t, .base = {VOTER_SUBMIT, submit_message_free},
-                .call =
-                    http_call_create(http, on_reply, g_object_ref(message)),
-                .http = http->task, .change = g_strdup(change),
-                .base_version = version, .author = g_strdup(author),
-                .note = g_strdup(is_plain_text(note) ? note : ""),
-                .text = g_strndup(text, length), .length = length));
+    task_send(http->process->voter,
+              MESSAGE(submit_message_t,
+                      .base = {VOTER_SUBMIT, submit_message_free},
+                      .call = http_call_for(http, message), .http = http->task,
+                      .change = g_strdup(change), .base_version = version,
+                      .author = g_strdup(author),
+                      .note = g_strdup(is_plain_text(note) ? note : ""),
+                      .text = g_strndup(text, length), .length = length));
     g_bytes_unref(body);
 }
 
--- a/carobloomd/connection/http.c
+++ b/carobloomd/connection/http.c
@@ -261,6 +261,23 @@
     return id;
 }
 
+static void
+forward_reply(const reply_message_t *reply, void *data)
+{
+    SoupServerMessage *message = data;
+    http_reply_json(message, reply->status, reply->text,
+                    (gssize)reply->length);
+    soup_server_message_unpause(message);
+    g_object_unref(message);
+}
+
+guint64
+http_call_for(http_t *http, SoupServerMessage *message)
+{
+    soup_server_message_pause(message);
+    return http_call_create(http, forward_reply, g_object_ref(message));
+}
+
 guint64
 http_next_ticket(http_t *http)
 {
--- a/carobloomd/connection/operators.c
+++ b/carobloomd/connection/operators.c
@@ -142,21 +142,10 @@
     }
 }
 
-static void
-on_reply(const reply_message_t *reply, void *data)
-{
-    SoupServerMessage *message = data;
-    http_reply_json(message, reply->status, reply->text,
-                    (gssize)reply->length);
-    soup_server_message_unpause(message);
-    g_object_unref(message);
-}
-
 static void
 handle_history(http_t *http, SoupServerMessage *message)
 {
-    soup_server_message_pause(message);
-    guint64 call = http_call_create(http, on_reply, g_object_ref(message));
+    guint64 call = http_call_for(http, message);
     task_send(http->process->voter,
               MESSAGE(ask_message_t, .base = {VOTER_HISTORY, message_free},
                       .call = call, .http = http->task));
@@ -250,13 +239,11 @@
         g_free(text);
     }
     else {
-        soup_server_message_pause(message);
         task_send(
             http->process->voter,
             MESSAGE(order_message_t, .base = {VOTER_ORDER, order_message_free},
-                    .call = http_call_create(http, on_reply,
-                                             g_object_ref(message)),
-                    .http = http->task, .address = g_strdup(order.address),
+                    .call = http_call_for(http, message), .http = http->task,
+                    .address = g_strdup(order.address),
                     .verb = g_strdup(order.verb),
                     .value = g_strdup(order.value)));
     }
--- a/carobloomd/process/messages.c
+++ b/carobloomd/process/messages.c
@@ -1,5 +1,7 @@
 #include "carobloom/process/messages.h"
 
+#include <string.h>
+
 void
 message_free(message_t *message)
 {
@@ -70,6 +72,17 @@
     g_free(m);
 }
 
+void
+reply_send(task_t *http, guint64 call, int status, json_t *root)
+{
+    char *text = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    task_send(http,
+              MESSAGE(reply_message_t,
+                      .base = {HTTP_REPLY, reply_message_free}, .call = call,
+                      .status = status, .text = text, .length = strlen(text)));
+}
+
 void
 members_message_free(message_t *message)
 {
--- a/carobloomd/process/peers_task.c
+++ b/carobloomd/process/peers_task.c
@@ -467,12 +467,7 @@
         (json_int_t)counter_value(p->sent_messages), "received_bytes",
         (json_int_t)counter_value(p->received_bytes), "received_messages",
         (json_int_t)counter_value(p->received_messages));
-    char *text = json_dumps(root, JSON_COMPACT);
-    json_decref(root);
-    task_send(m->http, MESSAGE(reply_message_t,
-                               .base = {HTTP_REPLY, reply_message_free},
-                               .call = m->call, .status = 200, .text = text,
-                               .length = strlen(text)));
+    reply_send(m->http, m->call, 200, root);
 }
 
 void
--- a/carobloomd/process/voter_calls.c
+++ b/carobloomd/process/voter_calls.c
@@ -50,12 +50,7 @@
 static void
 reply_json(const question_t *q, int status, json_t *root)
 {
-    char *text = json_dumps(root, JSON_COMPACT);
-    json_decref(root);
-    task_send(q->http, MESSAGE(reply_message_t,
-                               .base = {HTTP_REPLY, reply_message_free},
-                               .call = q->http_call, .status = status,
-                               .text = text, .length = strlen(text)));
+    reply_send(q->http, q->http_call, status, root);
 }
 
 /* ---- answers, by what was asked ---- */
--- a/carobloomd/process/voter_leader.c
+++ b/carobloomd/process/voter_leader.c
@@ -81,6 +81,13 @@
     return text;
 }
 
+static char *
+splice_whole(const splice_t *splice, gsize *length)
+{
+    const char *data = g_bytes_get_data(splice->inserted, length);
+    return g_strndup(data ? data : "", *length);
+}
+
 /* Checks a submitted document in full. TRUE when it may be proposed; else it
  * was answered. */
 static gboolean
@@ -92,7 +99,10 @@
         return TRUE; /* applying it gives the first answer, or a conflict */
     }
     gsize length;
-    char *text = splice_apply(site_state_text(v->state), splice, &length);
+    char *text =
+        splice->removed == SITE_WHOLE
+            ? splice_whole(splice, &length)
+            : splice_apply(site_state_text(v->state), splice, &length);
     GPtrArray *faults = faults_create();
     document_t *d =
         text ? document_parse((str_t){text, length}, base + 1, faults) : NULL;
--- a/carobloomd/process/voter_task.c
+++ b/carobloomd/process/voter_task.c
@@ -198,10 +198,14 @@
 {
     str_t present = {.data = v->text ? v->text : "", .length = v->length};
     str_t wanted = {.data = m->text, .length = m->length};
-    /* The step is against the base; where that is not here, the leader finds
-     * the conflict by the version alone. */
-    splice_t splice = splice_between(
-        m->base_version == v->version ? present : (str_t){"", 0}, wanted);
+    /* The step is against the base; where that is not here, the whole text
+     * goes to the leader, marked as such. */
+    gboolean have_base = m->base_version == v->version;
+    splice_t splice =
+        splice_between(have_base ? present : (str_t){"", 0}, wanted);
+    if (!have_base) {
+        splice.removed = SITE_WHOLE;
+    }
     question_t *q = question_create(SUBMIT_PATIENCE_US, m->http, m->call);
     q->base = m->base_version;
     q->text = g_steal_pointer(&m->text);
@@ -279,12 +283,7 @@
                   "questions", (int)g_hash_table_size(v->questions), "claims",
                   v->state ? (int)site_state_claims(v->state) : 0, "voter",
                   v->core ? core_dump(v) : json_null());
-    char *text = json_dumps(root, JSON_COMPACT);
-    json_decref(root);
-    task_send(m->http, MESSAGE(reply_message_t,
-                               .base = {HTTP_REPLY, reply_message_free},
-                               .call = m->call, .status = 200, .text = text,
-                               .length = strlen(text)));
+    reply_send(m->http, m->call, 200, root);
 }
 
 /* ---- messages and time ---- */
--- a/carobloomd/request/attempt.c
+++ b/carobloomd/request/attempt.c
@@ -5,7 +5,7 @@
 #include "carobloom/policy/sse.h"
 
 enum {
-    READ_BYTES = 32 * 1024,
+    READ_BYTES = 8 * 1024, /* one such buffer waits on each open stream */
     WHOLE_BYTES_MAX = 8 * 1024 * 1024, /* of an answer not streamed */
     CHECKS_A_SILENCE = 4,
 };
--- a/carobloomd/request/request.c
+++ b/carobloomd/request/request.c
@@ -403,13 +403,6 @@
               "Caller left; the call goes on under its key.");
 }
 
-static void
-command_abort(request_t *r)
-{
-    /* Settling reads the attempt's speed: it goes at the step's end. */
-    (void)r;
-}
-
 static void
 execute_one(request_t *r, life_command_t command)
 {
@@ -424,9 +417,6 @@
     case LIFE_COMMAND_WITHDRAW:
         send_settle(r, POLICY_WITHDRAW, SETTLE_CANCELLED);
         break;
-    case LIFE_COMMAND_ABORT:
-        command_abort(r);
-        break;
     case LIFE_COMMAND_SETTLE_COMPLETE:
         send_settle(r, POLICY_SETTLE, SETTLE_COMPLETE);
         break;
@@ -450,6 +440,8 @@
         command_detach(r);
         break;
     case LIFE_COMMAND_DISPATCH: /* carried out with its decision */
+    case LIFE_COMMAND_ABORT:    /* by the submit or answer that follows, since
+                                 * settling reads the attempt's speed */
     case LIFE_COMMAND_NONE:
         break;
     }
--- a/carobloomd/version/site_state.c
+++ b/carobloomd/version/site_state.c
@@ -209,6 +209,21 @@
     return bytes;
 }
 
+/* Turns a whole text into the step from the present one. */
+static void
+splice_resolve(const site_state_t *s, splice_t *splice)
+{
+    if (splice->removed != SITE_WHOLE) {
+        return;
+    }
+    gsize length;
+    const char *data = g_bytes_get_data(splice->inserted, &length);
+    splice_t step = splice_between(site_state_text(s),
+                                   (str_t){.data = data, .length = length});
+    g_bytes_unref(splice->inserted);
+    *splice = step;
+}
+
 static void
 apply_submit(site_state_t *s, GVariant *body, site_result_t *result)
 {
@@ -233,6 +248,7 @@
         result->outcome = SITE_CONFLICT;
     }
     else {
+        splice_resolve(s, &splice);
         text = splice_apply((str_t){.data = s->text, .length = s->length},
                             &splice, &length);
         result->outcome = text ? SITE_OK : SITE_CONFLICT;
--- a/include/carobloom/connection/http.h
+++ b/include/carobloom/connection/http.h
@@ -50,6 +50,10 @@
 void http_reply_json(SoupServerMessage *message, int status, const char *text,
                      gssize length);
 
+/* Holds `message` until the reply to the returned call comes, which is then
+ * its answer. */
+guint64 http_call_for(http_t *http, SoupServerMessage *message);
+
 /* Adds the handlers of one listener. */
 void callers_register(http_t *http);
 void platform_register(http_t *http);
--- a/include/carobloom/policy/scheduler.h
+++ b/include/carobloom/policy/scheduler.h
@@ -70,7 +70,6 @@
     gboolean no_early_refusal;
     gboolean no_floors;
     gboolean no_affinity;
-    gboolean no_pacing;
 } scheduler_ablation_t;
 
 typedef struct {
--- a/include/carobloom/policy/voter.h
+++ b/include/carobloom/policy/voter.h
@@ -127,7 +127,8 @@
 /* The state machine's snapshot up to an applied index; the log before it
  * may be dropped. Returns the snapshot to make durable (config filled in). */
 voter_snapshot_t voter_compact(voter_t *voter, guint64 index, GBytes *data);
-/* Gives up leadership and asks the furthest follower to take over at once. */
+/* Gives up leadership, for a drain; the followers elect another once their
+ * timeout has passed. */
 void voter_hand_over(voter_t *voter, gint64 now_us);
 
 voter_role_t voter_role(const voter_t *voter);
--- a/include/carobloom/process/messages.h
+++ b/include/carobloom/process/messages.h
@@ -3,6 +3,7 @@
 #define CAROBLOOM_PROCESS_MESSAGES_H
 
 #include <glib.h>
+#include <jansson.h>
 
 #include "carobloom/common/task.h"
 #include "carobloom/policy/scheduler.h"
@@ -147,6 +148,8 @@
 } reply_message_t;
 
 void reply_message_free(message_t *message);
+/* Answers a question of an HTTP task with `root`, which is taken over. */
+void reply_send(task_t *http, guint64 call, int status, json_t *root);
 
 /* POLICY_DUMP, PEERS_DUMP, VOTER_DUMP, VOTER_HISTORY. */
 typedef struct {
--- a/include/carobloom/version/site_state.h
+++ b/include/carobloom/version/site_state.h
@@ -25,6 +25,9 @@
     SITE_ORDER_DONE,
 } site_command_t;
 
+/* As `removed` of a submit: `inserted` is the whole text. */
+#define SITE_WHOLE G_MAXUINT64
+
 /* A change of text: at `prefix`, `removed` bytes give way to `inserted`. */
 typedef struct {
     guint64 prefix;
--- a/policy/membership.c
+++ b/policy/membership.c
@@ -160,8 +160,9 @@
 }
 
 static membership_send_t *
-post(membership_t *m, const char *address, guint64 to, gossip_kind_t kind,
-     guint32 sequence, guint64 target)
+post_record(membership_t *m, const char *address, guint64 to,
+            gossip_kind_t kind, guint32 sequence, guint64 target,
+            gboolean introduce, const member_record_t *about)
 {
     GVariantBuilder records;
     g_variant_builder_init(&records, G_VARIANT_TYPE("a" RECORD_TYPE));
@@ -173,6 +174,13 @@
                                     record_variant(&m->self->record));
     }
     else {
+        if (introduce) {
+            g_variant_builder_add_value(&records,
+                                        record_variant(&m->self->record));
+        }
+        if (about != NULL) {
+            g_variant_builder_add_value(&records, record_variant(about));
+        }
         add_changes(m, &records, RECORDS_A_MESSAGE);
     }
     membership_send_t *send = g_new0(membership_send_t, 1);
@@ -185,6 +193,13 @@
     return send;
 }
 
+static membership_send_t *
+post(membership_t *m, const char *address, guint64 to, gossip_kind_t kind,
+     guint32 sequence, guint64 target)
+{
+    return post_record(m, address, to, kind, sequence, target, FALSE, NULL);
+}
+
 /* ---- changes ---- */
 
 static void
@@ -253,6 +268,15 @@
     return r->state > known->state;
 }
 
+/* Others take a member for alive that is dead here, and nothing newer is
+ * known: it is told so itself, which makes it refute. */
+static void
+challenge(membership_t *m, const member_t *member)
+{
+    const member_record_t *r = &member->record;
+    post_record(m, r->address, r->id, GOSSIP_PING, ++m->sequence, 0, TRUE, r);
+}
+
 static void
 learn(membership_t *m, const member_record_t *r)
 {
@@ -277,6 +301,10 @@
         member->record = *r;
         tell(m, member);
     }
+    else if (member->record.state == MEMBER_DEAD && r->state == MEMBER_ALIVE &&
+             r->rumor == member->record.rumor) {
+        challenge(m, member);
+    }
 }
 
 /* ---- pinging ---- */
@@ -320,13 +348,16 @@
     return NULL;
 }
 
+/* `again` is for one that did not answer: the connection may have gone
+ * silent, or the target does not know this member and so can not answer: it
+ * is told who asks. */
 static void
-ping(membership_t *m, const member_t *target, gboolean reconnect)
+ping(membership_t *m, const member_t *target, gboolean again)
 {
     membership_send_t *send =
-        post(m, target->record.address, target->record.id, GOSSIP_PING,
-             ++m->sequence, 0);
-    send->reconnect = reconnect;
+        post_record(m, target->record.address, target->record.id, GOSSIP_PING,
+                    ++m->sequence, 0, again, NULL);
+    send->reconnect = again;
 }
 
 /* No answer so far: a new connection, and others are asked too. */
--- a/policy/voter.c
+++ b/policy/voter.c
@@ -731,8 +731,7 @@
     if (v->role != ROLE_LEADER) {
         return;
     }
-    /* Followers vote only once their own timeout passed; stepping down
-     * early just starts that time sooner. */
+    /* It does not stand again before the others had their chance. */
     become_follower(v, v->hard.term, 0);
     v->timeout_us = v->now_us + 4 * v->settings.election_us;
 }
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -331,6 +331,44 @@
     return a;
 }
 
+char *
+site_sample_with_weight(int weight)
+{
+    char *sample = site_sample();
+    char *edit =
+        g_strdup_printf("\"weight\": %d, \"name\": \"workshop\"", weight);
+    char **parts = g_strsplit(sample, "\"name\": \"workshop\"", 2);
+    char *text = g_strjoinv(edit, parts);
+    g_strfreev(parts);
+    g_free(edit);
+    g_free(sample);
+    return text;
+}
+
+site_t *
+site_up(guint instances, guint voters)
+{
+    site_t *site = site_create(instances, voters);
+    site_start_all(site);
+    gboolean ok = FALSE;
+    for (int i = 0; i < 300 && !ok; i++) {
+        answer_t *a = site_submit(site, 0, "first", 0, NULL);
+        ok = a->status == 200;
+        answer_free(a);
+        if (!ok) {
+            sleep_ms(100);
+        }
+    }
+    for (guint i = 0; i < instances && ok; i++) {
+        ok = site_wait_ready(site, i);
+    }
+    if (!ok) {
+        site_destroy(site);
+        return NULL;
+    }
+    return site;
+}
+
 double
 site_metric(site_t *site, guint at, const char *name)
 {
@@ -631,17 +669,3 @@
     g_source_remove(timer);
     g_object_unref(session);
 }
-
-void
-chats_run_at(const char *address, chat_t *chats, guint count)
-{
-    SoupSession *session = chat_session();
-    guint open = 0;
-    for (guint i = 0; i < count; i++) {
-        chat_start(session, address, &chats[i], &open);
-    }
-    while (open > 0) {
-        g_main_context_iteration(NULL, TRUE);
-    }
-    g_object_unref(session);
-}
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -57,6 +57,11 @@
 answer_t *site_submit(site_t *site, guint at, const char *change, guint64 base,
                       const char *text);
 char *site_sample(void);
+/* A site of so many instances with the sample in force, all ready; NULL when
+ * that does not come about in time. */
+site_t *site_up(guint instances, guint voters);
+/* The sample with another weight for its team. */
+char *site_sample_with_weight(int weight);
 /* The version in force at an instance; 0 when it does not answer. */
 guint64 site_version(site_t *site, guint at);
 /* A number from /metrics, 0 when it is not there. */
@@ -98,8 +103,6 @@
 /* Runs them all; `during` is called each 10 ms with the number still open. */
 void chats_run(site_t *site, chat_t *chats, guint count,
                void (*during)(guint open, void *data), void *data);
-/* The same against one address, past the router. */
-void chats_run_at(const char *address, chat_t *chats, guint count);
 int free_port(void);
 void sleep_ms(int ms);
 
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -8,27 +8,6 @@
 
 enum { STREAMS = 200 };
 
-static site_t *
-site_up(guint instances, guint voters)
-{
-    site_t *site = site_create(instances, voters);
-    site_start_all(site);
-    gboolean ok = FALSE;
-    for (int i = 0; i < 200 && !ok; i++) {
-        answer_t *a = site_submit(site, 0, "first", 0, NULL);
-        ok = a->status == 200;
-        answer_free(a);
-        if (!ok) {
-            sleep_ms(100);
-        }
-    }
-    CU_ASSERT_FATAL(ok);
-    for (guint i = 0; i < instances; i++) {
-        CU_ASSERT_FATAL(site_wait_ready(site, i));
-    }
-    return site;
-}
-
 static chat_t *
 chats_create(guint count, guint instances, int tokens, const char *task)
 {
@@ -67,6 +46,7 @@
     static const char *const faults[] = {
         "truncate", "swap", "delay", "close", "stall", "repeat", "refuse"};
     site_t *site = site_up(2, 0 + 1);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *engines[4];
     for (int i = 0; i < 4; i++) {
         char name[16];
@@ -98,6 +78,59 @@
     site_destroy(site);
 }
 
+/* ---- the listener ---- */
+
+/* More callers at once than GSocketListener's own ten: none waits for its
+ * SYN to be sent again, which takes a second. */
+static void
+test_burst_is_accepted(void)
+{
+    site_t *site = site_up(1, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
+    engine_t *a = engine_start(site, "a", "draft-7b", "model",
+                               "--slots=300 --token-us=1000 --first-us=0");
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 300));
+    site_signal(site, 0, SIGSTOP); /* so that all of them queue */
+    GSocketClient *client = g_socket_client_new();
+    g_socket_client_set_timeout(client, 1);
+    GSocketConnection *open[64];
+    guint connected = 0;
+    for (guint i = 0; i < G_N_ELEMENTS(open); i++) {
+        open[i] = g_socket_client_connect_to_host(
+            client, "127.0.0.1", (guint16)site->instances[0].callers, NULL,
+            NULL);
+        connected += open[i] != NULL;
+    }
+    site_signal(site, 0, SIGCONT);
+    CU_ASSERT_EQUAL(connected, G_N_ELEMENTS(open));
+    for (guint i = 0; i < G_N_ELEMENTS(open); i++) {
+        g_clear_object(&open[i]);
+    }
+    g_object_unref(client);
+    engine_destroy(a);
+    site_destroy(site);
+}
+
+/* A second process at the same address is refused, not given half the calls.
+ */
+static void
+test_address_is_not_shared(void)
+{
+    site_t *site = site_up(1, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
+    char *settings =
+        g_build_filename(site->instances[0].folder, "settings.jsonc", NULL);
+    GSubprocess *second =
+        g_subprocess_new(G_SUBPROCESS_FLAGS_STDERR_SILENCE, NULL, CAROBLOOMD,
+                         "--settings", settings, NULL);
+    g_subprocess_wait(second, NULL, NULL);
+    CU_ASSERT(g_subprocess_get_if_exited(second));
+    CU_ASSERT_EQUAL(g_subprocess_get_exit_status(second), 4);
+    g_object_unref(second);
+    g_free(settings);
+    site_destroy(site);
+}
+
 /* ---- an engine killed amid streams ---- */
 
 typedef struct {
@@ -122,6 +155,7 @@
 run_engine_strike(int signal)
 {
     site_t *site = site_up(1, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *a = engine_start(site, "a", "draft-7b", "model",
                                "--slots=60 --token-us=10000");
     engine_t *b = engine_start(site, "b", "draft-7b", "model",
@@ -169,6 +203,8 @@
     static const int within_ms[] = {1000, 4500};
     for (guint w = 0; w < G_N_ELEMENTS(ways); w++) {
         site_t *site = site_up(2, 1);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(site);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(site);
         engine_t *stays = engine_start(site, "stays", "draft-7b", "model",
                                        "--token-us=1000");
         engine_t *leaves = engine_start(site, "leaves", "draft-7b", "model",
@@ -211,6 +247,7 @@
 test_drain_cuts_nothing(void)
 {
     site_t *site = site_up(3, 3);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *a = engine_start(site, "a", "draft-7b", "model",
                                "--slots=90 --token-us=10000");
     CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 90));
@@ -281,6 +318,7 @@
 test_key_runs_at_most_once(void)
 {
     site_t *site = site_up(5, 3);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *tag =
         engine_start(site, "tag", "tagging", "service", "--first-us=20000");
     CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
@@ -338,6 +376,7 @@
 test_read_and_close_goes_out_once(void)
 {
     site_t *site = site_up(1, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *tag = engine_start(site, "tag", "tagging", "service", NULL);
     CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
     /* A kept connection first: the trap is in its reuse. */
@@ -365,6 +404,7 @@
 test_not_run_means_not_run(void)
 {
     site_t *site = site_up(3, 3);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *tag = engine_start(site, "tag", "tagging", "service", NULL);
     CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
     engine_fault(site, tag, "refuse", 100);
@@ -401,6 +441,7 @@
 test_caller_leaving_cancels(void)
 {
     site_t *site = site_up(1, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *a =
         engine_start(site, "a", "draft-7b", "model", "--token-us=50000");
     CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 16));
@@ -441,6 +482,7 @@
 test_instance_killed(void)
 {
     site_t *site = site_up(3, 3);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     engine_t *a = engine_start(site, "a", "draft-7b", "model",
                                "--slots=60 --token-us=10000");
     CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 60));
@@ -474,6 +516,8 @@
 
 static const test_case_t cases[] = {
     {"every caller its own whole answer", test_own_answers},
+    {"a burst is accepted", test_burst_is_accepted},
+    {"an address is not shared", test_address_is_not_shared},
     {"an engine killed amid streams", test_engine_killed},
     {"an engine frozen amid streams", test_engine_frozen},
     {"a leaver gets nothing", test_leaver_gets_nothing},
--- a/tests/test_parsers.c
+++ b/tests/test_parsers.c
@@ -429,6 +429,16 @@
         CU_ASSERT_STRING_EQUAL(text, (char *)texts->pdata[i]);
         g_free(text);
     }
+    /* A whole text, from an instance that does not have the base. */
+    splice_t whole = splice_between(STR(""), STR("all new"));
+    whole.removed = SITE_WHOLE;
+    GBytes *replace = site_submit_write(41, "c41", 40, "a", "", &whole);
+    site_result_t replaced;
+    site_state_apply(state, 41, replace, &replaced);
+    CU_ASSERT_EQUAL(replaced.outcome, SITE_OK);
+    CU_ASSERT(str_equal(site_state_text(state), STR("all new")));
+    g_bytes_unref(replace);
+    splice_clear(&whole);
     GBytes *snapshot = site_state_snapshot(state);
     site_state_t *copy = site_state_create();
     CU_ASSERT(site_state_restore(copy, snapshot));
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -24,46 +24,13 @@
     return FALSE;
 }
 
-static site_t *
-site_up(guint instances, guint voters)
-{
-    site_t *site = site_create(instances, voters);
-    site_start_all(site);
-    for (int i = 0; i < 200; i++) {
-        answer_t *a = site_submit(site, 0, "first", 0, NULL);
-        gboolean ok = a->status == 200;
-        answer_free(a);
-        if (ok) {
-            break;
-        }
-        sleep_ms(100);
-    }
-    for (guint i = 0; i < instances; i++) {
-        CU_ASSERT_FATAL(site_wait_ready(site, i));
-    }
-    return site;
-}
-
-static char *
-sample_with_weight(int weight)
-{
-    char *sample = site_sample();
-    char *edit =
-        g_strdup_printf("\"weight\": %d, \"name\": \"workshop\"", weight);
-    char **parts = g_strsplit(sample, "\"name\": \"workshop\"", 2);
-    char *text = g_strjoinv(edit, parts);
-    g_strfreev(parts);
-    g_free(edit);
-    g_free(sample);
-    return text;
-}
-
 static void
 test_change_is_in_force_everywhere(void)
 {
     site_t *site = site_up(INSTANCES, VOTERS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site);
     CU_ASSERT(all_at_version(site, 1));
-    char *second = sample_with_weight(2);
+    char *second = site_sample_with_weight(2);
     answer_t *a = site_submit(site, 7, "second", 1, second);
     if (a->status != 200) {
         printf("%u %s\n", a->status, a->body);
@@ -79,7 +46,7 @@
     CU_ASSERT(strstr(a->body, "\"repeated\":true") != NULL);
     answer_free(a);
     /* A stale base: a conflict that shows what changed. */
-    char *third = sample_with_weight(3);
+    char *third = site_sample_with_weight(3);
     a = site_submit(site, 1, "third", 1, third);
     CU_ASSERT_EQUAL(a->status, 409);
     CU_ASSERT(strstr(a->body, "teams.workshop") != NULL);
