Let undefined behaviour fail the tests; bound times in commands

Cause: a mutated claim overflowed its retention (UBSan: * 1000), and the test passed, since UBSan only prints unless told not to recover.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 
 asan: deps
 	@test -f build-asan/build.ninja || meson setup build-asan \
-	    -Db_sanitize=address,undefined -Db_lundef=false >/dev/null
+	    -Db_sanitize=address,undefined -Db_lundef=false \
+	    -Dc_args=-fno-sanitize-recover=all >/dev/null
 	@ninja -C build-asan >build-asan/ninja.log 2>&1 || \
 	    { cat build-asan/ninja.log; exit 1; }
 
--- a/carobloomd/version/site_state.c
+++ b/carobloomd/version/site_state.c
@@ -26,6 +26,10 @@
     GList link; /* in order of expiry time given at its claim */
 } claim_t;
 
+/* What a command or a snapshot may claim at most: sums stay in range. */
+enum { KEEP_S_MAX = 2592000 };
+static const gint64 TIME_MS_MAX = (gint64)1 << 52;
+
 struct site_state {
     gint64 now_ms; /* never goes back */
     guint64 version;
@@ -356,6 +360,7 @@
     guint64 holder;
     gint64 keep_s;
     g_variant_get(body, "(&s&sttx)", &team, &key, &digest, &holder, &keep_s);
+    keep_s = CLAMP(keep_s, 0, KEEP_S_MAX);
     expire_claims(s);
     char *name = claim_name(team, key);
     claim_t *known = g_hash_table_lookup(s->claims, name);
@@ -486,7 +491,7 @@
     g_variant_unref(v);
     const char *type = body_type(kind);
     gboolean ok = type && g_variant_is_of_type(body, G_VARIANT_TYPE(type));
-    s->now_ms = MAX(s->now_ms, time_ms);
+    s->now_ms = CLAMP(time_ms, s->now_ms, TIME_MS_MAX);
     result->command = (site_command_t)kind;
     switch (ok ? kind : 0) {
     case SITE_SUBMIT:
@@ -563,6 +568,7 @@
                                &claim.status, &claim.keep_ms, &claim.type,
                                &answer)) {
         claim.answer = take_bytes(answer);
+        claim.keep_ms = CLAMP(claim.keep_ms, 0, KEEP_S_MAX * (gint64)1000);
         claim_add(s, g_memdup2(&claim, sizeof(claim)));
     }
     site_order_t order;
@@ -590,6 +596,7 @@
     GVariantIter *orders;
     g_variant_get(v, "(xt@aya(tsssx)a(sttxixsay)a(tsssbi))", &s->now_ms,
                   &s->version, &text, &changes, &claims, &orders);
+    s->now_ms = CLAMP(s->now_ms, 0, TIME_MS_MAX);
     const void *data = g_variant_get_fixed_array(text, &s->length, 1);
     g_free(s->text);
     s->text = g_strndup(data ? data : "", s->length);
--- a/tests/test_parsers.c
+++ b/tests/test_parsers.c
@@ -40,7 +40,7 @@
     gsize length;
     const guint8 *raw = g_bytes_get_data(good, &length);
     for (int i = 0; i < MUTATIONS; i++) {
-        guint8 *copy = g_memdup2(raw, length + 1);
+        guint8 *copy = g_memdup2(raw, length);
         for (int k = g_rand_int_range(rand, 0, 6); k > 0; k--) {
             copy[g_rand_int_range(rand, 0, (gint)length)] =
                 (guint8)g_rand_int(rand);
