Drop dead constants from replay and capacity; submit in one place

Cause: reading the whole change once more found three constants and a local kept alive by casts to void, and the decisions bench building the same ticket twice.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -22,7 +22,6 @@
     GOSSIP_A_TURN = 2,
 };
 static const double PERIOD_S = 0.4;      /* of gossip */
-static const double FLUSH_S = 0.25;      /* of load reports */
 static const double BUDGET_BYTES = 3072; /* a second a node */
 static const double BUDGET_CORE = 0.041;
 static const double BUDGET_MEMORY = 128.0 * 1048576;
@@ -123,7 +122,6 @@
     printf("  tickets %.0f, gossip %.0f, loads %.0f, changes %.1f, members' "
            "news %.1f bytes/s\n",
            tickets, gossip, loads, changes, news);
-    (void)FLUSH_S;
     return tickets + gossip + loads + changes + news;
 }
 
--- a/bench/decisions.c
+++ b/bench/decisions.c
@@ -6,6 +6,20 @@
 
 enum { ROUNDS = 20000, CLASSES = 12, TEAMS = 18000 };
 
+static void
+submit_one(scheduler_t *s, GRand *rand, guint64 id, guint i, gint64 now,
+           GArray *actions)
+{
+    ticket_t t = {.id = id,
+                  .class_index = 4 + i % (CLASSES - 4),
+                  .team = (guint64)g_rand_int_range(rand, 1, TEAMS),
+                  .team_weight = 1,
+                  .prompt_tokens = 500,
+                  .prefix = (guint64)g_rand_int_range(rand, 1, 5000),
+                  .arrived_us = now};
+    scheduler_submit(s, &t, now, actions);
+}
+
 /* Time of one settle, grant and submit with so many endpoints and waiting. */
 static double
 decision_us(guint endpoints, guint waiting)
@@ -33,14 +47,7 @@
     guint64 id = 0;
     guint fill = endpoints * 8 + waiting;
     for (guint i = 0; i < fill; i++) {
-        ticket_t t = {.id = ++id,
-                      .class_index = 4 + i % (CLASSES - 4),
-                      .team = (guint64)g_rand_int_range(rand, 1, TEAMS),
-                      .team_weight = 1,
-                      .prompt_tokens = 500,
-                      .prefix = (guint64)g_rand_int_range(rand, 1, 5000),
-                      .arrived_us = now};
-        scheduler_submit(s, &t, now, actions);
+        submit_one(s, rand, ++id, i, now, actions);
     }
     GQueue running = G_QUEUE_INIT;
     for (guint i = 0; i < actions->len; i++) {
@@ -55,14 +62,7 @@
         settlement_t settlement = {
             .result = SETTLE_COMPLETE, .tokens = 100, .token_us = 20000};
         scheduler_settle(s, done, &settlement, now, actions);
-        ticket_t t = {.id = ++id,
-                      .class_index = 4 + i % (CLASSES - 4),
-                      .team = (guint64)g_rand_int_range(rand, 1, TEAMS),
-                      .team_weight = 1,
-                      .prompt_tokens = 500,
-                      .prefix = (guint64)g_rand_int_range(rand, 1, 5000),
-                      .arrived_us = now};
-        scheduler_submit(s, &t, now, actions);
+        submit_one(s, rand, ++id, i, now, actions);
         for (guint k = 0; k < actions->len; k++) {
             const action_t *a = &g_array_index(actions, action_t, k);
             if (a->type == ACTION_GRANT) {
--- a/replay/policies.c
+++ b/replay/policies.c
@@ -270,11 +270,9 @@
         world_refuse(p->world, r);
         return;
     }
-    guint engine = (guint)a->endpoint - 1;
     world_preempt(p->world, r);
     settlement_t none = {.result = SETTLE_CANCELLED, .tokens = r->received};
     guint at = scheduler_index(p, r);
-    (void)engine;
     scheduler_settle(p->schedulers[at][r->pool], r->id, &none,
                      p->world->now_us, p->actions);
     submit(p, r);
--- a/replay/run.c
+++ b/replay/run.c
@@ -5,8 +5,6 @@
 
 static const gint64 REPORT_US = 1000000;
 static const gint64 REPORT_LAG_US = 400000; /* how old a report is */
-static const double CACHE_EVENT_LOSS = 0.2;
-static const gint64 BREAK_NOTICE_US = 50000; /* until a break is seen */
 static const gint64 DRAIN_US = 3600 * (gint64)1000000;
 
 static engine_t *
@@ -350,7 +348,5 @@
     g_ptr_array_unref(open);
     ops->destroy(w.policy);
     g_rand_free(w.rand);
-    (void)BREAK_NOTICE_US;
-    (void)CACHE_EVENT_LOSS;
     return result;
 }
