--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,14 @@
 # The two commands of the README, and the measurements. Meson does the work.
 PACKAGES = pkg-config gcc meson ninja-build libglib2.0-dev libsoup-3.0-dev \
   libzmq3-dev libargtable2-dev liblog4c-dev libcunit1-dev libjansson-dev \
-  libxxhash-dev scdoc clang-format clang-tidy curl
+  libxxhash-dev libhttp-parser-dev scdoc clang-format clang-tidy curl
 
 .PHONY: deps build run test lint bench replay capacity asan clean
 
 deps:
 	@if ! pkg-config --exists glib-2.0 libsoup-3.0 libzmq log4c cunit \
-	    jansson libxxhash 2>/dev/null || ! command -v scdoc >/dev/null || \
+	    jansson libxxhash 2>/dev/null || \
+	    ! test -e /usr/include/http_parser.h || ! command -v scdoc >/dev/null || \
 	    ! command -v meson >/dev/null || ! command -v clang-tidy >/dev/null; \
 	then apt-get update -qq && DEBIAN_FRONTEND=noninteractive \
 	    apt-get install -y -qq $(PACKAGES); fi
--- /dev/null
+++ b/carobloomd/control/config_log.c
@@ -0,0 +1,774 @@
+#include "carobloom/control/config_log.h"
+
+#include <string.h>
+
+#include "carobloom/common/clock.h"
+#include "carobloom/common/codec.h"
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/policy/rendezvous.h"
+#include "carobloom/policy/voter_codec.h"
+#include "carobloom/policy/voter_repair.h"
+#include "carobloom/process/log_store.h"
+
+enum {
+    MS = 1000,
+    TICK_US = 25 * MS,
+    /* A leader is replaced within about twice the election timeout, well
+     * under the 3 s after which the site counts as calm again; at 0.15 of a
+     * core a heartbeat to four voters each 150 ms costs about 3% of it. */
+    ELECTION_US = 800 * MS,
+    HEARTBEAT_US = 150 * MS,
+    HELLO_US = 250 * MS,
+    /* A voter not heard of for so long gives its place to one that asks. */
+    DEAD_US = 5000 * MS,
+    FRESH_US = 1500 * MS,
+    /* A put that no quorum has by then is left to the caller's next try. */
+    PUT_US = 3000 * MS,
+    DISK_RETRY_US = 500 * MS, /* a full or refusing disk is tried again */
+    COMPACT_BYTES = 8 * 1024 * 1024, /* of a disk of 128 MB */
+    VOTERS_LEAST = 3,
+};
+
+#define COMMAND_TYPE "(tay)"
+
+typedef struct {
+    guint64 call;
+    guint64 version;
+    gint64 until_us;
+} owed_t;
+
+/* Another control instance, as its letters told. */
+typedef struct {
+    char *name;
+    guint64 id;
+    gint64 heard_us;
+    gboolean asks; /* it is not a voting member by its own account */
+} correspondent_t;
+
+struct config_log {
+    const gateway_settings_t *settings;
+    char *self; /* IP:PORT; the name as a voter */
+    task_t *owner;
+    task_t *task;
+    log_store_t *store;
+    guint64 id;
+    voter_t *core;
+    guint64 version; /* applied */
+    GBytes *text;
+    GArray *owed;      /* owed_t */
+    GHashTable *heard; /* name -> correspondent_t */
+    GPtrArray *seeds;  /* names */
+    gint64 hello_us;
+    voter_role_t role;
+    gboolean failed; /* the disk refused; started anew from it later */
+    gint64 retry_us;
+    config_view_message_t view; /* last sent */
+};
+
+/* ---- messages ---- */
+
+static void
+put_free(message_t *message)
+{
+    g_bytes_unref(((config_put_message_t *)message)->text);
+    g_free(message);
+}
+
+static void
+letter_free(message_t *message)
+{
+    config_letter_message_t *m = (config_letter_message_t *)message;
+    g_free(m->to);
+    g_bytes_unref(m->letter);
+    g_free(m);
+}
+
+static void
+plain_free(message_t *message)
+{
+    g_free(message);
+}
+
+static void
+applied_free(message_t *message)
+{
+    g_bytes_unref(((config_applied_message_t *)message)->text);
+    g_free(message);
+}
+
+message_t *
+config_put_message(guint64 call, guint64 version, GBytes *text)
+{
+    config_put_message_t *m = g_new0(config_put_message_t, 1);
+    *m = (config_put_message_t){.base = {CONFIG_LOG_PUT, put_free},
+                                .call = call,
+                                .version = version,
+                                .text = text};
+    return &m->base;
+}
+
+message_t *
+config_letter_message(config_log_message_t type, const char *to,
+                      GBytes *letter)
+{
+    config_letter_message_t *m = g_new0(config_letter_message_t, 1);
+    *m = (config_letter_message_t){.base = {(int)type, letter_free},
+                                   .to = g_strdup(to),
+                                   .letter = letter};
+    return &m->base;
+}
+
+message_t *
+config_hand_over_message(void)
+{
+    message_t *m = g_new0(message_t, 1);
+    *m = (message_t){CONFIG_LOG_HAND_OVER, plain_free};
+    return m;
+}
+
+static void
+send_letter(config_log_t *log, const char *to, GBytes *message)
+{
+    voter_letter_t letter = {
+        .from = log->self, .id = log->id, .message = message};
+    task_send(log->owner, config_letter_message(CONFIG_LOG_SEND, to,
+                                                voter_letter_write(&letter)));
+}
+
+static void
+send_result(config_log_t *log, guint64 call, gboolean durable)
+{
+    config_result_message_t *m = g_new0(config_result_message_t, 1);
+    *m = (config_result_message_t){.base = {CONFIG_LOG_RESULT, plain_free},
+                                   .call = call,
+                                   .durable = durable};
+    task_send(log->owner, &m->base);
+}
+
+static void
+send_applied(config_log_t *log)
+{
+    if (log->text == NULL) {
+        return;
+    }
+    config_applied_message_t *m = g_new0(config_applied_message_t, 1);
+    *m = (config_applied_message_t){.base = {CONFIG_LOG_APPLIED, applied_free},
+                                    .version = log->version,
+                                    .text = g_bytes_ref(log->text)};
+    task_send(log->owner, &m->base);
+}
+
+/* ---- starting ---- */
+
+static void
+state_set(config_log_t *log, guint64 version, GBytes *text)
+{
+    g_clear_pointer(&log->text, g_bytes_unref);
+    log->version = version;
+    log->text = g_bytes_ref(text);
+    send_applied(log);
+}
+
+/* A command and a snapshot have one form: version and text. */
+static GBytes *
+command_write(guint64 version, GBytes *text)
+{
+    gsize length;
+    gconstpointer data = g_bytes_get_data(text, &length);
+    return codec_write(g_variant_new(
+        "(t@ay)", version,
+        g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, data, length, 1)));
+}
+
+static void
+command_apply(config_log_t *log, GBytes *command)
+{
+    GVariant *v = codec_read(command, COMMAND_TYPE);
+    if (v == NULL) {
+        return; /* the empty snapshot of the founding */
+    }
+    guint64 version;
+    GVariant *bytes;
+    gsize length;
+    g_variant_get(v, "(t@ay)", &version, &bytes);
+    gconstpointer data = g_variant_get_fixed_array(bytes, &length, 1);
+    if (version > log->version || log->text == NULL) {
+        GBytes *text = g_bytes_new(data, length);
+        state_set(log, version, text);
+        g_bytes_unref(text);
+    }
+    g_variant_unref(bytes);
+    g_variant_unref(v);
+}
+
+static void
+core_start(config_log_t *log, const store_state_t *state)
+{
+    voter_settings_t settings = {
+        .id = log->id,
+        .election_us = ELECTION_US,
+        .heartbeat_us = HEARTBEAT_US,
+        .seed = log->id ^ (guint64)clock_boot_us(),
+    };
+    log->core = voter_create(&settings, &state->hard, &state->snapshot,
+                             state->entries, clock_boot_us());
+    if (state->snapshot.data != NULL) {
+        command_apply(log, state->snapshot.data);
+    }
+}
+
+static guint64
+founder_id(const char *name)
+{
+    return hash_text(str_from_cstr(name)) | 1;
+}
+
+/* All founders are told the same seeds, so they need no word with each other:
+ * each starts with the same membership, under an identity that follows from
+ * its address. An instance that comes later, or back without its disk, has
+ * an identity of its own making and is taken in by the leader. */
+static gboolean
+founding_config(const config_log_t *log, voter_config_t *config)
+{
+    gboolean founder = FALSE;
+    *config = (voter_config_t){0};
+    for (guint i = 0; i < log->seeds->len && i < VOTER_MEMBERS_MAX; i++) {
+        voter_member_t *member = &config->members[config->count++];
+        g_strlcpy(member->name, log->seeds->pdata[i], sizeof(member->name));
+        member->id = founder_id(member->name);
+        founder |= strcmp(member->name, log->self) == 0;
+    }
+    return founder && log->settings->founding;
+}
+
+static gboolean
+start_empty(config_log_t *log)
+{
+    replica_log_t none;
+    char *why = NULL;
+    voter_config_t config;
+    gboolean founds = founding_config(log, &config);
+    log->id = founds ? founder_id(log->self)
+                     : (guint64)g_random_int() << 32 | g_random_int();
+    if (!founds) {
+        config = (voter_config_t){0};
+    }
+    store_state_t state = {
+        .snapshot = {.config = config, .data = g_bytes_new(NULL, 0)}};
+    replica_log_init(&none);
+    int result = log_store_set_id(log->store, log->id, &why);
+    if (result == STORE_OK) {
+        result = log_store_snapshot(log->store, &state.snapshot, &none, &why);
+    }
+    if (result == STORE_OK) {
+        core_start(log, &state);
+    }
+    if (event_log_begin(EVENT_STATE, "voter_empty_start")) {
+        event_log_cstr("as", founds ? "founder" : "learner");
+        event_log_cstr("outcome", why != NULL ? why : "started");
+        event_log_end();
+    }
+    replica_log_clear(&none);
+    g_bytes_unref(state.snapshot.data);
+    g_free(why);
+    return result == STORE_OK;
+}
+
+static gboolean
+log_open(config_log_t *log)
+{
+    store_state_t state;
+    char *why = NULL;
+    if (log_store_open(log->settings->data_folder, &log->store, &state,
+                       &why) != STORE_OK) {
+        if (event_log_begin(EVENT_STATE, "voter_folder_failed")) {
+            event_log_cstr("why", why);
+            event_log_end();
+        }
+        g_free(why);
+        return FALSE;
+    }
+    log->id = state.id;
+    gboolean sound = TRUE;
+    if (state.empty) {
+        sound = start_empty(log);
+    }
+    else {
+        core_start(log, &state);
+        if (event_log_begin(EVENT_STATE, "voter_start")) {
+            event_log_number("config_version", (gint64)log->version);
+            event_log_number("last_index",
+                             (gint64)replica_log_last(voter_log(log->core)));
+            event_log_number("cut_bytes", (gint64)state.cut_bytes);
+            event_log_end();
+        }
+    }
+    store_state_clear(&state);
+    return sound;
+}
+
+static void
+correspondent_free(gpointer data)
+{
+    correspondent_t *c = data;
+    g_free(c->name);
+    g_free(c);
+}
+
+config_log_t *
+config_log_create(const gateway_settings_t *settings, const char *self,
+                  task_t *owner)
+{
+    config_log_t *log = g_new0(config_log_t, 1);
+    log->settings = settings;
+    log->self = g_strdup(self);
+    log->owner = owner;
+    log->owed = g_array_new(FALSE, FALSE, sizeof(owed_t));
+    log->heard = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       correspondent_free);
+    log->seeds = g_ptr_array_new_with_free_func(g_free);
+    for (int i = 0; settings->seeds[i] != NULL; i++) {
+        char *colon = strrchr(settings->seeds[i], ':');
+        int host = (int)(colon != NULL ? colon - settings->seeds[i] : 0);
+        g_ptr_array_add(log->seeds,
+                        g_strdup_printf("%.*s:%d", host, settings->seeds[i],
+                                        (int)settings->peers_port));
+    }
+    if (!log_open(log)) {
+        config_log_destroy(log);
+        return NULL;
+    }
+    return log;
+}
+
+void
+config_log_destroy(config_log_t *log)
+{
+    g_clear_pointer(&log->core, voter_destroy);
+    g_clear_pointer(&log->store, log_store_close);
+    g_clear_pointer(&log->text, g_bytes_unref);
+    g_array_unref(log->owed);
+    g_hash_table_unref(log->heard);
+    g_ptr_array_unref(log->seeds);
+    g_free(log->self);
+    g_free(log);
+}
+
+void
+config_log_set_task(config_log_t *log, task_t *task)
+{
+    log->task = task;
+}
+
+/* ---- driving the core ---- */
+
+static void
+fail_disk(config_log_t *log, char *why)
+{
+    log->failed = TRUE;
+    if (event_log_begin(EVENT_STATE, "voter_disk_failed")) {
+        event_log_cstr("why", why);
+        event_log_end();
+    }
+    counter_add(counter_get("voter_disk_failures_total", NULL, FALSE), 1);
+    g_free(why);
+    log->retry_us = clock_boot_us() + DISK_RETRY_US;
+    memset(&log->view, 0, sizeof(log->view));
+    log->view.base = (message_t){CONFIG_LOG_VIEW, plain_free};
+    task_send(log->owner, g_memdup2(&log->view, sizeof(log->view)));
+}
+
+/* FALSE when the disk failed. */
+static gboolean
+make_durable(config_log_t *log, const voter_ready_t *ready)
+{
+    char *why = NULL;
+    int result = STORE_OK;
+    if (ready->hard_changed) {
+        result = log_store_hard(log->store, &ready->hard, &why);
+    }
+    if (result == STORE_OK && ready->install) {
+        result = log_store_snapshot(log->store, &ready->snapshot,
+                                    voter_log(log->core), &why);
+    }
+    else if (result == STORE_OK && ready->append_from > 0) {
+        result = log_store_append(log->store, voter_log(log->core),
+                                  ready->append_from, &why);
+    }
+    if (result != STORE_OK) {
+        fail_disk(log, why);
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static const char *
+name_of(const config_log_t *log, guint64 id)
+{
+    const voter_member_t *member =
+        voter_config_find(voter_config(log->core), id);
+    if (member != NULL) {
+        return member->name;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, log->heard);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((correspondent_t *)value)->id == id) {
+            return ((correspondent_t *)value)->name;
+        }
+    }
+    return NULL;
+}
+
+static void
+send_messages(config_log_t *log, const GPtrArray *messages)
+{
+    for (guint i = 0; i < messages->len; i++) {
+        const voter_message_t *m = messages->pdata[i];
+        const char *name = name_of(log, m->to);
+        if (name != NULL) {
+            GBytes *bytes = voter_message_write(m);
+            send_letter(log, name, bytes);
+            g_bytes_unref(bytes);
+        }
+    }
+}
+
+/* Answers the puts whose version, or a higher one, is committed. */
+static void
+settle_owed(config_log_t *log)
+{
+    for (guint i = log->owed->len; i > 0; i--) {
+        owed_t owed = g_array_index(log->owed, owed_t, i - 1);
+        if (owed.version <= log->version) {
+            send_result(log, owed.call, TRUE);
+            g_array_remove_index_fast(log->owed, i - 1);
+        }
+        else if (clock_boot_us() > owed.until_us ||
+                 voter_role(log->core) != ROLE_LEADER) {
+            send_result(log, owed.call, FALSE);
+            g_array_remove_index_fast(log->owed, i - 1);
+        }
+    }
+}
+
+static void
+compact_if_large(config_log_t *log)
+{
+    if (log_store_bytes(log->store) < COMPACT_BYTES) {
+        return;
+    }
+    char *why = NULL;
+    GBytes *data = log->text != NULL ? command_write(log->version, log->text)
+                                     : g_bytes_new(NULL, 0);
+    voter_snapshot_t snapshot =
+        voter_compact(log->core, voter_applied(log->core), data);
+    int result =
+        log_store_snapshot(log->store, &snapshot, voter_log(log->core), &why);
+    g_bytes_unref(data);
+    if (result != STORE_OK) {
+        fail_disk(log, why);
+    }
+}
+
+static void
+send_view(config_log_t *log)
+{
+    gint64 now = clock_boot_us();
+    guint64 leader = voter_leader(log->core);
+    const char *name = leader == log->id ? log->self
+                       : leader != 0     ? name_of(log, leader)
+                                         : NULL;
+    config_view_message_t view;
+    memset(&view, 0, sizeof(view)); /* the padding too: it is compared */
+    view.base = (message_t){CONFIG_LOG_VIEW, plain_free};
+    view.leads = voter_role(log->core) == ROLE_LEADER;
+    view.term = voter_term(log->core);
+    view.voters = *voter_config(log->core);
+    view.read_until_us =
+        voter_may_read(log->core, now) ? voter_lease(log->core) : 0;
+    view.in_quorum = name != NULL && (!view.leads || view.read_until_us > now);
+    g_strlcpy(view.leader, name != NULL ? name : "", sizeof(view.leader));
+    if (memcmp(&view, &log->view, sizeof(view)) != 0) {
+        log->view = view;
+        task_send(log->owner, g_memdup2(&view, sizeof(view)));
+    }
+}
+
+static void
+note_role(config_log_t *log)
+{
+    voter_role_t role = voter_role(log->core);
+    if (role == log->role) {
+        return;
+    }
+    static const char *const NAMES[] = {"follower", "candidate", "leader"};
+    if (event_log_begin(EVENT_STATE, "voter_role")) {
+        event_log_cstr("role", NAMES[role]);
+        event_log_number("term", (gint64)voter_term(log->core));
+        event_log_number("config_version", (gint64)log->version);
+        event_log_end();
+    }
+    counter_set(counter_get("voter_leads", NULL, TRUE), role == ROLE_LEADER);
+    log->role = role;
+}
+
+static void
+turn(config_log_t *log)
+{
+    voter_ready_t ready;
+    while (!log->failed && voter_ready(log->core, &ready)) {
+        if (!make_durable(log, &ready)) {
+            voter_ready_clear(&ready);
+            break;
+        }
+        if (ready.install && ready.snapshot.data != NULL) {
+            command_apply(log, ready.snapshot.data);
+        }
+        send_messages(log, ready.messages);
+        for (guint i = 0; i < ready.committed->len; i++) {
+            const log_entry_t *entry = ready.committed->pdata[i];
+            if (entry->kind == ENTRY_COMMAND) {
+                command_apply(log, entry->data);
+            }
+        }
+        voter_advance(log->core, &ready, clock_boot_us());
+        voter_ready_clear(&ready);
+    }
+    if (log->failed) {
+        return;
+    }
+    note_role(log);
+    settle_owed(log);
+    compact_if_large(log);
+    send_view(log);
+}
+
+/* ---- membership ---- */
+
+/* Whoever is not a voting member, or hears of no leader and may have been
+ * taken out, says so to all that may lead. */
+static void
+say_hello(config_log_t *log)
+{
+    const voter_config_t *config = voter_config(log->core);
+    const voter_member_t *self = voter_config_find(config, log->id);
+    if (self != NULL && !self->learner && voter_leader(log->core) != 0) {
+        return;
+    }
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    gpointer name;
+    for (guint i = 0; i < log->seeds->len; i++) {
+        g_hash_table_add(names, log->seeds->pdata[i]);
+    }
+    for (guint i = 0; i < config->count; i++) {
+        g_hash_table_add(names, (gpointer)config->members[i].name);
+    }
+    g_hash_table_iter_init(&iter, log->heard);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        g_hash_table_add(names, name);
+    }
+    g_hash_table_iter_init(&iter, names);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        if (strcmp(name, log->self) != 0) {
+            send_letter(log, name, NULL);
+        }
+    }
+    g_hash_table_unref(names);
+}
+
+static gint64
+silent_for(const config_log_t *log, const voter_member_t *member, gint64 now)
+{
+    const correspondent_t *c = g_hash_table_lookup(log->heard, member->name);
+    if (member->id == log->id) {
+        return 0;
+    }
+    return c != NULL && c->id == member->id ? now - c->heard_us : G_MAXINT64;
+}
+
+/* A voter that is gone for good only makes quorums larger. It is taken out
+ * when the membership is even, as after a newcomer came in its place, and all
+ * others are there. One taken out by mistake asks to be taken in again. */
+static void
+remove_dead(config_log_t *log, gint64 now)
+{
+    voter_config_t config = *voter_config(log->core);
+    const voter_member_t *dead = NULL;
+    if (voter_config_pending(log->core) || config.count <= VOTERS_LEAST ||
+        config.count % 2 == 1) {
+        return;
+    }
+    for (guint i = 0; i < config.count; i++) {
+        gint64 silence = silent_for(log, &config.members[i], now);
+        if (silence > DEAD_US && dead != NULL) {
+            return;
+        }
+        if (silence > DEAD_US) {
+            dead = &config.members[i];
+        }
+        else if (silence > FRESH_US) {
+            return;
+        }
+    }
+    if (dead == NULL) {
+        return;
+    }
+    if (event_log_begin(EVENT_STATE, "voter_removed")) {
+        event_log_cstr("name", dead->name);
+        event_log_number("voters", config.count);
+        event_log_end();
+    }
+    voter_config_remove(&config, dead->id);
+    voter_change(log->core, &config, now);
+}
+
+static void
+take_in(config_log_t *log, gint64 now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, log->heard);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        correspondent_t *c = value;
+        if (!c->asks || now - c->heard_us > FRESH_US) {
+            continue;
+        }
+        repair_state_t state =
+            voter_repair_step(log->core, c->name, c->id, now);
+        if (state == REPAIR_WHOLE) {
+            c->asks = FALSE;
+        }
+        if (state == REPAIR_CHANGED) {
+            if (event_log_begin(EVENT_STATE, "voter_taken_in")) {
+                event_log_cstr("name", c->name);
+                event_log_end();
+            }
+            return;
+        }
+    }
+}
+
+static void
+handle_letter(config_log_t *log, const config_letter_message_t *m)
+{
+    voter_letter_t letter;
+    if (!voter_letter_read(m->letter, &letter)) {
+        counter_add(counter_get("voter_malformed_total", NULL, FALSE), 1);
+        return;
+    }
+    correspondent_t *c = g_hash_table_lookup(log->heard, letter.from);
+    if (c == NULL) {
+        c = g_new0(correspondent_t, 1);
+        c->name = g_strdup(letter.from);
+        g_hash_table_insert(log->heard, c->name, c);
+    }
+    c->id = letter.id;
+    c->heard_us = clock_boot_us();
+    gsize length = g_bytes_get_size(letter.message);
+    voter_message_t *message =
+        length > 0 ? voter_message_read(letter.message) : NULL;
+    if (length == 0) {
+        c->asks = TRUE;
+    }
+    if (message != NULL) {
+        voter_step(log->core, message, clock_boot_us());
+        voter_message_free(message);
+    }
+    voter_letter_clear(&letter);
+}
+
+/* ---- the task ---- */
+
+static void
+handle_put(config_log_t *log, const config_put_message_t *m)
+{
+    gint64 now = clock_boot_us();
+    if (log->failed || voter_role(log->core) != ROLE_LEADER) {
+        send_result(log, m->call, FALSE);
+        return;
+    }
+    guint64 index;
+    GBytes *command = command_write(m->version, m->text);
+    int result = voter_propose(log->core, command, &index, now);
+    g_bytes_unref(command);
+    if (result != VOTER_OK) {
+        send_result(log, m->call, FALSE);
+        return;
+    }
+    owed_t owed = {
+        .call = m->call, .version = m->version, .until_us = now + PUT_US};
+    g_array_append_val(log->owed, owed);
+}
+
+/* After a failed write what is durable is known only from the disk itself:
+ * the voter starts from it as after a crash. */
+static void
+start_again(config_log_t *log)
+{
+    g_clear_pointer(&log->core, voter_destroy);
+    g_clear_pointer(&log->store, log_store_close);
+    log->failed = !log_open(log);
+    log->retry_us = clock_boot_us() + DISK_RETRY_US;
+}
+
+static void
+on_tick(void *data)
+{
+    config_log_t *log = data;
+    gint64 now = clock_boot_us();
+    if (log->failed && now >= log->retry_us) {
+        start_again(log);
+    }
+    if (log->failed) {
+        return;
+    }
+    voter_tick(log->core, now);
+    if (now - log->hello_us >= HELLO_US) {
+        log->hello_us = now;
+        say_hello(log);
+        if (voter_role(log->core) == ROLE_LEADER) {
+            take_in(log, now);
+            remove_dead(log, now);
+        }
+    }
+    turn(log);
+}
+
+void
+config_log_begin(void *state)
+{
+    config_log_t *log = state;
+    send_applied(log);
+    timers_subscribe(task_timers(log->task), TICK_US, TICK_US, on_tick, log);
+    on_tick(log);
+}
+
+void
+config_log_handle(void *state, message_t *message)
+{
+    config_log_t *log = state;
+    if (log->failed) {
+        if (message->type == CONFIG_LOG_PUT) {
+            send_result(log, ((config_put_message_t *)message)->call, FALSE);
+        }
+        return;
+    }
+    switch ((config_log_message_t)message->type) {
+    case CONFIG_LOG_PUT:
+        handle_put(log, (const config_put_message_t *)message);
+        break;
+    case CONFIG_LOG_LETTER:
+        handle_letter(log, (const config_letter_message_t *)message);
+        break;
+    case CONFIG_LOG_HAND_OVER:
+        voter_hand_over(log->core, clock_boot_us());
+        break;
+    default:
+        return;
+    }
+    turn(log);
+}
--- /dev/null
+++ b/carobloomd/gateway/control_link.c
@@ -0,0 +1,385 @@
+#include <string.h>
+
+#include "carobloom/common/clock.h"
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/version/site_state.h"
+#include "entry_state.h"
+
+enum {
+    MS = 1000,
+    /* An answer without news confirms the configuration; it comes several
+     * times within the shortest bound met for a withdrawn key (5 s). */
+    WAIT_MS = 600,
+    /* Over that: a round trip between regions and a busy instance. */
+    ANSWER_US = (WAIT_MS + 700) * MS,
+    RETRY_FIRST_US = 50 * MS,
+    RETRY_MOST_US = 800 * MS,
+    /* A control instance that neither answers nor is named is given up. */
+    FORGET_US = 30 * G_USEC_PER_SEC,
+    ANSWER_MAX = 64 * 1024 * 1024,
+};
+
+static const http_peer_limits_t LINK_LIMITS = {
+    .connect_us = 600 * MS,
+    .idle_us = 5 * G_USEC_PER_SEC,
+    .idle_max = 1,
+    .head_max = 4096,
+};
+
+struct control_link {
+    entry_t *entry;
+    char *address;
+    guint source; /* bit in the directory */
+    http_peer_t *peer;
+    client_call_t *call;
+    guint64 timer;
+    GByteArray *body;
+    guint status;
+    gint64 asked_us; /* clock_boot_us of the question under way */
+    gint64 retry_us;
+    gint64 answered_us; /* timers' clock; 0: never */
+    gint64 named_us;    /* last named as a control instance */
+    gboolean lost;
+    guint64 epoch;
+    guint64 cursor;
+};
+
+static void link_ask(control_link_t *link);
+
+static void
+log_link(const control_link_t *link, const char *event)
+{
+    if (event_log_begin(EVENT_STATE, event)) {
+        event_log_cstr("control", link->address);
+        event_log_number(
+            "config_version",
+            link->entry->config ? (gint64)link->entry->config->version : 0);
+        event_log_end();
+    }
+}
+
+static void
+link_retry(void *data)
+{
+    control_link_t *link = data;
+    link->timer = 0;
+    link_ask(link);
+}
+
+static void
+link_failed(control_link_t *link)
+{
+    entry_t *e = link->entry;
+    timers_cancel(e->timers, link->timer);
+    link->call = NULL;
+    if (!link->lost) {
+        link->lost = TRUE;
+        log_link(link, "control_lost");
+    }
+    link->retry_us = CLAMP(link->retry_us * 2, RETRY_FIRST_US, RETRY_MOST_US);
+    link->timer =
+        timers_subscribe(e->timers, link->retry_us, 0, link_retry, link);
+}
+
+static void
+link_expired(void *data)
+{
+    control_link_t *link = data;
+    link->timer = 0;
+    client_call_cancel(link->call);
+    link_failed(link);
+}
+
+/* ---- an answer ---- */
+
+static GBytes *
+new_text(const entry_t *e, const sync_answer_t *answer)
+{
+    gsize length = 0;
+    if (answer->base == 0) {
+        return g_bytes_ref(answer->inserted);
+    }
+    if (e->config == NULL || e->config->version != answer->base) {
+        return NULL;
+    }
+    const char *data = g_bytes_get_data(e->text, &length);
+    splice_t splice = {.prefix = answer->prefix,
+                       .removed = answer->removed,
+                       .inserted = answer->inserted};
+    gsize whole = 0;
+    char *text =
+        splice_apply((str_t){.data = data, .length = length}, &splice, &whole);
+    return text != NULL ? g_bytes_new_take(text, whole) : NULL;
+}
+
+static gboolean
+take_config(control_link_t *link, const sync_answer_t *answer)
+{
+    entry_t *e = link->entry;
+    if (answer->inserted == NULL ||
+        (e->config != NULL && answer->version <= e->config->version)) {
+        return TRUE;
+    }
+    GBytes *text = new_text(e, answer);
+    if (text == NULL) {
+        return TRUE; /* the base went on meanwhile; the next answer fits */
+    }
+    gboolean sound = entry_take_config(e, answer->version, text);
+    g_bytes_unref(text);
+    return sound;
+}
+
+static control_link_t *
+link_find(entry_t *e, const char *address)
+{
+    for (guint i = 0; i < e->links->len; i++) {
+        control_link_t *link = e->links->pdata[i];
+        if (strcmp(link->address, address) == 0) {
+            return link;
+        }
+    }
+    return NULL;
+}
+
+static gint
+free_source(const entry_t *e)
+{
+    guint32 used = 0;
+    for (guint i = 0; i < e->links->len; i++) {
+        used |= 1u << ((control_link_t *)e->links->pdata[i])->source;
+    }
+    for (gint i = 0; i < DIRECTORY_SOURCES_MAX; i++) {
+        if (!(used & 1u << i)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+link_add(entry_t *e, const char *address)
+{
+    control_link_t *link = link_find(e, address);
+    gint source = free_source(e);
+    if (link == NULL && source >= 0) {
+        http_peer_t *peer = http_peer_create(
+            e->poller, e->timers, str_from_cstr(address), &LINK_LIMITS);
+        if (peer == NULL) {
+            return;
+        }
+        link = g_new0(control_link_t, 1);
+        *link = (control_link_t){.entry = e,
+                                 .address = g_strdup(address),
+                                 .source = (guint)source,
+                                 .peer = peer,
+                                 .body = g_byte_array_new()};
+        g_ptr_array_add(e->links, link);
+        link->named_us = entry_now(e);
+        link_ask(link);
+    }
+    if (link != NULL) {
+        link->named_us = entry_now(e);
+    }
+}
+
+static void
+link_destroy(control_link_t *link)
+{
+    entry_t *e = link->entry;
+    timers_cancel(e->timers, link->timer);
+    if (link->call != NULL) {
+        client_call_cancel(link->call);
+    }
+    http_peer_destroy(link->peer);
+    directory_forget(e->directory, link->source, entry_now(e));
+    g_byte_array_unref(link->body);
+    g_free(link->address);
+    g_free(link);
+}
+
+static void
+forget_silent(entry_t *e)
+{
+    gint64 now = entry_now(e);
+    for (guint i = e->links->len; i > 0; i--) {
+        control_link_t *link = e->links->pdata[i - 1];
+        if (link->lost && now - link->named_us > FORGET_US &&
+            now - link->answered_us > FORGET_US) {
+            g_ptr_array_remove_index(e->links, i - 1);
+            link_destroy(link);
+        }
+    }
+}
+
+static void
+take_answer(control_link_t *link, const sync_answer_t *answer)
+{
+    entry_t *e = link->entry;
+    gint64 now = entry_now(e);
+    if (answer->full && link->epoch != answer->epoch) {
+        directory_forget(e->directory, link->source, now);
+    }
+    for (guint i = 0; i < answer->leases->len; i++) {
+        directory_update(e->directory, link->source, answer->leases->pdata[i],
+                         now);
+    }
+    link->epoch = answer->epoch;
+    link->cursor = answer->cursor;
+    gboolean sound = take_config(link, answer);
+    if (sound && answer->confirmed && e->config != NULL &&
+        e->config->version >= answer->version) {
+        entry_take_confirmation(e, link->asked_us);
+    }
+    e->entries = MAX(answer->entries, 1);
+    for (guint i = 0; i < answer->controls->len; i++) {
+        link_add(e, answer->controls->pdata[i]);
+    }
+    forget_silent(e);
+}
+
+static call_verdict_t
+on_head(client_call_t *call, const http_head_t *head, void *user)
+{
+    (void)call;
+    control_link_t *link = user;
+    link->status = head->status;
+    return CALL_TAKE;
+}
+
+static void
+on_body(client_call_t *call, str_t bytes, void *user)
+{
+    (void)call;
+    control_link_t *link = user;
+    if (link->body->len + bytes.length <= ANSWER_MAX) {
+        g_byte_array_append(link->body, (const guint8 *)bytes.data,
+                            (guint)bytes.length);
+    }
+}
+
+static void
+on_done(client_call_t *call, void *user)
+{
+    (void)call;
+    control_link_t *link = user;
+    entry_t *e = link->entry;
+    link->call = NULL;
+    GBytes *bytes = g_bytes_new_static(link->body->data, link->body->len);
+    sync_answer_t answer;
+    gboolean sound = link->status == 200 && sync_answer_read(bytes, &answer);
+    g_bytes_unref(bytes);
+    if (!sound) {
+        counter_add(counter_get("control_malformed_total", NULL, FALSE), 1);
+        link_failed(link);
+        return;
+    }
+    timers_cancel(e->timers, link->timer);
+    if (link->lost || link->answered_us == 0) {
+        log_link(link, "control_found");
+    }
+    link->lost = FALSE;
+    link->retry_us = 0;
+    link->answered_us = entry_now(e);
+    take_answer(link, &answer);
+    sync_answer_clear(&answer);
+    /* The connection is free again only after this call. */
+    link->timer = timers_subscribe(e->timers, 0, 0, link_retry, link);
+}
+
+static void
+on_failed(client_call_t *call, call_failure_t failure, void *user)
+{
+    (void)call;
+    (void)failure; /* asking again is always right */
+    link_failed(user);
+}
+
+static const client_call_ops_t LINK_OPS = {
+    .head = on_head, .body = on_body, .done = on_done, .failed = on_failed};
+
+static void
+link_ask(control_link_t *link)
+{
+    entry_t *e = link->entry;
+    gboolean first =
+        link->answered_us == 0 || link->lost || !entry_is_confirmed(e);
+    sync_request_t request = {
+        .instance = e->settings->instance,
+        .version = e->config != NULL ? e->config->version : 0,
+        .epoch = link->epoch,
+        .cursor = link->cursor,
+        .wait_ms = first ? 100 : WAIT_MS,
+    };
+    GBytes *body = sync_request_write(&request);
+    gsize length;
+    const char *data = g_bytes_get_data(body, &length);
+    GString *bytes = g_string_new(NULL);
+    g_string_append_printf(bytes,
+                           "POST " SYNC_PATH " HTTP/1.1\r\nHost: %s\r\n"
+                           "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
+                           link->address, length);
+    g_string_append_len(bytes, data, (gssize)length);
+    g_bytes_unref(body);
+    g_byte_array_set_size(link->body, 0);
+    link->asked_us = clock_boot_us();
+    link->call = client_call_create(
+        link->peer, (str_t){.data = bytes->str, .length = bytes->len}, FALSE,
+        &LINK_OPS, link);
+    g_string_free(bytes, TRUE);
+    if (link->call == NULL) {
+        link_failed(link);
+        return;
+    }
+    link->timer =
+        timers_subscribe(e->timers, ANSWER_US, 0, link_expired, link);
+}
+
+/* ---- all links ---- */
+
+void
+control_links_seed(entry_t *e)
+{
+    for (int i = 0; e->settings->seeds[i] != NULL; i++) {
+        const char *seed = e->settings->seeds[i];
+        const char *colon = strrchr(seed, ':');
+        if (colon == NULL) {
+            continue;
+        }
+        char *address = g_strdup_printf("%.*s:%d", (int)(colon - seed), seed,
+                                        (int)e->settings->peers_port);
+        link_add(e, address);
+        g_free(address);
+    }
+}
+
+void
+control_links_destroy(entry_t *e)
+{
+    for (guint i = 0; i < e->links->len; i++) {
+        link_destroy(e->links->pdata[i]);
+    }
+    g_ptr_array_unref(e->links);
+}
+
+guint
+control_links_answering(const entry_t *e)
+{
+    guint count = 0;
+    for (guint i = 0; i < e->links->len; i++) {
+        const control_link_t *link = e->links->pdata[i];
+        count += link->answered_us != 0 && !link->lost;
+    }
+    return count;
+}
+
+void
+control_links_dump(const entry_t *e, GString *text)
+{
+    for (guint i = 0; i < e->links->len; i++) {
+        const control_link_t *link = e->links->pdata[i];
+        g_string_append_printf(text, "control %s %s, cursor %lu\n",
+                               link->address, link->lost ? "lost" : "answers",
+                               (unsigned long)link->cursor);
+    }
+}
--- /dev/null
+++ b/carobloomd/gateway/entry.c
@@ -0,0 +1,319 @@
+#include "carobloom/gateway/entry.h"
+
+#include <string.h>
+
+#include "carobloom/common/clock.h"
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "entry_state.h"
+#include "platform.h"
+
+enum {
+    MS = 1000,
+    SWEEP_US = 500 * MS,
+    /* Descriptors that are not callers' connections: listeners, control,
+     * files; endpoints' take half of the rest. */
+    DESCRIPTORS_KEPT = 300,
+    PROBE_CONNECTIONS = 64,
+    /* The balancer probes each second and gives up after two misses; until
+     * then new connections come. */
+    DRAIN_NOTICE_US = 2600 * MS,
+    /* Before the platform's deadline, to close in order. */
+    DRAIN_MARGIN_US = 300 * MS,
+    /* After a start, for the endpoints to be told by more than one control
+     * instance. */
+    START_US = 300 * MS,
+};
+
+/* Of the bound for a withdrawn key: then keyed requests are refused. */
+static const double CONFIRMED_PART = 0.8;
+/* And then the balancer is told to send callers elsewhere. */
+static const double READY_PART = 0.5;
+/* Of the memory, for bodies of requests on their way. */
+static const double BODIES_PART = 0.25;
+
+gint64
+entry_now(const entry_t *e)
+{
+    return timers_now(e->timers);
+}
+
+/* ---- the configuration ---- */
+
+static gboolean
+confirmed_within(const entry_t *e, double part)
+{
+    if (e->config == NULL || e->confirmed_us == 0) {
+        return FALSE;
+    }
+    double bound_us = e->settings->revoke_ms * MS * part;
+    return bound_us == 0 ||
+           (double)(clock_boot_us() - e->confirmed_us) < bound_us;
+}
+
+gboolean
+entry_is_confirmed(const entry_t *e)
+{
+    return confirmed_within(e, CONFIRMED_PART);
+}
+
+void
+entry_take_confirmation(entry_t *e, gint64 asked_us)
+{
+    e->confirmed_us = MAX(e->confirmed_us, asked_us);
+}
+
+static http_limits_t
+caller_limits(const entry_t *e)
+{
+    const client_limits_t *l = e->config != NULL ? &e->config->limits : NULL;
+    double descriptors = e->settings->descriptors - DESCRIPTORS_KEPT;
+    http_limits_t limits = {
+        .head_max = l != NULL ? (gsize)l->head_bytes : 16384,
+        .body_max = l != NULL ? (gsize)l->body_bytes : 4194304,
+        .head_us = (l != NULL ? l->head_ms : 3000) * MS,
+        .idle_us = (l != NULL ? l->idle_ms : 15000) * MS,
+        .connections = (guint)MAX(descriptors / 2, 32),
+        .buffered_max =
+            (gsize)(e->settings->memory_mb * 1048576 * BODIES_PART),
+    };
+    return limits;
+}
+
+gboolean
+entry_take_config(entry_t *e, guint64 version, GBytes *text)
+{
+    gsize length;
+    const char *data = g_bytes_get_data(text, &length);
+    char *fault = NULL;
+    route_config_t *config;
+    if (platform_config_decode((str_t){.data = data, .length = length},
+                               &config, &fault) != PLATFORM_OK) {
+        if (event_log_begin(EVENT_STATE, "config_unreadable")) {
+            event_log_number("version", (gint64)version);
+            event_log_cstr("why", fault);
+            event_log_end();
+        }
+        g_free(fault);
+        return FALSE;
+    }
+    g_clear_pointer(&e->config, route_config_unref);
+    g_clear_pointer(&e->text, g_bytes_unref);
+    e->config = config;
+    e->text = g_bytes_ref(text);
+    http_limits_t limits = caller_limits(e);
+    http_server_set_limits(e->callers, &limits);
+    counter_set(counter_get("config_version", NULL, TRUE), (gint64)version);
+    if (event_log_begin(EVENT_STATE, "config_in_force")) {
+        event_log_number("version", (gint64)version);
+        event_log_number("routes", config->routes->len);
+        event_log_end();
+    }
+    return TRUE;
+}
+
+repeat_budget_t *
+entry_budget(entry_t *e, const char *service)
+{
+    repeat_budget_t *budget = g_hash_table_lookup(e->budgets, service);
+    if (budget == NULL) {
+        budget = g_new0(repeat_budget_t, 1);
+        g_hash_table_insert(e->budgets, g_strdup(service), budget);
+    }
+    return budget;
+}
+
+repeat_limits_t
+entry_repeat_limits(const entry_t *e)
+{
+    repeat_limits_t limits = {
+        .window_us = (gint64)(e->settings->retry_window_s * G_USEC_PER_SEC),
+        .ratio = e->settings->retry_ratio,
+        .slack = e->settings->retry_slack,
+    };
+    return limits;
+}
+
+/* ---- readiness ---- */
+
+static gboolean
+is_ready(const entry_t *e)
+{
+    return e->drain_us == 0 && confirmed_within(e, READY_PART) &&
+           directory_count(e->directory) > 0 &&
+           entry_now(e) - e->started_us > START_US;
+}
+
+static void
+handle_probe(http_exchange_t *exchange, void *user)
+{
+    entry_t *e = user;
+    str_t id;
+    gboolean probe = platform_call_of(http_exchange_head(exchange), &id) ==
+                     PLATFORM_CALL_READY;
+    guint status = !probe ? 404 : is_ready(e) ? 200 : 503;
+    http_exchange_answer(exchange, status, STR(""), STR(""));
+}
+
+static void
+handle_nothing(http_exchange_t *exchange, void *user)
+{
+    (void)exchange;
+    (void)user;
+}
+
+static void
+handle_request(http_exchange_t *exchange, void *user)
+{
+    forward_create(user, exchange);
+}
+
+static void
+handle_gone(http_exchange_t *exchange, void *user)
+{
+    (void)user;
+    forward_gone(exchange);
+}
+
+static void
+handle_drained(http_exchange_t *exchange, void *user)
+{
+    (void)user;
+    forward_drained(exchange);
+}
+
+static const http_server_ops_t PROBE_OPS = {.request = handle_probe,
+                                            .gone = handle_nothing,
+                                            .drained = handle_nothing};
+static const http_server_ops_t CALLER_OPS = {
+    .request = handle_request, .gone = handle_gone, .drained = handle_drained};
+
+/* ---- life ---- */
+
+static void
+drop_connections(void *connections)
+{
+    http_peer_destroy(connections);
+}
+
+static void
+on_sweep(void *data)
+{
+    entry_t *e = data;
+    directory_sweep(e->directory, entry_now(e));
+    counter_set(counter_get("endpoints", NULL, TRUE),
+                directory_count(e->directory));
+    counter_set(counter_get("requests_in_flight", NULL, TRUE), e->forwards);
+    counter_set(counter_get("connections", NULL, TRUE),
+                http_server_connections(e->callers));
+    event_log_flush();
+}
+
+static gboolean
+entry_listen(entry_t *e)
+{
+    const gateway_settings_t *s = e->settings;
+    http_limits_t limits = caller_limits(e);
+    http_limits_t probe = limits;
+    probe.connections = PROBE_CONNECTIONS;
+    e->callers = http_server_create(e->poller, e->timers, s->callers, &limits,
+                                    &CALLER_OPS, e);
+    e->probe = http_server_create(e->poller, e->timers, s->probe, &probe,
+                                  &PROBE_OPS, e);
+    if (e->callers != NULL && e->probe != NULL) {
+        return TRUE;
+    }
+    if (event_log_begin(EVENT_STATE, "listen_failed")) {
+        event_log_cstr("address", e->callers ? s->probe : s->callers);
+        event_log_end();
+    }
+    return FALSE;
+}
+
+entry_t *
+entry_create(const gateway_settings_t *settings, task_t *task,
+             poller_t *poller)
+{
+    entry_t *e = g_new0(entry_t, 1);
+    e->settings = settings;
+    e->task = task;
+    e->poller = poller;
+    e->timers = task_timers(task);
+    e->random = g_rand_new();
+    e->directory = directory_create(drop_connections);
+    e->budgets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    e->links = g_ptr_array_new();
+    e->entries = 1;
+    e->started_us = entry_now(e);
+    if (!entry_listen(e)) {
+        entry_destroy(e);
+        return NULL;
+    }
+    timers_subscribe(e->timers, SWEEP_US, SWEEP_US, on_sweep, e);
+    control_links_seed(e);
+    return e;
+}
+
+void
+entry_destroy(entry_t *e)
+{
+    control_links_destroy(e);
+    g_clear_pointer(&e->callers, http_server_destroy);
+    g_clear_pointer(&e->probe, http_server_destroy);
+    directory_destroy(e->directory);
+    g_hash_table_unref(e->budgets);
+    g_clear_pointer(&e->config, route_config_unref);
+    g_clear_pointer(&e->text, g_bytes_unref);
+    g_rand_free(e->random);
+    g_free(e);
+}
+
+void
+entry_reload(entry_t *e, const gateway_settings_t *settings)
+{
+    e->settings = settings;
+    control_links_seed(e);
+}
+
+void
+entry_drain(entry_t *e)
+{
+    e->drain_us = entry_now(e);
+    http_server_drain(e->callers);
+}
+
+gboolean
+entry_idle(const entry_t *e)
+{
+    if (e->drain_us == 0) {
+        return FALSE;
+    }
+    gint64 since = entry_now(e) - e->drain_us;
+    gint64 most = (gint64)(e->settings->grace_s * G_USEC_PER_SEC);
+    if (since > most - DRAIN_MARGIN_US) {
+        return TRUE;
+    }
+    if (since < MIN(DRAIN_NOTICE_US, most / 2)) {
+        return FALSE;
+    }
+    http_server_close_idle(e->callers);
+    return http_server_exchanges(e->callers) == 0;
+}
+
+char *
+entry_dump(const entry_t *e)
+{
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(
+        text,
+        "config version %lu, confirmed %ld ms ago\nready %d\n"
+        "requests %u, connections %u, endpoints %u, entries %u\n",
+        e->config ? (unsigned long)e->config->version : 0,
+        e->confirmed_us ? (long)((clock_boot_us() - e->confirmed_us) / MS)
+                        : -1,
+        is_ready(e), e->forwards, http_server_connections(e->callers),
+        directory_count(e->directory), e->entries);
+    control_links_dump(e, text);
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/carobloomd/gateway/entry_state.h
@@ -0,0 +1,65 @@
+/* Private to the entry task: its state, shared by the files that make it up.
+ *
+ * entry.c        listeners, readiness, draining
+ * control_link.c news from the control instances
+ * forward.c      one request: admitted, placed, sent, repeated, answered
+ * event_stream.c events of a stream, told apart in bytes as they come */
+#ifndef CAROBLOOMD_GATEWAY_ENTRY_STATE_H
+#define CAROBLOOMD_GATEWAY_ENTRY_STATE_H
+
+#include "carobloom/gateway/entry.h"
+#include "carobloom/gateway/metrics.h"
+#include "carobloom/gateway/sync_wire.h"
+#include "carobloom/http/client.h"
+#include "carobloom/http/server.h"
+#include "carobloom/policy/directory.h"
+#include "carobloom/policy/repeat_budget.h"
+#include "carobloom/version/route_config.h"
+
+typedef struct control_link control_link_t;
+
+struct entry {
+    const gateway_settings_t *settings;
+    task_t *task;
+    poller_t *poller;
+    timers_t *timers;
+    http_server_t *callers;
+    http_server_t *probe;
+    http_server_t *metrics;
+    metrics_source_t dump;
+    GRand *random;
+    directory_t *directory;
+    GHashTable *budgets; /* service name -> repeat_budget_t */
+    GPtrArray *links;    /* control_link_t * */
+    /* the configuration in force here */
+    route_config_t *config; /* NULL until one came */
+    GBytes *text;
+    gint64 confirmed_us; /* clock_boot_us at which it was surely the newest */
+    guint entries;       /* entry instances, as the control ones count them */
+    gint64 started_us;
+    gint64 drain_us; /* when SIGTERM came; 0: not yet */
+    guint forwards;  /* requests under way */
+};
+
+/* Whether a key withdrawn for longer than the bound would be noticed. */
+gboolean entry_is_confirmed(const entry_t *entry);
+/* Puts a configuration in force, if it is newer. FALSE when it can not be
+ * read. */
+gboolean entry_take_config(entry_t *entry, guint64 version, GBytes *text);
+void entry_take_confirmation(entry_t *entry, gint64 asked_us);
+gint64 entry_now(const entry_t *entry);
+repeat_budget_t *entry_budget(entry_t *entry, const char *service);
+repeat_limits_t entry_repeat_limits(const entry_t *entry);
+
+/* control_link.c */
+void control_links_seed(entry_t *entry);
+void control_links_destroy(entry_t *entry);
+guint control_links_answering(const entry_t *entry);
+void control_links_dump(const entry_t *entry, GString *text);
+
+/* forward.c */
+void forward_create(entry_t *entry, http_exchange_t *exchange);
+void forward_gone(http_exchange_t *exchange);
+void forward_drained(http_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/carobloomd/gateway/gateway.c
@@ -0,0 +1,282 @@
+#include "carobloom/gateway/gateway.h"
+
+#include <glib-unix.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/common/fields.h"
+#include "carobloom/common/log.h"
+#include "carobloom/control/control.h"
+#include "carobloom/gateway/entry.h"
+#include "carobloom/gateway/metrics.h"
+#include "carobloom/gateway/settings.h"
+
+enum {
+    EXIT_OK = 0,
+    EXIT_SETTINGS = 3,
+    EXIT_START = 4,
+    MAILBOX_BOUND = 10000,
+    DRAIN_POLL_MS = 50,
+    SETTINGS_POLL_S = 2, /* for a change of the file without a signal */
+};
+
+typedef struct {
+    const char *path;
+    gint64 file_time;    /* of the settings in force, ns */
+    GPtrArray *settings; /* all that were in force; the last is */
+    GMainLoop *loop;
+    task_t *task;
+    poller_t *poller;
+    entry_t *entry;     /* NULL: not of this role */
+    control_t *control; /* NULL: not of this role */
+    http_server_t *metrics;
+    metrics_source_t dump;
+    gboolean draining;
+} gateway_t;
+
+static void
+gateway_handle(void *state, message_t *message)
+{
+    gateway_t *g = state;
+    if (g->control != NULL) {
+        control_handle(g->control, message);
+    }
+}
+
+static const task_ops_t TASK_OPS = {.name = "gateway",
+                                    .mailbox_bound = MAILBOX_BOUND,
+                                    .handle = gateway_handle};
+
+static void
+on_turn(void *data)
+{
+    gateway_t *g = data;
+    timers_advance(task_timers(g->task), g_get_monotonic_time());
+}
+
+static gboolean
+has_text(const char *text)
+{
+    return text != NULL && *text != '\0';
+}
+
+static char *
+gateway_dump(void *user)
+{
+    gateway_t *g = user;
+    char *entry = g->entry != NULL ? entry_dump(g->entry) : g_strdup("");
+    char *control =
+        g->control != NULL ? control_dump(g->control) : g_strdup("");
+    char *text = g_strconcat(entry, control, NULL);
+    g_free(entry);
+    g_free(control);
+    return text;
+}
+
+/* ---- settings ---- */
+
+static void
+settings_free(gpointer data)
+{
+    gateway_settings_destroy(data);
+}
+
+static gint64
+file_time(const char *path)
+{
+    struct stat info;
+    if (stat(path, &info) != 0) {
+        return 0;
+    }
+    return (gint64)info.st_mtim.tv_sec * 1000000000 + info.st_mtim.tv_nsec;
+}
+
+static gateway_settings_t *
+settings_read(const char *path)
+{
+    GPtrArray *faults = faults_create();
+    gateway_settings_t *settings = NULL;
+    gateway_settings_load(path, &settings, faults);
+    for (guint i = 0; i < faults->len; i++) {
+        const fault_t *fault = faults->pdata[i];
+        fprintf(stderr, "carobloomd: %s: %s\n", path, fault->text);
+        if (event_log_begin(EVENT_STATE, "settings_fault")) {
+            event_log_cstr("fault", fault->text);
+            event_log_end();
+        }
+    }
+    faults_destroy(faults);
+    return settings;
+}
+
+/* Takes changed settings; with faults the old ones stay in force. */
+static void
+reload(gateway_t *g, const char *cause)
+{
+    gateway_settings_t *settings = settings_read(g->path);
+    g->file_time = file_time(g->path);
+    if (event_log_begin(EVENT_STATE, "reload")) {
+        event_log_cstr("cause", cause);
+        event_log_cstr("outcome", settings ? "in force" : "refused");
+        event_log_end();
+    }
+    if (settings == NULL) {
+        return;
+    }
+    g_ptr_array_add(g->settings, settings);
+    if (g->entry != NULL) {
+        entry_reload(g->entry, settings);
+    }
+}
+
+static gboolean
+on_hangup(gpointer data)
+{
+    reload(data, "signal");
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_settings_poll(gpointer data)
+{
+    gateway_t *g = data;
+    gint64 time = file_time(g->path);
+    if (time != 0 && time != g->file_time) {
+        reload(g, "file");
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+/* ---- signals ---- */
+
+static gboolean
+on_drain_poll(gpointer data)
+{
+    gateway_t *g = data;
+    timers_advance(task_timers(g->task), g_get_monotonic_time());
+    if ((g->entry == NULL || entry_idle(g->entry)) &&
+        (g->control == NULL || control_idle(g->control))) {
+        g_main_loop_quit(g->loop);
+        return G_SOURCE_REMOVE;
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_terminate(gpointer data)
+{
+    gateway_t *g = data;
+    if (g->draining) {
+        return G_SOURCE_CONTINUE;
+    }
+    g->draining = TRUE;
+    if (event_log_begin(EVENT_STATE, "drain")) {
+        event_log_end();
+    }
+    event_log_flush();
+    on_turn(g);
+    if (g->entry != NULL) {
+        entry_drain(g->entry);
+    }
+    if (g->control != NULL) {
+        control_drain(g->control);
+    }
+    g_timeout_add(DRAIN_POLL_MS, on_drain_poll, g);
+    return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_dump(gpointer data)
+{
+    char *dump = gateway_dump(data);
+    char *counters = counters_text();
+    fprintf(stderr, "# dump\n%s%s# end of dump\n", dump, counters);
+    g_free(dump);
+    g_free(counters);
+    return G_SOURCE_CONTINUE;
+}
+
+/* ---- life ---- */
+
+static gboolean
+gateway_start(gateway_t *g, const gateway_settings_t *s)
+{
+    g->task = task_create(&TASK_OPS, g, g_main_context_default());
+    g->poller = poller_create(g_main_context_default(), on_turn, g);
+    if (g->poller == NULL) {
+        return FALSE;
+    }
+    if (has_text(s->callers)) {
+        g->entry = entry_create(s, g->task, g->poller);
+        if (g->entry == NULL) {
+            return FALSE;
+        }
+    }
+    if (has_text(s->control)) {
+        g->control = control_create(s, g->task, g->poller);
+        if (g->control == NULL) {
+            return FALSE;
+        }
+    }
+    g->dump = (metrics_source_t){.dump = gateway_dump, .user = g};
+    if (has_text(s->metrics)) {
+        g->metrics = metrics_server_create(g->poller, task_timers(g->task),
+                                           s->metrics, &g->dump);
+        if (g->metrics == NULL && event_log_begin(EVENT_STATE, "no_metrics")) {
+            event_log_cstr("address", s->metrics);
+            event_log_end();
+        }
+    }
+    return TRUE;
+}
+
+static void
+gateway_stop(gateway_t *g)
+{
+    g_clear_pointer(&g->metrics, http_server_destroy);
+    g_clear_pointer(&g->entry, entry_destroy);
+    g_clear_pointer(&g->control, control_destroy);
+    g_clear_pointer(&g->poller, poller_destroy);
+    g_clear_pointer(&g->task, task_destroy);
+}
+
+int
+gateway_run(const char *path)
+{
+    gateway_t g = {.path = path};
+    gateway_settings_t *settings = settings_read(path);
+    if (settings == NULL) {
+        return EXIT_SETTINGS;
+    }
+    g.file_time = file_time(path);
+    g.settings = g_ptr_array_new_with_free_func(settings_free);
+    g_ptr_array_add(g.settings, settings);
+    event_log_start(settings->instance);
+    g.loop = g_main_loop_new(NULL, FALSE);
+    gboolean started = gateway_start(&g, settings);
+    if (event_log_begin(EVENT_STATE, "start")) {
+        event_log_cstr("outcome", started ? "runs" : "failed");
+        event_log_cstr("data_centre", settings->data_centre);
+        event_log_end();
+    }
+    event_log_flush();
+    if (started) {
+        g_unix_signal_add(SIGTERM, on_terminate, &g);
+        g_unix_signal_add(SIGINT, on_terminate, &g);
+        g_unix_signal_add(SIGHUP, on_hangup, &g);
+        g_unix_signal_add(SIGUSR1, on_dump, &g);
+        g_timeout_add_seconds(SETTINGS_POLL_S, on_settings_poll, &g);
+        g_main_loop_run(g.loop);
+    }
+    gateway_stop(&g);
+    if (event_log_begin(EVENT_STATE, "stop")) {
+        event_log_end();
+    }
+    event_log_stop();
+    g_main_loop_unref(g.loop);
+    g_ptr_array_unref(g.settings);
+    return started ? EXIT_OK : EXIT_START;
+}
--- /dev/null
+++ b/carobloomd/gateway/metrics.c
@@ -0,0 +1,49 @@
+#include "carobloom/gateway/metrics.h"
+
+#include "carobloom/common/counters.h"
+
+static const http_limits_t LIMITS = {
+    .head_max = 8192,
+    .body_max = 0,
+    .head_us = 3 * G_USEC_PER_SEC,
+    .idle_us = 30 * G_USEC_PER_SEC,
+    .connections = 16,
+    .buffered_max = 0,
+};
+
+static void
+handle_request(http_exchange_t *exchange, void *user)
+{
+    const metrics_source_t *source = user;
+    str_t target = http_head_target(http_exchange_head(exchange));
+    char *text = NULL;
+    if (str_equal(target, STR("/metrics"))) {
+        text = counters_text();
+    }
+    else if (str_equal(target, STR("/dump"))) {
+        text = source->dump(source->user);
+    }
+    http_exchange_answer(exchange, text != NULL ? 200 : 404,
+                         STR("Content-Type: text/plain\r\n"),
+                         str_from_cstr(text));
+    g_free(text);
+}
+
+static void
+handle_nothing(http_exchange_t *exchange, void *user)
+{
+    (void)exchange;
+    (void)user;
+}
+
+static const http_server_ops_t OPS = {.request = handle_request,
+                                      .gone = handle_nothing,
+                                      .drained = handle_nothing};
+
+http_server_t *
+metrics_server_create(poller_t *poller, timers_t *timers, const char *address,
+                      const metrics_source_t *source)
+{
+    return http_server_create(poller, timers, address, &LIMITS, &OPS,
+                              (void *)source);
+}
--- /dev/null
+++ b/carobloomd/gateway/settings.c
@@ -0,0 +1,173 @@
+#include "carobloom/gateway/settings.h"
+
+#include "carobloom/common/fields.h"
+#include "carobloom/common/jsonc.h"
+#include "carobloom/process/settings.h"
+
+enum { NAME_MAX_BYTES = 128 };
+
+typedef struct {
+    gateway_settings_t settings;
+    json_t *gateway;
+} root_t;
+
+#define ROOT(k, t, m, ...)                                                    \
+    {                                                                         \
+        .key = #k, .type = t, .offset = offsetof(root_t, m), __VA_ARGS__      \
+    }
+#define PART(k, t, ...)                                                       \
+    {                                                                         \
+        .key = #k, .type = t, .offset = offsetof(gateway_settings_t, k),      \
+        __VA_ARGS__                                                           \
+    }
+
+static const field_t ROOT_FIELDS[] = {
+    ROOT(instance, FIELD_STRING, settings.instance, .required = TRUE, .min = 1,
+         .max = NAME_MAX_BYTES),
+    ROOT(data_centre, FIELD_STRING, settings.data_centre, .required = TRUE,
+         .min = 1, .max = NAME_MAX_BYTES),
+    ROOT(region, FIELD_STRING, settings.region, .max = NAME_MAX_BYTES,
+         .fallback = "default"),
+    ROOT(data_folder, FIELD_STRING, settings.data_folder, .max = 4096),
+    ROOT(gateway, FIELD_JSON, gateway, .required = TRUE),
+};
+
+static const field_t GATEWAY_FIELDS[] = {
+    PART(address, FIELD_STRING, .required = TRUE, .min = 1, .max = 64),
+    PART(callers, FIELD_STRING, .max = 64),
+    PART(probe, FIELD_STRING, .max = 64),
+    PART(control, FIELD_STRING, .max = 64),
+    PART(metrics, FIELD_STRING, .max = 64),
+    PART(trusted_network, FIELD_BOOL, .fallback = "false"),
+    PART(founding, FIELD_BOOL, .fallback = "false"),
+    PART(peers_port, FIELD_INT, .required = TRUE, .min = 0, .max = 65535),
+    PART(seeds, FIELD_STRINGS, .required = TRUE, .max = 16),
+    PART(memory_mb, FIELD_NUMBER, .min = 32, .max = 1e6, .fallback = "256"),
+    PART(descriptors, FIELD_NUMBER, .min = 64, .max = 1e6, .fallback = "4096"),
+    PART(heartbeat_ms, FIELD_NUMBER, .min = 50, .max = 60000,
+         .fallback = "1000"),
+    PART(grace_s, FIELD_NUMBER, .min = 0.5, .max = 3600, .fallback = "8"),
+    PART(revoke_ms, FIELD_NUMBER, .min = 0, .max = 3600000, .fallback = "0"),
+    PART(retry_ratio, FIELD_NUMBER, .min = 0, .max = 10, .fallback = "0.2"),
+    PART(retry_window_s, FIELD_NUMBER, .min = 0.1, .max = 3600,
+         .fallback = "10"),
+    PART(retry_slack, FIELD_NUMBER, .min = 0, .max = 100000, .fallback = "10"),
+};
+
+gboolean
+gateway_settings_is(str_t text)
+{
+    json_t *root = jsonc_parse(text, &(jsonc_error_t){0});
+    gboolean is = json_object_get(root, "gateway") != NULL;
+    json_decref(root);
+    return is;
+}
+
+static void
+check_listener(const char *key, const char *address, GPtrArray *faults)
+{
+    char *host = NULL;
+    guint16 port;
+    if (address != NULL && *address != '\0' &&
+        !address_parse(address, &host, &port)) {
+        faults_add(faults, "gateway", key, "must be IP:PORT");
+    }
+    g_free(host);
+}
+
+/* What the tables can not say. */
+static void
+check_whole(const gateway_settings_t *s, GPtrArray *faults)
+{
+    gboolean entry = s->callers != NULL && *s->callers != '\0';
+    gboolean control = s->control != NULL && *s->control != '\0';
+    check_listener("callers", s->callers, faults);
+    check_listener("probe", s->probe, faults);
+    check_listener("control", s->control, faults);
+    check_listener("metrics", s->metrics, faults);
+    if (!entry && !control) {
+        faults_add(faults, "gateway", NULL,
+                   "needs \"callers\" or \"control\"");
+    }
+    if (control && (s->data_folder == NULL || *s->data_folder == '\0')) {
+        faults_add(faults, NULL, "data_folder",
+                   "a control instance needs a folder");
+    }
+    if (!s->trusted_network && s->address != NULL &&
+        !g_str_has_prefix(s->address, "127.")) {
+        faults_add(faults, "gateway", "trusted_network",
+                   "must be true beyond loopback: instances talk in plain "
+                   "text");
+    }
+}
+
+static void
+add_lines(str_t text, GPtrArray *raw, GPtrArray *faults)
+{
+    for (guint i = 0; i < raw->len; i++) {
+        const fault_t *fault = raw->pdata[i];
+        faults_add(faults, NULL, NULL, "line %d: %s: %s",
+                   jsonc_line(text, fault->path), fault->path, fault->text);
+    }
+}
+
+int
+gateway_settings_parse(str_t text, gateway_settings_t **settings,
+                       GPtrArray *faults)
+{
+    jsonc_error_t error;
+    *settings = NULL;
+    json_t *json = jsonc_parse(text, &error);
+    if (json == NULL) {
+        faults_add(faults, NULL, NULL, "line %d, column %d: %s", error.line,
+                   error.column, error.text);
+        return GATEWAY_SETTINGS_ERROR_FAULTS;
+    }
+    root_t root = {0};
+    GPtrArray *raw = faults_create();
+    fields_read(json, "", ROOT_FIELDS, G_N_ELEMENTS(ROOT_FIELDS), &root, raw);
+    if (root.gateway != NULL) {
+        fields_read(root.gateway, "gateway", GATEWAY_FIELDS,
+                    G_N_ELEMENTS(GATEWAY_FIELDS), &root.settings, raw);
+        check_whole(&root.settings, raw);
+    }
+    json_decref(root.gateway);
+    json_decref(json);
+    add_lines(text, raw, faults);
+    gboolean sound = raw->len == 0;
+    faults_destroy(raw);
+    gateway_settings_t *s = g_memdup2(&root.settings, sizeof(root.settings));
+    if (!sound) {
+        gateway_settings_destroy(s);
+        return GATEWAY_SETTINGS_ERROR_FAULTS;
+    }
+    *settings = s;
+    return GATEWAY_SETTINGS_OK;
+}
+
+int
+gateway_settings_load(const char *path, gateway_settings_t **settings,
+                      GPtrArray *faults)
+{
+    char *text = NULL;
+    gsize length = 0;
+    GError *error = NULL;
+    if (!g_file_get_contents(path, &text, &length, &error)) {
+        faults_add(faults, NULL, NULL, "%s", error->message);
+        g_error_free(error);
+        return GATEWAY_SETTINGS_ERROR_READ;
+    }
+    int result = gateway_settings_parse(
+        (str_t){.data = text, .length = length}, settings, faults);
+    g_free(text);
+    return result;
+}
+
+void
+gateway_settings_destroy(gateway_settings_t *s)
+{
+    root_t root = {.settings = *s};
+    fields_clear(ROOT_FIELDS, G_N_ELEMENTS(ROOT_FIELDS), &root);
+    fields_clear(GATEWAY_FIELDS, G_N_ELEMENTS(GATEWAY_FIELDS), s);
+    g_free(s);
+}
--- /dev/null
+++ b/carobloomd/gateway/sync_wire.c
@@ -0,0 +1,196 @@
+#include "carobloom/gateway/sync_wire.h"
+
+#include "carobloom/common/codec.h"
+
+#define REQUEST_TYPE "(stttu)"
+#define ANSWER_TYPE "(ttbbttttbaya(sssstuyx)asu)"
+#define LETTER_TYPE "(stay)"
+
+static GVariant *
+bytes_variant(GBytes *bytes)
+{
+    gsize length = 0;
+    gconstpointer data = bytes != NULL ? g_bytes_get_data(bytes, &length) : "";
+    return g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, data, length, 1);
+}
+
+static GBytes *
+variant_bytes(GVariant *variant)
+{
+    gsize length = 0;
+    gconstpointer data = g_variant_get_fixed_array(variant, &length, 1);
+    GBytes *bytes = g_bytes_new(data, length);
+    g_variant_unref(variant);
+    return bytes;
+}
+
+GBytes *
+sync_request_write(const sync_request_t *r)
+{
+    return codec_write(g_variant_new(REQUEST_TYPE, r->instance, r->version,
+                                     r->epoch, r->cursor, r->wait_ms));
+}
+
+gboolean
+sync_request_read(GBytes *bytes, sync_request_t *r)
+{
+    *r = (sync_request_t){0};
+    GVariant *v = codec_read(bytes, REQUEST_TYPE);
+    if (v == NULL) {
+        return FALSE;
+    }
+    g_variant_get(v, REQUEST_TYPE, &r->instance, &r->version, &r->epoch,
+                  &r->cursor, &r->wait_ms);
+    g_variant_unref(v);
+    return TRUE;
+}
+
+void
+sync_request_clear(sync_request_t *r)
+{
+    g_clear_pointer(&r->instance, g_free);
+}
+
+static void
+lease_free(gpointer data)
+{
+    endpoint_lease_clear(data);
+    g_free(data);
+}
+
+static GVariant *
+leases_variant(const GPtrArray *leases)
+{
+    GVariantBuilder b;
+    g_variant_builder_init(&b, G_VARIANT_TYPE("a(sssstuyx)"));
+    for (guint i = 0; leases != NULL && i < leases->len; i++) {
+        const endpoint_lease_t *l = leases->pdata[i];
+        g_variant_builder_add(&b, "(sssstuyx)", l->id, l->service, l->address,
+                              l->data_centre ? l->data_centre : "",
+                              l->sequence, l->slots, (guchar)l->state,
+                              l->cold_ms);
+    }
+    return g_variant_builder_end(&b);
+}
+
+static GVariant *
+names_variant(const GPtrArray *names)
+{
+    GVariantBuilder b;
+    g_variant_builder_init(&b, G_VARIANT_TYPE("as"));
+    for (guint i = 0; names != NULL && i < names->len; i++) {
+        g_variant_builder_add(&b, "s", names->pdata[i]);
+    }
+    return g_variant_builder_end(&b);
+}
+
+GBytes *
+sync_answer_write(const sync_answer_t *a)
+{
+    return codec_write(g_variant_new(
+        "(ttbbttttb@ay@a(sssstuyx)@asu)", a->epoch, a->cursor, a->full,
+        a->confirmed, a->version, a->base, a->prefix, a->removed,
+        a->inserted != NULL, bytes_variant(a->inserted),
+        leases_variant(a->leases), names_variant(a->controls), a->entries));
+}
+
+static gboolean
+leases_take(GVariant *list, sync_answer_t *a)
+{
+    GVariantIter iter;
+    endpoint_lease_t l;
+    guchar state;
+    gboolean sound = g_variant_iter_init(&iter, list) <= SYNC_ENDPOINTS_MAX;
+    while (sound &&
+           g_variant_iter_next(&iter, "(sssstuyx)", &l.id, &l.service,
+                               &l.address, &l.data_centre, &l.sequence,
+                               &l.slots, &state, &l.cold_ms)) {
+        l.state = (lease_state_t)state;
+        sound = state < LEASE_STATES;
+        g_ptr_array_add(a->leases, g_memdup2(&l, sizeof(l)));
+    }
+    g_variant_unref(list);
+    return sound;
+}
+
+static gboolean
+names_take(GVariant *list, sync_answer_t *a)
+{
+    GVariantIter iter;
+    char *name;
+    gboolean sound = g_variant_iter_init(&iter, list) <= SYNC_CONTROLS_MAX;
+    while (sound && g_variant_iter_next(&iter, "s", &name)) {
+        g_ptr_array_add(a->controls, name);
+    }
+    g_variant_unref(list);
+    return sound;
+}
+
+gboolean
+sync_answer_read(GBytes *bytes, sync_answer_t *a)
+{
+    *a = (sync_answer_t){0};
+    a->leases = g_ptr_array_new_with_free_func(lease_free);
+    a->controls = g_ptr_array_new_with_free_func(g_free);
+    GVariant *v = codec_read(bytes, ANSWER_TYPE);
+    if (v == NULL) {
+        sync_answer_clear(a);
+        return FALSE;
+    }
+    GVariant *inserted;
+    GVariant *leases;
+    GVariant *controls;
+    gboolean news;
+    g_variant_get(v, "(ttbbttttb@ay@a(sssstuyx)@asu)", &a->epoch, &a->cursor,
+                  &a->full, &a->confirmed, &a->version, &a->base, &a->prefix,
+                  &a->removed, &news, &inserted, &leases, &controls,
+                  &a->entries);
+    a->inserted = variant_bytes(inserted);
+    if (!news) {
+        g_clear_pointer(&a->inserted, g_bytes_unref);
+    }
+    gboolean sound = leases_take(leases, a);
+    sound = names_take(controls, a) && sound;
+    g_variant_unref(v);
+    if (!sound) {
+        sync_answer_clear(a);
+    }
+    return sound;
+}
+
+void
+sync_answer_clear(sync_answer_t *a)
+{
+    g_clear_pointer(&a->inserted, g_bytes_unref);
+    g_clear_pointer(&a->leases, g_ptr_array_unref);
+    g_clear_pointer(&a->controls, g_ptr_array_unref);
+}
+
+GBytes *
+voter_letter_write(const voter_letter_t *l)
+{
+    return codec_write(
+        g_variant_new("(st@ay)", l->from, l->id, bytes_variant(l->message)));
+}
+
+gboolean
+voter_letter_read(GBytes *bytes, voter_letter_t *l)
+{
+    *l = (voter_letter_t){0};
+    GVariant *v = codec_read(bytes, LETTER_TYPE);
+    if (v == NULL) {
+        return FALSE;
+    }
+    GVariant *message;
+    g_variant_get(v, "(st@ay)", &l->from, &l->id, &message);
+    l->message = variant_bytes(message);
+    g_variant_unref(v);
+    return TRUE;
+}
+
+void
+voter_letter_clear(voter_letter_t *l)
+{
+    g_clear_pointer(&l->from, g_free);
+    g_clear_pointer(&l->message, g_bytes_unref);
+}
--- /dev/null
+++ b/carobloomd/http/client.c
@@ -0,0 +1,414 @@
+#include "carobloom/http/client.h"
+
+#include <errno.h>
+
+#include "carobloom/http/reader.h"
+#include "carobloom/http/stream_socket.h"
+
+/* A server that says for how long it keeps an idle connection is taken at
+ * its word less this, for the time the next request is on its way. */
+static const gint64 IDLE_MARGIN_US = 600 * 1000;
+
+/* One connection; `busy` while a call is on it. */
+struct client_call {
+    http_peer_t *peer;
+    GList *link; /* in the peer's busy or idle list */
+    stream_socket_t *socket;
+    http_reader_t reader;
+    gboolean busy;
+    gboolean connecting;
+    gboolean sent;
+    gboolean skipping; /* the answer on hand is for another request */
+    gboolean answered; /* a head was taken */
+    gboolean keep;     /* may be used again */
+    gboolean head_request;
+    gboolean in_reader; /* callbacks of the reader are on the stack */
+    gboolean cancelled; /* within them */
+    gint64 usable_until_us;
+    guint64 timer;
+    const client_call_ops_t *ops;
+    void *user;
+};
+
+struct http_peer {
+    poller_t *poller;
+    timers_t *timers;
+    struct sockaddr_in address;
+    http_peer_limits_t limits;
+    GList *busy;
+    GList *idle; /* the most recent first */
+    guint busy_count;
+    guint idle_count;
+    guint connects;
+};
+
+static void
+call_free(client_call_t *call)
+{
+    http_peer_t *peer = call->peer;
+    if (call->busy) {
+        peer->busy = g_list_delete_link(peer->busy, call->link);
+        peer->busy_count--;
+    }
+    else {
+        peer->idle = g_list_delete_link(peer->idle, call->link);
+        peer->idle_count--;
+    }
+    timers_cancel(peer->timers, call->timer);
+    stream_socket_destroy(call->socket);
+    http_reader_clear(&call->reader);
+    g_free(call);
+}
+
+static void
+call_fail(client_call_t *call, call_failure_t failure)
+{
+    call->ops->failed(call, failure, call->user);
+    call_free(call);
+}
+
+static void
+note_sent(client_call_t *call)
+{
+    if (stream_socket_take_sent(call->socket)) {
+        call->sent = TRUE;
+    }
+}
+
+/* ---- the answer ---- */
+
+static gint64
+kept_for(const client_call_t *call)
+{
+    str_t value;
+    gint64 keep = call->peer->limits.idle_us;
+    if (!http_head_find(&call->reader.head, "Keep-Alive", &value)) {
+        return keep;
+    }
+    gssize at = str_find(value, STR("timeout="), 0);
+    if (at < 0) {
+        return keep;
+    }
+    gint64 seconds = 0;
+    for (gsize i = (gsize)at + 8;
+         i < value.length && g_ascii_isdigit(value.data[i]) && seconds < 1000;
+         i++) {
+        seconds = seconds * 10 + (value.data[i] - '0');
+    }
+    return MIN(keep, seconds * G_USEC_PER_SEC - IDLE_MARGIN_US);
+}
+
+static int
+on_answer_head(void *user)
+{
+    client_call_t *call = user;
+    const http_head_t *head = &call->reader.head;
+    if (head->status < 200) {
+        call->skipping = TRUE;
+        return 0;
+    }
+    call_verdict_t verdict = call->ops->head(call, head, call->user);
+    call->skipping = verdict == CALL_SKIP;
+    if (verdict == CALL_SKIP) {
+        call->keep = FALSE;
+        return 0;
+    }
+    if (verdict == CALL_REFUSE || call->cancelled) {
+        return -1;
+    }
+    call->answered = TRUE;
+    call->keep =
+        call->keep && head->keep_alive && (head->has_length || head->chunked);
+    call->usable_until_us = timers_now(call->peer->timers) + kept_for(call);
+    return 0;
+}
+
+static int
+on_answer_body(void *user, str_t bytes)
+{
+    client_call_t *call = user;
+    if (!call->skipping) {
+        call->ops->body(call, bytes, call->user);
+    }
+    return call->cancelled ? -1 : 0;
+}
+
+static const reader_ops_t READER_OPS = {.head = on_answer_head,
+                                        .body = on_answer_body};
+
+/* Puts the connection aside for the next call, or closes it. */
+static void
+call_release(client_call_t *call)
+{
+    http_peer_t *peer = call->peer;
+    gint64 left = call->usable_until_us - timers_now(peer->timers);
+    if (!call->keep || left <= 0 || stream_socket_backlog(call->socket) > 0 ||
+        peer->idle_count >= peer->limits.idle_max) {
+        call_free(call);
+        return;
+    }
+    peer->busy = g_list_remove_link(peer->busy, call->link);
+    peer->busy_count--;
+    peer->idle = g_list_concat(call->link, peer->idle);
+    peer->idle_count++;
+    call->busy = FALSE;
+    http_reader_reset(&call->reader);
+}
+
+static void
+call_complete(client_call_t *call, gboolean more)
+{
+    if (more) {
+        call->keep = FALSE; /* bytes after an answer belong to nobody */
+    }
+    call->ops->done(call, call->user);
+    call_release(call);
+}
+
+static void
+answer_feed(client_call_t *call, str_t bytes)
+{
+    gsize used = 0;
+    call->in_reader = TRUE;
+    reader_result_t result = http_reader_feed(&call->reader, bytes, &used);
+    call->in_reader = FALSE;
+    if (call->cancelled) {
+        call_free(call);
+        return;
+    }
+    if (result != READER_OK) {
+        call_fail(call, call->answered ? CALL_FAILED_CUT : CALL_FAILED_SYNTAX);
+        return;
+    }
+    if (!call->reader.complete) {
+        return;
+    }
+    str_t rest = str_tail(bytes, used);
+    if (!call->skipping) {
+        call_complete(call, rest.length > 0);
+        return;
+    }
+    http_reader_reset(&call->reader);
+    call->reader.no_body = call->head_request;
+    call->skipping = FALSE;
+    if (rest.length > 0) {
+        answer_feed(call, rest);
+    }
+}
+
+static void
+on_bytes(void *user, str_t bytes)
+{
+    client_call_t *call = user;
+    if (!call->busy) {
+        call_free(call); /* unasked bytes on an idle connection */
+        return;
+    }
+    answer_feed(call, bytes);
+}
+
+static void
+on_closed(void *user, int error)
+{
+    client_call_t *call = user;
+    if (!call->busy) {
+        call_free(call);
+        return;
+    }
+    note_sent(call);
+    if (error == 0 && call->answered) {
+        call->in_reader = TRUE;
+        reader_result_t result = http_reader_end(&call->reader);
+        call->in_reader = FALSE;
+        if (call->cancelled) {
+            call_free(call);
+            return;
+        }
+        if (result == READER_OK && call->reader.complete) {
+            call->keep = FALSE;
+            call_complete(call, FALSE);
+            return;
+        }
+    }
+    if (call->answered) {
+        call_fail(call, CALL_FAILED_CUT);
+        return;
+    }
+    call_fail(call, call->sent ? CALL_FAILED_SENT : CALL_FAILED_UNSENT);
+}
+
+static void
+on_drained(void *user)
+{
+    note_sent(user);
+}
+
+static void
+on_connected(void *user)
+{
+    client_call_t *call = user;
+    timers_cancel(call->peer->timers, call->timer);
+    call->timer = 0;
+    call->connecting = FALSE;
+    gboolean sound = stream_socket_flush(call->socket);
+    note_sent(call);
+    if (!sound) {
+        call_fail(call, call->sent ? CALL_FAILED_SENT : CALL_FAILED_UNSENT);
+    }
+}
+
+static const stream_socket_ops_t SOCKET_OPS = {.connected = on_connected,
+                                               .bytes = on_bytes,
+                                               .drained = on_drained,
+                                               .closed = on_closed};
+
+static void
+connect_expired(void *data)
+{
+    client_call_t *call = data;
+    call->timer = 0;
+    call_fail(call, CALL_FAILED_UNSENT);
+}
+
+/* ---- peers ---- */
+
+http_peer_t *
+http_peer_create(poller_t *poller, timers_t *timers, str_t address,
+                 const http_peer_limits_t *limits)
+{
+    struct sockaddr_in parsed;
+    if (!socket_address_parse(address, &parsed)) {
+        return NULL;
+    }
+    http_peer_t *peer = g_new0(http_peer_t, 1);
+    *peer = (http_peer_t){.poller = poller,
+                          .timers = timers,
+                          .address = parsed,
+                          .limits = *limits};
+    return peer;
+}
+
+void
+http_peer_destroy(http_peer_t *peer)
+{
+    while (peer->busy != NULL) {
+        client_call_t *call = peer->busy->data;
+        note_sent(call);
+        call_fail(call, call->answered ? CALL_FAILED_CUT
+                        : call->sent   ? CALL_FAILED_SENT
+                                       : CALL_FAILED_UNSENT);
+    }
+    while (peer->idle != NULL) {
+        call_free(peer->idle->data);
+    }
+    g_free(peer);
+}
+
+guint
+http_peer_connections(const http_peer_t *peer)
+{
+    return peer->busy_count + peer->idle_count;
+}
+
+guint
+http_peer_connects(const http_peer_t *peer)
+{
+    return peer->connects;
+}
+
+static client_call_t *
+idle_take(http_peer_t *peer)
+{
+    gint64 now = timers_now(peer->timers);
+    while (peer->idle != NULL) {
+        client_call_t *call = peer->idle->data;
+        if (call->usable_until_us > now) {
+            peer->idle = g_list_remove_link(peer->idle, call->link);
+            peer->idle_count--;
+            peer->busy = g_list_concat(call->link, peer->busy);
+            peer->busy_count++;
+            call->busy = TRUE;
+            return call;
+        }
+        call_free(call);
+    }
+    return NULL;
+}
+
+static client_call_t *
+connect_new(http_peer_t *peer)
+{
+    if (peer->limits.connections > 0 &&
+        peer->busy_count >= peer->limits.connections) {
+        return NULL;
+    }
+    client_call_t *call = g_new0(client_call_t, 1);
+    call->peer = peer;
+    call->socket =
+        stream_socket_connect(peer->poller, &peer->address, &SOCKET_OPS, call);
+    if (call->socket == NULL) {
+        g_free(call);
+        return NULL;
+    }
+    peer->connects++;
+    call->busy = TRUE;
+    call->connecting = TRUE;
+    http_reader_init(&call->reader, FALSE, peer->limits.head_max, &READER_OPS,
+                     call);
+    peer->busy = g_list_prepend(peer->busy, call);
+    call->link = peer->busy;
+    peer->busy_count++;
+    call->timer = timers_subscribe(peer->timers, peer->limits.connect_us, 0,
+                                   connect_expired, call);
+    return call;
+}
+
+client_call_t *
+client_call_create(http_peer_t *peer, str_t bytes, gboolean head_request,
+                   const client_call_ops_t *ops, void *user)
+{
+    client_call_t *call = idle_take(peer);
+    if (call == NULL) {
+        call = connect_new(peer);
+    }
+    if (call == NULL) {
+        return NULL;
+    }
+    call->ops = ops;
+    call->user = user;
+    call->sent = FALSE;
+    call->skipping = FALSE;
+    call->answered = FALSE;
+    call->keep = TRUE;
+    call->head_request = head_request;
+    call->reader.no_body = head_request;
+    stream_socket_read(call->socket, TRUE);
+    stream_socket_write(call->socket, bytes);
+    /* A failed write shows as a close in its turn, so that the owner is never
+     * told of the failure within this call. */
+    stream_socket_flush(call->socket);
+    note_sent(call);
+    return call;
+}
+
+void
+client_call_cancel(client_call_t *call)
+{
+    if (call->in_reader) {
+        call->cancelled = TRUE;
+        return;
+    }
+    call_free(call);
+}
+
+gboolean
+client_call_sent(const client_call_t *call)
+{
+    return call->sent;
+}
+
+void
+client_call_read(client_call_t *call, gboolean on)
+{
+    stream_socket_read(call->socket, on);
+}
--- /dev/null
+++ b/carobloomd/http/server.c
@@ -0,0 +1,578 @@
+#include "carobloom/http/server.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "carobloom/common/counters.h"
+#include "carobloom/common/log.h"
+#include "carobloom/http/reader.h"
+#include "carobloom/http/stream_socket.h"
+
+enum {
+    ACCEPTS_A_TURN = 64,
+    LINGER_US = 500 * 1000, /* for a client to read a refusal before a close */
+};
+
+typedef enum {
+    CONNECTION_READING,
+    CONNECTION_ANSWERING, /* the owner has the exchange */
+    CONNECTION_CLOSING,   /* the last bytes go out */
+} connection_state_t;
+
+/* A connection and the exchange on it. */
+struct http_exchange {
+    http_server_t *server;
+    GList *link;
+    stream_socket_t *socket;
+    http_reader_t reader;
+    GByteArray *body;
+    GByteArray *unread; /* bytes after the request, for the next one */
+    connection_state_t state;
+    gint64 started_us;
+    gint64 activity_us;
+    guint64 timer;
+    gboolean chunked_answer;
+    gboolean close_after;
+    void *data;
+};
+
+struct http_server {
+    poller_t *poller;
+    timers_t *timers;
+    int fd;
+    poll_watch_t *watch;
+    guint16 port;
+    http_limits_t limits;
+    const http_server_ops_t *ops;
+    void *user;
+    GList *connections;
+    guint count;
+    guint exchanges;
+    gsize buffered; /* bytes of bodies held */
+    gboolean draining;
+};
+
+static void connection_feed(http_exchange_t *c, str_t bytes);
+static void connection_arm(http_exchange_t *c);
+
+/* ---- the life of a connection ---- */
+
+static void
+body_drop(http_exchange_t *c)
+{
+    c->server->buffered -= c->body->len;
+    g_byte_array_set_size(c->body, 0);
+}
+
+static void
+connection_free(http_exchange_t *c)
+{
+    http_server_t *server = c->server;
+    if (c->state == CONNECTION_ANSWERING) {
+        server->exchanges--;
+    }
+    timers_cancel(server->timers, c->timer);
+    server->connections = g_list_delete_link(server->connections, c->link);
+    server->count--;
+    body_drop(c);
+    g_byte_array_unref(c->body);
+    g_byte_array_unref(c->unread);
+    http_reader_clear(&c->reader);
+    g_free(c);
+}
+
+static void
+connection_close(http_exchange_t *c)
+{
+    stream_socket_destroy(c->socket);
+    connection_free(c);
+}
+
+static int
+on_request_head(void *user)
+{
+    http_exchange_t *c = user;
+    const http_head_t *head = &c->reader.head;
+    str_t expect;
+    if (head->has_length && head->length > c->server->limits.body_max) {
+        return -1;
+    }
+    if (http_head_find(head, "Expect", &expect) &&
+        http_name_is(expect, "100-continue")) {
+        stream_socket_write(c->socket, STR("HTTP/1.1 100 Continue\r\n\r\n"));
+        stream_socket_flush(c->socket);
+    }
+    return 0;
+}
+
+static int
+on_request_body(void *user, str_t bytes)
+{
+    http_exchange_t *c = user;
+    http_server_t *server = c->server;
+    if (c->body->len + bytes.length > server->limits.body_max ||
+        server->buffered + bytes.length > server->limits.buffered_max) {
+        return -1;
+    }
+    g_byte_array_append(c->body, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
+    server->buffered += bytes.length;
+    return 0;
+}
+
+static const reader_ops_t READER_OPS = {.head = on_request_head,
+                                        .body = on_request_body};
+
+/* Sends a final answer of this layer and closes. */
+static void
+connection_refuse(http_exchange_t *c, guint status)
+{
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(text,
+                           "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n"
+                           "Connection: close\r\n\r\n",
+                           status, http_reason(status));
+    stream_socket_write(c->socket,
+                        (str_t){.data = text->str, .length = text->len});
+    g_string_free(text, TRUE);
+    log_debug(LOG_PART_HTTP, "A request was refused with %u while read.",
+              status);
+    c->state = CONNECTION_CLOSING;
+    stream_socket_read(c->socket, FALSE);
+    if (!stream_socket_flush(c->socket)) {
+        connection_close(c);
+        return;
+    }
+    connection_arm(c);
+}
+
+static guint
+status_of(const http_exchange_t *c, reader_result_t result)
+{
+    if (result == READER_ERROR_HEAD) {
+        return 431;
+    }
+    if (result == READER_ERROR_OWNER) {
+        gboolean body = c->reader.head.has_length &&
+                        c->reader.head.length > c->server->limits.body_max;
+        body |= c->body->len + 1 > c->server->limits.body_max;
+        return body ? 413 : 503;
+    }
+    return 400;
+}
+
+static void
+connection_expired(void *data)
+{
+    http_exchange_t *c = data;
+    http_server_t *server = c->server;
+    c->timer = 0;
+    gint64 limit =
+        c->reader.started ? server->limits.head_us : server->limits.idle_us;
+    gint64 since = c->reader.started ? c->started_us : c->activity_us;
+    if (c->state == CONNECTION_CLOSING) {
+        connection_close(c);
+        return;
+    }
+    if (c->state == CONNECTION_ANSWERING ||
+        timers_now(server->timers) - since < limit) {
+        connection_arm(c);
+        return;
+    }
+    if (c->reader.started) {
+        connection_refuse(c, 408);
+        return;
+    }
+    connection_close(c);
+}
+
+/* One timer a connection, set anew only when it runs out. */
+static void
+connection_arm(http_exchange_t *c)
+{
+    http_server_t *server = c->server;
+    gint64 delay = c->reader.started
+                       ? MIN(server->limits.head_us, server->limits.idle_us)
+                       : server->limits.idle_us;
+    if (c->state == CONNECTION_CLOSING) {
+        delay = LINGER_US;
+    }
+    timers_cancel(server->timers, c->timer);
+    c->timer =
+        timers_subscribe(server->timers, delay, 0, connection_expired, c);
+}
+
+/* The request is whole: the owner gets it. */
+static void
+connection_request(http_exchange_t *c)
+{
+    http_server_t *server = c->server;
+    c->state = CONNECTION_ANSWERING;
+    c->close_after = !c->reader.head.keep_alive || c->reader.head.http_1_0;
+    c->data = NULL;
+    server->exchanges++;
+    server->ops->request(c, server->user);
+}
+
+static void
+connection_feed(http_exchange_t *c, str_t bytes)
+{
+    gsize used = 0;
+    gboolean first = !c->reader.started;
+    reader_result_t result = http_reader_feed(&c->reader, bytes, &used);
+    if (first && c->reader.started) {
+        c->started_us = timers_now(c->server->timers);
+        connection_arm(c);
+    }
+    if (result != READER_OK) {
+        counter_add(counter_get("http_refused_total", NULL, FALSE), 1);
+        connection_refuse(c, status_of(c, result));
+        return;
+    }
+    if (!c->reader.complete) {
+        return;
+    }
+    str_t rest = str_tail(bytes, used);
+    g_byte_array_append(c->unread, (const guint8 *)rest.data,
+                        (guint)rest.length);
+    connection_request(c);
+}
+
+static void
+on_bytes(void *user, str_t bytes)
+{
+    http_exchange_t *c = user;
+    c->activity_us = timers_now(c->server->timers);
+    if (c->state == CONNECTION_READING) {
+        connection_feed(c, bytes);
+        return;
+    }
+    if (c->state == CONNECTION_CLOSING) {
+        return;
+    }
+    g_byte_array_append(c->unread, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
+    if (c->unread->len > c->server->limits.head_max) {
+        stream_socket_read(c->socket, FALSE);
+    }
+}
+
+static void
+on_drained(void *user)
+{
+    http_exchange_t *c = user;
+    if (c->state == CONNECTION_CLOSING) {
+        connection_close(c);
+    }
+    else if (c->state == CONNECTION_ANSWERING) {
+        c->server->ops->drained(c, c->server->user);
+    }
+}
+
+static void
+on_closed(void *user, int error)
+{
+    (void)error;
+    http_exchange_t *c = user;
+    if (c->state == CONNECTION_ANSWERING) {
+        c->server->ops->gone(c, c->server->user);
+    }
+    connection_close(c);
+}
+
+static const stream_socket_ops_t SOCKET_OPS = {
+    .bytes = on_bytes, .drained = on_drained, .closed = on_closed};
+
+/* The answer is written: the connection takes the next request or ends. */
+static void
+connection_answered(http_exchange_t *c)
+{
+    http_server_t *server = c->server;
+    server->exchanges--;
+    c->state = CONNECTION_READING;
+    c->data = NULL;
+    body_drop(c);
+    gboolean sound = stream_socket_flush(c->socket);
+    if (!sound) {
+        connection_close(c);
+        return;
+    }
+    if (c->close_after) {
+        c->state = CONNECTION_CLOSING;
+        if (stream_socket_backlog(c->socket) == 0) {
+            connection_close(c);
+            return;
+        }
+        connection_arm(c);
+        return;
+    }
+    http_reader_reset(&c->reader);
+    c->activity_us = timers_now(server->timers);
+    if (c->unread->len > 0) {
+        GByteArray *bytes = c->unread;
+        c->unread = g_byte_array_new();
+        stream_socket_read(c->socket, TRUE);
+        connection_feed(c, (str_t){.data = (const char *)bytes->data,
+                                   .length = bytes->len});
+        g_byte_array_unref(bytes);
+    }
+}
+
+/* ---- the listener ---- */
+
+static void
+connection_create(http_server_t *server, int fd)
+{
+    http_exchange_t *c = g_new0(http_exchange_t, 1);
+    c->server = server;
+    c->socket = stream_socket_adopt(server->poller, fd, &SOCKET_OPS, c);
+    if (c->socket == NULL) {
+        g_free(c);
+        return;
+    }
+    c->body = g_byte_array_new();
+    c->unread = g_byte_array_new();
+    c->activity_us = timers_now(server->timers);
+    http_reader_init(&c->reader, TRUE, server->limits.head_max, &READER_OPS,
+                     c);
+    server->connections = g_list_prepend(server->connections, c);
+    c->link = server->connections;
+    server->count++;
+    connection_arm(c);
+}
+
+static void
+on_acceptable(guint32 events, void *data)
+{
+    (void)events;
+    http_server_t *server = data;
+    for (int i = 0; i < ACCEPTS_A_TURN; i++) {
+        int fd = accept4(server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        if (server->count >= server->limits.connections) {
+            counter_add(
+                counter_get("http_connections_over_total", NULL, FALSE), 1);
+            close(fd);
+            continue;
+        }
+        connection_create(server, fd);
+    }
+}
+
+http_server_t *
+http_server_create(poller_t *poller, timers_t *timers, const char *address,
+                   const http_limits_t *limits, const http_server_ops_t *ops,
+                   void *user)
+{
+    guint16 port = 0;
+    int fd = socket_listen(address, &port);
+    if (fd < 0) {
+        return NULL;
+    }
+    http_server_t *server = g_new0(http_server_t, 1);
+    *server = (http_server_t){.poller = poller,
+                              .timers = timers,
+                              .fd = fd,
+                              .port = port,
+                              .limits = *limits,
+                              .ops = ops,
+                              .user = user};
+    server->watch =
+        poll_watch_create(poller, fd, EPOLLIN, on_acceptable, server);
+    return server;
+}
+
+void
+http_server_unlisten(http_server_t *server)
+{
+    if (server->watch != NULL) {
+        g_clear_pointer(&server->watch, poll_watch_destroy);
+        close(server->fd);
+    }
+}
+
+void
+http_server_destroy(http_server_t *server)
+{
+    http_server_unlisten(server);
+    while (server->connections != NULL) {
+        on_closed(server->connections->data, 0);
+    }
+    g_free(server);
+}
+
+guint16
+http_server_port(const http_server_t *server)
+{
+    return server->port;
+}
+
+void
+http_server_set_limits(http_server_t *server, const http_limits_t *limits)
+{
+    server->limits = *limits;
+}
+
+void
+http_server_drain(http_server_t *server)
+{
+    server->draining = TRUE;
+}
+
+void
+http_server_close_idle(http_server_t *server)
+{
+    GList *next;
+    for (GList *l = server->connections; l != NULL; l = next) {
+        http_exchange_t *c = l->data;
+        next = l->next;
+        if (c->state == CONNECTION_READING && !c->reader.started) {
+            connection_close(c);
+        }
+    }
+}
+
+guint
+http_server_connections(const http_server_t *server)
+{
+    return server->count;
+}
+
+guint
+http_server_exchanges(const http_server_t *server)
+{
+    return server->exchanges;
+}
+
+/* ---- exchanges ---- */
+
+const http_head_t *
+http_exchange_head(const http_exchange_t *c)
+{
+    return &c->reader.head;
+}
+
+str_t
+http_exchange_body(const http_exchange_t *c)
+{
+    return (str_t){.data = (const char *)c->body->data,
+                   .length = c->body->len};
+}
+
+gint64
+http_exchange_started(const http_exchange_t *c)
+{
+    return c->started_us;
+}
+
+void
+http_exchange_set_data(http_exchange_t *c, void *data)
+{
+    c->data = data;
+}
+
+void *
+http_exchange_data(const http_exchange_t *c)
+{
+    return c->data;
+}
+
+static gboolean
+is_head_request(const http_exchange_t *c)
+{
+    return g_str_equal(c->reader.head.method, "HEAD");
+}
+
+static GString *
+answer_start(http_exchange_t *c, guint status, str_t fields)
+{
+    GString *text = g_string_sized_new(256 + fields.length);
+    c->close_after |= c->server->draining;
+    g_string_append_printf(text, "HTTP/1.1 %u %s\r\n", status,
+                           http_reason(status));
+    g_string_append_len(text, fields.data, (gssize)fields.length);
+    if (c->close_after) {
+        g_string_append(text, "Connection: close\r\n");
+    }
+    return text;
+}
+
+void
+http_exchange_answer(http_exchange_t *c, guint status, str_t fields,
+                     str_t body)
+{
+    GString *text = answer_start(c, status, fields);
+    if (status != 204 && status != 304) {
+        http_write_number(text, "Content-Length", body.length);
+    }
+    g_string_append_len(text, "\r\n", 2);
+    if (!is_head_request(c)) {
+        g_string_append_len(text, body.data, (gssize)body.length);
+    }
+    stream_socket_write(c->socket,
+                        (str_t){.data = text->str, .length = text->len});
+    g_string_free(text, TRUE);
+    connection_answered(c);
+}
+
+void
+http_exchange_begin(http_exchange_t *c, guint status, str_t fields)
+{
+    c->chunked_answer = !c->reader.head.http_1_0;
+    c->close_after |= !c->chunked_answer;
+    GString *text = answer_start(c, status, fields);
+    g_string_append(text, c->chunked_answer
+                              ? "Transfer-Encoding: chunked\r\n\r\n"
+                              : "\r\n");
+    stream_socket_write(c->socket,
+                        (str_t){.data = text->str, .length = text->len});
+    g_string_free(text, TRUE);
+}
+
+void
+http_exchange_write(http_exchange_t *c, str_t bytes)
+{
+    char size[24];
+    if (bytes.length == 0) {
+        return;
+    }
+    if (!c->chunked_answer) {
+        stream_socket_write(c->socket, bytes);
+    }
+    else {
+        int length = g_snprintf(size, sizeof(size),
+                                "%" G_GSIZE_MODIFIER "x\r\n", bytes.length);
+        stream_socket_write(c->socket,
+                            (str_t){.data = size, .length = (gsize)length});
+        stream_socket_write(c->socket, bytes);
+        stream_socket_write(c->socket, STR("\r\n"));
+    }
+    /* A failure shows as the close of the connection, in its turn. */
+    stream_socket_flush(c->socket);
+}
+
+void
+http_exchange_finish(http_exchange_t *c)
+{
+    if (c->chunked_answer) {
+        stream_socket_write(c->socket, STR("0\r\n\r\n"));
+    }
+    connection_answered(c);
+}
+
+void
+http_exchange_abort(http_exchange_t *c)
+{
+    stream_socket_reset(c->socket);
+    connection_free(c);
+}
+
+gsize
+http_exchange_backlog(const http_exchange_t *c)
+{
+    return stream_socket_backlog(c->socket);
+}
--- /dev/null
+++ b/carobloomd/http/stream_socket.c
@@ -0,0 +1,307 @@
+#include "carobloom/http/stream_socket.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+    READ_BYTES = 32 * 1024,
+    BACKLOG = 1024, /* connections waiting to be accepted */
+    /* Unacknowledged bytes for so long end a connection: several round trips
+     * with losses, well under the bounds for a final answer. */
+    USER_TIMEOUT_MS = 4000,
+    /* An idle peer that is gone is found within three seconds. */
+    KEEPALIVE_IDLE_S = 1,
+    KEEPALIVE_INTERVAL_S = 1,
+    KEEPALIVE_PROBES = 3,
+};
+
+struct stream_socket {
+    int fd;
+    poll_watch_t *watch;
+    const stream_socket_ops_t *ops;
+    void *user;
+    GByteArray *out; /* NULL while nothing waits */
+    gsize out_at;
+    gboolean connecting;
+    gboolean reading;
+    gboolean sent;
+};
+
+gboolean
+socket_address_parse(str_t text, struct sockaddr_in *address)
+{
+    char host[64];
+    gsize colon = 0;
+    guint64 port = 0;
+    while (colon < text.length && text.data[colon] != ':') {
+        colon++;
+    }
+    if (colon >= sizeof(host) || colon + 1 >= text.length ||
+        text.length - colon > 6) {
+        return FALSE;
+    }
+    for (gsize i = colon + 1; i < text.length; i++) {
+        if (!g_ascii_isdigit(text.data[i])) {
+            return FALSE;
+        }
+        port = port * 10 + (guint64)(text.data[i] - '0');
+    }
+    memcpy(host, text.data, colon);
+    host[colon] = '\0';
+    *address = (struct sockaddr_in){.sin_family = AF_INET,
+                                    .sin_port = htons((guint16)port)};
+    return port <= G_MAXUINT16 &&
+           inet_pton(AF_INET, host, &address->sin_addr) == 1;
+}
+
+int
+socket_listen(const char *text, guint16 *port)
+{
+    struct sockaddr_in address;
+    socklen_t length = sizeof(address);
+    if (!socket_address_parse(str_from_cstr(text), &address)) {
+        return SOCKET_ERROR_ADDRESS;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int one = 1;
+    if (fd < 0) {
+        return SOCKET_ERROR_SYSTEM;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+        listen(fd, BACKLOG) != 0 ||
+        getsockname(fd, (struct sockaddr *)&address, &length) != 0) {
+        int error = errno;
+        close(fd);
+        errno = error;
+        return SOCKET_ERROR_SYSTEM;
+    }
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+static void
+socket_options(int fd)
+{
+    int one = 1;
+    int timeout = USER_TIMEOUT_MS;
+    int idle = KEEPALIVE_IDLE_S;
+    int interval = KEEPALIVE_INTERVAL_S;
+    int probes = KEEPALIVE_PROBES;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void
+update_watch(stream_socket_t *s)
+{
+    guint32 events = 0;
+    if (s->connecting || (s->out != NULL && s->out->len > s->out_at)) {
+        events |= EPOLLOUT;
+    }
+    if (s->reading && !s->connecting) {
+        events |= EPOLLIN;
+    }
+    poll_watch_set(s->watch, events);
+}
+
+static void
+handle_readable(stream_socket_t *s)
+{
+    static __thread char buffer[READ_BYTES];
+    ssize_t count = recv(s->fd, buffer, sizeof(buffer), 0);
+    if (count > 0) {
+        s->ops->bytes(s->user,
+                      (str_t){.data = buffer, .length = (gsize)count});
+    }
+    else if (count == 0) {
+        s->ops->closed(s->user, 0);
+    }
+    else if (errno != EAGAIN && errno != EINTR) {
+        s->ops->closed(s->user, errno);
+    }
+}
+
+static void
+handle_connected(stream_socket_t *s)
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(s->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        s->ops->closed(s->user, error);
+        return;
+    }
+    s->connecting = FALSE;
+    update_watch(s);
+    s->ops->connected(s->user);
+}
+
+static void
+handle_writable(stream_socket_t *s)
+{
+    if (!stream_socket_flush(s)) {
+        s->ops->closed(s->user, EPIPE);
+        return;
+    }
+    if (stream_socket_backlog(s) == 0) {
+        s->ops->drained(s->user);
+    }
+}
+
+static void
+handle_events(guint32 events, void *data)
+{
+    stream_socket_t *s = data;
+    if (s->connecting) {
+        handle_connected(s);
+    }
+    else if (events & EPOLLIN) {
+        handle_readable(s);
+    }
+    else if (events & (EPOLLERR | EPOLLHUP)) {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        getsockopt(s->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+        s->ops->closed(s->user, error != 0 ? error : ECONNRESET);
+    }
+    else if (events & EPOLLOUT) {
+        handle_writable(s);
+    }
+}
+
+static stream_socket_t *
+socket_create(poller_t *poller, int fd, gboolean connecting,
+              const stream_socket_ops_t *ops, void *user)
+{
+    stream_socket_t *s = g_new0(stream_socket_t, 1);
+    *s = (stream_socket_t){.fd = fd,
+                           .ops = ops,
+                           .user = user,
+                           .connecting = connecting,
+                           .reading = TRUE};
+    s->watch = poll_watch_create(poller, fd, connecting ? EPOLLOUT : EPOLLIN,
+                                 handle_events, s);
+    if (s->watch == NULL) {
+        close(fd);
+        g_clear_pointer(&s, g_free);
+    }
+    return s;
+}
+
+stream_socket_t *
+stream_socket_adopt(poller_t *poller, int fd, const stream_socket_ops_t *ops,
+                    void *user)
+{
+    socket_options(fd);
+    return socket_create(poller, fd, FALSE, ops, user);
+}
+
+stream_socket_t *
+stream_socket_connect(poller_t *poller, const struct sockaddr_in *address,
+                      const stream_socket_ops_t *ops, void *user)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return NULL;
+    }
+    socket_options(fd);
+    if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return NULL;
+    }
+    return socket_create(poller, fd, TRUE, ops, user);
+}
+
+void
+stream_socket_destroy(stream_socket_t *s)
+{
+    poll_watch_destroy(s->watch);
+    close(s->fd);
+    if (s->out != NULL) {
+        g_byte_array_unref(s->out);
+    }
+    g_free(s);
+}
+
+void
+stream_socket_reset(stream_socket_t *s)
+{
+    struct linger linger = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(s->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    stream_socket_destroy(s);
+}
+
+void
+stream_socket_write(stream_socket_t *s, str_t bytes)
+{
+    if (s->out == NULL) {
+        s->out = g_byte_array_new();
+    }
+    g_byte_array_append(s->out, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
+}
+
+gboolean
+stream_socket_flush(stream_socket_t *s)
+{
+    while (!s->connecting && s->out != NULL && s->out_at < s->out->len) {
+        ssize_t count = send(s->fd, s->out->data + s->out_at,
+                             s->out->len - s->out_at, MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && errno == EAGAIN) {
+            break;
+        }
+        if (count <= 0) {
+            return FALSE;
+        }
+        s->sent = TRUE;
+        s->out_at += (gsize)count;
+    }
+    if (s->out != NULL && s->out_at == s->out->len) {
+        g_byte_array_set_size(s->out, 0);
+        s->out_at = 0;
+    }
+    update_watch(s);
+    return TRUE;
+}
+
+gsize
+stream_socket_backlog(const stream_socket_t *s)
+{
+    return s->out != NULL ? s->out->len - s->out_at : 0;
+}
+
+gboolean
+stream_socket_take_sent(stream_socket_t *s)
+{
+    gboolean sent = s->sent;
+    s->sent = FALSE;
+    return sent;
+}
+
+void
+stream_socket_read(stream_socket_t *s, gboolean on)
+{
+    s->reading = on;
+    update_watch(s);
+}
+
+void
+stream_socket_set_owner(stream_socket_t *s, const stream_socket_ops_t *ops,
+                        void *user)
+{
+    s->ops = ops;
+    s->user = user;
+}
--- a/carobloomd/process/log_store.c
+++ b/carobloomd/process/log_store.c
@@ -131,6 +131,15 @@
 
 /* ---- identity and hard state ---- */
 
+int
+log_store_set_id(log_store_t *s, guint64 id, char **why)
+{
+    GBytes *body = codec_write(g_variant_new("(t)", id));
+    int result = file_replace(s, "identity", body, why);
+    g_bytes_unref(body);
+    return result;
+}
+
 static int
 identity_load(log_store_t *s, store_state_t *state, char **why)
 {
@@ -141,10 +150,7 @@
     }
     if (body == NULL) {
         state->id = (guint64)g_random_int() << 32 | g_random_int();
-        body = codec_write(g_variant_new("(t)", state->id));
-        result = file_replace(s, "identity", body, why);
-        g_bytes_unref(body);
-        return result;
+        return log_store_set_id(s, state->id, why);
     }
     GVariant *v = codec_read(body, "(t)");
     g_bytes_unref(body);
--- a/carobloomd/process/main.c
+++ b/carobloomd/process/main.c
@@ -7,6 +7,8 @@
 #include "carobloom/common/fields.h"
 #include "carobloom/common/log.h"
 #include "carobloom/connection/http.h"
+#include "carobloom/gateway/gateway.h"
+#include "carobloom/gateway/settings.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/process/peers_task.h"
 #include "carobloom/process/policy_task.h"
@@ -111,6 +113,37 @@
     return settings;
 }
 
+/* Whether the file is of the routing gateway's kind. */
+static gboolean
+is_gateway(const char *path)
+{
+    char *text = NULL;
+    gsize length = 0;
+    gboolean is = g_file_get_contents(path, &text, &length, NULL) &&
+                  gateway_settings_is((str_t){.data = text, .length = length});
+    g_free(text);
+    return is;
+}
+
+static int
+gateway_check(const char *path)
+{
+    GPtrArray *faults = faults_create();
+    gateway_settings_t *settings = NULL;
+    gateway_settings_load(path, &settings, faults);
+    for (guint i = 0; i < faults->len; i++) {
+        const fault_t *fault = faults->pdata[i];
+        fprintf(stderr, "carobloomd: %s: %s\n", path, fault->text);
+    }
+    faults_destroy(faults);
+    if (settings == NULL) {
+        return EXIT_SETTINGS;
+    }
+    gateway_settings_destroy(settings);
+    printf("%s: no faults\n", path);
+    return EXIT_OK;
+}
+
 static log_level_t
 level_of(const char *name)
 {
@@ -315,6 +348,11 @@
     if (!options.run) {
         return options.exit_code;
     }
+    if (is_gateway(options.settings)) {
+        signal(SIGPIPE, SIG_IGN);
+        return options.check ? gateway_check(options.settings)
+                             : gateway_run(options.settings);
+    }
     settings_t *settings = settings_read(options.settings);
     if (settings == NULL) {
         return EXIT_SETTINGS;
--- /dev/null
+++ b/include/carobloom/common/poller.h
@@ -0,0 +1,32 @@
+/* File descriptors of a task, watched by one epoll set in its main context.
+ *
+ * One GSource stands for all of them: g_poll over hundreds of descriptors
+ * costs more than the work they bring. */
+#ifndef CAROBLOOM_COMMON_POLLER_H
+#define CAROBLOOM_COMMON_POLLER_H
+
+#include <glib.h>
+#include <sys/epoll.h>
+
+typedef struct poller poller_t;
+typedef struct poll_watch poll_watch_t;
+
+/* `events` are EPOLLIN, EPOLLOUT, EPOLLERR, EPOLLHUP. */
+typedef void (*poll_fn_t)(guint32 events, void *data);
+
+/* Called before each batch of events, to bring the owner's clock up to
+ * date. */
+typedef void (*poll_turn_fn_t)(void *data);
+
+/* NULL when the kernel gives no epoll set. */
+poller_t *poller_create(GMainContext *context, poll_turn_fn_t turn,
+                        void *data);
+void poller_destroy(poller_t *poller);
+/* Watches a descriptor, which stays the caller's; NULL when refused. */
+poll_watch_t *poll_watch_create(poller_t *poller, int fd, guint32 events,
+                                poll_fn_t fn, void *data);
+/* May be called from within any callback of the poller. */
+void poll_watch_destroy(poll_watch_t *watch);
+void poll_watch_set(poll_watch_t *watch, guint32 events);
+
+#endif
--- /dev/null
+++ b/include/carobloom/gateway/entry.h
@@ -0,0 +1,24 @@
+/* The entry task of an instance: callers' requests to endpoints. */
+#ifndef CAROBLOOM_GATEWAY_ENTRY_H
+#define CAROBLOOM_GATEWAY_ENTRY_H
+
+#include "carobloom/common/poller.h"
+#include "carobloom/common/task.h"
+#include "carobloom/gateway/settings.h"
+
+typedef struct entry entry_t;
+
+/* Listens and starts asking the control instances for news. NULL with the
+ * fault logged. */
+entry_t *entry_create(const gateway_settings_t *settings, task_t *task,
+                      poller_t *poller);
+void entry_destroy(entry_t *entry);
+/* Takes new settings (seeds and bounds); the old ones may go after it. */
+void entry_reload(entry_t *entry, const gateway_settings_t *settings);
+/* SIGTERM: no longer ready; ends in order until entry_idle. */
+void entry_drain(entry_t *entry);
+gboolean entry_idle(const entry_t *entry);
+/* State as text, for the dump; freed with g_free. */
+char *entry_dump(const entry_t *entry);
+
+#endif
--- /dev/null
+++ b/include/carobloom/gateway/gateway.h
@@ -0,0 +1,10 @@
+/* An instance that routes by the routing configuration: its task, signals and
+ * settings, for the entry and the control role alike. */
+#ifndef CAROBLOOM_GATEWAY_GATEWAY_H
+#define CAROBLOOM_GATEWAY_GATEWAY_H
+
+/* Runs until SIGTERM has been served. `path` is the settings file, read again
+ * on SIGHUP and when it changes. Returns the exit status. */
+int gateway_run(const char *path);
+
+#endif
--- /dev/null
+++ b/include/carobloom/gateway/settings.h
@@ -0,0 +1,51 @@
+/* Settings of an instance that routes by the routing configuration: an entry
+ * instance (callers) or a control instance (endpoints, operators, the log).
+ *
+ * samples/gateway.jsonc documents every key. */
+#ifndef CAROBLOOM_GATEWAY_SETTINGS_H
+#define CAROBLOOM_GATEWAY_SETTINGS_H
+
+#include <glib.h>
+
+#include "carobloom/common/str.h"
+
+enum {
+    GATEWAY_SETTINGS_OK = 0,
+    GATEWAY_SETTINGS_ERROR_READ = -1,
+    GATEWAY_SETTINGS_ERROR_FAULTS = -2,
+};
+
+typedef struct {
+    char *instance;
+    char *data_centre;
+    char *region;
+    char *data_folder;        /* of a control instance */
+    char *address;            /* IP that the other instances reach */
+    char *callers;            /* IP:PORT; empty on a control instance */
+    char *probe;              /* IP:PORT for the balancer */
+    char *control;            /* IP:PORT; empty on an entry instance */
+    char *metrics;            /* IP:PORT */
+    gboolean trusted_network; /* instances talk in plain text */
+    gboolean founding;        /* the whole site starts for the first time */
+    gint64 peers_port;        /* the same on all instances */
+    char **seeds;             /* IP:PORT of control listeners */
+    double memory_mb;
+    double descriptors;
+    double heartbeat_ms; /* of endpoints */
+    double grace_s;      /* from SIGTERM until the platform kills */
+    double revoke_ms;    /* a withdrawn key must not work for longer; 0: no
+                            bound */
+    double retry_ratio;  /* repeats for each request, of all instances */
+    double retry_window_s;
+    double retry_slack; /* repeats beyond */
+} gateway_settings_t;
+
+/* Whether the text is of this kind of settings. */
+gboolean gateway_settings_is(str_t text);
+int gateway_settings_parse(str_t text, gateway_settings_t **settings,
+                           GPtrArray *faults);
+int gateway_settings_load(const char *path, gateway_settings_t **settings,
+                          GPtrArray *faults);
+void gateway_settings_destroy(gateway_settings_t *settings);
+
+#endif
--- /dev/null
+++ b/include/carobloom/gateway/sync_wire.h
@@ -0,0 +1,61 @@
+/* What entry and control instances tell each other.
+ *
+ * An entry instance asks each control instance it knows for news and is held
+ * until there is some. Answers carry differences: leases that changed since
+ * the cursor, and the configuration as a splice of the text it has. */
+#ifndef CAROBLOOM_GATEWAY_SYNC_WIRE_H
+#define CAROBLOOM_GATEWAY_SYNC_WIRE_H
+
+#include <glib.h>
+
+#include "carobloom/policy/directory.h"
+
+#define SYNC_PATH "/sync"   /* entry to control */
+#define VOTER_PATH "/voter" /* control to control */
+
+enum { SYNC_ENDPOINTS_MAX = 20000, SYNC_CONTROLS_MAX = 64 };
+
+typedef struct {
+    char *instance;
+    guint64 version; /* of the configuration here; 0 for none */
+    guint64 epoch;   /* of the control instance's start that `cursor` is of */
+    guint64 cursor;  /* leases changed up to here are known */
+    guint32 wait_ms; /* to be held for, at most, when there is no news */
+} sync_request_t;
+
+typedef struct {
+    guint64 epoch;
+    guint64 cursor;
+    gboolean full;      /* `leases` are all, not the changes */
+    gboolean confirmed; /* no newer configuration was acknowledged by the time
+                           this was written */
+    guint64 version;    /* committed here */
+    guint64 base;       /* of the splice; 0: `inserted` is the whole */
+    guint64 prefix;
+    guint64 removed;
+    GBytes *inserted;    /* NULL: no news of the configuration */
+    GPtrArray *leases;   /* endpoint_lease_t * */
+    GPtrArray *controls; /* char *: IP:PORT of the voters' listeners */
+    guint32 entries;     /* entry instances that ask here */
+} sync_answer_t;
+
+GBytes *sync_request_write(const sync_request_t *request);
+gboolean sync_request_read(GBytes *bytes, sync_request_t *request);
+void sync_request_clear(sync_request_t *request);
+GBytes *sync_answer_write(const sync_answer_t *answer);
+gboolean sync_answer_read(GBytes *bytes, sync_answer_t *answer);
+void sync_answer_clear(sync_answer_t *answer);
+
+/* One message between control instances. `message` is empty when the sender
+ * only says who it is, so that the leader can take it in. */
+typedef struct {
+    char *from; /* IP:PORT of its listener; its name as a voter */
+    guint64 id; /* its identity as a voter */
+    GBytes *message;
+} voter_letter_t;
+
+GBytes *voter_letter_write(const voter_letter_t *letter);
+gboolean voter_letter_read(GBytes *bytes, voter_letter_t *letter);
+void voter_letter_clear(voter_letter_t *letter);
+
+#endif
--- /dev/null
+++ b/include/carobloom/http/client.h
@@ -0,0 +1,63 @@
+/* The calling side of HTTP/1.1: kept connections to one address, calls.
+ *
+ * A call is sent once on one connection and never again by this layer. Its
+ * failure says whether a byte of it may have reached the server. */
+#ifndef CAROBLOOM_HTTP_CLIENT_H
+#define CAROBLOOM_HTTP_CLIENT_H
+
+#include "carobloom/common/poller.h"
+#include "carobloom/common/timers.h"
+#include "carobloom/http/head.h"
+
+typedef struct http_peer http_peer_t; /* one address and its connections */
+typedef struct client_call client_call_t;
+
+typedef enum {
+    CALL_FAILED_UNSENT, /* no byte of it left */
+    CALL_FAILED_SENT,   /* no answer; it may have run */
+    CALL_FAILED_CUT,    /* the answer began and broke off */
+    CALL_FAILED_SYNTAX, /* what came is no answer */
+} call_failure_t;
+
+typedef enum { CALL_TAKE, CALL_SKIP, CALL_REFUSE } call_verdict_t;
+
+/* What the owner is told. The call is gone after `done` and `failed`. */
+typedef struct {
+    /* A head came. CALL_SKIP passes over an answer to another request that
+     * came late on this connection. */
+    call_verdict_t (*head)(client_call_t *call, const http_head_t *head,
+                           void *user);
+    void (*body)(client_call_t *call, str_t bytes, void *user);
+    void (*done)(client_call_t *call, void *user);
+    void (*failed)(client_call_t *call, call_failure_t failure, void *user);
+} client_call_ops_t;
+
+typedef struct {
+    gint64 connect_us; /* for a new connection to stand */
+    gint64 idle_us;    /* a connection idle for longer is not used again */
+    guint idle_max;    /* kept connections */
+    guint connections; /* of one peer in all; 0 for no bound */
+    gsize head_max;
+} http_peer_limits_t;
+
+/* NULL unless `address` is IP:PORT. */
+http_peer_t *http_peer_create(poller_t *poller, timers_t *timers,
+                              str_t address, const http_peer_limits_t *limits);
+/* Calls under way fail; each owner is told. */
+void http_peer_destroy(http_peer_t *peer);
+guint http_peer_connections(const http_peer_t *peer);
+guint http_peer_connects(const http_peer_t *peer);
+
+/* Sends `bytes`, a whole request. NULL when no connection can be had; the
+ * owner is not told then. `head_request` marks an answer without a body. */
+client_call_t *client_call_create(http_peer_t *peer, str_t bytes,
+                                  gboolean head_request,
+                                  const client_call_ops_t *ops, void *user);
+/* Ends a call and its connection without a word to the owner. */
+void client_call_cancel(client_call_t *call);
+/* Whether a byte of it may have left. */
+gboolean client_call_sent(const client_call_t *call);
+/* Stops and resumes reading the answer. */
+void client_call_read(client_call_t *call, gboolean on);
+
+#endif
--- /dev/null
+++ b/include/carobloom/http/server.h
@@ -0,0 +1,78 @@
+/* The serving side of HTTP/1.1: listeners, kept connections, exchanges.
+ *
+ * A connection carries one exchange at a time; a pipelined request waits in
+ * its buffer. The owner gets a request whole and answers it once, whole or in
+ * parts. */
+#ifndef CAROBLOOM_HTTP_SERVER_H
+#define CAROBLOOM_HTTP_SERVER_H
+
+#include "carobloom/common/poller.h"
+#include "carobloom/common/timers.h"
+#include "carobloom/http/head.h"
+
+typedef struct http_server http_server_t;
+typedef struct http_exchange http_exchange_t;
+
+/* Bounds on what a client may send. All are settings of the owner. */
+typedef struct {
+    gsize head_max;     /* bytes */
+    gsize body_max;     /* bytes */
+    gint64 head_us;     /* from the first byte to the end of the request */
+    gint64 idle_us;     /* between requests */
+    guint connections;  /* more are closed at once */
+    gsize buffered_max; /* bytes of request bodies in all */
+} http_limits_t;
+
+typedef struct {
+    /* A request is in. */
+    void (*request)(http_exchange_t *exchange, void *user);
+    /* The client left before its answer was complete. The exchange is gone
+     * after this call. */
+    void (*gone)(http_exchange_t *exchange, void *user);
+    /* What was written in parts has left; more may be written. */
+    void (*drained)(http_exchange_t *exchange, void *user);
+} http_server_ops_t;
+
+/* Listens at once. NULL when the address can not be had; errno tells why. */
+http_server_t *http_server_create(poller_t *poller, timers_t *timers,
+                                  const char *address,
+                                  const http_limits_t *limits,
+                                  const http_server_ops_t *ops, void *user);
+/* Closes all connections; the owner is told of exchanges under way. */
+void http_server_destroy(http_server_t *server);
+guint16 http_server_port(const http_server_t *server);
+void http_server_set_limits(http_server_t *server,
+                            const http_limits_t *limits);
+/* From now on answers carry "Connection: close". */
+void http_server_drain(http_server_t *server);
+/* Stops taking connections. */
+void http_server_unlisten(http_server_t *server);
+/* Closes connections with no request on them, not even a part. */
+void http_server_close_idle(http_server_t *server);
+guint http_server_connections(const http_server_t *server);
+guint http_server_exchanges(const http_server_t *server);
+
+/* The request; valid until the exchange ends. */
+const http_head_t *http_exchange_head(const http_exchange_t *exchange);
+str_t http_exchange_body(const http_exchange_t *exchange);
+/* When its first and last byte were read, by the timers' clock. */
+gint64 http_exchange_started(const http_exchange_t *exchange);
+void http_exchange_set_data(http_exchange_t *exchange, void *data);
+void *http_exchange_data(const http_exchange_t *exchange);
+
+/* A whole answer; `fields` are lines ending in CRLF, or empty. Ends the
+ * exchange. */
+void http_exchange_answer(http_exchange_t *exchange, guint status,
+                          str_t fields, str_t body);
+/* An answer in parts: head, bytes, end. */
+void http_exchange_begin(http_exchange_t *exchange, guint status,
+                         str_t fields);
+void http_exchange_write(http_exchange_t *exchange, str_t bytes);
+void http_exchange_finish(http_exchange_t *exchange);
+/* Breaks the connection off, so that what was sent is not taken for whole.
+ * Ends the exchange. */
+void http_exchange_abort(http_exchange_t *exchange);
+/* Bytes written but not yet taken by the kernel. */
+gsize http_exchange_backlog(const http_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/include/carobloom/policy/directory.h
@@ -0,0 +1,104 @@
+/* Where the endpoints of each service are, merged from what several control
+ * instances heard.
+ *
+ * An endpoint renews its lease at any control instance; each tells what it
+ * heard itself, and the merge is done here. That an endpoint drains or has
+ * left is never taken back for its id. Pure. */
+#ifndef CAROBLOOM_POLICY_DIRECTORY_H
+#define CAROBLOOM_POLICY_DIRECTORY_H
+
+#include <glib.h>
+
+#include "carobloom/common/str.h"
+
+enum {
+    DIRECTORY_SOURCES_MAX = 32, /* control instances; bits of a word */
+    ENDPOINT_PARTS = 512,       /* prompt parts remembered an endpoint */
+};
+
+typedef enum {
+    LEASE_READY,
+    LEASE_DRAINING, /* takes no new work */
+    LEASE_LEFT,     /* for good */
+    LEASE_SILENT,   /* not renewed at this control instance */
+    LEASE_STATES,
+} lease_state_t;
+
+/* What a control instance says of one endpoint. */
+typedef struct {
+    char *id; /* of one start of it */
+    char *service;
+    char *address; /* IP:PORT */
+    char *data_centre;
+    guint64 sequence;
+    guint slots;
+    lease_state_t state;
+    gint64 cold_ms; /* slow for so long from now */
+} endpoint_lease_t;
+
+void endpoint_lease_clear(endpoint_lease_t *lease);
+void endpoint_lease_copy(endpoint_lease_t *to, const endpoint_lease_t *from);
+
+/* How a request at an endpoint went, for its health. */
+typedef enum {
+    ENDPOINT_SERVED,
+    ENDPOINT_ERRED,       /* its own 5xx */
+    ENDPOINT_FULL,        /* refused, not run */
+    ENDPOINT_BROKE,       /* reset, cut, no HTTP, or silent */
+    ENDPOINT_UNREACHABLE, /* no connection */
+    ENDPOINT_MISDIRECTED, /* another one has the address */
+} endpoint_outcome_t;
+
+/* One endpoint, with what this instance knows of its load and health. */
+typedef struct {
+    char *id;
+    char *service;
+    char *address;
+    char *data_centre;
+    guint slots;
+    guint64 hash; /* of the id */
+    gboolean draining;
+    gboolean left;
+    guint32 heard_by;        /* sources that hear its renewals */
+    gint64 trusted_until_us; /* though no source hears it just now */
+    gint64 cold_until_us;
+    /* this instance's own requests there */
+    guint running;
+    guint waiting;          /* of them, before their first byte */
+    guint64 waiting_tokens; /* prompt tokens of those */
+    /* health */
+    double failures;        /* decaying share of failed requests */
+    gint64 closed_until_us; /* gets nothing until then */
+    gint64 backoff_us;
+    gint64 full_until_us;
+    guint64 parts[ENDPOINT_PARTS]; /* prompt parts sent there lately */
+    void *connections;             /* the owner's */
+} endpoint_t;
+
+typedef struct directory directory_t;
+
+/* `drop` frees an endpoint's `connections` as it goes. */
+directory_t *directory_create(void (*drop)(void *connections));
+void directory_destroy(directory_t *directory);
+/* Takes a lease as told by `source` (below DIRECTORY_SOURCES_MAX). */
+void directory_update(directory_t *directory, guint source,
+                      const endpoint_lease_t *lease, gint64 now_us);
+/* `source` starts over: what only it had heard is trusted a while longer. */
+void directory_forget(directory_t *directory, guint source, gint64 now_us);
+/* Drops endpoints that have long left and have no requests. */
+void directory_sweep(directory_t *directory, gint64 now_us);
+endpoint_t *directory_find(directory_t *directory, const char *id);
+/* Endpoints of a service that have not left, or NULL; endpoint_t *. */
+const GPtrArray *directory_service(const directory_t *directory,
+                                   const char *service);
+guint directory_count(const directory_t *directory);
+/* Whether it may be sent new work at all. */
+gboolean endpoint_usable(const endpoint_t *endpoint, gint64 now_us);
+/* Whether its health lets it take work just now. */
+gboolean endpoint_open(const endpoint_t *endpoint, gint64 now_us);
+void endpoint_note(endpoint_t *endpoint, endpoint_outcome_t outcome,
+                   gint64 now_us);
+void endpoint_note_part(endpoint_t *endpoint, guint64 part);
+gboolean endpoint_has_part(const endpoint_t *endpoint, guint64 part);
+
+#endif
--- /dev/null
+++ b/include/carobloom/policy/registry.h
@@ -0,0 +1,31 @@
+/* The leases of endpoints, as one control instance hears them. Pure.
+ *
+ * Kept in memory only: after a restart every live endpoint is heard again
+ * within a heartbeat. */
+#ifndef CAROBLOOM_POLICY_REGISTRY_H
+#define CAROBLOOM_POLICY_REGISTRY_H
+
+#include "carobloom/policy/directory.h"
+
+typedef enum {
+    REGISTRY_TAKEN,
+    REGISTRY_LATE, /* an older call that came late; nothing changed */
+    REGISTRY_GONE, /* it has left */
+} registry_result_t;
+
+typedef struct registry registry_t;
+
+registry_t *registry_create(gint64 heartbeat_us);
+void registry_destroy(registry_t *registry);
+registry_result_t registry_renew(registry_t *registry,
+                                 const endpoint_lease_t *lease, gint64 now_us);
+void registry_leave(registry_t *registry, const char *id, gint64 now_us);
+/* Marks silent what was not renewed in time; TRUE when something changed. */
+gboolean registry_expire(registry_t *registry, gint64 now_us);
+/* Raised with each change. */
+guint64 registry_cursor(const registry_t *registry);
+/* Copies of the leases changed after `cursor`, or of all for 0. */
+GPtrArray *registry_since(const registry_t *registry, guint64 cursor);
+guint registry_count(const registry_t *registry);
+
+#endif
--- a/include/carobloom/policy/rendezvous.h
+++ b/include/carobloom/policy/rendezvous.h
@@ -10,6 +10,8 @@
 
 /* A stable 64-bit hash of text (XXH3), the same on every machine. */
 guint64 hash_text(str_t text);
+/* The rank of a member for a key: the highest owns it. */
+guint64 hash_pair(guint64 key, guint64 member);
 /* The index of the member that owns `key`, or -1 when there is none. */
 gssize rendezvous_owner(guint64 key, const guint64 *members, gsize count);
 
--- a/include/carobloom/process/log_store.h
+++ b/include/carobloom/process/log_store.h
@@ -36,6 +36,8 @@
 int log_store_open(const char *folder, log_store_t **store,
                    store_state_t *state, char **why);
 void log_store_close(log_store_t *store);
+/* Replaces the identity of a folder that holds no state yet. */
+int log_store_set_id(log_store_t *store, guint64 id, char **why);
 int log_store_hard(log_store_t *store, const voter_hard_t *hard, char **why);
 /* Makes the log from `from` on durable, replacing what stood there. */
 int log_store_append(log_store_t *store, const replica_log_t *log,
--- /dev/null
+++ b/policy/directory.c
@@ -0,0 +1,308 @@
+#include "carobloom/policy/directory.h"
+
+#include <string.h>
+
+#include "carobloom/policy/rendezvous.h"
+
+enum {
+    SECOND_US = 1000 * 1000,
+    /* Three heartbeats of 1.2 s and one that is late. */
+    TRUST_US = 5 * SECOND_US,
+    /* A late renewal of an endpoint that left must still be known as such:
+     * they were met seconds late, not minutes. */
+    REMEMBER_US = 120 * SECOND_US,
+    BACKOFF_FIRST_US = 300 * 1000,
+    BACKOFF_MOST_US = 4 * SECOND_US,
+    /* A refusal says that its queue is full; it drains a few requests in such
+     * a time. */
+    FULL_US = 100 * 1000,
+    MISDIRECTED_US = 30 * SECOND_US,
+};
+
+/* The weight of the newest request in the share of failures: about the last
+ * twenty count. */
+static const double FAILURE_WEIGHT = 0.08;
+
+struct directory {
+    GHashTable *by_id;      /* endpoint_t, owned */
+    GHashTable *by_address; /* the newest endpoint of an address */
+    GHashTable *by_service; /* name -> GPtrArray */
+    GHashTable *left_at;    /* id -> gint64, when it left */
+    void (*drop)(void *connections);
+};
+
+void
+endpoint_lease_clear(endpoint_lease_t *lease)
+{
+    g_free(lease->id);
+    g_free(lease->service);
+    g_free(lease->address);
+    g_free(lease->data_centre);
+    *lease = (endpoint_lease_t){0};
+}
+
+void
+endpoint_lease_copy(endpoint_lease_t *to, const endpoint_lease_t *from)
+{
+    *to = *from;
+    to->id = g_strdup(from->id);
+    to->service = g_strdup(from->service);
+    to->address = g_strdup(from->address);
+    to->data_centre = g_strdup(from->data_centre);
+}
+
+static void
+endpoint_free(directory_t *d, endpoint_t *e)
+{
+    if (e->connections != NULL) {
+        d->drop(e->connections);
+    }
+    g_free(e->id);
+    g_free(e->service);
+    g_free(e->address);
+    g_free(e->data_centre);
+    g_free(e);
+}
+
+directory_t *
+directory_create(void (*drop)(void *connections))
+{
+    directory_t *d = g_new0(directory_t, 1);
+    d->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    d->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    d->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)g_ptr_array_unref);
+    d->left_at =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->drop = drop;
+    return d;
+}
+
+void
+directory_destroy(directory_t *d)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, d->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        endpoint_free(d, value);
+    }
+    g_hash_table_unref(d->by_id);
+    g_hash_table_unref(d->by_address);
+    g_hash_table_unref(d->by_service);
+    g_hash_table_unref(d->left_at);
+    g_free(d);
+}
+
+static GPtrArray *
+service_list(directory_t *d, const char *service)
+{
+    GPtrArray *list = g_hash_table_lookup(d->by_service, service);
+    if (list == NULL) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(d->by_service, g_strdup(service), list);
+    }
+    return list;
+}
+
+static void
+endpoint_leave(directory_t *d, endpoint_t *e, gint64 now_us)
+{
+    if (e->left) {
+        return;
+    }
+    e->left = TRUE;
+    g_ptr_array_remove(service_list(d, e->service), e);
+    if (g_hash_table_lookup(d->by_address, e->address) == e) {
+        g_hash_table_remove(d->by_address, e->address);
+    }
+    g_hash_table_insert(d->left_at, g_strdup(e->id),
+                        g_memdup2(&now_us, sizeof(now_us)));
+}
+
+/* Two starts at one address: the one known before has most likely ended. Not
+ * for good, since a renewal that was held up may make an old start known
+ * last; the answer of the endpoint itself decides (ENDPOINT_MISDIRECTED). */
+static void
+take_address(directory_t *d, endpoint_t *e, gint64 now_us)
+{
+    endpoint_t *before = g_hash_table_lookup(d->by_address, e->address);
+    if (before != NULL && before != e) {
+        before->closed_until_us = now_us + TRUST_US;
+    }
+    g_hash_table_replace(d->by_address, e->address, e);
+}
+
+static endpoint_t *
+endpoint_add(directory_t *d, const endpoint_lease_t *lease, gint64 now_us)
+{
+    endpoint_t *e = g_new0(endpoint_t, 1);
+    e->id = g_strdup(lease->id);
+    e->service = g_strdup(lease->service);
+    e->address = g_strdup(lease->address);
+    e->data_centre = g_strdup(lease->data_centre);
+    e->hash = hash_text(str_from_cstr(lease->id));
+    g_hash_table_insert(d->by_id, e->id, e);
+    g_ptr_array_add(service_list(d, e->service), e);
+    take_address(d, e, now_us);
+    return e;
+}
+
+void
+directory_update(directory_t *d, guint source, const endpoint_lease_t *lease,
+                 gint64 now_us)
+{
+    endpoint_t *e = g_hash_table_lookup(d->by_id, lease->id);
+    if (lease->state == LEASE_LEFT) {
+        if (e != NULL) {
+            endpoint_leave(d, e, now_us);
+        }
+        else {
+            g_hash_table_insert(d->left_at, g_strdup(lease->id),
+                                g_memdup2(&now_us, sizeof(now_us)));
+        }
+        return;
+    }
+    if (e == NULL && (lease->state == LEASE_SILENT ||
+                      g_hash_table_contains(d->left_at, lease->id))) {
+        return;
+    }
+    if (e == NULL) {
+        e = endpoint_add(d, lease, now_us);
+    }
+    if (lease->state == LEASE_SILENT) {
+        e->heard_by &= ~(1u << source);
+        return;
+    }
+    e->heard_by |= 1u << source;
+    e->draining |= lease->state == LEASE_DRAINING;
+    e->slots = lease->slots;
+    if (lease->cold_ms > 0) {
+        e->cold_until_us = now_us + lease->cold_ms * 1000;
+    }
+}
+
+void
+directory_forget(directory_t *d, guint source, gint64 now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, d->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        endpoint_t *e = value;
+        if (e->heard_by & 1u << source) {
+            e->heard_by &= ~(1u << source);
+            e->trusted_until_us = now_us + TRUST_US;
+        }
+    }
+}
+
+static gboolean
+left_is_old(gpointer key, gpointer value, gpointer now_us)
+{
+    (void)key;
+    return *(gint64 *)now_us - *(gint64 *)value > REMEMBER_US;
+}
+
+void
+directory_sweep(directory_t *d, gint64 now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, d->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        endpoint_t *e = value;
+        if (e->left && e->running == 0) {
+            g_hash_table_iter_remove(&iter);
+            endpoint_free(d, e);
+        }
+    }
+    g_hash_table_foreach_remove(d->left_at, left_is_old, &now_us);
+}
+
+endpoint_t *
+directory_find(directory_t *d, const char *id)
+{
+    return g_hash_table_lookup(d->by_id, id);
+}
+
+const GPtrArray *
+directory_service(const directory_t *d, const char *service)
+{
+    return g_hash_table_lookup(d->by_service, service);
+}
+
+guint
+directory_count(const directory_t *d)
+{
+    return g_hash_table_size(d->by_id);
+}
+
+gboolean
+endpoint_usable(const endpoint_t *e, gint64 now_us)
+{
+    return !e->left && !e->draining &&
+           (e->heard_by != 0 || now_us < e->trusted_until_us);
+}
+
+gboolean
+endpoint_open(const endpoint_t *e, gint64 now_us)
+{
+    return now_us >= e->closed_until_us && now_us >= e->full_until_us;
+}
+
+/* Twice as long for each failure in a row. */
+static void
+endpoint_close(endpoint_t *e, gint64 now_us)
+{
+    if (now_us < e->closed_until_us) {
+        return;
+    }
+    e->backoff_us = e->backoff_us == 0
+                        ? BACKOFF_FIRST_US
+                        : MIN(e->backoff_us * 2, BACKOFF_MOST_US);
+    e->closed_until_us = now_us + e->backoff_us;
+}
+
+void
+endpoint_note(endpoint_t *e, endpoint_outcome_t outcome, gint64 now_us)
+{
+    gboolean failed = outcome == ENDPOINT_BROKE || outcome == ENDPOINT_ERRED ||
+                      outcome == ENDPOINT_UNREACHABLE;
+    if (outcome != ENDPOINT_FULL && outcome != ENDPOINT_MISDIRECTED) {
+        e->failures += FAILURE_WEIGHT * ((failed ? 1.0 : 0.0) - e->failures);
+    }
+    switch (outcome) {
+    case ENDPOINT_SERVED:
+        e->backoff_us = 0;
+        break;
+    case ENDPOINT_FULL:
+        e->full_until_us = now_us + FULL_US;
+        break;
+    case ENDPOINT_MISDIRECTED:
+        e->closed_until_us = now_us + MISDIRECTED_US;
+        break;
+    case ENDPOINT_UNREACHABLE:
+        endpoint_close(e, now_us);
+        break;
+    case ENDPOINT_BROKE:
+        if (e->failures > 0.3) {
+            endpoint_close(e, now_us);
+        }
+        break;
+    case ENDPOINT_ERRED:
+        break;
+    }
+}
+
+void
+endpoint_note_part(endpoint_t *e, guint64 part)
+{
+    e->parts[part % ENDPOINT_PARTS] = part;
+}
+
+gboolean
+endpoint_has_part(const endpoint_t *e, guint64 part)
+{
+    return e->parts[part % ENDPOINT_PARTS] == part;
+}
--- /dev/null
+++ b/policy/repeat_budget.c
@@ -0,0 +1,53 @@
+#include "carobloom/policy/repeat_budget.h"
+
+/* Of what an instance may spend by its own count it spends this part: an
+ * instance added or one that is slow to hear of others must not break the
+ * sum. */
+static const double PRUDENCE = 0.7;
+
+/* The part of the window that the slots cover; the oldest is cleared as a new
+ * one begins. */
+static void
+advance(repeat_budget_t *b, const repeat_limits_t *limits, gint64 now_us)
+{
+    gint64 width = MAX(limits->window_us / (REPEAT_BUDGET_SLOTS - 1), 1);
+    gint64 slot = now_us / width;
+    gint64 from = MAX(b->slot + 1, slot - REPEAT_BUDGET_SLOTS + 1);
+    for (gint64 i = from; i <= slot; i++) {
+        b->firsts[i % REPEAT_BUDGET_SLOTS] = 0;
+        b->repeats[i % REPEAT_BUDGET_SLOTS] = 0;
+    }
+    b->slot = MAX(b->slot, slot);
+}
+
+static guint
+sum(const guint *slots)
+{
+    guint total = 0;
+    for (guint i = 0; i < REPEAT_BUDGET_SLOTS; i++) {
+        total += slots[i];
+    }
+    return total;
+}
+
+void
+repeat_budget_note_first(repeat_budget_t *b, const repeat_limits_t *limits,
+                         gint64 now_us)
+{
+    advance(b, limits, now_us);
+    b->firsts[b->slot % REPEAT_BUDGET_SLOTS]++;
+}
+
+gboolean
+repeat_budget_take(repeat_budget_t *b, const repeat_limits_t *limits,
+                   guint instances, gint64 now_us)
+{
+    advance(b, limits, now_us);
+    double allowed =
+        limits->ratio * sum(b->firsts) + limits->slack / MAX(instances, 1);
+    if (sum(b->repeats) + 1 > allowed * PRUDENCE) {
+        return FALSE;
+    }
+    b->repeats[b->slot % REPEAT_BUDGET_SLOTS]++;
+    return TRUE;
+}
