--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -112,15 +112,15 @@
     return TRUE;
 }
 
-repeat_budget_t *
-entry_budget(entry_t *e, const char *service)
+service_use_t *
+entry_service(entry_t *e, const char *service)
 {
-    repeat_budget_t *budget = g_hash_table_lookup(e->budgets, service);
-    if (budget == NULL) {
-        budget = g_new0(repeat_budget_t, 1);
-        g_hash_table_insert(e->budgets, g_strdup(service), budget);
+    service_use_t *use = g_hash_table_lookup(e->services, service);
+    if (use == NULL) {
+        use = g_new0(service_use_t, 1);
+        g_hash_table_insert(e->services, g_strdup(service), use);
     }
-    return budget;
+    return use;
 }
 
 repeat_limits_t
@@ -241,7 +241,7 @@
     e->timers = task_timers(task);
     e->random = g_rand_new();
     e->directory = directory_create(drop_connections);
-    e->budgets =
+    e->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     e->links = g_ptr_array_new();
     e->entries = 1;
@@ -262,7 +262,7 @@
     g_clear_pointer(&e->callers, http_server_destroy);
     g_clear_pointer(&e->probe, http_server_destroy);
     directory_destroy(e->directory);
-    g_hash_table_unref(e->budgets);
+    g_hash_table_unref(e->services);
     g_clear_pointer(&e->config, route_config_unref);
     g_clear_pointer(&e->text, g_bytes_unref);
     g_rand_free(e->random);
@@ -284,7 +284,7 @@
 }
 
 gboolean
-entry_idle(const entry_t *e)
+entry_idle(entry_t *e)
 {
     if (e->drain_us == 0) {
         return FALSE;
@@ -297,6 +297,8 @@
     if (since < MIN(DRAIN_NOTICE_US, most / 2)) {
         return FALSE;
     }
+    e->refusing = TRUE;
+    http_server_unlisten(e->callers);
     http_server_close_idle(e->callers);
     return http_server_exchanges(e->callers) == 0;
 }
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -13,11 +13,18 @@
 #include "carobloom/http/client.h"
 #include "carobloom/http/server.h"
 #include "carobloom/policy/directory.h"
+#include "carobloom/policy/placement.h"
 #include "carobloom/policy/repeat_budget.h"
 #include "carobloom/version/route_config.h"
 
 typedef struct control_link control_link_t;
 
+/* What this instance remembers of a service. */
+typedef struct {
+    repeat_budget_t budget;
+    placement_mix_t mix;
+} service_use_t;
+
 struct entry {
     const gateway_settings_t *settings;
     task_t *task;
@@ -29,7 +36,7 @@
     metrics_source_t dump;
     GRand *random;
     directory_t *directory;
-    GHashTable *budgets; /* service name -> repeat_budget_t */
+    GHashTable *services; /* name -> service_use_t */
     GPtrArray *links;    /* control_link_t * */
     /* the configuration in force here */
     route_config_t *config; /* NULL until one came */
@@ -38,6 +45,7 @@
     guint entries;       /* entry instances, as the control ones count them */
     gint64 started_us;
     gint64 drain_us; /* when SIGTERM came; 0: not yet */
+    gboolean refusing; /* what comes now would be cut by the end */
     guint forwards;  /* requests under way */
 };
 
@@ -48,7 +56,7 @@
 gboolean entry_take_config(entry_t *entry, guint64 version, GBytes *text);
 void entry_take_confirmation(entry_t *entry, gint64 asked_us);
 gint64 entry_now(const entry_t *entry);
-repeat_budget_t *entry_budget(entry_t *entry, const char *service);
+service_use_t *entry_service(entry_t *entry, const char *service);
 repeat_limits_t entry_repeat_limits(const entry_t *entry);
 
 /* control_link.c */
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -2,7 +2,6 @@
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
-#include "carobloom/policy/placement.h"
 #include "entry_state.h"
 #include "event_stream.h"
 #include "platform.h"
@@ -52,6 +51,7 @@
     const route_t *route;
     const team_t *team; /* NULL: none is needed */
     const char *service;
+    service_use_t *use;
     request_info_t info;
     gint64 started_us;
     gint64 final_us; /* it is answered by then */
@@ -253,7 +253,7 @@
     repeat_limits_t limits = entry_repeat_limits(e);
     leave_endpoint(f);
     if (!may_repeat(f) ||
-        (arrived && !repeat_budget_take(entry_budget(e, f->service), &limits,
+        (arrived && !repeat_budget_take(&f->use->budget, &limits,
                                         e->entries, now_of(f)))) {
         give_up(f, reason);
         return;
@@ -449,7 +449,7 @@
         f->runs++;
         repeat_limits_t limits = entry_repeat_limits(f->entry);
         if (may_repeat(f) &&
-            repeat_budget_take(entry_budget(f->entry, f->service), &limits,
+            repeat_budget_take(&f->use->budget, &limits,
                                f->entry->entries, now_of(f))) {
             leave_endpoint(f);
             forward_send(f);
@@ -546,6 +546,7 @@
         .parts = f->info.parts,
         .part_count = f->info.part_count,
         .prompt_tokens = f->info.prompt_tokens,
+        .long_part = placement_mix_long_part(&f->use->mix),
         .data_centre = f->entry->settings->data_centre,
         .tried_count = MIN(f->sends, PLACEMENT_TRIED_MAX),
         .draw = g_rand_int(f->entry->random),
@@ -571,14 +572,16 @@
     return endpoint->connections;
 }
 
-/* The team's rank goes before the route's. */
+/* The route's rank goes first and the team's decides among equals. The other
+ * way round engines preempt an urgent kind for a less urgent one
+ * (docs/design/placement.md, round 2). */
 static gint
 priority_of(const forward_t *f)
 {
-    enum { RANKS = 3, LOWEST = 9 };
+    enum { RANKS = 2, LOWEST = 9 };
     guint team =
         f->team != NULL && f->team->has_priority ? f->team->priority : 0;
-    return (gint)MIN(team * RANKS + MIN(f->route->priority, RANKS - 1),
+    return (gint)MIN(f->route->priority * RANKS + MIN(team, RANKS - 1),
                      LOWEST);
 }
 
@@ -658,6 +661,10 @@
 {
     entry_t *e = f->entry;
     *reason = "";
+    if (e->refusing) {
+        *reason = "this instance is ending";
+        return 503;
+    }
     if (e->config == NULL) {
         *reason = "no configuration yet";
         return 503;
@@ -714,7 +721,9 @@
                       : (guint)g_rand_int_range(e->random, 0,
                                                 (gint)f->route->weight_sum));
     repeat_limits_t limits = entry_repeat_limits(e);
-    repeat_budget_note_first(entry_budget(e, f->service), &limits, now_of(f));
+    f->use = entry_service(e, f->service);
+    placement_mix_note(&f->use->mix, f->info.prompt_tokens, now_of(f));
+    repeat_budget_note_first(&f->use->budget, &limits, now_of(f));
     forward_send(f);
 }
 
--- a/include/carobloom/gateway/entry.h
+++ b/include/carobloom/gateway/entry.h
@@ -15,9 +15,11 @@
 void entry_destroy(entry_t *entry);
 /* Takes new settings (seeds and bounds); the old ones may go after it. */
 void entry_reload(entry_t *entry, const gateway_settings_t *settings);
-/* SIGTERM: no longer ready; ends in order until entry_idle. */
+/* SIGTERM: no longer ready. Once the balancer had time to notice, entry_idle,
+ * asked again and again, refuses what still comes, and is TRUE when the last
+ * request is answered. */
 void entry_drain(entry_t *entry);
-gboolean entry_idle(const entry_t *entry);
+gboolean entry_idle(entry_t *entry);
 /* State as text, for the dump; freed with g_free. */
 char *entry_dump(const entry_t *entry);
 
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -88,7 +88,8 @@
 /* Drops endpoints that have long left and have no requests. */
 void directory_sweep(directory_t *directory, gint64 now_us);
 endpoint_t *directory_find(directory_t *directory, const char *id);
-/* Endpoints of a service that have not left, or NULL; endpoint_t *. */
+/* Endpoints of a service that have not left, or NULL; endpoint_t *, in an
+ * order that all instances agree on. */
 const GPtrArray *directory_service(const directory_t *directory,
                                    const char *service);
 guint directory_count(const directory_t *directory);
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -3,7 +3,12 @@
  * Each entry instance decides alone, from its own requests under way and the
  * parts of prompts it sent where. The instances agree without talking since
  * all rank the endpoints of one prompt the same (rendezvous hashing), and
- * leave that rank only when the first is loaded or unwell. Pure. */
+ * leave that rank only when the first is loaded or unwell.
+ *
+ * A long prompt read by an engine holds up the tokens of all that run beside
+ * it. The engines of a service are therefore parted, in the same order at all
+ * instances: some for long prompts, the others for the rest. How many follows
+ * from the prompt tokens of either kind that come in. Pure. */
 #ifndef CAROBLOOM_POLICY_PLACEMENT_H
 #define CAROBLOOM_POLICY_PLACEMENT_H
 
@@ -11,6 +16,21 @@
 
 enum { PLACEMENT_TRIED_MAX = 8 };
 
+/* Prompt tokens of late, by kind; one for each service. */
+typedef struct {
+    double long_tokens; /* decaying sums */
+    double short_tokens;
+    gint64 at_us;
+} placement_mix_t;
+
+/* Notes a request that came in. */
+void placement_mix_note(placement_mix_t *mix, guint prompt_tokens,
+                        gint64 now_us);
+/* The part of the engines that long prompts are for, 0 to 1. */
+double placement_mix_long_part(const placement_mix_t *mix);
+/* Whether a prompt of so many tokens counts as long. */
+gboolean placement_is_long(guint prompt_tokens);
+
 /* A part of a prompt; requests whose prompts begin alike share parts. */
 typedef struct {
     guint64 id;
@@ -21,6 +41,7 @@
     const prompt_part_t *parts; /* of the prompt, in order */
     guint part_count;
     guint prompt_tokens;
+    double long_part; /* of the engines, for long prompts */
     const char *data_centre;                      /* of this instance */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX]; /* not these again */
     guint tried_count;
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -133,6 +133,14 @@
     g_hash_table_replace(d->by_address, e->address, e);
 }
 
+static gint
+by_hash(gconstpointer a, gconstpointer b)
+{
+    const endpoint_t *x = *(endpoint_t *const *)a;
+    const endpoint_t *y = *(endpoint_t *const *)b;
+    return x->hash < y->hash ? -1 : x->hash > y->hash;
+}
+
 static endpoint_t *
 endpoint_add(directory_t *d, const endpoint_lease_t *lease, gint64 now_us)
 {
@@ -144,6 +152,7 @@
     e->hash = hash_text(str_from_cstr(lease->id));
     g_hash_table_insert(d->by_id, e->id, e);
     g_ptr_array_add(service_list(d, e->service), e);
+    g_ptr_array_sort(service_list(d, e->service), by_hash);
     take_address(d, e, now_us);
     return e;
 }
