--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -374,8 +374,7 @@
     counter_add(counter_get("voter_disk_failures_total", NULL, FALSE), 1);
     g_free(why);
     log->retry_us = clock_boot_us() + DISK_RETRY_US;
-    memset(&log->view, 0, sizeof(log->view));
-    log->view.base = (message_t){CONFIG_LOG_VIEW, plain_free};
+    log->view = (config_view_message_t){.base = {CONFIG_LOG_VIEW, plain_free}};
     task_send(log->owner, g_memdup2(&log->view, sizeof(log->view)));
 }
 
@@ -473,6 +472,27 @@
     }
 }
 
+static gboolean
+voters_equal(const voter_config_t *a, const voter_config_t *b)
+{
+    for (guint i = 0; a->count == b->count && i < a->count; i++) {
+        if (a->members[i].id != b->members[i].id ||
+            a->members[i].learner != b->members[i].learner) {
+            return FALSE;
+        }
+    }
+    return a->count == b->count;
+}
+
+static gboolean
+view_equal(const config_view_message_t *a, const config_view_message_t *b)
+{
+    return a->leads == b->leads && a->read_until_us == b->read_until_us &&
+           a->in_quorum == b->in_quorum && a->term == b->term &&
+           strcmp(a->leader, b->leader) == 0 &&
+           voters_equal(&a->voters, &b->voters);
+}
+
 static void
 send_view(config_log_t *log)
 {
@@ -481,17 +501,17 @@
     const char *name = leader == log->id ? log->self
                        : leader != 0     ? name_of(log, leader)
                                          : NULL;
-    config_view_message_t view;
-    memset(&view, 0, sizeof(view)); /* the padding too: it is compared */
-    view.base = (message_t){CONFIG_LOG_VIEW, plain_free};
-    view.leads = voter_role(log->core) == ROLE_LEADER;
-    view.term = voter_term(log->core);
-    view.voters = *voter_config(log->core);
+    config_view_message_t view = {
+        .base = {CONFIG_LOG_VIEW, plain_free},
+        .leads = voter_role(log->core) == ROLE_LEADER,
+        .term = voter_term(log->core),
+        .voters = *voter_config(log->core),
+    };
     view.read_until_us =
         voter_may_read(log->core, now) ? voter_lease(log->core) : 0;
     view.in_quorum = name != NULL && (!view.leads || view.read_until_us > now);
     g_strlcpy(view.leader, name != NULL ? name : "", sizeof(view.leader));
-    if (memcmp(&view, &log->view, sizeof(view)) != 0) {
+    if (!view_equal(&view, &log->view)) {
         log->view = view;
         task_send(log->owner, g_memdup2(&view, sizeof(view)));
     }
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -857,8 +857,10 @@
         task_destroy(c->log_task);
     }
     g_clear_pointer(&c->log, config_log_destroy);
-    while (c->held != NULL) {
-        held_free(c->held->data);
+    GList *next;
+    for (GList *l = c->held; l != NULL; l = next) {
+        next = l->next;
+        held_free(l->data);
     }
     g_clear_pointer(&c->server, http_server_destroy);
     g_clear_pointer(&c->inner, http_server_destroy);
@@ -878,8 +880,10 @@
     c->drained_us = now_of(c) + HANDOVER_US;
     http_server_drain(c->server);
     http_server_drain(c->inner);
-    while (c->held != NULL) {
-        held_answer(c->held->data);
+    GList *next;
+    for (GList *l = c->held; l != NULL; l = next) {
+        next = l->next;
+        held_answer(l->data);
     }
     task_send(c->log_task, config_hand_over_message());
 }
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -37,16 +37,16 @@
     GRand *random;
     directory_t *directory;
     GHashTable *services; /* name -> service_use_t */
-    GPtrArray *links;    /* control_link_t * */
+    GPtrArray *links;     /* control_link_t * */
     /* the configuration in force here */
     route_config_t *config; /* NULL until one came */
     GBytes *text;
     gint64 confirmed_us; /* clock_boot_us at which it was surely the newest */
     guint entries;       /* entry instances, as the control ones count them */
     gint64 started_us;
-    gint64 drain_us; /* when SIGTERM came; 0: not yet */
+    gint64 drain_us;   /* when SIGTERM came; 0: not yet */
     gboolean refusing; /* what comes now would be cut by the end */
-    guint forwards;  /* requests under way */
+    guint forwards;    /* requests under way */
 };
 
 /* Whether a key withdrawn for longer than the bound would be noticed. */
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -253,8 +253,8 @@
     repeat_limits_t limits = entry_repeat_limits(e);
     leave_endpoint(f);
     if (!may_repeat(f) ||
-        (arrived && !repeat_budget_take(&f->use->budget, &limits,
-                                        e->entries, now_of(f)))) {
+        (arrived && !repeat_budget_take(&f->use->budget, &limits, e->entries,
+                                        now_of(f)))) {
         give_up(f, reason);
         return;
     }
@@ -449,8 +449,8 @@
         f->runs++;
         repeat_limits_t limits = entry_repeat_limits(f->entry);
         if (may_repeat(f) &&
-            repeat_budget_take(&f->use->budget, &limits,
-                               f->entry->entries, now_of(f))) {
+            repeat_budget_take(&f->use->budget, &limits, f->entry->entries,
+                               now_of(f))) {
             leave_endpoint(f);
             forward_send(f);
             return;
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -291,15 +291,18 @@
 void
 http_peer_destroy(http_peer_t *peer)
 {
-    while (peer->busy != NULL) {
-        client_call_t *call = peer->busy->data;
+    GList *next;
+    for (GList *l = peer->busy; l != NULL; l = next) {
+        client_call_t *call = l->data;
+        next = l->next;
         note_sent(call);
         call_fail(call, call->answered ? CALL_FAILED_CUT
                         : call->sent   ? CALL_FAILED_SENT
                                        : CALL_FAILED_UNSENT);
     }
-    while (peer->idle != NULL) {
-        call_free(peer->idle->data);
+    for (GList *l = peer->idle; l != NULL; l = next) {
+        next = l->next;
+        call_free(l->data);
     }
     g_free(peer);
 }
@@ -320,8 +323,10 @@
 idle_take(http_peer_t *peer)
 {
     gint64 now = timers_now(peer->timers);
-    while (peer->idle != NULL) {
-        client_call_t *call = peer->idle->data;
+    GList *next;
+    for (GList *l = peer->idle; l != NULL; l = next) {
+        client_call_t *call = l->data;
+        next = l->next;
         if (call->usable_until_us > now) {
             peer->idle = g_list_remove_link(peer->idle, call->link);
             peer->idle_count--;
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -399,8 +399,10 @@
 http_server_destroy(http_server_t *server)
 {
     http_server_unlisten(server);
-    while (server->connections != NULL) {
-        on_closed(server->connections->data, 0);
+    GList *next;
+    for (GList *l = server->connections; l != NULL; l = next) {
+        next = l->next;
+        on_closed(l->data, 0);
     }
     g_free(server);
 }
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -41,8 +41,8 @@
     const prompt_part_t *parts; /* of the prompt, in order */
     guint part_count;
     guint prompt_tokens;
-    double long_part; /* of the engines, for long prompts */
-    const char *data_centre;                      /* of this instance */
+    double long_part;        /* of the engines, for long prompts */
+    const char *data_centre; /* of this instance */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX]; /* not these again */
     guint tried_count;
     guint32 draw; /* random, to break ties */
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -66,8 +66,7 @@
     if (weighted <= 0 || mix->long_tokens <= 0) {
         return 0;
     }
-    return CLAMP(mix->long_tokens / weighted, LONG_PART_LEAST,
-                 LONG_PART_MOST);
+    return CLAMP(mix->long_tokens / weighted, LONG_PART_LEAST, LONG_PART_MOST);
 }
 
 gboolean
@@ -188,8 +187,7 @@
            gboolean closed_too, gint64 now_us)
 {
     side_t side = side_of(endpoints, r);
-    const endpoint_t *home =
-        home_of(endpoints, side, shared_part(r), now_us);
+    const endpoint_t *home = home_of(endpoints, side, shared_part(r), now_us);
     endpoint_t *best = NULL;
     double best_ms = 0;
     for (guint i = 0; i < endpoints->len; i++) {
