Test the HTTP module over loopback; refuse spaces in field names

Cause, found by the tests: the parser library takes "Content-Length : 3", which others may frame in another way, and a chunked body over the limit was refused with 503 in place of 413.

--- a/carobloomd/http/reader.c
+++ b/carobloomd/http/reader.c
@@ -1,5 +1,7 @@
 #include "carobloom/http/reader.h"
 
+#include <string.h>
+
 static http_reader_t *
 reader_of(http_parser *parser)
 {
@@ -64,6 +66,25 @@
     return 0;
 }
 
+/* The library takes a space within a field's name; others may then frame the
+ * message in another way (RFC 9112, 5.1). */
+static gboolean
+names_are_tokens(const http_head_t *head)
+{
+    static const char MARKS[] = "!#$%&'*+-.^_`|~";
+    for (guint i = 0; i < head->fields->len; i++) {
+        str_t name = http_field_name(head, i);
+        for (gsize j = 0; j < name.length; j++) {
+            if (!g_ascii_isalnum(name.data[j]) &&
+                (name.data[j] == '\0' ||
+                 strchr(MARKS, name.data[j]) == NULL)) {
+                return FALSE;
+            }
+        }
+    }
+    return TRUE;
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -71,6 +92,9 @@
     http_head_t *head = &r->head;
     gboolean request = parser->type == HTTP_REQUEST;
     r->in_head = FALSE;
+    if (!names_are_tokens(head)) {
+        return -1;
+    }
     head->method =
         request ? http_method_str((enum http_method)parser->method) : NULL;
     head->status = request ? 0 : parser->status_code;
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -35,6 +35,7 @@
     guint64 timer;
     gboolean chunked_answer;
     gboolean close_after;
+    guint refusal; /* status, when a callback of the reader refused */
     void *data;
 };
 
@@ -97,6 +98,7 @@
     const http_head_t *head = &c->reader.head;
     str_t expect;
     if (head->has_length && head->length > c->server->limits.body_max) {
+        c->refusal = 413;
         return -1;
     }
     if (http_head_find(head, "Expect", &expect) &&
@@ -112,8 +114,12 @@
 {
     http_exchange_t *c = user;
     http_server_t *server = c->server;
-    if (c->body->len + bytes.length > server->limits.body_max ||
-        server->buffered + bytes.length > server->limits.buffered_max) {
+    if (c->body->len + bytes.length > server->limits.body_max) {
+        c->refusal = 413;
+        return -1;
+    }
+    if (server->buffered + bytes.length > server->limits.buffered_max) {
+        c->refusal = 503;
         return -1;
     }
     g_byte_array_append(c->body, (const guint8 *)bytes.data,
@@ -154,13 +160,7 @@
     if (result == READER_ERROR_HEAD) {
         return 431;
     }
-    if (result == READER_ERROR_OWNER) {
-        gboolean body = c->reader.head.has_length &&
-                        c->reader.head.length > c->server->limits.body_max;
-        body |= c->body->len + 1 > c->server->limits.body_max;
-        return body ? 413 : 503;
-    }
-    return 400;
+    return result == READER_ERROR_OWNER ? c->refusal : 400;
 }
 
 static void
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,702 @@
+/* The HTTP module over loopback: framing, kept connections, faulty peers. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "carobloom/http/client.h"
+#include "carobloom/http/reader.h"
+#include "carobloom/http/server.h"
+#include "check.h"
+
+enum { WAIT_US = 5 * 1000 * 1000, FUZZ_ROUNDS = 20000 };
+
+/* ---- reading ---- */
+
+typedef struct {
+    GString *body;
+    guint heads;
+} taken_t;
+
+static int
+take_head(void *user)
+{
+    ((taken_t *)user)->heads++;
+    return 0;
+}
+
+static int
+take_body(void *user, str_t bytes)
+{
+    g_string_append_len(((taken_t *)user)->body, bytes.data,
+                        (gssize)bytes.length);
+    return 0;
+}
+
+static const reader_ops_t TAKE = {.head = take_head, .body = take_body};
+
+typedef struct {
+    const char *name;
+    gboolean request;
+    const char *bytes;
+    reader_result_t result; /* of the feed that fails, or of all */
+    gboolean complete;      /* before the end of the bytes */
+    const char *body;
+    const char *rest;      /* not taken */
+    gboolean complete_end; /* after the peer closed */
+} read_case_t;
+
+#define GET "GET / HTTP/1.1\r\nHost: h\r\n"
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+static const read_case_t READ_CASES[] = {
+    {"plain", TRUE, GET "\r\n", READER_OK, TRUE, "", ""},
+    {"length", TRUE, "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET",
+     READER_OK, TRUE, "abc", "GET"},
+    {"chunks", TRUE,
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nab\r\n1\r\nc\r\n0\r\n\r\nX",
+     READER_OK, TRUE, "abc", "X"},
+    {"length and chunks", TRUE,
+     "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     READER_ERROR_SYNTAX, FALSE, "", NULL},
+    {"two lengths", TRUE,
+     "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+     READER_ERROR_SYNTAX, FALSE, "", NULL},
+    {"space before the colon", TRUE,
+     "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", READER_ERROR_SYNTAX,
+     FALSE, "", NULL},
+    {"a number that is none", TRUE,
+     "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc", READER_ERROR_SYNTAX,
+     FALSE, "", NULL},
+    {"no HTTP", TRUE, "\x16\x03\x01 hello\r\n\r\n", READER_ERROR_SYNTAX,
+     FALSE, "", NULL},
+    {"a head too long", TRUE,
+     GET "X: "
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+     READER_ERROR_HEAD, FALSE, "", NULL},
+    {"an answer by length", FALSE, OK_HEAD "Content-Length: 2\r\n\r\nokHTTP",
+     READER_OK, TRUE, "ok", "HTTP"},
+    {"an answer to the close", FALSE, OK_HEAD "\r\nok", READER_OK, FALSE, "ok",
+     "", TRUE},
+    {"an answer cut short", FALSE, OK_HEAD "Content-Length: 9\r\n\r\nok",
+     READER_OK, FALSE, "ok", "", FALSE},
+    {"chunks cut short", FALSE,
+     OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", READER_OK, FALSE,
+     "ok", "", FALSE},
+};
+
+/* Feeds in pieces of `step` bytes. */
+static void
+read_case(const read_case_t *c, gsize step)
+{
+    taken_t taken = {.body = g_string_new(NULL)};
+    http_reader_t reader;
+    http_reader_init(&reader, c->request, 256, &TAKE, &taken);
+    str_t left = str_from_cstr(c->bytes);
+    reader_result_t result = READER_OK;
+    while (left.length > 0 && result == READER_OK && !reader.complete) {
+        gsize used = 0;
+        str_t piece = {.data = left.data, .length = MIN(step, left.length)};
+        result = http_reader_feed(&reader, piece, &used);
+        left = str_tail(left, used);
+    }
+    if (result != c->result || reader.complete != c->complete) {
+        printf("%s, by %zu\n", c->name, step);
+    }
+    CU_ASSERT_EQUAL(result, c->result);
+    CU_ASSERT_EQUAL(reader.complete, c->complete);
+    if (c->result == READER_OK) {
+        CU_ASSERT_STRING_EQUAL(taken.body->str, c->body);
+        CU_ASSERT(str_equal(left, str_from_cstr(c->rest)));
+    }
+    if (c->result == READER_OK && !c->complete) {
+        reader_result_t end = http_reader_end(&reader);
+        CU_ASSERT_EQUAL(end,
+                        c->complete_end ? READER_OK : READER_ERROR_CUT);
+    }
+    http_reader_clear(&reader);
+    g_string_free(taken.body, TRUE);
+}
+
+static void
+test_read(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(READ_CASES); i++) {
+        read_case(&READ_CASES[i], 1);
+        read_case(&READ_CASES[i], 7);
+        read_case(&READ_CASES[i], 10000);
+    }
+}
+
+/* Bytes changed at random never crash the reader nor make it take more than
+ * it was given. */
+static void
+test_read_fuzz(void)
+{
+    GRand *random = g_rand_new_with_seed(7);
+    for (int i = 0; i < FUZZ_ROUNDS; i++) {
+        const read_case_t *c =
+            &READ_CASES[(gsize)i % G_N_ELEMENTS(READ_CASES)];
+        GString *bytes = g_string_new(c->bytes);
+        for (int j = 0; j < 3; j++) {
+            bytes->str[g_rand_int_range(random, 0, (gint)bytes->len)] =
+                (char)g_rand_int_range(random, 1, 256);
+        }
+        taken_t taken = {.body = g_string_new(NULL)};
+        http_reader_t reader;
+        gsize used = 0;
+        http_reader_init(&reader, c->request, 256, &TAKE, &taken);
+        http_reader_feed(&reader,
+                         (str_t){.data = bytes->str, .length = bytes->len},
+                         &used);
+        CU_ASSERT(used <= bytes->len);
+        CU_ASSERT(taken.body->len <= bytes->len);
+        CU_ASSERT(taken.heads <= 1);
+        http_reader_clear(&reader);
+        g_string_free(taken.body, TRUE);
+        g_string_free(bytes, TRUE);
+    }
+    g_rand_free(random);
+}
+
+/* ---- a loop to run things in ---- */
+
+typedef struct {
+    GMainContext *context;
+    poller_t *poller;
+    timers_t *timers;
+} loop_t;
+
+static void
+on_turn(void *data)
+{
+    timers_advance(((loop_t *)data)->timers, g_get_monotonic_time());
+}
+
+static void
+loop_open(loop_t *loop)
+{
+    loop->context = g_main_context_new();
+    loop->timers = timers_create(g_get_monotonic_time());
+    loop->poller = poller_create(loop->context, on_turn, loop);
+}
+
+static void
+loop_close(loop_t *loop)
+{
+    poller_destroy(loop->poller);
+    timers_destroy(loop->timers);
+    g_main_context_unref(loop->context);
+}
+
+/* Runs until `*done` or the bound; FALSE at the bound. */
+static gboolean
+loop_until(loop_t *loop, const gboolean *done)
+{
+    gint64 until = g_get_monotonic_time() + WAIT_US;
+    while (!*done && g_get_monotonic_time() < until) {
+        if (!g_main_context_iteration(loop->context, FALSE)) {
+            g_usleep(500);
+        }
+        timers_advance(loop->timers, g_get_monotonic_time());
+    }
+    return *done;
+}
+
+/* ---- calling faulty servers ---- */
+
+typedef enum { THEN_KEEP, THEN_CLOSE, THEN_RESET } then_t;
+
+typedef struct {
+    const char *name;
+    const char *bytes; /* sent after a request was read */
+    then_t then;
+    gboolean done;
+    call_failure_t failure;
+    const char *body;
+    gboolean kept; /* the next call goes on the same connection */
+} call_case_t;
+
+#define ID "Request-Id: mine\r\n"
+#define OTHER "Request-Id: other\r\n"
+#define TWO "Content-Length: 2\r\n\r\nok"
+
+static const call_case_t CALL_CASES[] = {
+    {"whole", OK_HEAD ID TWO, THEN_KEEP, TRUE, 0, "ok", TRUE},
+    {"closed after", OK_HEAD ID "Connection: close\r\n" TWO, THEN_CLOSE, TRUE,
+     0, "ok", FALSE},
+    {"to the close", OK_HEAD ID "\r\nok", THEN_CLOSE, TRUE, 0, "ok", FALSE},
+    {"to a reset", OK_HEAD ID "\r\nok", THEN_RESET, FALSE, CALL_FAILED_CUT,
+     "ok", FALSE},
+    {"cut", OK_HEAD ID "Content-Length: 5\r\n\r\nok", THEN_CLOSE, FALSE,
+     CALL_FAILED_CUT, "ok", FALSE},
+    {"read and closed", "", THEN_CLOSE, FALSE, CALL_FAILED_SENT, "", FALSE},
+    {"read and reset", "", THEN_RESET, FALSE, CALL_FAILED_SENT, "", FALSE},
+    {"no HTTP", "hello there\r\n\r\n", THEN_KEEP, FALSE, CALL_FAILED_SYNTAX,
+     "", FALSE},
+    {"an answer of another first", OK_HEAD OTHER "Content-Length: 3\r\n\r\nbad"
+     OK_HEAD ID TWO, THEN_KEEP, TRUE, 0, "ok", FALSE},
+    {"bytes after", OK_HEAD ID TWO "HTTP/1.1 200 OK\r\n", THEN_KEEP, TRUE, 0,
+     "ok", FALSE},
+    {"an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" OK_HEAD ID TWO,
+     THEN_KEEP, TRUE, 0, "ok", TRUE},
+};
+
+typedef struct {
+    const call_case_t *c;
+    int fd;
+    gint accepted; /* connections */
+    gint stop;
+} script_t;
+
+static void
+script_serve(const call_case_t *c, int fd)
+{
+    char buffer[4096];
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+        send(fd, c->bytes, strlen(c->bytes), MSG_NOSIGNAL);
+        if (c->then == THEN_RESET) {
+            /* Let the bytes be read first: a reset throws away the rest. */
+            g_usleep(50000);
+            struct linger linger = {.l_onoff = 1};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+        }
+        if (c->then != THEN_KEEP) {
+            break;
+        }
+    }
+    close(fd);
+}
+
+static gpointer
+script_run(gpointer data)
+{
+    script_t *script = data;
+    while (!g_atomic_int_get(&script->stop)) {
+        int fd = accept(script->fd, NULL, NULL);
+        if (fd < 0) {
+            break;
+        }
+        if (g_atomic_int_get(&script->stop)) {
+            close(fd);
+            break;
+        }
+        g_atomic_int_inc(&script->accepted);
+        script_serve(script->c, fd);
+    }
+    return NULL;
+}
+
+static int
+listen_any(guint16 *port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    bind(fd, (struct sockaddr *)&address, sizeof(address));
+    listen(fd, 8);
+    getsockname(fd, (struct sockaddr *)&address, &length);
+    *port = ntohs(address.sin_port);
+    return fd;
+}
+
+typedef struct {
+    gboolean over;
+    gboolean done;
+    call_failure_t failure;
+    GString *body;
+} outcome_t;
+
+static call_verdict_t
+call_head(client_call_t *call, const http_head_t *head, void *user)
+{
+    (void)call;
+    (void)user;
+    str_t id = {0};
+    http_head_find(head, "Request-Id", &id);
+    return str_equal(id, STR("mine")) ? CALL_TAKE : CALL_SKIP;
+}
+
+static void
+call_body(client_call_t *call, str_t bytes, void *user)
+{
+    (void)call;
+    g_string_append_len(((outcome_t *)user)->body, bytes.data,
+                        (gssize)bytes.length);
+}
+
+static void
+call_done(client_call_t *call, void *user)
+{
+    (void)call;
+    outcome_t *outcome = user;
+    outcome->over = TRUE;
+    outcome->done = TRUE;
+}
+
+static void
+call_failed(client_call_t *call, call_failure_t failure, void *user)
+{
+    (void)call;
+    outcome_t *outcome = user;
+    outcome->over = TRUE;
+    outcome->failure = failure;
+}
+
+static const client_call_ops_t CALL_OPS = {.head = call_head,
+                                           .body = call_body,
+                                           .done = call_done,
+                                           .failed = call_failed};
+
+static void
+call_once(loop_t *loop, http_peer_t *peer, outcome_t *outcome)
+{
+    *outcome = (outcome_t){.body = g_string_new(NULL)};
+    client_call_t *call =
+        client_call_create(peer, STR(GET "\r\n"), FALSE, &CALL_OPS, outcome);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(call);
+    CU_ASSERT(loop_until(loop, &outcome->over));
+}
+
+static const http_peer_limits_t PEER_LIMITS = {
+    .connect_us = 1000 * 1000,
+    .idle_us = 1000 * 1000,
+    .idle_max = 4,
+    .head_max = 4096,
+};
+
+static http_peer_t *
+peer_of(loop_t *loop, guint16 port)
+{
+    char address[32];
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+    return http_peer_create(loop->poller, loop->timers,
+                            str_from_cstr(address), &PEER_LIMITS);
+}
+
+static void
+call_case(const call_case_t *c)
+{
+    loop_t loop;
+    guint16 port;
+    outcome_t outcome;
+    script_t script = {.c = c, .fd = listen_any(&port)};
+    GThread *thread = g_thread_new("script", script_run, &script);
+    loop_open(&loop);
+    http_peer_t *peer = peer_of(&loop, port);
+    call_once(&loop, peer, &outcome);
+    if (outcome.done != c->done || outcome.failure != c->failure) {
+        printf("%s: done %d, failure %d\n", c->name, outcome.done,
+               outcome.failure);
+    }
+    CU_ASSERT_EQUAL(outcome.done, c->done);
+    CU_ASSERT_EQUAL(outcome.failure, c->failure);
+    CU_ASSERT_STRING_EQUAL(outcome.body->str, c->body);
+    g_string_free(outcome.body, TRUE);
+    if (c->done) {
+        CU_ASSERT_EQUAL(http_peer_connections(peer), c->kept ? 1 : 0);
+    }
+    g_atomic_int_set(&script.stop, 1);
+    http_peer_destroy(peer);
+    shutdown(script.fd, SHUT_RDWR);
+    g_thread_join(thread);
+    close(script.fd);
+    loop_close(&loop);
+}
+
+static void
+test_calls(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(CALL_CASES); i++) {
+        call_case(&CALL_CASES[i]);
+    }
+}
+
+/* No listener: nothing left, so it may go elsewhere whatever it is. */
+static void
+test_call_refused(void)
+{
+    loop_t loop;
+    guint16 port;
+    outcome_t outcome;
+    close(listen_any(&port));
+    loop_open(&loop);
+    http_peer_t *peer = peer_of(&loop, port);
+    call_once(&loop, peer, &outcome);
+    CU_ASSERT_FALSE(outcome.done);
+    CU_ASSERT_EQUAL(outcome.failure, CALL_FAILED_UNSENT);
+    g_string_free(outcome.body, TRUE);
+    http_peer_destroy(peer);
+    loop_close(&loop);
+}
+
+/* ---- serving faulty clients ---- */
+
+typedef struct {
+    loop_t loop;
+    http_server_t *server;
+    guint requests;
+    guint gone;
+    http_exchange_t *held;
+} site_t;
+
+static void
+site_request(http_exchange_t *exchange, void *user)
+{
+    site_t *site = user;
+    site->requests++;
+    str_t target = http_head_target(http_exchange_head(exchange));
+    if (str_equal(target, STR("/hold"))) {
+        site->held = exchange;
+        return;
+    }
+    if (str_equal(target, STR("/parts"))) {
+        http_exchange_begin(exchange, 200, STR(""));
+        http_exchange_write(exchange, STR("one"));
+        http_exchange_write(exchange, STR("two"));
+        http_exchange_finish(exchange);
+        return;
+    }
+    http_exchange_answer(exchange, 200, STR(""),
+                         http_exchange_body(exchange));
+}
+
+static void
+site_gone(http_exchange_t *exchange, void *user)
+{
+    site_t *site = user;
+    CU_ASSERT_PTR_EQUAL(exchange, site->held);
+    site->held = NULL;
+    site->gone++;
+}
+
+static void
+site_drained(http_exchange_t *exchange, void *user)
+{
+    (void)exchange;
+    (void)user;
+}
+
+static const http_server_ops_t SITE_OPS = {
+    .request = site_request, .gone = site_gone, .drained = site_drained};
+static const http_limits_t SITE_LIMITS = {
+    .head_max = 512,
+    .body_max = 64,
+    .head_us = 300 * 1000,
+    .idle_us = 600 * 1000,
+    .connections = 8,
+    .buffered_max = 1000,
+};
+
+static void
+site_open(site_t *site)
+{
+    *site = (site_t){0};
+    loop_open(&site->loop);
+    site->server =
+        http_server_create(site->loop.poller, site->loop.timers,
+                           "127.0.0.1:0", &SITE_LIMITS, &SITE_OPS, site);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(site->server);
+}
+
+static void
+site_close(site_t *site)
+{
+    http_server_destroy(site->server);
+    loop_close(&site->loop);
+}
+
+static int
+site_connect(const site_t *site)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons(http_server_port(site->server))};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_EQUAL_FATAL(
+        connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+    return fd;
+}
+
+/* Runs the site until the client has `wanted` bytes or the connection is
+ * closed; what came is returned. */
+static GString *
+site_read(site_t *site, int fd, const char *wanted)
+{
+    GString *text = g_string_new(NULL);
+    gint64 until = g_get_monotonic_time() + WAIT_US;
+    while (g_get_monotonic_time() < until) {
+        char buffer[4096];
+        g_main_context_iteration(site->loop.context, FALSE);
+        timers_advance(site->loop.timers, g_get_monotonic_time());
+        ssize_t count = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (count == 0 || (count < 0 && errno != EAGAIN)) {
+            g_string_append(text, "|closed");
+            break;
+        }
+        if (count > 0) {
+            g_string_append_len(text, buffer, count);
+        }
+        if (wanted != NULL && g_str_has_suffix(text->str, wanted)) {
+            break;
+        }
+        g_usleep(500);
+    }
+    return text;
+}
+
+typedef struct {
+    const char *name;
+    const char *bytes;
+    const char *wanted; /* NULL: until the close */
+    const char *has;    /* in what comes */
+    guint requests;
+} serve_case_t;
+
+static const serve_case_t SERVE_CASES[] = {
+    {"one", GET "\r\n", "\r\n\r\n", "200 OK", 1},
+    {"body", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", "hello",
+     "Content-Length: 5", 1},
+    {"two at once", GET "\r\n" GET "Connection: close\r\n\r\n", NULL,
+     "Connection: close", 2},
+    {"in parts", "GET /parts HTTP/1.1\r\n\r\n", "0\r\n\r\n",
+     "3\r\none\r\n3\r\ntwo\r\n", 1},
+    {"HTTP/1.0", "GET /parts HTTP/1.0\r\n\r\n", NULL, "onetwo|closed", 1},
+    {"smuggled",
+     "POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+     NULL, "400 Bad Request", 0},
+    {"too large", "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n", NULL, "413",
+     0},
+    {"too large in chunks",
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n60\r\n"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "aaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+     NULL, "413", 0},
+    {"never whole", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel", NULL,
+     "408", 0},
+    {"never begun", "", NULL, "|closed", 0},
+    {"expects to be asked",
+     "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok",
+     "ok", "100 Continue", 1},
+};
+
+static void
+test_serve(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(SERVE_CASES); i++) {
+        const serve_case_t *c = &SERVE_CASES[i];
+        site_t site;
+        site_open(&site);
+        int fd = site_connect(&site);
+        send(fd, c->bytes, strlen(c->bytes), MSG_NOSIGNAL);
+        GString *text = site_read(&site, fd, c->wanted);
+        if (strstr(text->str, c->has) == NULL ||
+            site.requests != c->requests) {
+            printf("%s: %u requests, %s\n", c->name, site.requests, text->str);
+        }
+        CU_ASSERT_PTR_NOT_NULL(strstr(text->str, c->has));
+        CU_ASSERT_EQUAL(site.requests, c->requests);
+        g_string_free(text, TRUE);
+        close(fd);
+        site_close(&site);
+    }
+}
+
+static gboolean
+site_until(site_t *site, const guint *count, guint wanted)
+{
+    gint64 until = g_get_monotonic_time() + WAIT_US;
+    while (*count < wanted && g_get_monotonic_time() < until) {
+        g_main_context_iteration(site->loop.context, FALSE);
+        g_usleep(500);
+    }
+    return *count >= wanted;
+}
+
+/* The owner is told of a client that leaves, once. */
+static void
+test_client_leaves(void)
+{
+    site_t site;
+    site_open(&site);
+    int fd = site_connect(&site);
+    send(fd, "GET /hold HTTP/1.1\r\n\r\n", 22, MSG_NOSIGNAL);
+    CU_ASSERT(site_until(&site, &site.requests, 1));
+    CU_ASSERT_EQUAL(http_server_exchanges(site.server), 1);
+    close(fd);
+    CU_ASSERT(site_until(&site, &site.gone, 1));
+    CU_ASSERT_EQUAL(http_server_exchanges(site.server), 0);
+    CU_ASSERT_EQUAL(http_server_connections(site.server), 0);
+    site_close(&site);
+}
+
+/* While draining an answer closes its connection, and only connections with
+ * nothing on them are closed at once. */
+static void
+test_drain(void)
+{
+    site_t site;
+    site_open(&site);
+    int busy = site_connect(&site);
+    int idle = site_connect(&site);
+    send(busy, "GET /hold HTTP/1.1\r\n\r\n", 22, MSG_NOSIGNAL);
+    CU_ASSERT(site_until(&site, &site.requests, 1));
+    http_server_drain(site.server);
+    http_server_close_idle(site.server);
+    GString *text = site_read(&site, idle, NULL);
+    CU_ASSERT_STRING_EQUAL(text->str, "|closed");
+    g_string_free(text, TRUE);
+    CU_ASSERT_EQUAL(http_server_exchanges(site.server), 1);
+    http_exchange_answer(site.held, 200, STR(""), STR("late"));
+    text = site_read(&site, busy, NULL);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text->str, "Connection: close"));
+    CU_ASSERT(g_str_has_suffix(text->str, "late|closed"));
+    g_string_free(text, TRUE);
+    close(busy);
+    close(idle);
+    site_close(&site);
+}
+
+/* An answer broken off does not look whole: the client sees no end mark. */
+static void
+test_abort(void)
+{
+    site_t site;
+    site_open(&site);
+    int fd = site_connect(&site);
+    send(fd, "GET /hold HTTP/1.1\r\n\r\n", 22, MSG_NOSIGNAL);
+    CU_ASSERT(site_until(&site, &site.requests, 1));
+    http_exchange_begin(site.held, 200, STR(""));
+    http_exchange_write(site.held, STR("part"));
+    GString *text = site_read(&site, fd, "part\r\n");
+    http_exchange_abort(site.held);
+    GString *rest = site_read(&site, fd, NULL);
+    CU_ASSERT_STRING_EQUAL(rest->str, "|closed");
+    CU_ASSERT_PTR_NULL(strstr(text->str, "0\r\n\r\n"));
+    g_string_free(text, TRUE);
+    g_string_free(rest, TRUE);
+    close(fd);
+    site_close(&site);
+}
+
+static const test_case_t CASES[] = {
+    {"messages are read by their framing", test_read},
+    {"changed bytes do no harm", test_read_fuzz},
+    {"what servers do is told apart", test_calls},
+    {"no listener means nothing left", test_call_refused},
+    {"what clients do is answered", test_serve},
+    {"a client that leaves is told once", test_client_leaves},
+    {"draining closes in order", test_drain},
+    {"an answer broken off is not whole", test_abort},
+};
+
+CHECK_MAIN("http", CASES)
