--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -71,14 +71,15 @@
     {"a number that is none", TRUE,
      "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc", READER_ERROR_SYNTAX,
      FALSE, "", NULL},
-    {"no HTTP", TRUE, "\x16\x03\x01 hello\r\n\r\n", READER_ERROR_SYNTAX,
-     FALSE, "", NULL},
+    {"no HTTP", TRUE, "\x16\x03\x01 hello\r\n\r\n", READER_ERROR_SYNTAX, FALSE,
+     "", NULL},
     {"a head too long", TRUE,
-     GET "X: "
-         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+     GET
+     "X: "
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
      READER_ERROR_HEAD, FALSE, "", NULL},
     {"an answer by length", FALSE, OK_HEAD "Content-Length: 2\r\n\r\nokHTTP",
      READER_OK, TRUE, "ok", "HTTP"},
@@ -117,8 +118,7 @@
     }
     if (c->result == READER_OK && !c->complete) {
         reader_result_t end = http_reader_end(&reader);
-        CU_ASSERT_EQUAL(end,
-                        c->complete_end ? READER_OK : READER_ERROR_CUT);
+        CU_ASSERT_EQUAL(end, c->complete_end ? READER_OK : READER_ERROR_CUT);
     }
     http_reader_clear(&reader);
     g_string_free(taken.body, TRUE);
@@ -152,9 +152,8 @@
         http_reader_t reader;
         gsize used = 0;
         http_reader_init(&reader, c->request, 256, &TAKE, &taken);
-        http_reader_feed(&reader,
-                         (str_t){.data = bytes->str, .length = bytes->len},
-                         &used);
+        http_reader_feed(
+            &reader, (str_t){.data = bytes->str, .length = bytes->len}, &used);
         CU_ASSERT(used <= bytes->len);
         CU_ASSERT(taken.body->len <= bytes->len);
         CU_ASSERT(taken.heads <= 1);
@@ -240,8 +239,9 @@
     {"read and reset", "", THEN_RESET, FALSE, CALL_FAILED_SENT, "", FALSE},
     {"no HTTP", "hello there\r\n\r\n", THEN_KEEP, FALSE, CALL_FAILED_SYNTAX,
      "", FALSE},
-    {"an answer of another first", OK_HEAD OTHER "Content-Length: 3\r\n\r\nbad"
-     OK_HEAD ID TWO, THEN_KEEP, TRUE, 0, "ok", FALSE},
+    {"an answer of another first",
+     OK_HEAD OTHER "Content-Length: 3\r\n\r\nbad" OK_HEAD ID TWO, THEN_KEEP,
+     TRUE, 0, "ok", FALSE},
     {"bytes after", OK_HEAD ID TWO "HTTP/1.1 200 OK\r\n", THEN_KEEP, TRUE, 0,
      "ok", FALSE},
     {"an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" OK_HEAD ID TWO,
@@ -377,8 +377,8 @@
 {
     char address[32];
     g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
-    return http_peer_create(loop->poller, loop->timers,
-                            str_from_cstr(address), &PEER_LIMITS);
+    return http_peer_create(loop->poller, loop->timers, str_from_cstr(address),
+                            &PEER_LIMITS);
 }
 
 static void
@@ -464,8 +464,7 @@
         http_exchange_finish(exchange);
         return;
     }
-    http_exchange_answer(exchange, 200, STR(""),
-                         http_exchange_body(exchange));
+    http_exchange_answer(exchange, 200, STR(""), http_exchange_body(exchange));
 }
 
 static void
@@ -501,8 +500,8 @@
     *site = (site_t){0};
     loop_open(&site->loop);
     site->server =
-        http_server_create(site->loop.poller, site->loop.timers,
-                           "127.0.0.1:0", &SITE_LIMITS, &SITE_OPS, site);
+        http_server_create(site->loop.poller, site->loop.timers, "127.0.0.1:0",
+                           &SITE_LIMITS, &SITE_OPS, site);
     CU_ASSERT_PTR_NOT_NULL_FATAL(site->server);
 }
 
@@ -516,10 +515,10 @@
 static int
 site_connect(const site_t *site)
 {
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-        .sin_port = htons(http_server_port(site->server))};
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+                                  .sin_port =
+                                      htons(http_server_port(site->server))};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     CU_ASSERT_EQUAL_FATAL(
         connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
--- /dev/null
+++ b/tests/test_routing.c
@@ -0,0 +1,683 @@
+/* The decisions of the routing gateway, without a socket or a clock: routes,
+ * leases, placement, repeats; and the platform's formats. */
+#include <math.h>
+#include <string.h>
+
+#include "../carobloomd/gateway/event_stream.h"
+#include "carobloom/gateway/sync_wire.h"
+#include "carobloom/http/reader.h"
+#include "carobloom/policy/directory.h"
+#include "carobloom/policy/placement.h"
+#include "carobloom/policy/registry.h"
+#include "carobloom/policy/repeat_budget.h"
+#include "carobloom/version/route_config.h"
+#include "check.h"
+#include "platform.h"
+
+enum { SECOND = 1000000 };
+
+/* ---- the configuration ---- */
+
+#define SERVICES                                                              \
+    "\"Services\":[{\"Name\":\"a\",\"HealthPath\":\"/h\",\"Engine\":"         \
+    "{\"Slots\":4}},{\"Name\":\"b\"}]"
+#define ROUTE(prefix, more)                                                   \
+    "{\"Name\":\"r\",\"Host\":\"H.example\",\"PathPrefix\":\"" prefix "\","   \
+    "\"Kind\":\"safe\",\"TimeoutMs\":100" more "}"
+
+typedef struct {
+    const char *name;
+    const char *text;
+    const char *fault; /* NULL: it is sound */
+} config_case_t;
+
+static const config_case_t CONFIG_CASES[] = {
+    {"sound",
+     "{\"Version\":3," SERVICES
+     ",\"Routes\":[" ROUTE("/x/", ",\"Service\":\"a\"") "]}",
+     NULL},
+    {"split",
+     "{\"Version\":3," SERVICES ",\"Routes\":[" ROUTE(
+         "/x/", ",\"Split\":[{\"Service\":\"a\",\"Weight\":0},"
+                "{\"Service\":\"b\",\"Weight\":2}]") "]}",
+     NULL},
+    {"cut short", "{\"Version\":3," SERVICES ",\"Rou", "line 1"},
+    {"not an object", "[]", "an object is required"},
+    {"no version", "{" SERVICES ",\"Routes\":[]}", "Version"},
+    {"no routes", "{\"Version\":3," SERVICES "}", "Routes"},
+    {"unknown service",
+     "{\"Version\":3," SERVICES
+     ",\"Routes\":[" ROUTE("/x/", ",\"Service\":\"c\"") "]}",
+     "there is no service c"},
+    {"same place",
+     "{\"Version\":3," SERVICES
+     ",\"Routes\":[" ROUTE("/x/", ",\"Service\":\"a\"") "," ROUTE(
+         "/x/", ",\"Service\":\"b\"") "]}",
+     "there twice"},
+    {"no weight",
+     "{\"Version\":3," SERVICES ",\"Routes\":[" ROUTE(
+         "/x/", ",\"Split\":[{\"Service\":\"a\",\"Weight\":0}]") "]}",
+     "add up to 0"},
+    {"no timeout",
+     "{\"Version\":3," SERVICES ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
+     "\"PathPrefix\":\"/x/\",\"Service\":\"a\",\"TimeoutMs\":0}]}",
+     "timeout"},
+    {"a prefix without a slash",
+     "{\"Version\":3," SERVICES
+     ",\"Routes\":[" ROUTE("/x", ",\"Service\":\"a\"") "]}",
+     "slash"},
+    {"shared key",
+     "{\"Version\":3," SERVICES ",\"Routes\":[],\"Tenants\":["
+     "{\"Name\":\"t\",\"ApiKeys\":[\"k\"]},"
+     "{\"Name\":\"u\",\"ApiKeys\":[\"k\"]}]}",
+     "shares a key"},
+    {"a negative timeout",
+     "{\"Version\":3," SERVICES ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
+     "\"PathPrefix\":\"/x/\",\"Service\":\"a\",\"TimeoutMs\":-1}]}",
+     "Routes.0.TimeoutMs"},
+};
+
+static void
+test_config_faults(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(CONFIG_CASES); i++) {
+        const config_case_t *c = &CONFIG_CASES[i];
+        route_config_t *config;
+        char *fault = NULL;
+        int result =
+            platform_config_decode(str_from_cstr(c->text), &config, &fault);
+        if ((result == PLATFORM_OK) != (c->fault == NULL)) {
+            printf("%s: %s\n", c->name, fault ? fault : "sound");
+        }
+        CU_ASSERT_EQUAL(result == PLATFORM_OK, c->fault == NULL);
+        CU_ASSERT(c->fault == NULL ||
+                  (fault != NULL && strstr(fault, c->fault) != NULL));
+        g_free(fault);
+        g_clear_pointer(&config, route_config_unref);
+    }
+}
+
+static route_config_t *
+sample_config(void)
+{
+    static const char TEXT[] =
+        "{\"Version\":9," SERVICES ",\"Routes\":["
+        "{\"Name\":\"short\",\"Host\":\"h.example\",\"PathPrefix\":\"/x/\","
+        "\"Kind\":\"safe\",\"TimeoutMs\":100,\"Service\":\"a\"},"
+        "{\"Name\":\"long\",\"Host\":\"h.example\",\"PathPrefix\":\"/x/y/\","
+        "\"Kind\":\"stream\",\"Resumable\":true,\"TimeoutMs\":100,"
+        "\"Split\":[{\"Service\":\"a\",\"Weight\":3},"
+        "{\"Service\":\"b\",\"Weight\":1}]},"
+        "{\"Name\":\"once\",\"Host\":\"o.example\",\"PathPrefix\":\"/\","
+        "\"Kind\":\"unsafe\",\"Public\":true,\"TimeoutMs\":100,"
+        "\"Service\":\"b\"}],"
+        "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k1\",\"k2\"],"
+        "\"Priority\":1}]}";
+    route_config_t *config = NULL;
+    char *fault = NULL;
+    platform_config_decode(str_from_cstr(TEXT), &config, &fault);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    return config;
+}
+
+typedef struct {
+    const char *host;
+    const char *target;
+    const char *route; /* NULL: none */
+} match_case_t;
+
+static const match_case_t MATCH_CASES[] = {
+    {"h.example", "/x/1", "short"},    {"H.Example:80", "/x/", "short"},
+    {"h.example", "/x/y/1", "long"},   {"h.example", "/x/y", "short"},
+    {"h.example", "/x/yy/1", "short"}, {"h.example", "/x?a=/y/", NULL},
+    {"h.example", "/", NULL},          {"o.example", "/any/where", "once"},
+    {"h.exampl", "/x/1", NULL},        {"", "/x/1", NULL},
+};
+
+static void
+test_match(void)
+{
+    route_config_t *config = sample_config();
+    for (gsize i = 0; i < G_N_ELEMENTS(MATCH_CASES); i++) {
+        const match_case_t *c = &MATCH_CASES[i];
+        const route_t *route = route_config_match(
+            config, str_from_cstr(c->host), str_from_cstr(c->target));
+        CU_ASSERT_EQUAL(route != NULL, c->route != NULL);
+        if (route != NULL && c->route != NULL) {
+            CU_ASSERT_STRING_EQUAL(route->name, c->route);
+        }
+    }
+    CU_ASSERT_PTR_NOT_NULL(route_config_team(config, STR("k2")));
+    CU_ASSERT_PTR_NULL(route_config_team(config, STR("k3")));
+    CU_ASSERT_PTR_NULL(route_config_team(config, STR("k2\0x")));
+    route_config_unref(config);
+}
+
+static void
+test_shares_and_kinds(void)
+{
+    route_config_t *config = sample_config();
+    const route_t *split = config->routes->pdata[1];
+    guint to_a = 0;
+    for (guint draw = 0; draw < split->weight_sum; draw++) {
+        to_a += strcmp(route_pick(split, draw), "a") == 0;
+    }
+    CU_ASSERT_EQUAL(to_a, 3);
+    CU_ASSERT_EQUAL(split->weight_sum, 4);
+    CU_ASSERT(route_repeatable(config->routes->pdata[0]));
+    CU_ASSERT(route_repeatable(split));
+    CU_ASSERT_FALSE(route_repeatable(config->routes->pdata[2]));
+    route_config_unref(config);
+}
+
+/* ---- requests ---- */
+
+static int
+nothing_head(void *user)
+{
+    (void)user;
+    return 0;
+}
+
+static int
+nothing_body(void *user, str_t bytes)
+{
+    (void)user;
+    (void)bytes;
+    return 0;
+}
+
+static const reader_ops_t NOTHING = {.head = nothing_head,
+                                     .body = nothing_body};
+
+static void
+read_head(http_reader_t *reader, const char *text)
+{
+    gsize used;
+    http_reader_init(reader, TRUE, 4096, &NOTHING, NULL);
+    CU_ASSERT_EQUAL(http_reader_feed(reader, str_from_cstr(text), &used),
+                    READER_OK);
+    CU_ASSERT(reader->complete);
+}
+
+/* What a client may not set goes no further; what is its own does. */
+static void
+test_request_fields(void)
+{
+    http_reader_t reader;
+    read_head(&reader,
+              "POST /x/1?q=2 HTTP/1.1\r\nHost: h.example\r\n"
+              "Request-Id: abc\r\nAuthorization: Bearer secret\r\n"
+              "Deadline-Ms: 900\r\nTenant: forged\r\nHold: 1\r\n"
+              "Pin-Ms: 9\r\nKv-From: 1.2.3.4:5/x\r\nKv-Backup: y\r\n"
+              "Request-Priority: 0\r\nExpect-Instance: other\r\n"
+              "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Own: 2\r\n"
+              "Prompt-Prefix: 5c1e07a2:800, 91bd3f06:410\r\n"
+              "Token-Counts: 1460,80\r\nModel: m\r\n"
+              "Content-Length: 0\r\n\r\n");
+    request_info_t info;
+    platform_request_decode(&reader.head, &info);
+    CU_ASSERT(str_equal(info.id, STR("abc")));
+    CU_ASSERT(str_equal(info.key, STR("secret")));
+    CU_ASSERT_EQUAL(info.deadline_ms, 900);
+    CU_ASSERT_EQUAL(info.prompt_tokens, 1460);
+    CU_ASSERT_EQUAL(info.output_tokens, 80);
+    CU_ASSERT_EQUAL(info.part_count, 2);
+    CU_ASSERT_EQUAL(info.parts[1].id, 0x91bd3f06);
+    CU_ASSERT_EQUAL(info.parts[1].tokens, 410);
+    forward_info_t forward = {
+        .deadline_ms = 500, .instance = "i-1", .team = "t", .priority = 3};
+    GString *bytes =
+        platform_request_encode(&reader.head, STR("body"), &forward);
+    CU_ASSERT(g_str_has_prefix(bytes->str, "POST /x/1?q=2 HTTP/1.1\r\n"));
+    static const char *const KEPT[] = {
+        "\r\nRequest-Id: abc\r\n",
+        "\r\nX-Own: 2\r\n",
+        "\r\nModel: m\r\n",
+        "\r\nTenant: t\r\n",
+        "\r\nExpect-Instance: i-1\r\n",
+        "\r\nDeadline-Ms: 500\r\n",
+        "\r\nRequest-Priority: 3\r\n",
+        "\r\nContent-Length: 4\r\n\r\nbody",
+    };
+    static const char *const DROPPED[] = {
+        "secret", "forged", "Hold",       "Pin-Ms", "Kv-",
+        "other",  "X-Hop",  "Connection", "900",
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(KEPT); i++) {
+        CU_ASSERT_PTR_NOT_NULL(strstr(bytes->str, KEPT[i]));
+    }
+    for (gsize i = 0; i < G_N_ELEMENTS(DROPPED); i++) {
+        CU_ASSERT_PTR_NULL(strstr(bytes->str, DROPPED[i]));
+    }
+    g_string_free(bytes, TRUE);
+    http_reader_clear(&reader);
+}
+
+/* ---- events ---- */
+
+typedef struct {
+    GString *ids;
+    gsize bytes;
+} events_t;
+
+static void
+take_event(str_t bytes, guint64 id, void *user)
+{
+    events_t *events = user;
+    events->bytes += bytes.length;
+    g_string_append_printf(events->ids, "%d ", (int)id);
+}
+
+static void
+test_events(void)
+{
+    static const char TEXT[] = "id: 1\ndata: a\n\n"
+                               "data: x\nid:22\n\n"
+                               "weight-versions: 2\r\nid: 3\r\n\r\n"
+                               ": comment\n\n"
+                               "id: 4\nda";
+    for (gsize step = 1; step < sizeof(TEXT); step++) {
+        events_t events = {.ids = g_string_new(NULL)};
+        event_stream_t stream;
+        event_stream_init(&stream);
+        for (gsize at = 0; at < sizeof(TEXT) - 1; at += step) {
+            str_t piece = {.data = TEXT + at,
+                           .length = MIN(step, sizeof(TEXT) - 1 - at)};
+            event_stream_feed(&stream, piece, take_event, &events);
+        }
+        CU_ASSERT_STRING_EQUAL(events.ids->str, "1 22 3 -1 ");
+        CU_ASSERT_EQUAL(events.bytes, sizeof(TEXT) - 1 - strlen("id: 4\nda"));
+        CU_ASSERT_FALSE(event_stream_at_boundary(&stream));
+        event_stream_clear(&stream);
+        g_string_free(events.ids, TRUE);
+    }
+}
+
+/* ---- leases ---- */
+
+static endpoint_lease_t
+lease_of(const char *id, guint64 sequence, lease_state_t state)
+{
+    return (endpoint_lease_t){.id = (char *)id,
+                              .service = "s",
+                              .address = "10.0.0.1:80",
+                              .data_centre = "dc",
+                              .sequence = sequence,
+                              .slots = 4,
+                              .state = state};
+}
+
+static void
+test_registry(void)
+{
+    registry_t *r = registry_create(SECOND);
+    endpoint_lease_t ready = lease_of("e", 2, LEASE_READY);
+    endpoint_lease_t late = lease_of("e", 1, LEASE_DRAINING);
+    endpoint_lease_t again = lease_of("e", 3, LEASE_READY);
+    CU_ASSERT_EQUAL(registry_renew(r, &ready, SECOND), REGISTRY_TAKEN);
+    guint64 cursor = registry_cursor(r);
+    CU_ASSERT_EQUAL(registry_renew(r, &late, SECOND), REGISTRY_LATE);
+    CU_ASSERT_EQUAL(registry_renew(r, &again, 2 * SECOND), REGISTRY_TAKEN);
+    /* A renewal alone is no news. */
+    CU_ASSERT_EQUAL(registry_cursor(r), cursor);
+    CU_ASSERT_FALSE(registry_expire(r, 4 * SECOND));
+    CU_ASSERT(registry_expire(r, 8 * SECOND));
+    GPtrArray *news = registry_since(r, cursor);
+    CU_ASSERT_EQUAL_FATAL(news->len, 1);
+    CU_ASSERT_EQUAL(((endpoint_lease_t *)news->pdata[0])->state, LEASE_SILENT);
+    g_ptr_array_unref(news);
+    again.sequence = 4;
+    registry_renew(r, &again, 9 * SECOND);
+    CU_ASSERT(registry_cursor(r) > cursor + 1);
+    registry_leave(r, "e", 10 * SECOND);
+    again.sequence = 5;
+    CU_ASSERT_EQUAL(registry_renew(r, &again, 11 * SECOND), REGISTRY_GONE);
+    registry_leave(r, "never seen", 11 * SECOND);
+    news = registry_since(r, 0);
+    CU_ASSERT_EQUAL(news->len, 2);
+    g_ptr_array_unref(news);
+    registry_destroy(r);
+}
+
+static void
+drop_nothing(void *connections)
+{
+    (void)connections;
+}
+
+typedef struct {
+    const char *name;
+    struct {
+        guint source;
+        const char *id;
+        guint64 sequence;
+        lease_state_t state;
+    } told[4];
+    guint count;
+    gboolean usable; /* endpoint "e" */
+} merge_case_t;
+
+static const merge_case_t MERGE_CASES[] = {
+    {"heard by one", {{0, "e", 1, LEASE_READY}}, 1, TRUE},
+    {"silent at one, heard by another",
+     {{0, "e", 1, LEASE_READY},
+      {1, "e", 4, LEASE_READY},
+      {0, "e", 1, LEASE_SILENT}},
+     3,
+     TRUE},
+    {"silent at all",
+     {{0, "e", 1, LEASE_READY},
+      {1, "e", 4, LEASE_READY},
+      {0, "e", 1, LEASE_SILENT},
+      {1, "e", 4, LEASE_SILENT}},
+     4,
+     FALSE},
+    {"draining is not taken back by one that missed it",
+     {{0, "e", 5, LEASE_DRAINING}, {1, "e", 4, LEASE_READY}},
+     2,
+     FALSE},
+    {"left is not taken back",
+     {{0, "e", 5, LEASE_LEFT}, {1, "e", 4, LEASE_READY}},
+     2,
+     FALSE},
+    {"left after it was known",
+     {{1, "e", 4, LEASE_READY}, {0, "e", 5, LEASE_LEFT}},
+     2,
+     FALSE},
+};
+
+static void
+test_merge(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(MERGE_CASES); i++) {
+        const merge_case_t *c = &MERGE_CASES[i];
+        directory_t *d = directory_create(drop_nothing);
+        for (guint j = 0; j < c->count; j++) {
+            endpoint_lease_t lease =
+                lease_of(c->told[j].id, c->told[j].sequence, c->told[j].state);
+            directory_update(d, c->told[j].source, &lease, SECOND);
+        }
+        const endpoint_t *e = directory_find(d, "e");
+        gboolean usable = e != NULL && endpoint_usable(e, SECOND);
+        if (usable != c->usable) {
+            printf("%s\n", c->name);
+        }
+        CU_ASSERT_EQUAL(usable, c->usable);
+        directory_destroy(d);
+    }
+}
+
+/* A control instance that starts over is not the end of what only it heard:
+ * endpoints are told again within a heartbeat. */
+static void
+test_forget(void)
+{
+    directory_t *d = directory_create(drop_nothing);
+    endpoint_lease_t lease = lease_of("e", 1, LEASE_READY);
+    directory_update(d, 3, &lease, SECOND);
+    directory_forget(d, 3, 2 * SECOND);
+    const endpoint_t *e = directory_find(d, "e");
+    CU_ASSERT(endpoint_usable(e, 3 * SECOND));
+    CU_ASSERT_FALSE(endpoint_usable(e, 20 * SECOND));
+    directory_destroy(d);
+}
+
+/* Two starts at one address: the new one gets the work, and the old one does
+ * not take it for good if its renewal came late. */
+static void
+test_address_taken(void)
+{
+    directory_t *d = directory_create(drop_nothing);
+    endpoint_lease_t old = lease_of("old", 9, LEASE_READY);
+    endpoint_lease_t new = lease_of("new", 1, LEASE_READY);
+    directory_update(d, 0, &old, SECOND);
+    directory_update(d, 0, &new, 2 * SECOND);
+    CU_ASSERT_FALSE(endpoint_open(directory_find(d, "old"), 3 * SECOND));
+    CU_ASSERT(endpoint_open(directory_find(d, "new"), 3 * SECOND));
+    endpoint_note(directory_find(d, "old"), ENDPOINT_MISDIRECTED, 9 * SECOND);
+    CU_ASSERT_FALSE(endpoint_open(directory_find(d, "old"), 30 * SECOND));
+    directory_destroy(d);
+}
+
+/* ---- placement ---- */
+
+enum { ENGINES = 18 };
+
+static directory_t *
+engines_create(void)
+{
+    directory_t *d = directory_create(drop_nothing);
+    for (int i = 0; i < ENGINES; i++) {
+        char id[16];
+        char address[24];
+        g_snprintf(id, sizeof(id), "engine-%d", i);
+        g_snprintf(address, sizeof(address), "10.0.0.%d:80", i);
+        endpoint_lease_t lease = lease_of(id, 1, LEASE_READY);
+        lease.address = address;
+        directory_update(d, 0, &lease, SECOND);
+    }
+    return d;
+}
+
+static endpoint_t *
+place(directory_t *d, guint tokens, guint64 shared, guint shared_tokens,
+      double long_part, guint32 draw)
+{
+    prompt_part_t parts[] = {{shared, shared_tokens},
+                             {0xabc000 + draw, tokens - shared_tokens}};
+    placement_request_t request = {.parts = parts,
+                                   .part_count = shared != 0 ? 2 : 0,
+                                   .prompt_tokens = tokens,
+                                   .long_part = long_part,
+                                   .data_centre = "dc",
+                                   .draw = draw};
+    return placement_pick(directory_service(d, "s"), &request, 2 * SECOND);
+}
+
+/* Long and short prompts meet on no engine while neither side is loaded. */
+static void
+test_sides(void)
+{
+    directory_t *d = engines_create();
+    GHashTable *with_long = g_hash_table_new(NULL, NULL);
+    for (guint32 draw = 0; draw < 200; draw++) {
+        endpoint_t *e = place(d, 12000, 1 + draw, 5000, 0.5, draw);
+        g_hash_table_add(with_long, e);
+    }
+    for (guint32 draw = 0; draw < 200; draw++) {
+        endpoint_t *e = place(d, 800, 0, 0, 0.5, draw);
+        CU_ASSERT_FALSE(g_hash_table_contains(with_long, e));
+    }
+    CU_ASSERT(g_hash_table_size(with_long) >= ENGINES / 2 - 1);
+    CU_ASSERT(g_hash_table_size(with_long) <= ENGINES / 2);
+    /* With all their engines loaded far over their objective, long prompts
+     * may go among the short ones. */
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, with_long);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        ((endpoint_t *)key)->waiting_tokens = 500000;
+    }
+    endpoint_t *e = place(d, 12000, 77, 5000, 0.5, 1);
+    CU_ASSERT_FALSE(g_hash_table_contains(with_long, e));
+    g_hash_table_unref(with_long);
+    directory_destroy(d);
+}
+
+/* Requests of one session go to one engine, at all instances, until it is
+ * loaded. */
+static void
+test_affinity(void)
+{
+    directory_t *d = engines_create();
+    directory_t *elsewhere = engines_create();
+    for (guint64 session = 1; session < 50; session++) {
+        endpoint_t *e = place(d, 12000, session, 5000, 0.5, 3);
+        endpoint_t *same = place(elsewhere, 12000, session, 5000, 0.5, 11);
+        CU_ASSERT_STRING_EQUAL(e->id, same->id);
+    }
+    endpoint_t *home = place(d, 12000, 7, 5000, 0.5, 3);
+    home->waiting_tokens = 100000;
+    CU_ASSERT_PTR_NOT_EQUAL(place(d, 12000, 7, 5000, 0.5, 3), home);
+    home->waiting_tokens = 0;
+    home->draining = TRUE;
+    CU_ASSERT_PTR_NOT_EQUAL(place(d, 12000, 7, 5000, 0.5, 3), home);
+    directory_destroy(d);
+    directory_destroy(elsewhere);
+}
+
+/* Failing endpoints are left, and still used when there is no other. */
+static void
+test_failing(void)
+{
+    directory_t *d = engines_create();
+    endpoint_t *first = place(d, 0, 0, 0, 0, 5);
+    endpoint_note(first, ENDPOINT_UNREACHABLE, 2 * SECOND);
+    CU_ASSERT_PTR_NOT_EQUAL(place(d, 0, 0, 0, 0, 5), first);
+    for (int i = 0; i < ENGINES; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "engine-%d", i);
+        endpoint_note(directory_find(d, id), ENDPOINT_UNREACHABLE, 2 * SECOND);
+    }
+    CU_ASSERT_PTR_NOT_NULL(place(d, 0, 0, 0, 0, 5));
+    for (int i = 0; i < ENGINES; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "engine-%d", i);
+        endpoint_lease_t lease = lease_of(id, 2, LEASE_LEFT);
+        directory_update(d, 0, &lease, SECOND);
+    }
+    CU_ASSERT_EQUAL(directory_service(d, "s")->len, 0);
+    directory_sweep(d, 2 * SECOND);
+    CU_ASSERT_EQUAL(directory_count(d), 0);
+    directory_destroy(d);
+}
+
+static void
+test_mix(void)
+{
+    placement_mix_t mix = {0};
+    CU_ASSERT_EQUAL(placement_mix_long_part(&mix), 0);
+    for (int i = 0; i < 100; i++) {
+        placement_mix_note(&mix, 12000, SECOND);
+        placement_mix_note(&mix, 3000, SECOND);
+        placement_mix_note(&mix, 3000, SECOND);
+    }
+    /* 12,000 long against 6,000 short, which weigh twice. */
+    CU_ASSERT_DOUBLE_EQUAL(placement_mix_long_part(&mix), 0.5, 0.01);
+    for (int i = 0; i < 100; i++) {
+        placement_mix_note(&mix, 1000, 100 * SECOND);
+    }
+    CU_ASSERT(placement_mix_long_part(&mix) <= 0.26);
+}
+
+/* ---- repeats ---- */
+
+/* Any window of the bound's length, over all instances, keeps the bound. */
+static void
+test_repeat_budget(void)
+{
+    enum { INSTANCES = 9, STEPS = 6000, STEP = 10000, WINDOW = 1000 };
+    static const repeat_limits_t LIMITS = {
+        .window_us = (gint64)WINDOW * STEP, .ratio = 0.2, .slack = 58};
+    static guint firsts[STEPS];
+    static guint repeats[STEPS];
+    repeat_budget_t budgets[INSTANCES] = {0};
+    GRand *random = g_rand_new_with_seed(3);
+    for (int t = 0; t < STEPS; t++) {
+        /* A burst, a lull, and a burst at few instances. */
+        int busy = t < 2000 ? INSTANCES : t < 3000 ? 1 : 3;
+        firsts[t] = repeats[t] = 0;
+        for (int i = 0; i < busy; i++) {
+            gint64 now = (gint64)t * STEP;
+            if (g_rand_int_range(random, 0, 3) == 0) {
+                repeat_budget_note_first(&budgets[i], &LIMITS, now);
+                firsts[t]++;
+            }
+            repeats[t] +=
+                repeat_budget_take(&budgets[i], &LIMITS, INSTANCES, now);
+        }
+    }
+    for (int from = 0; from + WINDOW <= STEPS; from += 50) {
+        guint asked = 0;
+        guint again = 0;
+        for (int t = from; t < from + WINDOW; t++) {
+            asked += firsts[t];
+            again += repeats[t];
+        }
+        CU_ASSERT(again <= LIMITS.ratio * asked + LIMITS.slack);
+    }
+    CU_ASSERT(repeats[0] + repeats[1] + repeats[2] > 0);
+    g_rand_free(random);
+}
+
+/* ---- what instances tell each other ---- */
+
+static void
+test_sync_wire(void)
+{
+    endpoint_lease_t lease = lease_of("e", 7, LEASE_DRAINING);
+    sync_answer_t answer = {.epoch = 3,
+                            .cursor = 9,
+                            .confirmed = TRUE,
+                            .version = 4,
+                            .base = 2,
+                            .prefix = 1,
+                            .removed = 5,
+                            .inserted = g_bytes_new("text", 4),
+                            .leases = g_ptr_array_new(),
+                            .controls = g_ptr_array_new(),
+                            .entries = 8};
+    g_ptr_array_add(answer.leases, &lease);
+    g_ptr_array_add(answer.controls, "10.0.0.1:7000");
+    GBytes *bytes = sync_answer_write(&answer);
+    sync_answer_t read;
+    CU_ASSERT_FATAL(sync_answer_read(bytes, &read));
+    CU_ASSERT_EQUAL(read.removed, 5);
+    CU_ASSERT(g_bytes_equal(read.inserted, answer.inserted));
+    CU_ASSERT_EQUAL(read.leases->len, 1);
+    CU_ASSERT_EQUAL(((endpoint_lease_t *)read.leases->pdata[0])->state,
+                    LEASE_DRAINING);
+    CU_ASSERT_STRING_EQUAL(read.controls->pdata[0], "10.0.0.1:7000");
+    sync_answer_clear(&read);
+    /* Cut or changed bytes are refused or read to some answer, no more. */
+    gsize length;
+    const char *data = g_bytes_get_data(bytes, &length);
+    GRand *random = g_rand_new_with_seed(5);
+    for (int i = 0; i < 5000; i++) {
+        char *copy = g_memdup2(data, length);
+        copy[g_rand_int_range(random, 0, (gint)length)] ^=
+            (char)(1 << g_rand_int_range(random, 0, 8));
+        GBytes *changed = g_bytes_new_take(
+            copy, (gsize)g_rand_int_range(random, 0, (gint)length + 1));
+        if (sync_answer_read(changed, &read)) {
+            sync_answer_clear(&read);
+        }
+        g_bytes_unref(changed);
+    }
+    g_rand_free(random);
+    g_bytes_unref(bytes);
+    g_bytes_unref(answer.inserted);
+    g_ptr_array_unref(answer.leases);
+    g_ptr_array_unref(answer.controls);
+}
+
+static const test_case_t CASES[] = {
+    {"faults of a configuration are named", test_config_faults},
+    {"the longest prefix of the host matches", test_match},
+    {"shares and kinds", test_shares_and_kinds},
+    {"a client sets only what is its own", test_request_fields},
+    {"events are told apart however they come", test_events},
+    {"leases by sequence, silence and leaving", test_registry},
+    {"leases of several control instances are merged", test_merge},
+    {"a control instance that starts over", test_forget},
+    {"an address used again", test_address_taken},
+    {"long prompts and short ones are kept apart", test_sides},
+    {"sessions stay where their prompts are", test_affinity},
+    {"failing endpoints are left", test_failing},
+    {"the parting follows the mix", test_mix},
+    {"repeats stay under the common budget", test_repeat_budget},
+    {"news are read as written", test_sync_wire},
+};
+
+CHECK_MAIN("routing", CASES)
