--- /dev/null
+++ b/standin/endpoint.c
@@ -0,0 +1,500 @@
+/* A stand-in for a server of the users' platform, for tests and the soak.
+ *
+ * It renews its lease at control, serves plain answers and streams, writes a
+ * line for each request that it runs, and misbehaves as the request's own
+ * "Fault" field asks: KIND, or KIND@ID for one server only. */
+#include <argtable2.h>
+#include <glib-unix.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "carobloom/common/task.h"
+#include "carobloom/http/client.h"
+#include "carobloom/http/server.h"
+
+enum {
+    MS = 1000,
+    EVENT_US = 20 * MS,
+    EVENTS = 12,
+    LINGER_US = 1500 * MS, /* served on after the goodbye was heard */
+    WORK_US = 15 * MS,
+};
+
+typedef enum {
+    FAULT_NONE,
+    FAULT_RESET, /* runs it and breaks off without an answer */
+    FAULT_CUT,   /* an answer that ends early */
+    FAULT_FULL,  /* refused, not run */
+    FAULT_ERROR, /* its own failure */
+    FAULT_MUTE,  /* runs it and says nothing */
+} fault_t;
+
+static const char *const FAULT_NAMES[] = {
+    [FAULT_NONE] = "none", [FAULT_RESET] = "reset", [FAULT_CUT] = "cut",
+    [FAULT_FULL] = "full", [FAULT_ERROR] = "error", [FAULT_MUTE] = "mute",
+};
+
+typedef struct {
+    const char *id;
+    const char *address;
+    const char *service;
+    char **controls;
+    guint at; /* of controls */
+    int beat_ms;
+    FILE *log;
+    GMainLoop *loop;
+    task_t *task;
+    poller_t *poller;
+    timers_t *timers;
+    http_server_t *server;
+    GHashTable *peers; /* address -> http_peer_t */
+    guint64 sequence;
+    gboolean draining;
+    gboolean left;
+    client_call_t *beat;
+    guint64 beat_timer;
+    gboolean said_draining; /* the beat under way says so */
+} endpoint_t;
+
+/* A request under way. */
+typedef struct {
+    endpoint_t *endpoint;
+    http_exchange_t *exchange;
+    guint64 timer;
+    guint64 event; /* the next */
+    guint64 events;
+    fault_t fault;
+} run_t;
+
+/* ---- serving ---- */
+
+static fault_t
+fault_of(const endpoint_t *e, const http_head_t *head)
+{
+    str_t value;
+    if (!http_head_find(head, "Fault", &value)) {
+        return FAULT_NONE;
+    }
+    gssize at = str_find(value, STR("@"), 0);
+    if (at >= 0) {
+        if (!str_equal(str_tail(value, (gsize)at + 1), str_from_cstr(e->id))) {
+            return FAULT_NONE;
+        }
+        value.length = (gsize)at;
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(FAULT_NAMES); i++) {
+        if (str_equal(value, str_from_cstr(FAULT_NAMES[i]))) {
+            return (fault_t)i;
+        }
+    }
+    return FAULT_NONE;
+}
+
+static void
+log_run(const endpoint_t *e, const char *what, str_t request)
+{
+    fprintf(e->log, "%s %.*s\n", what, (int)request.length, request.data);
+    fflush(e->log);
+}
+
+static str_t
+request_id(http_exchange_t *exchange)
+{
+    str_t id = {0};
+    http_head_find(http_exchange_head(exchange), "Request-Id", &id);
+    return id;
+}
+
+static char *
+answer_fields(const endpoint_t *e, http_exchange_t *exchange, const char *more)
+{
+    str_t id = request_id(exchange);
+    return g_strdup_printf("Request-Id: %.*s\r\nResponse-Seal: %.*s.%s\r\n%s",
+                           (int)id.length, id.data, (int)id.length, id.data,
+                           e->id, more);
+}
+
+static void
+run_free(run_t *run)
+{
+    timers_cancel(run->endpoint->timers, run->timer);
+    http_exchange_set_data(run->exchange, NULL);
+    g_free(run);
+}
+
+static void
+answer(endpoint_t *e, http_exchange_t *exchange, guint status,
+       const char *more, const char *body)
+{
+    char *fields = answer_fields(e, exchange, more);
+    http_exchange_answer(exchange, status, str_from_cstr(fields),
+                         str_from_cstr(body));
+    g_free(fields);
+}
+
+static void
+plain_over(void *data)
+{
+    run_t *run = data;
+    endpoint_t *e = run->endpoint;
+    http_exchange_t *exchange = run->exchange;
+    fault_t fault = run->fault;
+    run->timer = 0;
+    if (fault == FAULT_MUTE) {
+        return;
+    }
+    run_free(run);
+    str_t id = request_id(exchange);
+    char *body = g_strdup_printf("answer to %.*s by %s", (int)id.length,
+                                 id.data, e->id);
+    char *fields;
+    switch (fault) {
+    case FAULT_RESET:
+        http_exchange_abort(exchange);
+        break;
+    case FAULT_CUT:
+        fields = answer_fields(e, exchange, "");
+        http_exchange_begin(exchange, 200, str_from_cstr(fields));
+        http_exchange_write(exchange, str_from_cstr("half"));
+        http_exchange_abort(exchange);
+        g_free(fields);
+        break;
+    case FAULT_ERROR:
+        answer(e, exchange, 500, "", "failed");
+        break;
+    default:
+        answer(e, exchange, 200, "", body);
+    }
+    g_free(body);
+}
+
+static void
+stream_step(void *data)
+{
+    run_t *run = data;
+    endpoint_t *e = run->endpoint;
+    http_exchange_t *exchange = run->exchange;
+    gboolean half = run->event > run->events / 2;
+    run->timer = 0;
+    if (run->fault == FAULT_MUTE && half) {
+        return;
+    }
+    if ((run->fault == FAULT_RESET || run->fault == FAULT_CUT) && half) {
+        http_exchange_write(exchange, STR("id: 99\ndata: half an"));
+        run_free(run);
+        http_exchange_abort(exchange);
+        return;
+    }
+    if (run->event > run->events) {
+        log_run(e, "end", request_id(exchange));
+        run_free(run);
+        http_exchange_finish(exchange);
+        return;
+    }
+    char *text = g_strdup_printf("id: %" G_GUINT64_FORMAT
+                                 "\ndata: w%" G_GUINT64_FORMAT "\n\n",
+                                 run->event, run->event);
+    http_exchange_write(exchange, str_from_cstr(text));
+    g_free(text);
+    run->event++;
+    run->timer = timers_subscribe(e->timers, EVENT_US, 0, stream_step, run);
+}
+
+static void
+stream_begin(run_t *run)
+{
+    endpoint_t *e = run->endpoint;
+    str_t last;
+    guint64 number = 0;
+    if (http_head_find(http_exchange_head(run->exchange), "Last-Event-Id",
+                       &last)) {
+        http_number(last, &number);
+    }
+    run->event = number + 1;
+    run->events = EVENTS;
+    char *fields =
+        answer_fields(e, run->exchange, "Content-Type: text/event-stream\r\n");
+    http_exchange_begin(run->exchange, 200, str_from_cstr(fields));
+    g_free(fields);
+    run->timer = timers_subscribe(e->timers, EVENT_US, 0, stream_step, run);
+}
+
+static void
+run_begin(endpoint_t *e, http_exchange_t *exchange, fault_t fault)
+{
+    run_t *run = g_new0(run_t, 1);
+    *run = (run_t){.endpoint = e, .exchange = exchange, .fault = fault};
+    http_exchange_set_data(exchange, run);
+    log_run(e, "run", request_id(exchange));
+    str_t target = http_head_target(http_exchange_head(exchange));
+    if (str_find(target, STR("/stream/"), 0) >= 0) {
+        stream_begin(run);
+        return;
+    }
+    run->timer = timers_subscribe(e->timers, WORK_US, 0, plain_over, run);
+}
+
+static void
+handle_request(http_exchange_t *exchange, void *user)
+{
+    endpoint_t *e = user;
+    const http_head_t *head = http_exchange_head(exchange);
+    fault_t fault = fault_of(e, head);
+    str_t expected;
+    if (!http_head_find(head, "Expect-Instance", &expected) ||
+        !str_equal(expected, str_from_cstr(e->id))) {
+        answer(e, exchange, 421, "", "");
+        return;
+    }
+    if (fault == FAULT_FULL) {
+        answer(e, exchange, 503, "Not-Executed: 1\r\n", "");
+        return;
+    }
+    run_begin(e, exchange, fault);
+}
+
+static void
+handle_gone(http_exchange_t *exchange, void *user)
+{
+    run_t *run = http_exchange_data(exchange);
+    if (run != NULL) {
+        log_run(user, "gone", request_id(exchange));
+        run_free(run);
+    }
+}
+
+static void
+handle_drained(http_exchange_t *exchange, void *user)
+{
+    (void)exchange;
+    (void)user;
+}
+
+static const http_server_ops_t SERVER_OPS = {
+    .request = handle_request, .gone = handle_gone, .drained = handle_drained};
+static const http_limits_t LIMITS = {
+    .head_max = 16384,
+    .body_max = 1024 * 1024,
+    .head_us = 5 * G_USEC_PER_SEC,
+    .idle_us = 10 * G_USEC_PER_SEC,
+    .connections = 1000,
+    .buffered_max = 64 * 1024 * 1024,
+};
+
+/* ---- the lease ---- */
+
+static const http_peer_limits_t PEER_LIMITS = {
+    .connect_us = 300 * MS,
+    .idle_us = 2 * G_USEC_PER_SEC,
+    .idle_max = 1,
+    .head_max = 4096,
+};
+
+static void beat_send(endpoint_t *e);
+
+static void
+on_beat_due(void *data)
+{
+    endpoint_t *e = data;
+    e->beat_timer = 0;
+    if (e->beat != NULL) { /* no answer in time */
+        client_call_cancel(e->beat);
+        e->beat = NULL;
+        e->at++;
+    }
+    beat_send(e);
+}
+
+static gboolean
+on_end(gpointer data)
+{
+    endpoint_t *e = data;
+    g_main_loop_quit(e->loop);
+    return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_leave(gpointer data)
+{
+    endpoint_t *e = data;
+    e->left = TRUE;
+    beat_send(e);
+    g_timeout_add(300, on_end, e);
+    return G_SOURCE_REMOVE;
+}
+
+static call_verdict_t
+on_beat_head(client_call_t *call, const http_head_t *head, void *user)
+{
+    (void)call;
+    endpoint_t *e = user;
+    if (head->status != 200) {
+        e->at++;
+    }
+    else if (e->said_draining && !e->left) {
+        e->said_draining = FALSE;
+        log_run(e, "draining-heard", STR("-"));
+        g_timeout_add(LINGER_US / MS, on_leave, e);
+    }
+    return CALL_TAKE;
+}
+
+static void
+on_beat_body(client_call_t *call, str_t bytes, void *user)
+{
+    (void)call;
+    (void)bytes;
+    (void)user;
+}
+
+static void
+on_beat_done(client_call_t *call, void *user)
+{
+    (void)call;
+    ((endpoint_t *)user)->beat = NULL;
+}
+
+static void
+on_beat_failed(client_call_t *call, call_failure_t failure, void *user)
+{
+    (void)call;
+    (void)failure;
+    endpoint_t *e = user;
+    e->beat = NULL;
+    e->at++;
+}
+
+static const client_call_ops_t BEAT_OPS = {.head = on_beat_head,
+                                           .body = on_beat_body,
+                                           .done = on_beat_done,
+                                           .failed = on_beat_failed};
+
+static void
+beat_send(endpoint_t *e)
+{
+    const char *control = e->controls[e->at % g_strv_length(e->controls)];
+    http_peer_t *peer = g_hash_table_lookup(e->peers, control);
+    if (peer == NULL) {
+        peer = http_peer_create(e->poller, e->timers, str_from_cstr(control),
+                                &PEER_LIMITS);
+        g_hash_table_insert(e->peers, (gpointer)control, peer);
+    }
+    char *body =
+        e->left ? g_strdup("")
+                : g_strdup_printf(
+                      "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"z\","
+                      "\"Slots\":8,\"State\":\"%s\",\"ColdRemainingMs\":0,"
+                      "\"Sequence\":%" G_GUINT64_FORMAT "}",
+                      e->service, e->address,
+                      e->draining ? "draining" : "ready", ++e->sequence);
+    char *text = g_strdup_printf(
+        "%s /api/instances/%s HTTP/1.1\r\nHost: %s\r\nContent-Length: "
+        "%zu\r\n\r\n%s",
+        e->left ? "DELETE" : "PUT", e->id, control, strlen(body), body);
+    e->said_draining = e->draining && !e->left;
+    if (e->beat == NULL) {
+        e->beat =
+            client_call_create(peer, str_from_cstr(text), FALSE, &BEAT_OPS, e);
+    }
+    g_free(text);
+    g_free(body);
+    timers_cancel(e->timers, e->beat_timer);
+    e->beat_timer = timers_subscribe(e->timers, (gint64)e->beat_ms * MS, 0,
+                                     on_beat_due, e);
+}
+
+static gboolean
+on_terminate(gpointer data)
+{
+    endpoint_t *e = data;
+    if (!e->draining) {
+        e->draining = TRUE;
+        timers_advance(e->timers, g_get_monotonic_time());
+        beat_send(e);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+/* ---- life ---- */
+
+static void
+on_message(void *state, message_t *message)
+{
+    (void)state;
+    (void)message;
+}
+
+static const task_ops_t TASK_OPS = {
+    .name = "endpoint", .mailbox_bound = 1, .handle = on_message};
+
+static void
+on_turn(void *data)
+{
+    endpoint_t *e = data;
+    timers_advance(e->timers, g_get_monotonic_time());
+}
+
+static int
+endpoint_run(endpoint_t *e)
+{
+    e->loop = g_main_loop_new(NULL, FALSE);
+    e->task = task_create(&TASK_OPS, e, g_main_context_default());
+    e->timers = task_timers(e->task);
+    e->poller = poller_create(g_main_context_default(), on_turn, e);
+    e->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                     (GDestroyNotify)http_peer_destroy);
+    e->server = http_server_create(e->poller, e->timers, e->address, &LIMITS,
+                                   &SERVER_OPS, e);
+    if (e->server == NULL) {
+        fprintf(stderr, "can not listen at %s\n", e->address);
+        return 1;
+    }
+    g_unix_signal_add(SIGTERM, on_terminate, e);
+    beat_send(e);
+    g_main_loop_run(e->loop);
+    http_server_destroy(e->server);
+    g_hash_table_unref(e->peers);
+    poller_destroy(e->poller);
+    task_destroy(e->task);
+    g_main_loop_unref(e->loop);
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *id = arg_str1(NULL, "id", "ID", "its id");
+    struct arg_str *address =
+        arg_str1(NULL, "address", "IP:PORT", "to listen at");
+    struct arg_str *service =
+        arg_str1(NULL, "service", "NAME", "the service it is of");
+    struct arg_str *controls =
+        arg_str1(NULL, "controls", "LIST", "IP:PORT, by commas");
+    struct arg_int *beat =
+        arg_int0(NULL, "beat-ms", "MS", "between renewals (300)");
+    struct arg_file *log = arg_file1(NULL, "log", "FILE", "what it ran");
+    struct arg_end *end = arg_end(10);
+    void *table[] = {id, address, service, controls, beat, log, end};
+    if (arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    endpoint_t endpoint = {
+        .id = id->sval[0],
+        .address = address->sval[0],
+        .service = service->sval[0],
+        .controls = g_strsplit(controls->sval[0], ",", -1),
+        .beat_ms = beat->count > 0 ? beat->ival[0] : 300,
+        .log = fopen(log->filename[0], "a"),
+    };
+    if (endpoint.log == NULL) {
+        fprintf(stderr, "can not write %s\n", log->filename[0]);
+        return 1;
+    }
+    int code = endpoint_run(&endpoint);
+    fclose(endpoint.log);
+    g_strfreev(endpoint.controls);
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
--- /dev/null
+++ b/tests/fleet.c
@@ -0,0 +1,545 @@
+#include "fleet.h"
+
+#include <arpa/inet.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "carobloom/http/reader.h"
+
+/* Each process has an address of its own, so ports are the same for all. */
+enum {
+    CALLERS_PORT = 28227,
+    PROBE_PORT = 28220,
+    CONTROL_PORT = 28229,
+    PEERS_PORT = 27340,
+    ENDPOINT_PORT = 28080,
+    METRICS_PORT = 27341,
+};
+
+static const char SAMPLE_KEY[] = "sample-key";
+
+void
+fleet_sleep(int ms)
+{
+    g_usleep((gulong)ms * 1000);
+}
+
+/* ---- processes ---- */
+
+static void
+write_settings(const fleet_t *f, const fleet_process_t *p)
+{
+    GString *seeds = g_string_new(NULL);
+    for (guint i = 0; i < MIN(f->controls, 3); i++) {
+        g_string_append_printf(seeds, "%s\"%s:%d\"", i > 0 ? "," : "",
+                               f->processes[i].ip, CONTROL_PORT);
+    }
+    gboolean entry = p->role == FLEET_ENTRY;
+    char *listeners =
+        entry ? g_strdup_printf("\"callers\":\"%s:%d\",\"probe\":\"%s:%d\"",
+                                p->ip, CALLERS_PORT, p->ip, PROBE_PORT)
+              : g_strdup_printf("\"control\":\"%s:%d\"", p->ip, CONTROL_PORT);
+    char *text = g_strdup_printf(
+        "{\"instance\":\"%s\",\"data_centre\":\"z\",\"data_folder\":"
+        "\"%s/data\",\"gateway\":{\"address\":\"%s\",%s,\"metrics\":"
+        "\"%s:%d\",\"founding\":%s,\"peers_port\":%d,\"seeds\":[%s],"
+        "\"heartbeat_ms\":300,\"grace_s\":6,\"revoke_ms\":%d,"
+        "\"retry_slack\":500}}",
+        p->name, p->folder, p->ip, listeners, p->ip, METRICS_PORT,
+        p->founding ? "true" : "false", PEERS_PORT, seeds->str,
+        FLEET_REVOKE_MS);
+    char *path = g_build_filename(p->folder, "settings.jsonc", NULL);
+    g_file_set_contents(path, text, -1, NULL);
+    g_free(path);
+    g_free(text);
+    g_free(listeners);
+    g_string_free(seeds, TRUE);
+}
+
+fleet_process_t *
+fleet_add(fleet_t *f, fleet_role_t role)
+{
+    static const char *const NAMES[] = {"control", "entry", "endpoint"};
+    fleet_process_t *p = &f->processes[f->count];
+    p->role = role;
+    p->name = g_strdup_printf("%s-%u", NAMES[role], f->count);
+    p->ip = g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
+                            1 + f->net % 250, 1 + f->count);
+    p->folder = g_build_filename(f->folder, p->name, NULL);
+    p->log = g_build_filename(p->folder, "log", NULL);
+    g_mkdir(p->folder, 0700);
+    f->count++;
+    return p;
+}
+
+fleet_t *
+fleet_create(guint controls, guint entries, guint endpoints)
+{
+    static guint made;
+    fleet_t *f = g_new0(fleet_t, 1);
+    f->folder = g_dir_make_tmp("carobloom-fleet-XXXXXX", NULL);
+    f->net = (guint)getpid() * 7 + made++;
+    for (guint i = 0; i < controls; i++) {
+        fleet_add(f, FLEET_CONTROL)->founding = TRUE;
+    }
+    for (guint i = 0; i < entries; i++) {
+        fleet_add(f, FLEET_ENTRY);
+    }
+    for (guint i = 0; i < endpoints; i++) {
+        fleet_add(f, FLEET_ENDPOINT);
+    }
+    f->controls = controls;
+    f->entries = entries;
+    return f;
+}
+
+fleet_process_t *
+fleet_control(fleet_t *f, guint at)
+{
+    return &f->processes[at];
+}
+
+fleet_process_t *
+fleet_entry(fleet_t *f, guint at)
+{
+    return &f->processes[f->controls + at];
+}
+
+fleet_process_t *
+fleet_endpoint(fleet_t *f, guint at)
+{
+    return &f->processes[f->controls + f->entries + at];
+}
+
+static GSubprocess *
+spawn(const fleet_process_t *p, const char *const *argv)
+{
+    GSubprocessLauncher *launcher =
+        g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+    char *errors = g_strconcat(p->log, ".errors", NULL);
+    g_subprocess_launcher_set_stdout_file_path(
+        launcher, p->role == FLEET_ENDPOINT ? "/dev/null" : p->log);
+    g_subprocess_launcher_set_stderr_file_path(launcher, errors);
+    GSubprocess *process = g_subprocess_launcher_spawnv(launcher, argv, NULL);
+    g_object_unref(launcher);
+    g_free(errors);
+    return process;
+}
+
+static void
+start_endpoint(fleet_t *f, fleet_process_t *p)
+{
+    GString *controls = g_string_new(NULL);
+    for (guint i = 0; i < f->controls; i++) {
+        g_string_append_printf(controls, "%s%s:%d", i > 0 ? "," : "",
+                               f->processes[i].ip, CONTROL_PORT);
+    }
+    char *id = g_strdup_printf("%s.%u", p->name, p->starts);
+    char *address = g_strdup_printf("%s:%d", p->ip, ENDPOINT_PORT);
+    const char *argv[] = {ENDPOINT,      "--id",      id,     "--address",
+                          address,       "--service", "a",    "--controls",
+                          controls->str, "--log",     p->log, NULL};
+    p->process = spawn(p, argv);
+    g_free(id);
+    g_free(address);
+    g_string_free(controls, TRUE);
+}
+
+void
+fleet_start(fleet_t *f, fleet_process_t *p)
+{
+    p->starts++;
+    if (p->role == FLEET_ENDPOINT) {
+        start_endpoint(f, p);
+        return;
+    }
+    write_settings(f, p);
+    char *settings = g_build_filename(p->folder, "settings.jsonc", NULL);
+    const char *argv[] = {CAROBLOOMD, "--settings", settings, NULL};
+    p->process = spawn(p, argv);
+    p->founding = FALSE;
+    g_free(settings);
+}
+
+void
+fleet_start_all(fleet_t *f)
+{
+    for (guint i = 0; i < f->count; i++) {
+        fleet_start(f, &f->processes[i]);
+    }
+}
+
+void
+fleet_signal(fleet_process_t *p, int signal)
+{
+    if (p->process != NULL) {
+        g_subprocess_send_signal(p->process, signal);
+    }
+}
+
+void
+fleet_kill(fleet_process_t *p)
+{
+    if (p->process != NULL) {
+        g_subprocess_force_exit(p->process);
+        g_subprocess_wait(p->process, NULL, NULL);
+        g_clear_object(&p->process);
+    }
+}
+
+static void
+on_process_end(GObject *source, GAsyncResult *result, gpointer data)
+{
+    *(gboolean *)data =
+        g_subprocess_wait_finish(G_SUBPROCESS(source), result, NULL);
+}
+
+int
+fleet_wait_exit(fleet_process_t *p)
+{
+    gboolean over = FALSE;
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    g_subprocess_wait_async(p->process, NULL, on_process_end, &over);
+    while (!over && g_get_monotonic_time() < until) {
+        g_main_context_iteration(NULL, FALSE);
+        fleet_sleep(5);
+    }
+    int code = -1;
+    if (over && g_subprocess_get_if_exited(p->process)) {
+        code = g_subprocess_get_exit_status(p->process);
+    }
+    if (!over) {
+        fleet_kill(p);
+        while (!over) { /* the callback writes here */
+            g_main_context_iteration(NULL, TRUE);
+        }
+        return -1;
+    }
+    g_clear_object(&p->process);
+    return code;
+}
+
+static void
+remove_tree(const char *path)
+{
+    GDir *dir = g_dir_open(path, 0, NULL);
+    const char *name;
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        char *inner = g_build_filename(path, name, NULL);
+        remove_tree(inner);
+        g_free(inner);
+    }
+    g_clear_pointer(&dir, g_dir_close);
+    g_remove(path);
+}
+
+void
+fleet_lose_disk(fleet_process_t *p)
+{
+    char *data = g_build_filename(p->folder, "data", NULL);
+    remove_tree(data);
+    g_free(data);
+}
+
+void
+fleet_destroy(fleet_t *f)
+{
+    for (guint i = 0; i < f->count; i++) {
+        fleet_process_t *p = &f->processes[i];
+        fleet_signal(p, SIGCONT);
+        fleet_kill(p);
+        g_free(p->name);
+        g_free(p->ip);
+        g_free(p->folder);
+        g_free(p->log);
+    }
+    if (g_getenv("KEEP_SITE") == NULL) {
+        remove_tree(f->folder);
+    }
+    else {
+        printf("kept %s\n", f->folder);
+    }
+    g_free(f->folder);
+    g_free(f);
+}
+
+/* ---- calls ---- */
+
+static int
+take_head(void *user)
+{
+    (void)user;
+    return 0;
+}
+
+static int
+take_body(void *user, str_t bytes)
+{
+    g_string_append_len(((reply_t *)user)->body, bytes.data,
+                        (gssize)bytes.length);
+    return 0;
+}
+
+static const reader_ops_t TAKE = {.head = take_head, .body = take_body};
+
+static int
+connect_to(const char *ip, guint port, int wait_ms)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((guint16)port)};
+    struct timeval wait = {.tv_sec = wait_ms / 1000,
+                           .tv_usec = wait_ms % 1000 * 1000};
+    inet_pton(AF_INET, ip, &address.sin_addr);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait));
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+static void
+read_reply(reply_t *reply, int fd, int wait_ms)
+{
+    http_reader_t reader;
+    char buffer[16384];
+    gint64 until = g_get_monotonic_time() + (gint64)wait_ms * 1000;
+    reader_result_t result = READER_OK;
+    http_reader_init(&reader, FALSE, 65536, &TAKE, reply);
+    while (result == READER_OK && !reader.complete &&
+           g_get_monotonic_time() < until) {
+        ssize_t count = recv(fd, buffer, sizeof(buffer), 0);
+        if (count == 0) {
+            http_reader_end(&reader);
+        }
+        if (count <= 0) {
+            break;
+        }
+        gsize used;
+        result = http_reader_feed(
+            &reader, (str_t){.data = buffer, .length = (gsize)count}, &used);
+    }
+    str_t value;
+    GString *fields = g_string_new(NULL);
+    for (guint i = 0; !reader.in_head && i < reader.head.fields->len; i++) {
+        http_write_field(fields, http_field_name(&reader.head, i),
+                         http_field_value(&reader.head, i));
+    }
+    reply->status = reader.in_head ? 0 : reader.head.status;
+    reply->complete = reader.complete;
+    reply->sealed = http_head_find(&reader.head, "Response-Seal", &value);
+    reply->fields = g_string_free(fields, FALSE);
+    http_reader_clear(&reader);
+}
+
+reply_t *
+fleet_call(const char *ip, guint port, const char *method, const char *target,
+           const char *fields, const char *body, int wait_ms)
+{
+    reply_t *reply = g_new0(reply_t, 1);
+    reply->body = g_string_new(NULL);
+    int fd = connect_to(ip, port, wait_ms);
+    if (fd < 0) {
+        reply->fields = g_strdup("");
+        return reply;
+    }
+    char *text = g_strdup_printf(
+        "%s %s HTTP/1.1\r\nHost: h.example\r\n%sContent-Length: "
+        "%zu\r\n\r\n%s",
+        method, target, fields, strlen(body), body);
+    gsize length = strlen(text);
+    gsize at = 0;
+    while (at < length) {
+        ssize_t count = send(fd, text + at, length - at, MSG_NOSIGNAL);
+        if (count <= 0) {
+            break;
+        }
+        at += (gsize)count;
+    }
+    g_free(text);
+    read_reply(reply, fd, wait_ms);
+    close(fd);
+    return reply;
+}
+
+void
+reply_free(reply_t *reply)
+{
+    g_free(reply->fields);
+    g_string_free(reply->body, TRUE);
+    g_free(reply);
+}
+
+reply_t *
+fleet_request(const fleet_process_t *entry, const char *target, const char *id,
+              const char *more)
+{
+    char *fields = g_strdup_printf(
+        "Request-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: "
+        "8000\r\n%s",
+        id, SAMPLE_KEY, more);
+    reply_t *reply =
+        fleet_call(entry->ip, CALLERS_PORT, "GET", target, fields, "", 10000);
+    g_free(fields);
+    return reply;
+}
+
+gboolean
+fleet_wait_ready(fleet_process_t *entry)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    while (g_get_monotonic_time() < until) {
+        reply_t *reply = fleet_call(entry->ip, PROBE_PORT, "GET", "/api/ready",
+                                    "", "", 1000);
+        guint status = reply->status;
+        reply_free(reply);
+        if (status == 200) {
+            return TRUE;
+        }
+        fleet_sleep(30);
+    }
+    return FALSE;
+}
+
+/* ---- the operator ---- */
+
+#define ROUTE_FORMAT                                                          \
+    "{\"Name\":\"%s\",\"Host\":\"h.example\",\"PathPrefix\":\"%s\","          \
+    "\"Kind\":\"%s\",\"TimeoutMs\":6000,\"TargetLatencyMs\":300,"             \
+    "\"TargetGapMs\":300,\"Priority\":0,\"Service\":\"a\","                   \
+    "\"MaxAttempts\":3,\"Resumable\":%s}"
+
+char *
+fleet_config(guint64 version, const char *key)
+{
+    static const struct {
+        const char *name;
+        const char *prefix;
+        const char *kind;
+        const char *resumable;
+    } ROUTES[] = {
+        {"safe", "/safe/", "safe", "false"},
+        {"once", "/once/", "unsafe", "false"},
+        {"stream", "/stream/", "stream", "true"},
+        {"fragile", "/fragile/stream/", "stream", "false"},
+    };
+    GString *text = g_string_new(NULL);
+    char *extra = g_strdup_printf("/extra-%lu/", (unsigned long)version);
+    g_string_append_printf(text, "{\"Version\":%lu,\"Routes\":[",
+                           (unsigned long)version);
+    for (guint i = 0; i < G_N_ELEMENTS(ROUTES); i++) {
+        g_string_append_printf(text, ROUTE_FORMAT ",", ROUTES[i].name,
+                               ROUTES[i].prefix, ROUTES[i].kind,
+                               ROUTES[i].resumable);
+    }
+    g_string_append_printf(text, ROUTE_FORMAT, "extra", extra, "safe",
+                           "false");
+    g_string_append_printf(
+        text,
+        "],\"Services\":[{\"Name\":\"a\",\"HealthPath\":\"/h\","
+        "\"MaxConnections\":500}],\"Tenants\":[{\"Name\":\"t\","
+        "\"ApiKeys\":[\"%s\"]}]}",
+        key != NULL ? key : SAMPLE_KEY);
+    g_free(extra);
+    return g_string_free(text, FALSE);
+}
+
+/* The IP in a redirect, or NULL. */
+static char *
+redirect_ip(const reply_t *reply)
+{
+    const char *at = strstr(reply->fields, "Location: http://");
+    if (reply->status != 307 || at == NULL) {
+        return NULL;
+    }
+    at += strlen("Location: http://");
+    return g_strndup(at, strcspn(at, ":/"));
+}
+
+guint
+fleet_put(fleet_t *f, const char *text, guint first)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    for (guint i = first; g_get_monotonic_time() < until; i++) {
+        reply_t *reply =
+            fleet_call(f->processes[i % f->controls].ip, CONTROL_PORT, "PUT",
+                       "/api/config", "", text, 1000);
+        char *ip = redirect_ip(reply);
+        if (ip != NULL) {
+            reply_free(reply);
+            reply = fleet_call(ip, CONTROL_PORT, "PUT", "/api/config", "",
+                               text, 1000);
+            g_free(ip);
+        }
+        guint status = reply->status;
+        reply_free(reply);
+        if (status == 200 || status == 400) {
+            return status;
+        }
+        fleet_sleep(50);
+    }
+    return 0;
+}
+
+guint64
+fleet_get(const fleet_process_t *control)
+{
+    reply_t *reply = fleet_call(control->ip, CONTROL_PORT, "GET",
+                                "/api/config", "", "", 1000);
+    char *ip = redirect_ip(reply);
+    if (ip != NULL) {
+        reply_free(reply);
+        reply =
+            fleet_call(ip, CONTROL_PORT, "GET", "/api/config", "", "", 1000);
+        g_free(ip);
+    }
+    guint64 version = 0;
+    if (reply->status == 200 && reply->complete &&
+        g_str_has_prefix(reply->body->str, "{\"Version\":")) {
+        version = g_ascii_strtoull(reply->body->str + strlen("{\"Version\":"),
+                                   NULL, 10);
+    }
+    reply_free(reply);
+    return version;
+}
+
+gboolean
+fleet_up(fleet_t *f, guint64 version)
+{
+    fleet_start_all(f);
+    char *text = fleet_config(version, NULL);
+    guint status = fleet_put(f, text, 0);
+    g_free(text);
+    for (guint i = 0; status == 200 && i < f->entries; i++) {
+        if (!fleet_wait_ready(fleet_entry(f, i))) {
+            return FALSE;
+        }
+    }
+    return status == 200;
+}
+
+guint
+fleet_ran(const fleet_t *f, const char *what, const char *id)
+{
+    guint count = 0;
+    char *line = g_strdup_printf("%s %s\n", what, id);
+    for (guint i = 0; i < f->count; i++) {
+        char *text = NULL;
+        if (f->processes[i].role != FLEET_ENDPOINT ||
+            !g_file_get_contents(f->processes[i].log, &text, NULL, NULL)) {
+            continue;
+        }
+        for (const char *at = text; (at = strstr(at, line)) != NULL; at++) {
+            count++;
+        }
+        g_free(text);
+    }
+    g_free(line);
+    return count;
+}
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,89 @@
+/* A fleet of real processes on loopback addresses: control and entry
+ * instances of the gateway, stand-in endpoints, an operator and clients.
+ * Every wait is bounded. */
+#ifndef TESTS_FLEET_H
+#define TESTS_FLEET_H
+
+#include <gio/gio.h>
+
+enum {
+    FLEET_PROCESSES_MAX = 64,
+    FLEET_WAIT_MS =
+        20000, /* for what takes a second or two when all is well */
+    FLEET_REVOKE_MS = 3000,
+};
+
+typedef enum { FLEET_CONTROL, FLEET_ENTRY, FLEET_ENDPOINT } fleet_role_t;
+
+typedef struct {
+    fleet_role_t role;
+    char *name;
+    char *ip;
+    char *folder;
+    char *log;
+    GSubprocess *process; /* NULL while down */
+    gboolean founding;    /* as its next start is told */
+    guint starts;
+} fleet_process_t;
+
+typedef struct {
+    char *folder;
+    guint net; /* of the loopback addresses */
+    fleet_process_t processes[FLEET_PROCESSES_MAX];
+    guint count;
+    guint controls;
+    guint entries;
+} fleet_t;
+
+/* What came back. */
+typedef struct {
+    guint status;      /* 0: nothing */
+    gboolean complete; /* by its framing */
+    gboolean sealed;
+    char *fields; /* "name: value" lines */
+    GString *body;
+} reply_t;
+
+/* Controls first, then entries, then endpoints of service "a". */
+fleet_t *fleet_create(guint controls, guint entries, guint endpoints);
+/* Kills what runs, by its ids, and removes the folder unless KEEP_SITE. */
+void fleet_destroy(fleet_t *fleet);
+fleet_process_t *fleet_control(fleet_t *fleet, guint at);
+fleet_process_t *fleet_entry(fleet_t *fleet, guint at);
+fleet_process_t *fleet_endpoint(fleet_t *fleet, guint at);
+/* One more of a role, not started yet. */
+fleet_process_t *fleet_add(fleet_t *fleet, fleet_role_t role);
+void fleet_start(fleet_t *fleet, fleet_process_t *process);
+void fleet_start_all(fleet_t *fleet);
+void fleet_signal(fleet_process_t *process, int signal);
+/* SIGKILL, and waits for the end. */
+void fleet_kill(fleet_process_t *process);
+/* The exit code; -1 when it does not end in time or was killed. */
+int fleet_wait_exit(fleet_process_t *process);
+void fleet_lose_disk(fleet_process_t *process);
+gboolean fleet_wait_ready(fleet_process_t *entry);
+/* All entries ready with the sample of `version` in force. */
+gboolean fleet_up(fleet_t *fleet, guint64 version);
+
+/* One call; `fields` are lines ending in CRLF. */
+reply_t *fleet_call(const char *ip, guint port, const char *method,
+                    const char *target, const char *fields, const char *body,
+                    int wait_ms);
+void reply_free(reply_t *reply);
+/* A client's request at an entry, with an id and the sample's key. */
+reply_t *fleet_request(const fleet_process_t *entry, const char *target,
+                       const char *id, const char *more);
+
+/* The sample configuration: /safe/, /once/, /stream/, /fragile/stream/ (not
+ * resumable), and /extra-N/ with N the version. `key` is the team's. */
+char *fleet_config(guint64 version, const char *key);
+/* As the operator does: to one control after the other, with the redirects
+ * followed, until acknowledged or refused. 0: no clear answer in time. */
+guint fleet_put(fleet_t *fleet, const char *text, guint first);
+/* The version read back at a control: 0 when it does not say. */
+guint64 fleet_get(const fleet_process_t *control);
+/* Lines "WHAT ID" in the endpoints' logs. */
+guint fleet_ran(const fleet_t *fleet, const char *what, const char *id);
+void fleet_sleep(int ms);
+
+#endif
--- /dev/null
+++ b/tests/test_gateway.c
@@ -0,0 +1,474 @@
+/* The routing gateway as real processes: what clients, endpoints and the
+ * operator see, under failure. */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "check.h"
+#include "fleet.h"
+
+static fleet_t *
+fleet_of(guint controls, guint entries, guint endpoints)
+{
+    fleet_t *f = fleet_create(controls, entries, endpoints);
+    CU_ASSERT_FATAL(fleet_up(f, 1));
+    return f;
+}
+
+/* Events as they should come, from `from` to `to`. */
+static gboolean
+is_stream(const reply_t *reply, int from, int to)
+{
+    GString *wanted = g_string_new(NULL);
+    for (int i = from; i <= to; i++) {
+        g_string_append_printf(wanted, "id: %d\ndata: w%d\n\n", i, i);
+    }
+    gboolean equal = g_string_equal(wanted, reply->body);
+    g_string_free(wanted, TRUE);
+    return equal;
+}
+
+/* ---- answers ---- */
+
+typedef struct {
+    const char *name;
+    const char *target;
+    const char *fields;
+    guint status;
+    guint runs_least;
+    guint runs_most;
+    gboolean whole_stream;
+} request_case_t;
+
+enum { EVENTS = 12, REPEATS = 6 };
+
+static const request_case_t REQUEST_CASES[] = {
+    {"plain", "/safe/1", "", 200, 1, 1, FALSE},
+    {"once", "/once/1", "", 200, 1, 1, FALSE},
+    {"stream", "/stream/1", "", 200, 1, 1, TRUE},
+    {"no route", "/none/1", "", 404, 0, 0, FALSE},
+    {"reset, may repeat", "/safe/1", "Fault: reset@endpoint-5.1\r\n", 200, 1,
+     2, FALSE},
+    {"cut, may repeat", "/safe/1", "Fault: cut@endpoint-5.1\r\n", 200, 1, 2,
+     FALSE},
+    {"error, may repeat", "/safe/1", "Fault: error@endpoint-5.1\r\n", 200, 1,
+     2, FALSE},
+    {"full is not run", "/once/1", "Fault: full@endpoint-5.1\r\n", 200, 1, 1,
+     FALSE},
+    {"all are full", "/once/1", "Fault: full\r\n", 503, 0, 0, FALSE},
+    {"mute, may repeat", "/safe/1", "Fault: mute@endpoint-5.1\r\n", 200, 1, 2,
+     FALSE},
+    {"reset, once", "/once/1", "Fault: reset\r\n", 502, 1, 1, FALSE},
+    {"cut, once", "/once/1", "Fault: cut\r\n", 502, 1, 1, FALSE},
+    {"error, once", "/once/1", "Fault: error\r\n", 500, 1, 1, FALSE},
+    {"a stream broken off goes on elsewhere", "/stream/1",
+     "Fault: cut@endpoint-5.1\r\n", 200, 1, 2, TRUE},
+    {"a stream gone silent goes on elsewhere", "/stream/1",
+     "Fault: mute@endpoint-5.1\r\n", 200, 1, 2, TRUE},
+};
+
+static void
+request_case(fleet_t *f, const request_case_t *c, int round)
+{
+    char id[64];
+    static int made;
+    g_snprintf(id, sizeof(id), "request-%d-%d", made++, round);
+    reply_t *reply = fleet_request(fleet_entry(f, (guint)round % 2), c->target,
+                                   id, c->fields);
+    guint runs = fleet_ran(f, "run", id);
+    gboolean right = reply->status == c->status && runs >= c->runs_least &&
+                     runs <= c->runs_most && reply->complete;
+    if (c->status == 200) {
+        right = right && reply->sealed;
+    }
+    if (c->whole_stream) {
+        right = right && is_stream(reply, 1, EVENTS);
+    }
+    else if (c->status == 200) {
+        right = right && strstr(reply->body->str, id) != NULL;
+    }
+    if (!right) {
+        printf("%s: status %u, %u runs, complete %d: %s\n", c->name,
+               reply->status, runs, reply->complete, reply->body->str);
+    }
+    CU_ASSERT(right);
+    CU_ASSERT(c->status != 503 ||
+              strstr(reply->fields, "Retry-After") != NULL);
+    reply_free(reply);
+}
+
+static void
+test_requests(void)
+{
+    fleet_t *f = fleet_of(3, 2, 3);
+    for (gsize i = 0; i < G_N_ELEMENTS(REQUEST_CASES); i++) {
+        for (int round = 0; round < REPEATS; round++) {
+            request_case(f, &REQUEST_CASES[i], round);
+        }
+        fleet_sleep(300); /* endpoints that were left come back */
+    }
+    fleet_destroy(f);
+}
+
+/* A stream that may not go on elsewhere does not look whole. */
+static void
+test_fragile_stream(void)
+{
+    fleet_t *f = fleet_of(1, 1, 2);
+    for (int i = 0; i < REPEATS; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "fragile-%d", i);
+        reply_t *reply = fleet_request(fleet_entry(f, 0), "/fragile/stream/1",
+                                       id, "Fault: cut\r\n");
+        CU_ASSERT_FALSE(reply->complete);
+        CU_ASSERT(is_stream(reply, 1, EVENTS / 2));
+        CU_ASSERT_EQUAL(fleet_ran(f, "run", id), 1);
+        reply_free(reply);
+    }
+    fleet_destroy(f);
+}
+
+/* Crash of an endpoint amid streams: those that may go on do. */
+typedef struct {
+    fleet_t *fleet;
+    guint entry;
+    int number;
+    const char *prefix;
+    gboolean whole;
+    guint status;
+} client_t;
+
+static gpointer
+stream_client(gpointer data)
+{
+    client_t *c = data;
+    char id[48];
+    g_snprintf(id, sizeof(id), "%s-%d", c->prefix, c->number);
+    reply_t *reply =
+        fleet_request(fleet_entry(c->fleet, c->entry), "/stream/1", id, "");
+    c->status = reply->status;
+    c->whole = reply->complete && is_stream(reply, 1, EVENTS);
+    reply_free(reply);
+    return NULL;
+}
+
+enum { CLIENTS = 24 };
+
+/* Runs streams at the entries and calls `during` halfway. */
+static guint
+streams_whole(fleet_t *f, const char *prefix, void (*during)(fleet_t *f))
+{
+    client_t clients[CLIENTS];
+    GThread *threads[CLIENTS];
+    guint whole = 0;
+    for (int i = 0; i < CLIENTS; i++) {
+        clients[i] = (client_t){.fleet = f,
+                                .entry = (guint)i % f->entries,
+                                .number = i,
+                                .prefix = prefix};
+        threads[i] = g_thread_new("client", stream_client, &clients[i]);
+    }
+    fleet_sleep(120);
+    during(f);
+    for (int i = 0; i < CLIENTS; i++) {
+        g_thread_join(threads[i]);
+        whole += clients[i].whole;
+    }
+    return whole;
+}
+
+static void
+kill_endpoint(fleet_t *f)
+{
+    fleet_kill(fleet_endpoint(f, 0));
+}
+
+static void
+stop_endpoint(fleet_t *f)
+{
+    fleet_signal(fleet_endpoint(f, 1), SIGSTOP);
+}
+
+static void
+test_endpoint_lost(void)
+{
+    fleet_t *f = fleet_of(1, 2, 4);
+    CU_ASSERT_EQUAL(streams_whole(f, "killed", kill_endpoint), CLIENTS);
+    CU_ASSERT_EQUAL(streams_whole(f, "stopped", stop_endpoint), CLIENTS);
+    fleet_signal(fleet_endpoint(f, 1), SIGCONT);
+    fleet_destroy(f);
+}
+
+/* ---- planned work ---- */
+
+static void
+term_entry(fleet_t *f)
+{
+    fleet_signal(fleet_entry(f, 0), SIGTERM);
+}
+
+static void
+test_entry_drains(void)
+{
+    fleet_t *f = fleet_of(1, 2, 2);
+    CU_ASSERT_EQUAL(streams_whole(f, "drain", term_entry), CLIENTS);
+    reply_t *reply =
+        fleet_request(fleet_entry(f, 0), "/safe/1", "after-term", "");
+    /* It serves on until the balancer had time to notice. */
+    CU_ASSERT_EQUAL(reply->status, 200);
+    CU_ASSERT_PTR_NOT_NULL(strstr(reply->fields, "Connection: close"));
+    reply_free(reply);
+    CU_ASSERT_EQUAL(fleet_wait_exit(fleet_entry(f, 0)), 0);
+    fleet_start(f, fleet_entry(f, 0));
+    CU_ASSERT(fleet_wait_ready(fleet_entry(f, 0)));
+    fleet_destroy(f);
+}
+
+/* No work goes to an endpoint a moment after it was heard to drain. */
+static void
+test_endpoint_drains(void)
+{
+    fleet_t *f = fleet_of(3, 2, 3);
+    fleet_process_t *leaver = fleet_endpoint(f, 1);
+    fleet_signal(leaver, SIGTERM);
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    while (fleet_ran(f, "draining-heard", "-") == 0 &&
+           g_get_monotonic_time() < until) {
+        fleet_sleep(10);
+    }
+    fleet_sleep(200);
+    char *before = NULL;
+    char *after = NULL;
+    g_file_get_contents(leaver->log, &before, NULL, NULL);
+    for (int i = 0; i < 30; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "drained-%d", i);
+        reply_t *reply =
+            fleet_request(fleet_entry(f, (guint)i % 2), "/once/1", id, "");
+        CU_ASSERT_EQUAL(reply->status, 200);
+        reply_free(reply);
+    }
+    g_file_get_contents(leaver->log, &after, NULL, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(before);
+    CU_ASSERT_STRING_EQUAL(before, after);
+    CU_ASSERT_EQUAL(fleet_wait_exit(leaver), 0);
+    g_free(before);
+    g_free(after);
+    fleet_destroy(f);
+}
+
+/* ---- the configuration ---- */
+
+static guint
+leader_of(fleet_t *f)
+{
+    for (guint i = 0; i < f->controls; i++) {
+        reply_t *reply = fleet_call(fleet_control(f, i)->ip, 27341, "GET",
+                                    "/dump", "", "", 1000);
+        gboolean leads = strstr(reply->body->str, "leads 1") != NULL;
+        reply_free(reply);
+        if (leads) {
+            return i;
+        }
+    }
+    return f->controls;
+}
+
+static gboolean
+wait_in_force(fleet_t *f, guint64 version)
+{
+    char target[48];
+    g_snprintf(target, sizeof(target), "/extra-%lu/1", (unsigned long)version);
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    for (guint i = 0; i < f->entries;) {
+        reply_t *reply = fleet_request(fleet_entry(f, i), target, "probe", "");
+        i += reply->status == 200;
+        reply_free(reply);
+        if (g_get_monotonic_time() > until) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+static guint
+put_version(fleet_t *f, guint64 version, guint first)
+{
+    char *text = fleet_config(version, NULL);
+    guint status = fleet_put(f, text, first);
+    g_free(text);
+    return status;
+}
+
+static gboolean
+wait_read(fleet_t *f, guint64 version)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    for (guint i = 0; g_get_monotonic_time() < until; i++) {
+        const fleet_process_t *p = fleet_control(f, i % f->controls);
+        if (p->process != NULL && fleet_get(p) == version) {
+            return TRUE;
+        }
+        fleet_sleep(30);
+    }
+    return FALSE;
+}
+
+/* The leader is killed after each acknowledgement, and once loses its disk;
+ * nothing acknowledged is lost or shown older. */
+static void
+test_config_survives(void)
+{
+    enum { ROUNDS = 6 };
+    fleet_t *f = fleet_of(3, 1, 1);
+    for (guint64 version = 2; version < 2 + ROUNDS; version++) {
+        CU_ASSERT_EQUAL(put_version(f, version, (guint)version), 200);
+        guint leader = leader_of(f);
+        CU_ASSERT_FATAL(leader < f->controls);
+        fleet_kill(fleet_control(f, leader));
+        for (guint i = 0; i < f->controls; i++) {
+            guint64 read = i == leader ? 0 : fleet_get(fleet_control(f, i));
+            CU_ASSERT(read == 0 || read == version);
+        }
+        CU_ASSERT(wait_read(f, version));
+        /* A resend is acknowledged again, and an older one changes nothing. */
+        CU_ASSERT_EQUAL(put_version(f, version, 0), 200);
+        CU_ASSERT_EQUAL(put_version(f, version - 1, 1), 200);
+        CU_ASSERT(wait_read(f, version));
+        if (version == 4) {
+            fleet_lose_disk(fleet_control(f, leader));
+        }
+        fleet_start(f, fleet_control(f, leader));
+        CU_ASSERT(wait_in_force(f, version));
+        fleet_sleep(1500); /* it catches up before the next one goes */
+    }
+    fleet_destroy(f);
+}
+
+static void
+test_all_killed(void)
+{
+    fleet_t *f = fleet_of(3, 2, 2);
+    CU_ASSERT_EQUAL(put_version(f, 5, 0), 200);
+    for (guint i = 0; i < f->count; i++) {
+        fleet_kill(&f->processes[i]);
+    }
+    fleet_start_all(f);
+    CU_ASSERT(wait_read(f, 5));
+    CU_ASSERT(wait_in_force(f, 5));
+    fleet_destroy(f);
+}
+
+/* A control instance is replaced by an empty one at another address, more
+ * than once; the quorum follows. */
+static void
+test_replaced(void)
+{
+    fleet_t *f = fleet_of(3, 1, 1);
+    for (guint round = 0; round < 2; round++) {
+        fleet_process_t *gone = fleet_control(f, round);
+        fleet_kill(gone);
+        /* The new one takes the place in the table, at a new address. */
+        g_free(gone->ip);
+        gone->ip = g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
+                                   1 + f->net % 250, 200 + round);
+        fleet_lose_disk(gone);
+        fleet_start(f, gone);
+        fleet_sleep(8000); /* taken in, and the old one taken out */
+        CU_ASSERT_EQUAL(put_version(f, 10 + round, 2), 200);
+        CU_ASSERT(wait_in_force(f, 10 + round));
+    }
+    reply_t *reply = fleet_call(fleet_control(f, leader_of(f))->ip, 27341,
+                                "GET", "/dump", "", "", 1000);
+    guint voters = 0;
+    for (const char *at = reply->body->str;
+         (at = strstr(at, "\nvoter ")) != NULL; at++) {
+        voters++;
+    }
+    CU_ASSERT_EQUAL(voters, 3);
+    CU_ASSERT_PTR_NULL(strstr(reply->body->str, "learner"));
+    reply_free(reply);
+    fleet_destroy(f);
+}
+
+static void
+test_invalid_refused(void)
+{
+    fleet_t *f = fleet_of(3, 1, 1);
+    CU_ASSERT_EQUAL(fleet_put(f, "{\"Version\":9,", 0), 400);
+    CU_ASSERT_EQUAL(
+        fleet_put(f, "{\"Version\":9,\"Routes\":[],\"Services\":7}", 1), 400);
+    CU_ASSERT(wait_read(f, 1));
+    fleet_destroy(f);
+}
+
+/* Two operators with one version: one of both is in force, everywhere, and
+ * stays so. */
+static void
+test_race(void)
+{
+    fleet_t *f = fleet_of(3, 2, 1);
+    char *mine = fleet_config(7, "key-of-one");
+    char *theirs = fleet_config(7, "key-of-two");
+    CU_ASSERT_EQUAL(fleet_put(f, mine, 0), 200);
+    CU_ASSERT_EQUAL(fleet_put(f, theirs, 1), 200);
+    CU_ASSERT(wait_read(f, 7));
+    fleet_sleep(500);
+    for (guint i = 0; i < f->entries; i++) {
+        reply_t *one = fleet_call(
+            fleet_entry(f, i)->ip, 28227, "GET", "/safe/1",
+            "Request-Id: r1\r\nAuthorization: Bearer key-of-one\r\n", "",
+            3000);
+        reply_t *two = fleet_call(
+            fleet_entry(f, i)->ip, 28227, "GET", "/safe/1",
+            "Request-Id: r2\r\nAuthorization: Bearer key-of-two\r\n", "",
+            3000);
+        CU_ASSERT_EQUAL(one->status, 200);
+        CU_ASSERT_EQUAL(two->status, 401);
+        reply_free(one);
+        reply_free(two);
+    }
+    g_free(mine);
+    g_free(theirs);
+    fleet_destroy(f);
+}
+
+/* Without the control instances an entry serves on for a while, and then
+ * refuses what needs a key: it may have been withdrawn. */
+static void
+test_unconfirmed(void)
+{
+    fleet_t *f = fleet_of(3, 1, 1);
+    for (guint i = 0; i < f->controls; i++) {
+        fleet_signal(fleet_control(f, i), SIGSTOP);
+    }
+    reply_t *reply = fleet_request(fleet_entry(f, 0), "/safe/1", "soon", "");
+    CU_ASSERT_EQUAL(reply->status, 200);
+    reply_free(reply);
+    fleet_sleep(FLEET_REVOKE_MS);
+    reply = fleet_request(fleet_entry(f, 0), "/safe/1", "late", "");
+    CU_ASSERT_EQUAL(reply->status, 503);
+    CU_ASSERT_EQUAL(fleet_ran(f, "run", "late"), 0);
+    reply_free(reply);
+    for (guint i = 0; i < f->controls; i++) {
+        fleet_signal(fleet_control(f, i), SIGCONT);
+    }
+    CU_ASSERT(fleet_wait_ready(fleet_entry(f, 0)));
+    fleet_destroy(f);
+}
+
+static const test_case_t CASES[] = {
+    {"requests and faulty endpoints", test_requests},
+    {"a stream that may not go on", test_fragile_stream},
+    {"endpoints lost amid streams", test_endpoint_lost},
+    {"an entry instance drains", test_entry_drains},
+    {"an endpoint drains", test_endpoint_drains},
+    {"acknowledged changes survive", test_config_survives},
+    {"all processes killed at once", test_all_killed},
+    {"a control instance is replaced", test_replaced},
+    {"what is invalid is refused", test_invalid_refused},
+    {"two operators, one version", test_race},
+    {"no word from control", test_unconfirmed},
+};
+
+CHECK_MAIN("gateway", CASES)
