--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -31,6 +31,8 @@
      * refused, so that the endpoint goes to an instance that can spread
      * them. */
     CUT_US = 1500 * MS,
+    /* A report of an instance that asks several times a second. */
+    REPORT_US = 3000 * MS,
     HANDOVER_US = 1500 * MS,
 };
 
@@ -95,6 +97,7 @@
     http_server_t *server; /* endpoints and operators */
     http_server_t *inner;  /* other instances */
     registry_t *registry;
+    load_sum_t *loads; /* of the entry instances that report here */
     config_log_t *log;
     task_t *log_task;
     config_view_message_t view;
@@ -340,6 +343,9 @@
         g_ptr_array_add(answer.controls,
                         (gpointer)c->view.voters.members[i].name);
     }
+    if (request->reports) {
+        answer.loads = load_sum_all(c->loads);
+    }
     fill_config(c, request, &answer);
     GBytes *bytes = sync_answer_write(&answer);
     sync_answer_clear(&answer);
@@ -427,6 +433,9 @@
         return;
     }
     note_entry(c, request.instance);
+    if (request.reports) {
+        load_sum_report(c->loads, request.instance, request.loads, now_of(c));
+    }
     if (has_news(c, &request) || request.wait_ms == 0 || c->draining) {
         sync_answer(c, exchange, &request);
         sync_request_clear(&request);
@@ -655,6 +664,7 @@
     if (c->view.in_quorum) {
         c->quorum_us = now_of(c);
     }
+    load_sum_expire(c->loads, now_of(c) - REPORT_US);
     if (registry_expire(c->registry, now_of(c))) {
         spread_news(c);
     }
@@ -836,6 +846,7 @@
     c->epoch = (guint64)g_random_int() << 32 | g_random_int() | 1;
     c->registry =
         registry_create((gint64)(settings->heartbeat_ms * (double)MS));
+    c->loads = load_sum_create();
     c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                      correspondent_free);
     c->entries =
@@ -869,6 +880,7 @@
     g_hash_table_unref(c->puts);
     g_queue_clear_full(&c->texts, kept_text_free);
     registry_destroy(c->registry);
+    load_sum_destroy(c->loads);
     g_free(c->self);
     g_free(c);
 }
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -11,6 +11,12 @@
     /* An answer without news confirms the configuration; it comes several
      * times within the shortest bound met for a withdrawn key (5 s). */
     WAIT_MS = 600,
+    /* The leader is asked more often, since it also passes the loads on: a
+     * prompt is read in a fifth of a second. Less often where many ask, so
+     * that its share of a small core stays below a third: 250 calls a second
+     * of 0.1 ms. */
+    REPORT_MS = 200,
+    REPORT_MS_AN_ENTRY = 4,
     /* Over that: a round trip between regions and a busy instance. */
     ANSWER_US = (WAIT_MS + 700) * MS,
     RETRY_FIRST_US = 50 * MS,
@@ -43,6 +49,8 @@
     gboolean lost;
     guint64 epoch;
     guint64 cursor;
+    gboolean leads;   /* it confirmed the configuration: it gets the loads */
+    GArray *reported; /* loads in the question under way, or NULL */
 };
 
 static void link_ask(control_link_t *link);
@@ -73,6 +81,7 @@
     entry_t *e = link->entry;
     timers_cancel(e->timers, link->timer);
     link->call = NULL;
+    link->leads = FALSE;
     if (!link->lost) {
         link->lost = TRUE;
         log_link(link, "control_lost");
@@ -194,6 +203,7 @@
     http_peer_destroy(link->peer);
     directory_forget(e->directory, link->source, entry_now(e));
     g_byte_array_unref(link->body);
+    g_clear_pointer(&link->reported, g_array_unref);
     g_free(link->address);
     g_free(link);
 }
@@ -226,6 +236,11 @@
     }
     link->epoch = answer->epoch;
     link->cursor = answer->cursor;
+    link->leads = answer->confirmed;
+    if (answer->loads != NULL && link->reported != NULL) {
+        directory_take_loads(e->directory, answer->loads, link->reported);
+        e->loads_us = now;
+    }
     gboolean sound = take_config(link, answer);
     if (sound && answer->confirmed && e->config != NULL &&
         e->config->version >= answer->version) {
@@ -310,7 +325,15 @@
         .epoch = link->epoch,
         .cursor = link->cursor,
         .wait_ms = first ? 100 : WAIT_MS,
+        .reports = link->leads,
     };
+    g_clear_pointer(&link->reported, g_array_unref);
+    if (link->leads) {
+        link->reported = directory_loads(e->directory);
+        request.loads = link->reported;
+        request.wait_ms =
+            CLAMP(e->entries * REPORT_MS_AN_ENTRY, REPORT_MS, WAIT_MS);
+    }
     GBytes *body = sync_request_write(&request);
     gsize length;
     const char *data = g_bytes_get_data(body, &length);
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -23,6 +23,8 @@
     /* After a start, for the endpoints to be told by more than one control
      * instance. */
     START_US = 300 * MS,
+    /* Loads of others that are older say nothing of now. */
+    LOADS_US = 2000 * MS,
 };
 
 /* Of the bound for a withdrawn key: then keyed requests are refused. */
@@ -201,6 +203,11 @@
 {
     entry_t *e = data;
     directory_sweep(e->directory, entry_now(e));
+    if (entry_now(e) - e->loads_us > LOADS_US) {
+        GArray *none = g_array_new(FALSE, FALSE, sizeof(load_t));
+        directory_take_loads(e->directory, none, none);
+        g_array_unref(none);
+    }
     counter_set(counter_get("endpoints", NULL, TRUE),
                 directory_count(e->directory));
     counter_set(counter_get("requests_in_flight", NULL, TRUE), e->forwards);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -22,7 +22,7 @@
 /* What this instance remembers of a service. */
 typedef struct {
     repeat_budget_t budget;
-    placement_mix_t mix;
+    gint64 long_us; /* when a long prompt last came; 0: never */
 } service_use_t;
 
 struct entry {
@@ -42,6 +42,7 @@
     route_config_t *config; /* NULL until one came */
     GBytes *text;
     gint64 confirmed_us; /* clock_boot_us at which it was surely the newest */
+    gint64 loads_us;     /* when the loads of the others were last told */
     guint entries;       /* entry instances, as the control ones count them */
     gint64 started_us;
     gint64 drain_us;   /* when SIGTERM came; 0: not yet */
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -32,6 +32,8 @@
     /* A silent endpoint is left, where the request may repeat, after this
      * many objectives, or this long within a stream. */
     PATIENCE_TARGETS = 3,
+    /* A service that got no long prompt for so long is not parted. */
+    LONG_REMEMBERED_US = 60 * G_USEC_PER_SEC,
     PATIENCE_LEAST_US = 250 * MS,
     STREAM_SILENCE_US = 1500 * MS,
 };
@@ -546,7 +548,8 @@
         .parts = f->info.parts,
         .part_count = f->info.part_count,
         .prompt_tokens = f->info.prompt_tokens,
-        .long_part = placement_mix_long_part(&f->use->mix),
+        .parted = f->use->long_us != 0 &&
+                  now_of(f) - f->use->long_us < LONG_REMEMBERED_US,
         .data_centre = f->entry->settings->data_centre,
         .tried_count = MIN(f->sends, PLACEMENT_TRIED_MAX),
         .draw = g_rand_int(f->entry->random),
@@ -722,7 +725,9 @@
                                                 (gint)f->route->weight_sum));
     repeat_limits_t limits = entry_repeat_limits(e);
     f->use = entry_service(e, f->service);
-    placement_mix_note(&f->use->mix, f->info.prompt_tokens, now_of(f));
+    if (placement_is_long(f->info.prompt_tokens)) {
+        f->use->long_us = now_of(f);
+    }
     repeat_budget_note_first(&f->use->budget, &limits, now_of(f));
     forward_send(f);
 }
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -2,8 +2,9 @@
 
 #include "carobloom/common/codec.h"
 
-#define REQUEST_TYPE "(stttu)"
-#define ANSWER_TYPE "(ttbbttttbaya(sssstuyx)asu)"
+#define LOADS_TYPE "a(tu)"
+#define REQUEST_TYPE "(stttuba(tu))"
+#define ANSWER_TYPE "(ttbbttttbaya(sssstuyx)asuba(tu))"
 #define LETTER_TYPE "(stay)"
 
 static GVariant *
@@ -24,11 +25,39 @@
     return bytes;
 }
 
+static GVariant *
+loads_variant(const GArray *loads)
+{
+    GVariantBuilder b;
+    g_variant_builder_init(&b, G_VARIANT_TYPE(LOADS_TYPE));
+    for (guint i = 0; loads != NULL && i < loads->len; i++) {
+        const load_t *l = &g_array_index(loads, load_t, i);
+        g_variant_builder_add(&b, "(tu)", l->endpoint, l->running);
+    }
+    return g_variant_builder_end(&b);
+}
+
+static GArray *
+loads_take(GVariant *list)
+{
+    GVariantIter iter;
+    load_t l;
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(l));
+    g_variant_iter_init(&iter, list);
+    while (loads->len < SYNC_ENDPOINTS_MAX &&
+           g_variant_iter_next(&iter, "(tu)", &l.endpoint, &l.running)) {
+        g_array_append_val(loads, l);
+    }
+    g_variant_unref(list);
+    return loads;
+}
+
 GBytes *
 sync_request_write(const sync_request_t *r)
 {
-    return codec_write(g_variant_new(REQUEST_TYPE, r->instance, r->version,
-                                     r->epoch, r->cursor, r->wait_ms));
+    return codec_write(g_variant_new("(stttub@a(tu))", r->instance, r->version,
+                                     r->epoch, r->cursor, r->wait_ms,
+                                     r->reports, loads_variant(r->loads)));
 }
 
 gboolean
@@ -39,8 +68,10 @@
     if (v == NULL) {
         return FALSE;
     }
-    g_variant_get(v, REQUEST_TYPE, &r->instance, &r->version, &r->epoch,
-                  &r->cursor, &r->wait_ms);
+    GVariant *loads;
+    g_variant_get(v, "(stttub@a(tu))", &r->instance, &r->version, &r->epoch,
+                  &r->cursor, &r->wait_ms, &r->reports, &loads);
+    r->loads = loads_take(loads);
     g_variant_unref(v);
     return TRUE;
 }
@@ -49,6 +80,7 @@
 sync_request_clear(sync_request_t *r)
 {
     g_clear_pointer(&r->instance, g_free);
+    g_clear_pointer(&r->loads, g_array_unref);
 }
 
 static void
@@ -88,10 +120,11 @@
 sync_answer_write(const sync_answer_t *a)
 {
     return codec_write(g_variant_new(
-        "(ttbbttttb@ay@a(sssstuyx)@asu)", a->epoch, a->cursor, a->full,
+        "(ttbbttttb@ay@a(sssstuyx)@asub@a(tu))", a->epoch, a->cursor, a->full,
         a->confirmed, a->version, a->base, a->prefix, a->removed,
         a->inserted != NULL, bytes_variant(a->inserted),
-        leases_variant(a->leases), names_variant(a->controls), a->entries));
+        leases_variant(a->leases), names_variant(a->controls), a->entries,
+        a->loads != NULL, loads_variant(a->loads)));
 }
 
 static gboolean
@@ -140,11 +173,17 @@
     GVariant *inserted;
     GVariant *leases;
     GVariant *controls;
+    GVariant *loads;
     gboolean news;
-    g_variant_get(v, "(ttbbttttb@ay@a(sssstuyx)@asu)", &a->epoch, &a->cursor,
-                  &a->full, &a->confirmed, &a->version, &a->base, &a->prefix,
-                  &a->removed, &news, &inserted, &leases, &controls,
-                  &a->entries);
+    gboolean loaded;
+    g_variant_get(v, "(ttbbttttb@ay@a(sssstuyx)@asub@a(tu))", &a->epoch,
+                  &a->cursor, &a->full, &a->confirmed, &a->version, &a->base,
+                  &a->prefix, &a->removed, &news, &inserted, &leases,
+                  &controls, &a->entries, &loaded, &loads);
+    a->loads = loads_take(loads);
+    if (!loaded) {
+        g_clear_pointer(&a->loads, g_array_unref);
+    }
     a->inserted = variant_bytes(inserted);
     if (!news) {
         g_clear_pointer(&a->inserted, g_bytes_unref);
@@ -164,6 +203,7 @@
     g_clear_pointer(&a->inserted, g_bytes_unref);
     g_clear_pointer(&a->leases, g_ptr_array_unref);
     g_clear_pointer(&a->controls, g_ptr_array_unref);
+    g_clear_pointer(&a->loads, g_array_unref);
 }
 
 GBytes *
--- a/include/carobloom/gateway/sync_wire.h
+++ b/include/carobloom/gateway/sync_wire.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "carobloom/policy/directory.h"
+#include "carobloom/policy/load_sum.h"
 
 #define SYNC_PATH "/sync"   /* entry to control */
 #define VOTER_PATH "/voter" /* control to control */
@@ -17,10 +18,12 @@
 
 typedef struct {
     char *instance;
-    guint64 version; /* of the configuration here; 0 for none */
-    guint64 epoch;   /* of the control instance's start that `cursor` is of */
-    guint64 cursor;  /* leases changed up to here are known */
-    guint32 wait_ms; /* to be held for, at most, when there is no news */
+    guint64 version;  /* of the configuration here; 0 for none */
+    guint64 epoch;    /* of the control instance's start that `cursor` is of */
+    guint64 cursor;   /* leases changed up to here are known */
+    guint32 wait_ms;  /* to be held for, at most, when there is no news */
+    gboolean reports; /* `loads` are this instance's, and all are asked for */
+    GArray *loads;    /* load_t */
 } sync_request_t;
 
 typedef struct {
@@ -37,6 +40,8 @@
     GPtrArray *leases;   /* endpoint_lease_t * */
     GPtrArray *controls; /* char *: IP:PORT of the voters' listeners */
     guint32 entries;     /* entry instances that ask here */
+    GArray *loads;       /* load_t of all that report here; NULL when
+                            not asked for */
 } sync_answer_t;
 
 GBytes *sync_request_write(const sync_request_t *request);
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "carobloom/common/str.h"
+#include "carobloom/policy/load_sum.h"
 
 enum {
     DIRECTORY_SOURCES_MAX = 32, /* control instances; bits of a word */
@@ -66,11 +67,13 @@
     guint running;
     guint waiting;          /* of them, before their first byte */
     guint64 waiting_tokens; /* prompt tokens of those */
+    guint others_running;   /* of the other entry instances, as last told */
     /* health */
     double failures;        /* decaying share of failed requests */
     gint64 closed_until_us; /* gets nothing until then */
     gint64 backoff_us;
     gint64 full_until_us;
+    gint64 full_backoff_us;
     guint64 parts[ENDPOINT_PARTS]; /* prompt parts sent there lately */
     void *connections;             /* the owner's */
 } endpoint_t;
@@ -93,6 +96,12 @@
 const GPtrArray *directory_service(const directory_t *directory,
                                    const char *service);
 guint directory_count(const directory_t *directory);
+/* Requests under way here: a new array of load_t. */
+GArray *directory_loads(const directory_t *directory);
+/* Takes the sums over all entry instances, of which `own` were reported by
+ * this one. */
+void directory_take_loads(directory_t *directory, const GArray *sums,
+                          const GArray *own);
 /* Whether it may be sent new work at all. */
 gboolean endpoint_usable(const endpoint_t *endpoint, gint64 now_us);
 /* Whether its health lets it take work just now. */
--- /dev/null
+++ b/include/carobloom/policy/load_sum.h
@@ -0,0 +1,30 @@
+/* The requests under way at each endpoint, summed over the entry instances
+ * that report them.
+ * Pure. A report replaces the one before of the same instance; one that is
+ * not renewed is taken out. */
+#ifndef CAROBLOOM_POLICY_LOAD_SUM_H
+#define CAROBLOOM_POLICY_LOAD_SUM_H
+
+#include <glib.h>
+
+/* Requests under way at one endpoint, of one entry instance or of all. */
+typedef struct {
+    guint64 endpoint; /* hash of its id */
+    guint32 running;
+} load_t;
+
+typedef struct load_sum load_sum_t;
+
+load_sum_t *load_sum_create(void);
+void load_sum_destroy(load_sum_t *sum);
+/* `loads` holds load_t and is counted by reference. */
+void load_sum_report(load_sum_t *sum, const char *instance, GArray *loads,
+                     gint64 now_us);
+/* Takes out what was not renewed since `oldest_us`. */
+void load_sum_expire(load_sum_t *sum, gint64 oldest_us);
+/* The sums that are not zero; a new array. */
+GArray *load_sum_all(const load_sum_t *sum);
+/* Instances whose report counts. */
+guint load_sum_reporters(const load_sum_t *sum);
+
+#endif
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -7,8 +7,10 @@
  *
  * A long prompt read by an engine holds up the tokens of all that run beside
  * it. The engines of a service are therefore parted, in the same order at all
- * instances: some for long prompts, the others for the rest. How many follows
- * from the prompt tokens of either kind that come in. Pure. */
+ * instances: some for long prompts, the others for the rest. And each engine
+ * takes only so many: what the instances tell each other of their requests
+ * under way bounds them, so that those taken end in time and the others are
+ * told at once to come back. Pure. */
 #ifndef CAROBLOOM_POLICY_PLACEMENT_H
 #define CAROBLOOM_POLICY_PLACEMENT_H
 
@@ -16,18 +18,6 @@
 
 enum { PLACEMENT_TRIED_MAX = 8 };
 
-/* Prompt tokens of late, by kind; one for each service. */
-typedef struct {
-    double long_tokens; /* decaying sums */
-    double short_tokens;
-    gint64 at_us;
-} placement_mix_t;
-
-/* Notes a request that came in. */
-void placement_mix_note(placement_mix_t *mix, guint prompt_tokens,
-                        gint64 now_us);
-/* The part of the engines that long prompts are for, 0 to 1. */
-double placement_mix_long_part(const placement_mix_t *mix);
 /* Whether a prompt of so many tokens counts as long. */
 gboolean placement_is_long(guint prompt_tokens);
 
@@ -41,7 +31,7 @@
     const prompt_part_t *parts; /* of the prompt, in order */
     guint part_count;
     guint prompt_tokens;
-    double long_part;        /* of the engines, for long prompts */
+    gboolean parted; /* the service gets long prompts: see above */
     const char *data_centre; /* of this instance */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX]; /* not these again */
     guint tried_count;
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -15,7 +15,8 @@
     BACKOFF_MOST_US = 4 * SECOND_US,
     /* A refusal says that its queue is full; it drains a few requests in such
      * a time. */
-    FULL_US = 100 * 1000,
+    FULL_FIRST_US = 100 * 1000,
+    FULL_MOST_US = 3 * SECOND_US,
     MISDIRECTED_US = 30 * SECOND_US,
 };
 
@@ -247,6 +248,60 @@
     return g_hash_table_size(d->by_id);
 }
 
+GArray *
+directory_loads(const directory_t *d)
+{
+    GHashTableIter iter;
+    gpointer value;
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(load_t));
+    g_hash_table_iter_init(&iter, d->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const endpoint_t *e = value;
+        if (e->running > 0) {
+            load_t load = {.endpoint = e->hash, .running = e->running};
+            g_array_append_val(loads, load);
+        }
+    }
+    return loads;
+}
+
+static guint32
+running_in(GHashTable *index, guint64 endpoint)
+{
+    const load_t *load = g_hash_table_lookup(index, &endpoint);
+    return load != NULL ? load->running : 0;
+}
+
+/* By endpoint, for look-ups; the keys lie in `loads`. */
+static GHashTable *
+loads_index(const GArray *loads)
+{
+    GHashTable *index = g_hash_table_new(g_int64_hash, g_int64_equal);
+    for (guint i = 0; i < loads->len; i++) {
+        load_t *l = &g_array_index(loads, load_t, i);
+        g_hash_table_insert(index, &l->endpoint, l);
+    }
+    return index;
+}
+
+void
+directory_take_loads(directory_t *d, const GArray *sums, const GArray *own)
+{
+    GHashTable *all = loads_index(sums);
+    GHashTable *mine = loads_index(own);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, d->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        endpoint_t *e = value;
+        guint32 sum = running_in(all, e->hash);
+        guint32 part = running_in(mine, e->hash);
+        e->others_running = sum > part ? sum - part : 0;
+    }
+    g_hash_table_unref(all);
+    g_hash_table_unref(mine);
+}
+
 gboolean
 endpoint_usable(const endpoint_t *e, gint64 now_us)
 {
@@ -284,9 +339,13 @@
     switch (outcome) {
     case ENDPOINT_SERVED:
         e->backoff_us = 0;
+        e->full_backoff_us = 0;
         break;
     case ENDPOINT_FULL:
-        e->full_until_us = now_us + FULL_US;
+        /* One that refuses all looks idle: it must not draw all requests. */
+        e->full_backoff_us =
+            CLAMP(e->full_backoff_us * 2, FULL_FIRST_US, FULL_MOST_US);
+        e->full_until_us = now_us + e->full_backoff_us;
         break;
     case ENDPOINT_MISDIRECTED:
         e->closed_until_us = now_us + MISDIRECTED_US;
--- /dev/null
+++ b/policy/load_sum.c
@@ -0,0 +1,120 @@
+#include "carobloom/policy/load_sum.h"
+
+typedef struct {
+    GArray *loads;
+    gint64 at_us;
+} report_t;
+
+struct load_sum {
+    GHashTable *reports; /* instance -> report_t */
+    GHashTable *sums;    /* endpoint -> load_t */
+};
+
+static void
+report_free(gpointer data)
+{
+    report_t *report = data;
+    g_array_unref(report->loads);
+    g_free(report);
+}
+
+load_sum_t *
+load_sum_create(void)
+{
+    load_sum_t *s = g_new0(load_sum_t, 1);
+    s->reports =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, report_free);
+    s->sums = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return s;
+}
+
+void
+load_sum_destroy(load_sum_t *s)
+{
+    g_hash_table_unref(s->reports);
+    g_hash_table_unref(s->sums);
+    g_free(s);
+}
+
+static void
+take_out(load_sum_t *s, const GArray *loads)
+{
+    for (guint i = 0; i < loads->len; i++) {
+        const load_t *l = &g_array_index(loads, load_t, i);
+        load_t *sum = g_hash_table_lookup(s->sums, &l->endpoint);
+        if (sum == NULL) {
+            continue;
+        }
+        sum->running -= MIN(sum->running, l->running);
+        if (sum->running == 0) {
+            g_hash_table_remove(s->sums, &l->endpoint);
+        }
+    }
+}
+
+static void
+put_in(load_sum_t *s, const GArray *loads)
+{
+    for (guint i = 0; i < loads->len; i++) {
+        const load_t *l = &g_array_index(loads, load_t, i);
+        load_t *sum = g_hash_table_lookup(s->sums, &l->endpoint);
+        if (sum == NULL) {
+            sum = g_memdup2(l, sizeof(*l));
+            g_hash_table_insert(s->sums, &sum->endpoint, sum);
+            continue;
+        }
+        sum->running += l->running;
+    }
+}
+
+void
+load_sum_report(load_sum_t *s, const char *instance, GArray *loads,
+                gint64 now_us)
+{
+    report_t *report = g_hash_table_lookup(s->reports, instance);
+    if (report == NULL) {
+        report = g_new0(report_t, 1);
+        report->loads = g_array_new(FALSE, FALSE, sizeof(load_t));
+        g_hash_table_insert(s->reports, g_strdup(instance), report);
+    }
+    take_out(s, report->loads);
+    put_in(s, loads);
+    g_array_unref(report->loads);
+    report->loads = g_array_ref(loads);
+    report->at_us = now_us;
+}
+
+void
+load_sum_expire(load_sum_t *s, gint64 oldest_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->reports);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        report_t *report = value;
+        if (report->at_us < oldest_us) {
+            take_out(s, report->loads);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+GArray *
+load_sum_all(const load_sum_t *s)
+{
+    GHashTableIter iter;
+    gpointer value;
+    GArray *all = g_array_sized_new(FALSE, FALSE, sizeof(load_t),
+                                    g_hash_table_size(s->sums));
+    g_hash_table_iter_init(&iter, s->sums);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_array_append_vals(all, value, 1);
+    }
+    return all;
+}
+
+guint
+load_sum_reporters(const load_sum_t *s)
+{
+    return g_hash_table_size(s->reports);
+}
