--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -25,10 +25,6 @@
     DEADLINE_DEFAULT_MS = 60000,
     /* Less than this is not worth an endpoint's work. */
     DEADLINE_LEAST_MS = 5,
-    /* Refusals say when to come back: when an endpoint that is full or gone
-     * may be open again, spread so that callers do not return together. */
-    RETRY_AFTER_LEAST_MS = 150,
-    RETRY_AFTER_SPREAD_MS = 350,
     /* A silent endpoint is left, where the request may repeat, after this
      * many objectives, or this long within a stream. */
     PATIENCE_TARGETS = 3,
@@ -45,6 +41,21 @@
     .head_max = ANSWER_HEAD_MAX,
 };
 
+/* When a refused caller should come back: spread, so that callers do not
+ * return together. */
+typedef struct {
+    gint least_ms;
+    gint spread_ms;
+} retry_after_t;
+
+/* A place comes free within a request's work, some 15 ms at a plain server
+ * and a second at an engine whose places long prompts hold. */
+static const retry_after_t AFTER_SHORT = {150, 350};
+static const retry_after_t AFTER_LONG = {600, 800};
+/* An instance that has just started, or is cut off, has its configuration
+ * confirmed once a leader is elected: within about two seconds. */
+static const retry_after_t AFTER_START = {1200, 800};
+
 /* One request of a caller, until it is answered. */
 typedef struct {
     entry_t *entry;
@@ -168,6 +179,15 @@
     g_free(f);
 }
 
+static retry_after_t
+retry_after_of(const forward_t *f)
+{
+    if (!entry_is_confirmed(f->entry)) {
+        return AFTER_START;
+    }
+    return placement_is_long(f->info.prompt_tokens) ? AFTER_LONG : AFTER_SHORT;
+}
+
 /* A whole answer of this system's own. */
 static void
 answer_own(forward_t *f, guint status, const char *reason)
@@ -179,10 +199,11 @@
         http_write_field(fields, STR("Request-Id"), f->info.id);
     }
     if (status == 503 || status == 429) {
-        gint64 after = RETRY_AFTER_LEAST_MS +
-                       g_rand_int_range(e->random, 0, RETRY_AFTER_SPREAD_MS);
+        retry_after_t after = retry_after_of(f);
+        gint ms =
+            after.least_ms + g_rand_int_range(e->random, 0, after.spread_ms);
         g_string_append_printf(fields, "Retry-After: %.3f\r\n",
-                               (double)after / 1000);
+                               (double)ms / 1000);
     }
     log_outcome(f, status, reason);
     count_outcome(f, status);
