Look at a kept connection before it is used again; log what decided

Lines on requests now name the service, the last endpoint, and the age of the configuration's confirmation and of the loads.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -59,6 +59,13 @@
     return confirmed_within(e, CONFIRMED_PART);
 }
 
+gint64
+entry_config_age_ms(const entry_t *e)
+{
+    return e->confirmed_us != 0 ? (clock_boot_us() - e->confirmed_us) / MS
+                                : -1;
+}
+
 void
 entry_take_confirmation(entry_t *e, gint64 asked_us)
 {
@@ -319,10 +326,9 @@
         "config version %lu, confirmed %ld ms ago\nready %d\n"
         "requests %u, connections %u, endpoints %u, entries %u\n",
         e->config ? (unsigned long)e->config->version : 0,
-        e->confirmed_us ? (long)((clock_boot_us() - e->confirmed_us) / MS)
-                        : -1,
-        is_ready(e), e->forwards, http_server_connections(e->callers),
-        directory_count(e->directory), e->entries);
+        (long)entry_config_age_ms(e), is_ready(e), e->forwards,
+        http_server_connections(e->callers), directory_count(e->directory),
+        e->entries);
     control_links_dump(e, text);
     return g_string_free(text, FALSE);
 }
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -52,6 +52,8 @@
 
 /* Whether a key withdrawn for longer than the bound would be noticed. */
 gboolean entry_is_confirmed(const entry_t *entry);
+/* Since the configuration here was surely the newest; -1: never. */
+gint64 entry_config_age_ms(const entry_t *entry);
 /* Puts a configuration in force, if it is newer. FALSE when it can not be
  * read. */
 gboolean entry_take_config(entry_t *entry, guint64 version, GBytes *text);
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -17,6 +17,7 @@
      * once; so many endpoints that are all gone mean that more will not
      * help. */
     SENDS_MAX = 6,
+    ENDPOINT_NAME_MAX = 64,
     CONNECT_US = 250 * MS, /* a round trip and a busy endpoint, many times */
     ENDPOINT_IDLE_US = 8 * G_USEC_PER_SEC,
     ENDPOINT_IDLE_MAX = 64,
@@ -71,6 +72,7 @@
     guint64 timer;
     /* where it runs */
     endpoint_t *endpoint;
+    char last_endpoint[ENDPOINT_NAME_MAX]; /* its id, for the log */
     client_call_t *call;
     gint64 sent_us;
     guint waiting_tokens; /* that it added to the endpoint's */
@@ -116,9 +118,12 @@
     event_log_cstr("reason", reason);
     event_log_cstr("route", f->route ? f->route->name : "");
     event_log_cstr("team", f->team ? f->team->name : "");
-    event_log_cstr("endpoint", f->endpoint ? f->endpoint->id : "");
+    event_log_cstr("service", f->service ? f->service : "");
+    event_log_cstr("endpoint", f->last_endpoint);
     event_log_number("config_version",
                      f->config ? (gint64)f->config->version : 0);
+    event_log_number("config_age_ms", entry_config_age_ms(f->entry));
+    event_log_number("loads_age_ms", (now_of(f) - f->entry->loads_us) / MS);
     event_log_number("sends", f->sends);
     event_log_number("runs", f->runs);
     event_log_number("refusals", f->refusals);
@@ -284,6 +289,7 @@
     if (event_log_begin(EVENT_FAILURE, "repeat")) {
         event_log_text("request", f->info.id);
         event_log_cstr("reason", reason);
+        event_log_cstr("endpoint", f->last_endpoint);
         event_log_number("sends", f->sends);
         event_log_number("runs", f->runs);
         event_log_number("elapsed_ms", (now_of(f) - f->started_us) / MS);
@@ -631,6 +637,7 @@
               const placement_request_t *request)
 {
     f->endpoint = endpoint;
+    g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
     endpoint->running++;
     f->waiting_tokens = placement_unread(endpoint, request);
     endpoint->waiting_tokens += f->waiting_tokens;
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -327,7 +327,8 @@
     for (GList *l = peer->idle; l != NULL; l = next) {
         client_call_t *call = l->data;
         next = l->next;
-        if (call->usable_until_us > now) {
+        if (call->usable_until_us > now &&
+            stream_socket_is_quiet(call->socket)) {
             peer->idle = g_list_remove_link(peer->idle, call->link);
             peer->idle_count--;
             peer->busy = g_list_concat(call->link, peer->busy);
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -291,6 +291,14 @@
     return sent;
 }
 
+gboolean
+stream_socket_is_quiet(const stream_socket_t *s)
+{
+    char byte;
+    ssize_t count = recv(s->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && errno == EAGAIN;
+}
+
 void
 stream_socket_read(stream_socket_t *s, gboolean on)
 {
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -52,6 +52,9 @@
 gsize stream_socket_backlog(const stream_socket_t *socket);
 /* Whether any byte has gone to the kernel since the last call. */
 gboolean stream_socket_take_sent(stream_socket_t *socket);
+/* Whether the peer has neither sent anything nor closed, as far as the kernel
+ * knows by now. */
+gboolean stream_socket_is_quiet(const stream_socket_t *socket);
 void stream_socket_read(stream_socket_t *socket, gboolean on);
 void stream_socket_set_owner(stream_socket_t *socket,
                              const stream_socket_ops_t *ops, void *user);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -419,6 +419,37 @@
     }
 }
 
+/* A kept connection that the server has closed is not used again, even when
+ * its end has not been looked at yet: a request that must not repeat would be
+ * lost with it. */
+static void
+test_closed_while_idle(void)
+{
+    static const call_case_t CLOSES = {
+        "closes without a word", OK_HEAD ID TWO, THEN_CLOSE, TRUE, 0, "ok",
+        FALSE};
+    loop_t loop;
+    guint16 port;
+    outcome_t outcome;
+    script_t script = {.c = &CLOSES, .fd = listen_any(&port)};
+    GThread *thread = g_thread_new("script", script_run, &script);
+    loop_open(&loop);
+    http_peer_t *peer = peer_of(&loop, port);
+    for (int i = 0; i < 3; i++) {
+        call_once(&loop, peer, &outcome);
+        CU_ASSERT(outcome.done);
+        g_string_free(outcome.body, TRUE);
+        g_usleep(50000); /* the end arrives; the loop does not run */
+    }
+    CU_ASSERT_EQUAL(g_atomic_int_get(&script.accepted), 3);
+    g_atomic_int_set(&script.stop, 1);
+    http_peer_destroy(peer);
+    shutdown(script.fd, SHUT_RDWR);
+    g_thread_join(thread);
+    close(script.fd);
+    loop_close(&loop);
+}
+
 /* No listener: nothing left, so it may go elsewhere whatever it is. */
 static void
 test_call_refused(void)
@@ -691,6 +722,7 @@
     {"messages are read by their framing", test_read},
     {"changed bytes do no harm", test_read_fuzz},
     {"what servers do is told apart", test_calls},
+    {"a connection closed while idle", test_closed_while_idle},
     {"no listener means nothing left", test_call_refused},
     {"what clients do is answered", test_serve},
     {"a client that leaves is told once", test_client_leaves},
