Add a fault soak: real processes behind misbehaving proxies

Seeded schedules of kills, stops, terminations, lost disks and links that delay, reset, cut one way, silence or go stale; own whole answers, at most once, truthful refusals, changes never older or lost, checked from outside.

--- a/carobloomd/gateway/settings.c
+++ b/carobloomd/gateway/settings.c
@@ -34,6 +34,7 @@
 
 static const field_t GATEWAY_FIELDS[] = {
     PART(address, FIELD_STRING, .required = TRUE, .min = 1, .max = 64),
+    PART(bind, FIELD_STRING, .max = 64),
     PART(callers, FIELD_STRING, .max = 64),
     PART(probe, FIELD_STRING, .max = 64),
     PART(control, FIELD_STRING, .max = 64),
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -36,7 +36,8 @@
 
 typedef struct {
     const char *id;
-    const char *address;
+    const char *address; /* that it announces */
+    const char *listen;
     const char *service;
     char **controls;
     guint at; /* of controls */
@@ -444,10 +445,10 @@
     e->poller = poller_create(g_main_context_default(), on_turn, e);
     e->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                      (GDestroyNotify)http_peer_destroy);
-    e->server = http_server_create(e->poller, e->timers, e->address, &LIMITS,
+    e->server = http_server_create(e->poller, e->timers, e->listen, &LIMITS,
                                    &SERVER_OPS, e);
     if (e->server == NULL) {
-        fprintf(stderr, "can not listen at %s\n", e->address);
+        fprintf(stderr, "can not listen at %s\n", e->listen);
         return 1;
     }
     g_unix_signal_add(SIGTERM, on_terminate, e);
@@ -466,7 +467,9 @@
 {
     struct arg_str *id = arg_str1(NULL, "id", "ID", "its id");
     struct arg_str *address =
-        arg_str1(NULL, "address", "IP:PORT", "to listen at");
+        arg_str1(NULL, "address", "IP:PORT", "to announce");
+    struct arg_str *listen =
+        arg_str0(NULL, "listen", "IP:PORT", "to listen at (the address)");
     struct arg_str *service =
         arg_str1(NULL, "service", "NAME", "the service it is of");
     struct arg_str *controls =
@@ -475,7 +478,7 @@
         arg_int0(NULL, "beat-ms", "MS", "between renewals (300)");
     struct arg_file *log = arg_file1(NULL, "log", "FILE", "what it ran");
     struct arg_end *end = arg_end(10);
-    void *table[] = {id, address, service, controls, beat, log, end};
+    void *table[] = {id, address, listen, service, controls, beat, log, end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         return 2;
@@ -484,6 +487,7 @@
     endpoint_t endpoint = {
         .id = id->sval[0],
         .address = address->sval[0],
+        .listen = listen->count > 0 ? listen->sval[0] : address->sval[0],
         .service = service->sval[0],
         .controls = g_strsplit(controls->sval[0], ",", -1),
         .beat_ms = beat->count > 0 ? beat->ival[0] : 300,
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -10,16 +10,6 @@
 
 #include "carobloom/http/reader.h"
 
-/* Each process has an address of its own, so ports are the same for all. */
-enum {
-    CALLERS_PORT = 28227,
-    PROBE_PORT = 28220,
-    CONTROL_PORT = 28229,
-    PEERS_PORT = 27340,
-    ENDPOINT_PORT = 28080,
-    METRICS_PORT = 27341,
-};
-
 static const char SAMPLE_KEY[] = "sample-key";
 
 void
@@ -36,22 +26,26 @@
     GString *seeds = g_string_new(NULL);
     for (guint i = 0; i < MIN(f->controls, 3); i++) {
         g_string_append_printf(seeds, "%s\"%s:%d\"", i > 0 ? "," : "",
-                               f->processes[i].ip, CONTROL_PORT);
+                               f->processes[i].ip, FLEET_CONTROL_PORT);
     }
     gboolean entry = p->role == FLEET_ENTRY;
     char *listeners =
         entry ? g_strdup_printf("\"callers\":\"%s:%d\",\"probe\":\"%s:%d\"",
-                                p->ip, CALLERS_PORT, p->ip, PROBE_PORT)
-              : g_strdup_printf("\"control\":\"%s:%d\"", p->ip, CONTROL_PORT);
+                                p->bind, FLEET_CALLERS_PORT, p->bind,
+                                FLEET_PROBE_PORT)
+              : g_strdup_printf("\"control\":\"%s:%d\"", p->bind,
+                                FLEET_CONTROL_PORT);
     char *text = g_strdup_printf(
         "{\"instance\":\"%s\",\"data_centre\":\"z\",\"data_folder\":"
-        "\"%s/data\",\"gateway\":{\"address\":\"%s\",%s,\"metrics\":"
+        "\"%s/"
+        "data\",\"gateway\":{\"address\":\"%s\",\"bind\":\"%s\",%s,"
+        "\"metrics\":"
         "\"%s:%d\",\"founding\":%s,\"peers_port\":%d,\"seeds\":[%s],"
         "\"heartbeat_ms\":300,\"grace_s\":6,\"revoke_ms\":%d,"
         "\"retry_slack\":500}}",
-        p->name, p->folder, p->ip, listeners, p->ip, METRICS_PORT,
-        p->founding ? "true" : "false", PEERS_PORT, seeds->str,
-        FLEET_REVOKE_MS);
+        p->name, p->folder, p->ip, p->bind, listeners, p->bind,
+        FLEET_METRICS_PORT, p->founding ? "true" : "false", FLEET_PEERS_PORT,
+        seeds->str, FLEET_REVOKE_MS);
     char *path = g_build_filename(p->folder, "settings.jsonc", NULL);
     g_file_set_contents(path, text, -1, NULL);
     g_free(path);
@@ -69,6 +63,10 @@
     p->name = g_strdup_printf("%s-%u", NAMES[role], f->count);
     p->ip = g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
                             1 + f->net % 250, 1 + f->count);
+    p->bind = f->proxied
+                  ? g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
+                                    1 + f->net % 250, 101 + f->count)
+                  : g_strdup(p->ip);
     p->folder = g_build_filename(f->folder, p->name, NULL);
     p->log = g_build_filename(p->folder, "log", NULL);
     g_mkdir(p->folder, 0700);
@@ -76,11 +74,12 @@
     return p;
 }
 
-fleet_t *
-fleet_create(guint controls, guint entries, guint endpoints)
+static fleet_t *
+create(guint controls, guint entries, guint endpoints, gboolean proxied)
 {
     static guint made;
     fleet_t *f = g_new0(fleet_t, 1);
+    f->proxied = proxied;
     f->folder = g_dir_make_tmp("carobloom-fleet-XXXXXX", NULL);
     f->net = (guint)getpid() * 7 + made++;
     for (guint i = 0; i < controls; i++) {
@@ -97,6 +96,18 @@
     return f;
 }
 
+fleet_t *
+fleet_create(guint controls, guint entries, guint endpoints)
+{
+    return create(controls, entries, endpoints, FALSE);
+}
+
+fleet_t *
+fleet_create_proxied(guint controls, guint entries, guint endpoints)
+{
+    return create(controls, entries, endpoints, TRUE);
+}
+
 fleet_process_t *
 fleet_control(fleet_t *f, guint at)
 {
@@ -136,16 +147,19 @@
     GString *controls = g_string_new(NULL);
     for (guint i = 0; i < f->controls; i++) {
         g_string_append_printf(controls, "%s%s:%d", i > 0 ? "," : "",
-                               f->processes[i].ip, CONTROL_PORT);
+                               f->processes[i].ip, FLEET_CONTROL_PORT);
     }
     char *id = g_strdup_printf("%s.%u", p->name, p->starts);
-    char *address = g_strdup_printf("%s:%d", p->ip, ENDPOINT_PORT);
+    char *address = g_strdup_printf("%s:%d", p->ip, FLEET_ENDPOINT_PORT);
+    char *listen = g_strdup_printf("%s:%d", p->bind, FLEET_ENDPOINT_PORT);
     const char *argv[] = {ENDPOINT,      "--id",      id,     "--address",
                           address,       "--service", "a",    "--controls",
-                          controls->str, "--log",     p->log, NULL};
+                          controls->str, "--listen",  listen, "--log",
+                          p->log,        NULL};
     p->process = spawn(p, argv);
     g_free(id);
     g_free(address);
+    g_free(listen);
     g_string_free(controls, TRUE);
 }
 
@@ -247,6 +261,12 @@
 
 void
 fleet_destroy(fleet_t *f)
+{
+    fleet_destroy_keep(f, g_getenv("KEEP_SITE") != NULL);
+}
+
+void
+fleet_destroy_keep(fleet_t *f, gboolean keep)
 {
     for (guint i = 0; i < f->count; i++) {
         fleet_process_t *p = &f->processes[i];
@@ -254,10 +274,11 @@
         fleet_kill(p);
         g_free(p->name);
         g_free(p->ip);
+        g_free(p->bind);
         g_free(p->folder);
         g_free(p->log);
     }
-    if (g_getenv("KEEP_SITE") == NULL) {
+    if (!keep) {
         remove_tree(f->folder);
     }
     else {
@@ -384,8 +405,8 @@
         "Request-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: "
         "8000\r\n%s",
         id, SAMPLE_KEY, more);
-    reply_t *reply =
-        fleet_call(entry->ip, CALLERS_PORT, "GET", target, fields, "", 10000);
+    reply_t *reply = fleet_call(entry->ip, FLEET_CALLERS_PORT, "GET", target,
+                                fields, "", 10000);
     g_free(fields);
     return reply;
 }
@@ -395,8 +416,8 @@
 {
     gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
     while (g_get_monotonic_time() < until) {
-        reply_t *reply = fleet_call(entry->ip, PROBE_PORT, "GET", "/api/ready",
-                                    "", "", 1000);
+        reply_t *reply = fleet_call(entry->ip, FLEET_PROBE_PORT, "GET",
+                                    "/api/ready", "", "", 1000);
         guint status = reply->status;
         reply_free(reply);
         if (status == 200) {
@@ -468,13 +489,13 @@
     gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
     for (guint i = first; g_get_monotonic_time() < until; i++) {
         reply_t *reply =
-            fleet_call(f->processes[i % f->controls].ip, CONTROL_PORT, "PUT",
-                       "/api/config", "", text, 1000);
+            fleet_call(f->processes[i % f->controls].ip, FLEET_CONTROL_PORT,
+                       "PUT", "/api/config", "", text, 1000);
         char *ip = redirect_ip(reply);
         if (ip != NULL) {
             reply_free(reply);
-            reply = fleet_call(ip, CONTROL_PORT, "PUT", "/api/config", "",
-                               text, 1000);
+            reply = fleet_call(ip, FLEET_CONTROL_PORT, "PUT", "/api/config",
+                               "", text, 1000);
             g_free(ip);
         }
         guint status = reply->status;
@@ -490,13 +511,13 @@
 guint64
 fleet_get(const fleet_process_t *control)
 {
-    reply_t *reply = fleet_call(control->ip, CONTROL_PORT, "GET",
+    reply_t *reply = fleet_call(control->ip, FLEET_CONTROL_PORT, "GET",
                                 "/api/config", "", "", 1000);
     char *ip = redirect_ip(reply);
     if (ip != NULL) {
         reply_free(reply);
-        reply =
-            fleet_call(ip, CONTROL_PORT, "GET", "/api/config", "", "", 1000);
+        reply = fleet_call(ip, FLEET_CONTROL_PORT, "GET", "/api/config", "",
+                           "", 1000);
         g_free(ip);
     }
     guint64 version = 0;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -11,6 +11,14 @@
     FLEET_WAIT_MS =
         20000, /* for what takes a second or two when all is well */
     FLEET_REVOKE_MS = 3000,
+    /* Each process has an address of its own, so ports are the same for all.
+     */
+    FLEET_CALLERS_PORT = 28227,
+    FLEET_PROBE_PORT = 28220,
+    FLEET_CONTROL_PORT = 28229,
+    FLEET_PEERS_PORT = 27340,
+    FLEET_METRICS_PORT = 27341,
+    FLEET_ENDPOINT_PORT = 28080,
 };
 
 typedef enum { FLEET_CONTROL, FLEET_ENTRY, FLEET_ENDPOINT } fleet_role_t;
@@ -18,7 +26,8 @@
 typedef struct {
     fleet_role_t role;
     char *name;
-    char *ip;
+    char *ip;   /* that the others use */
+    char *bind; /* that it listens at; the same unless proxied */
     char *folder;
     char *log;
     GSubprocess *process; /* NULL while down */
@@ -33,6 +42,7 @@
     guint count;
     guint controls;
     guint entries;
+    gboolean proxied;
 } fleet_t;
 
 /* What came back. */
@@ -46,8 +56,12 @@
 
 /* Controls first, then entries, then endpoints of service "a". */
 fleet_t *fleet_create(guint controls, guint entries, guint endpoints);
+/* The same, each listening at another address than the others use, for
+ * proxies between them. */
+fleet_t *fleet_create_proxied(guint controls, guint entries, guint endpoints);
 /* Kills what runs, by its ids, and removes the folder unless KEEP_SITE. */
 void fleet_destroy(fleet_t *fleet);
+void fleet_destroy_keep(fleet_t *fleet, gboolean keep);
 fleet_process_t *fleet_control(fleet_t *fleet, guint at);
 fleet_process_t *fleet_entry(fleet_t *fleet, guint at);
 fleet_process_t *fleet_endpoint(fleet_t *fleet, guint at);
--- /dev/null
+++ b/tests/proxy.c
@@ -0,0 +1,315 @@
+#include "proxy.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "carobloom/common/poller.h"
+#include "carobloom/common/timers.h"
+#include "carobloom/http/stream_socket.h"
+
+enum { DELAY_US = 80 * 1000, TURN_MS = 2 };
+
+static const char *const MODE_NAMES[] = {
+    [PROXY_PASS] = "pass",         [PROXY_DELAY] = "delay",
+    [PROXY_RESET] = "reset",       [PROXY_CUT_TO] = "cut-to",
+    [PROXY_CUT_FROM] = "cut-from", [PROXY_SILENT] = "silent",
+    [PROXY_STALE] = "stale",
+};
+
+struct proxy {
+    struct sockaddr_in to;
+    int fd;
+    poll_watch_t *watch;
+    gint mode; /* atomic; a proxy_mode_t, as asked for */
+    gint done; /* the mode that took effect on open connections */
+    GList *pairs;
+};
+
+typedef struct pair pair_t;
+
+/* One way of a connection. */
+typedef struct {
+    pair_t *pair;
+    stream_socket_t *socket;
+    gboolean closed;
+} end_t;
+
+struct pair {
+    proxy_t *proxy;
+    end_t near; /* of the connecting side */
+    end_t far;
+    gboolean stale;
+    gboolean over;
+    guint late; /* pieces on their way, with DELAY; the last frees it */
+};
+
+typedef struct {
+    pair_t *pair;
+    gboolean to_far;
+    GBytes *bytes;
+} piece_t;
+
+static struct {
+    GThread *thread;
+    GMainContext *context;
+    poller_t *poller;
+    timers_t *timers;
+    GPtrArray *proxies;
+    GMutex lock; /* over `proxies` */
+    gint stop;
+} all;
+
+const char *
+proxy_mode_name(proxy_mode_t mode)
+{
+    return MODE_NAMES[mode];
+}
+
+static proxy_mode_t
+mode_of(const proxy_t *proxy)
+{
+    return (proxy_mode_t)g_atomic_int_get(&proxy->mode);
+}
+
+static void
+pair_destroy(pair_t *pair, gboolean reset)
+{
+    end_t *ends[] = {&pair->near, &pair->far};
+    for (int i = 0; i < 2; i++) {
+        if (ends[i]->socket == NULL) {
+            continue;
+        }
+        if (reset) {
+            stream_socket_reset(ends[i]->socket);
+        }
+        else {
+            stream_socket_destroy(ends[i]->socket);
+        }
+        ends[i]->socket = NULL;
+    }
+    pair->proxy->pairs = g_list_remove(pair->proxy->pairs, pair);
+    pair->over = TRUE;
+    if (pair->late == 0) {
+        g_free(pair);
+    }
+}
+
+static gboolean
+is_lost(const pair_t *pair, gboolean to_far)
+{
+    proxy_mode_t mode = mode_of(pair->proxy);
+    return pair->stale || mode == PROXY_SILENT ||
+           mode == (to_far ? PROXY_CUT_TO : PROXY_CUT_FROM);
+}
+
+static void
+pass(pair_t *pair, gboolean to_far, str_t bytes)
+{
+    stream_socket_t *socket = to_far ? pair->far.socket : pair->near.socket;
+    if (socket != NULL) {
+        stream_socket_write(socket, bytes);
+        stream_socket_flush(socket);
+    }
+}
+
+static void
+pass_late(void *data)
+{
+    piece_t *piece = data;
+    gsize length;
+    const char *bytes = g_bytes_get_data(piece->bytes, &length);
+    piece->pair->late--;
+    pass(piece->pair, piece->to_far, (str_t){.data = bytes, .length = length});
+    if (piece->pair->over && piece->pair->late == 0) {
+        g_free(piece->pair);
+    }
+    g_bytes_unref(piece->bytes);
+    g_free(piece);
+}
+
+static void
+on_bytes(void *user, str_t bytes)
+{
+    end_t *end = user;
+    pair_t *pair = end->pair;
+    gboolean to_far = end == &pair->near;
+    if (is_lost(pair, to_far)) {
+        return;
+    }
+    /* Once a piece is late those after it must not overtake it. */
+    if (mode_of(pair->proxy) != PROXY_DELAY && pair->late == 0) {
+        pass(pair, to_far, bytes);
+        return;
+    }
+    piece_t *piece = g_new0(piece_t, 1);
+    *piece = (piece_t){.pair = pair,
+                       .to_far = to_far,
+                       .bytes = g_bytes_new(bytes.data, bytes.length)};
+    pair->late++;
+    timers_subscribe(all.timers, DELAY_US, 0, pass_late, piece);
+}
+
+static void
+on_closed(void *user, int error)
+{
+    end_t *end = user;
+    pair_t *pair = end->pair;
+    /* Behind a cut an end is not heard of; the other side keeps waiting. */
+    if (is_lost(pair, end == &pair->near) && end->socket != NULL) {
+        g_clear_pointer(&end->socket, stream_socket_destroy);
+        end->closed = TRUE;
+        return;
+    }
+    pair_destroy(pair, error != 0);
+}
+
+static void
+on_nothing(void *user)
+{
+    (void)user;
+}
+
+static const stream_socket_ops_t END_OPS = {.connected = on_nothing,
+                                            .bytes = on_bytes,
+                                            .drained = on_nothing,
+                                            .closed = on_closed};
+
+static void
+on_acceptable(guint32 events, void *data)
+{
+    (void)events;
+    proxy_t *proxy = data;
+    int fd = accept4(proxy->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+        return;
+    }
+    if (mode_of(proxy) == PROXY_RESET) {
+        struct linger linger = {.l_onoff = 1};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+        close(fd);
+        return;
+    }
+    pair_t *pair = g_new0(pair_t, 1);
+    pair->proxy = proxy;
+    pair->near.pair = pair;
+    pair->far.pair = pair;
+    pair->near.socket =
+        stream_socket_adopt(all.poller, fd, &END_OPS, &pair->near);
+    pair->far.socket =
+        stream_socket_connect(all.poller, &proxy->to, &END_OPS, &pair->far);
+    proxy->pairs = g_list_prepend(proxy->pairs, pair);
+    if (pair->near.socket == NULL || pair->far.socket == NULL) {
+        pair_destroy(pair, TRUE);
+    }
+}
+
+/* What a change of mode does to open connections. */
+static void
+proxy_turn(proxy_t *proxy)
+{
+    proxy_mode_t mode = mode_of(proxy);
+    if (proxy->watch == NULL) {
+        proxy->watch = poll_watch_create(all.poller, proxy->fd, EPOLLIN,
+                                         on_acceptable, proxy);
+    }
+    if ((gint)mode == proxy->done) {
+        return;
+    }
+    proxy->done = (gint)mode;
+    GList *next;
+    for (GList *l = proxy->pairs; l != NULL; l = next) {
+        pair_t *pair = l->data;
+        next = l->next;
+        gboolean ended = pair->near.closed || pair->far.closed;
+        if (mode == PROXY_RESET || (mode == PROXY_PASS && ended)) {
+            pair_destroy(pair, TRUE);
+        }
+        else if (mode == PROXY_STALE) {
+            pair->stale = TRUE;
+        }
+    }
+}
+
+static void
+on_turn(void *data)
+{
+    (void)data;
+    timers_advance(all.timers, g_get_monotonic_time());
+}
+
+static gpointer
+proxies_run(gpointer data)
+{
+    (void)data;
+    while (!g_atomic_int_get(&all.stop)) {
+        g_mutex_lock(&all.lock);
+        for (guint i = 0; i < all.proxies->len; i++) {
+            proxy_turn(all.proxies->pdata[i]);
+        }
+        g_mutex_unlock(&all.lock);
+        while (g_main_context_iteration(all.context, FALSE)) {
+        }
+        on_turn(NULL);
+        g_usleep(TURN_MS * 1000 / 4);
+    }
+    return NULL;
+}
+
+void
+proxies_start(void)
+{
+    all.context = g_main_context_new();
+    all.timers = timers_create(g_get_monotonic_time());
+    all.poller = poller_create(all.context, on_turn, NULL);
+    all.proxies = g_ptr_array_new();
+    g_atomic_int_set(&all.stop, 0);
+    all.thread = g_thread_new("proxies", proxies_run, NULL);
+}
+
+void
+proxies_stop(void)
+{
+    g_atomic_int_set(&all.stop, 1);
+    g_thread_join(all.thread);
+    for (guint i = 0; i < all.proxies->len; i++) {
+        proxy_t *proxy = all.proxies->pdata[i];
+        GList *next;
+        for (GList *l = proxy->pairs; l != NULL; l = next) {
+            next = l->next;
+            pair_destroy(l->data, TRUE);
+        }
+        if (proxy->watch != NULL) {
+            poll_watch_destroy(proxy->watch);
+        }
+        close(proxy->fd);
+        g_free(proxy);
+    }
+    timers_advance(all.timers, g_get_monotonic_time() + DELAY_US);
+    g_ptr_array_unref(all.proxies);
+    poller_destroy(all.poller);
+    timers_destroy(all.timers);
+    g_main_context_unref(all.context);
+}
+
+proxy_t *
+proxy_create(const char *from, const char *to)
+{
+    proxy_t *proxy = g_new0(proxy_t, 1);
+    guint16 port;
+    proxy->fd = socket_listen(from, &port);
+    if (proxy->fd < 0 ||
+        !socket_address_parse(str_from_cstr(to), &proxy->to)) {
+        g_free(proxy);
+        return NULL;
+    }
+    g_mutex_lock(&all.lock);
+    g_ptr_array_add(all.proxies, proxy);
+    g_mutex_unlock(&all.lock);
+    return proxy;
+}
+
+void
+proxy_set(proxy_t *proxy, proxy_mode_t mode)
+{
+    g_atomic_int_set(&proxy->mode, (gint)mode);
+}
--- /dev/null
+++ b/tests/soak.c
@@ -0,0 +1,512 @@
+/* The fault soak: the real programs as separate processes on one machine,
+ * faults from outside, and the promises checked by what clients, endpoints
+ * and the operator see. The schedule follows from the seed. */
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "proxy.h"
+
+enum {
+    CLIENTS_MAX = 64,
+    EVENTS = 12,
+    ATTEMPTS_MOST = 3,    /* of the sample's routes */
+    DISK_PAUSE_MS = 9000, /* between two lost disks: to catch up */
+    SERVED_LEAST = 20,    /* in a hundred, with all faults */
+};
+
+typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_FRAGILE } kind_t;
+
+static const char *const TARGETS[] = {
+    [KIND_SAFE] = "/safe/1",
+    [KIND_ONCE] = "/once/1",
+    [KIND_STREAM] = "/stream/1",
+    [KIND_FRAGILE] = "/fragile/stream/1",
+};
+
+/* What a client was told. */
+typedef struct {
+    char *id;
+    kind_t kind;
+    guint status;
+} told_t;
+
+typedef struct {
+    fleet_t *fleet;
+    GRand *random; /* of the schedule */
+    proxy_t *proxies[FLEET_PROCESSES_MAX][2];
+    guint32 seed;
+    gint stop;       /* atomic */
+    gint acked;      /* atomic: newest version acknowledged */
+    gint broken;     /* atomic: promises broken */
+    gint asked;      /* atomic */
+    gint served;     /* atomic */
+    GMutex lock;     /* over `told` */
+    GPtrArray *told; /* told_t * */
+    gint64 disk_us;  /* when a disk was last lost */
+    gint64 started_us;
+} soak_t;
+
+static int
+since_ms(const soak_t *s)
+{
+    return (int)((g_get_monotonic_time() - s->started_us) / 1000);
+}
+
+static void
+broke(soak_t *s, const char *promise, const char *what)
+{
+    g_atomic_int_inc(&s->broken);
+    printf("%6d BROKEN %s: %s\n", since_ms(s), promise, what);
+    fflush(stdout);
+}
+
+/* ---- clients ---- */
+
+static gboolean
+is_whole_stream(const reply_t *reply)
+{
+    GString *wanted = g_string_new(NULL);
+    for (int i = 1; i <= EVENTS; i++) {
+        g_string_append_printf(wanted, "id: %d\ndata: w%d\n\n", i, i);
+    }
+    gboolean equal = g_string_equal(wanted, reply->body);
+    g_string_free(wanted, TRUE);
+    return equal;
+}
+
+static gboolean
+is_own_answer(const reply_t *reply, kind_t kind, const char *id)
+{
+    if (!reply->sealed) {
+        return FALSE;
+    }
+    if (kind == KIND_STREAM || kind == KIND_FRAGILE) {
+        return is_whole_stream(reply);
+    }
+    char *start = g_strdup_printf("answer to %s by ", id);
+    gboolean own = g_str_has_prefix(reply->body->str, start);
+    g_free(start);
+    return own;
+}
+
+static void
+check_reply(soak_t *s, const reply_t *reply, kind_t kind, const char *id)
+{
+    if (reply->status == 200 && reply->complete) {
+        g_atomic_int_inc(&s->served);
+        if (!is_own_answer(reply, kind, id)) {
+            broke(s, "own whole answer", id);
+        }
+    }
+    if (reply->status == 401 || reply->status == 404) {
+        broke(s, "not denied what is allowed", id);
+    }
+}
+
+typedef struct {
+    soak_t *soak;
+    int number;
+    GRand *random;
+} client_t;
+
+static gpointer
+client_run(gpointer data)
+{
+    client_t *c = data;
+    soak_t *s = c->soak;
+    for (int i = 0; !g_atomic_int_get(&s->stop); i++) {
+        kind_t kind = (kind_t)g_rand_int_range(c->random, 0, 4);
+        guint entry =
+            (guint)g_rand_int_range(c->random, 0, (gint)s->fleet->entries);
+        char *id = g_strdup_printf("s%u-c%d-%d", s->seed, c->number, i);
+        reply_t *reply =
+            fleet_request(fleet_entry(s->fleet, entry), TARGETS[kind], id, "");
+        g_atomic_int_inc(&s->asked);
+        check_reply(s, reply, kind, id);
+        told_t *told = g_new0(told_t, 1);
+        *told = (told_t){.id = id, .kind = kind, .status = reply->status};
+        g_mutex_lock(&s->lock);
+        g_ptr_array_add(s->told, told);
+        g_mutex_unlock(&s->lock);
+        if (reply->status != 200) {
+            fleet_sleep(g_rand_int_range(c->random, 20, 150));
+        }
+        reply_free(reply);
+    }
+    return NULL;
+}
+
+/* ---- the operator ---- */
+
+static void
+read_back(soak_t *s, guint at)
+{
+    gint acked = g_atomic_int_get(&s->acked);
+    guint64 version = fleet_get(fleet_control(s->fleet, at));
+    if (version != 0 && version < (guint64)acked) {
+        char *text =
+            g_strdup_printf("%u read, %d acknowledged", (guint)version, acked);
+        broke(s, "changes never older", text);
+        g_free(text);
+    }
+}
+
+static gpointer
+operator_run(gpointer data)
+{
+    soak_t *s = data;
+    GRand *random = g_rand_new_with_seed(s->seed + 1000);
+    for (gint version = 2; !g_atomic_int_get(&s->stop); version++) {
+        char *text = fleet_config((guint64)version, NULL);
+        guint first =
+            (guint)g_rand_int_range(random, 0, (gint)s->fleet->controls);
+        if (fleet_put(s->fleet, text, first) == 200) {
+            g_atomic_int_set(&s->acked, version);
+        }
+        g_free(text);
+        for (guint i = 0; i < s->fleet->controls; i++) {
+            read_back(s, i);
+        }
+        fleet_sleep(g_rand_int_range(random, 100, 900));
+    }
+    g_rand_free(random);
+    return NULL;
+}
+
+/* ---- faults ---- */
+
+/* Something to be undone later. */
+typedef struct {
+    int at_ms;
+    fleet_process_t *process; /* to start, or to continue */
+    gboolean stopped;
+    proxy_t *proxy; /* to pass again */
+} undo_t;
+
+static fleet_process_t *
+any_process(soak_t *s)
+{
+    return &s->fleet->processes[g_rand_int_range(s->random, 0,
+                                                 (gint)s->fleet->count)];
+}
+
+static void
+say(const soak_t *s, const char *fault, const char *name)
+{
+    printf("%6d %s %s\n", since_ms(s), fault, name);
+    fflush(stdout);
+}
+
+static undo_t
+fault_kill(soak_t *s)
+{
+    fleet_process_t *p = any_process(s);
+    int down = g_rand_int_range(s->random, 100, 1500);
+    if (p->process == NULL) {
+        return (undo_t){0};
+    }
+    say(s, "kill", p->name);
+    fleet_signal(p, SIGCONT);
+    fleet_kill(p);
+    gint64 now = g_get_monotonic_time();
+    gboolean spaced = now - s->disk_us > (gint64)DISK_PAUSE_MS * 1000;
+    if (p->role == FLEET_CONTROL && spaced &&
+        g_rand_int_range(s->random, 0, 3) == 0) {
+        say(s, "lose the disk of", p->name);
+        s->disk_us = now;
+        fleet_lose_disk(p);
+    }
+    return (undo_t){.at_ms = since_ms(s) + down, .process = p};
+}
+
+static undo_t
+fault_stop(soak_t *s)
+{
+    fleet_process_t *p = any_process(s);
+    int down = g_rand_int_range(s->random, 200, 2500);
+    if (p->process == NULL) {
+        return (undo_t){0};
+    }
+    say(s, "stop", p->name);
+    fleet_signal(p, SIGSTOP);
+    return (undo_t){
+        .at_ms = since_ms(s) + down, .process = p, .stopped = TRUE};
+}
+
+static undo_t
+fault_term(soak_t *s)
+{
+    fleet_process_t *p = any_process(s);
+    if (p->process == NULL) {
+        return (undo_t){0};
+    }
+    say(s, "terminate", p->name);
+    fleet_signal(p, SIGTERM);
+    return (undo_t){.at_ms = since_ms(s) + 7000, .process = p};
+}
+
+static undo_t
+fault_link(soak_t *s)
+{
+    guint at = (guint)g_rand_int_range(s->random, 0, (gint)s->fleet->count);
+    proxy_t *proxy = s->proxies[at][g_rand_int_range(s->random, 0, 2)];
+    proxy_mode_t mode =
+        (proxy_mode_t)g_rand_int_range(s->random, 1, PROXY_MODES);
+    int down = g_rand_int_range(s->random, 200, 3000);
+    if (proxy == NULL) {
+        return (undo_t){0};
+    }
+    char *text = g_strconcat(s->fleet->processes[at].name, " ",
+                             proxy_mode_name(mode), NULL);
+    say(s, "link", text);
+    g_free(text);
+    proxy_set(proxy, mode);
+    return (undo_t){.at_ms = since_ms(s) + down, .proxy = proxy};
+}
+
+typedef undo_t (*fault_fn_t)(soak_t *s);
+
+static const fault_fn_t FAULTS[] = {fault_kill, fault_kill, fault_stop,
+                                    fault_term, fault_link, fault_link,
+                                    fault_link};
+
+static void
+undo_one(soak_t *s, const undo_t *undo)
+{
+    if (undo->proxy != NULL) {
+        proxy_set(undo->proxy, PROXY_PASS);
+        return;
+    }
+    fleet_signal(undo->process, SIGCONT);
+    if (undo->stopped) {
+        return;
+    }
+    fleet_kill(undo->process); /* if it drained too slowly to have ended */
+    fleet_start(s->fleet, undo->process);
+}
+
+static void
+undo_due(soak_t *s, GArray *undos, gboolean all)
+{
+    for (guint i = undos->len; i > 0; i--) {
+        undo_t undo = g_array_index(undos, undo_t, i - 1);
+        if (all || undo.at_ms <= since_ms(s)) {
+            g_array_remove_index(undos, i - 1);
+            undo_one(s, &undo);
+        }
+    }
+}
+
+static void
+run_schedule(soak_t *s, int seconds)
+{
+    GArray *undos = g_array_new(FALSE, FALSE, sizeof(undo_t));
+    int next = 500;
+    while (since_ms(s) < seconds * 1000) {
+        undo_due(s, undos, FALSE);
+        if (since_ms(s) >= next) {
+            fault_fn_t fault = FAULTS[g_rand_int_range(
+                s->random, 0, (gint)G_N_ELEMENTS(FAULTS))];
+            undo_t undo = fault(s);
+            if (undo.at_ms > 0) {
+                g_array_append_val(undos, undo);
+            }
+            next += g_rand_int_range(s->random, 100, 1200);
+        }
+        fleet_sleep(10);
+    }
+    undo_due(s, undos, TRUE);
+    g_array_unref(undos);
+}
+
+/* ---- what must hold at the end ---- */
+
+static GHashTable *
+runs_by_id(const fleet_t *f)
+{
+    GHashTable *runs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (guint i = 0; i < f->count; i++) {
+        char *text = NULL;
+        if (f->processes[i].role != FLEET_ENDPOINT ||
+            !g_file_get_contents(f->processes[i].log, &text, NULL, NULL)) {
+            continue;
+        }
+        char **lines = g_strsplit(text, "\n", -1);
+        for (int j = 0; lines[j] != NULL; j++) {
+            if (g_str_has_prefix(lines[j], "run ")) {
+                const char *id = lines[j] + 4;
+                gpointer count = g_hash_table_lookup(runs, id);
+                g_hash_table_replace(
+                    runs, g_strdup(id),
+                    GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+            }
+        }
+        g_strfreev(lines);
+        g_free(text);
+    }
+    return runs;
+}
+
+static void
+check_runs(soak_t *s)
+{
+    GHashTable *runs = runs_by_id(s->fleet);
+    for (guint i = 0; i < s->told->len; i++) {
+        const told_t *told = s->told->pdata[i];
+        guint count = GPOINTER_TO_UINT(g_hash_table_lookup(runs, told->id));
+        gboolean once = told->kind == KIND_ONCE || told->kind == KIND_FRAGILE;
+        if (count > (once ? 1 : ATTEMPTS_MOST)) {
+            broke(s, "at most once", told->id);
+        }
+        if (told->status == 503 && count > 0) {
+            broke(s, "not run when told so", told->id);
+        }
+    }
+    g_hash_table_unref(runs);
+}
+
+static void
+check_recovered(soak_t *s)
+{
+    guint64 acked = (guint64)g_atomic_int_get(&s->acked);
+    char *target = g_strdup_printf("/extra-%u/1", (guint)acked);
+    for (guint i = 0; i < s->fleet->entries; i++) {
+        fleet_process_t *entry = fleet_entry(s->fleet, i);
+        if (!fleet_wait_ready(entry)) {
+            broke(s, "ready again", entry->name);
+            continue;
+        }
+        guint64 read = 0;
+        for (int j = 0; j < 200 && read < acked; j++) {
+            read = fleet_get(
+                fleet_control(s->fleet, (guint)j % s->fleet->controls));
+            fleet_sleep(read < acked ? 50 : 0);
+        }
+        if (read < acked) {
+            broke(s, "changes are kept", target);
+        }
+    }
+    g_free(target);
+}
+
+/* ---- life ---- */
+
+static void
+make_proxies(soak_t *s)
+{
+    static const guint PORTS[][2] = {
+        [FLEET_CONTROL] = {FLEET_CONTROL_PORT, FLEET_PEERS_PORT},
+        [FLEET_ENTRY] = {FLEET_CALLERS_PORT, FLEET_PROBE_PORT},
+        [FLEET_ENDPOINT] = {FLEET_ENDPOINT_PORT, 0},
+    };
+    for (guint i = 0; i < s->fleet->count; i++) {
+        const fleet_process_t *p = &s->fleet->processes[i];
+        for (int j = 0; j < 2; j++) {
+            guint port = PORTS[p->role][j];
+            if (port == 0) {
+                continue;
+            }
+            char *from = g_strdup_printf("%s:%u", p->ip, port);
+            char *to = g_strdup_printf("%s:%u", p->bind, port);
+            s->proxies[i][j] = proxy_create(from, to);
+            g_free(from);
+            g_free(to);
+        }
+    }
+}
+
+static void
+told_free(gpointer data)
+{
+    g_free(((told_t *)data)->id);
+    g_free(data);
+}
+
+static int
+soak_run(guint32 seed, int seconds, guint controls, guint entries,
+         guint endpoints, guint clients)
+{
+    soak_t s = {.seed = seed, .random = g_rand_new_with_seed(seed)};
+    client_t all[CLIENTS_MAX];
+    GThread *threads[CLIENTS_MAX];
+    s.told = g_ptr_array_new_with_free_func(told_free);
+    proxies_start();
+    s.fleet = fleet_create_proxied(controls, entries, endpoints);
+    make_proxies(&s);
+    s.started_us = g_get_monotonic_time();
+    if (!fleet_up(s.fleet, 1)) {
+        broke(&s, "starts", s.fleet->folder);
+        seconds = 0;
+    }
+    s.acked = 1;
+    s.started_us = g_get_monotonic_time();
+    s.disk_us = s.started_us;
+    for (guint i = 0; i < clients; i++) {
+        all[i] =
+            (client_t){.soak = &s,
+                       .number = (int)i,
+                       .random = g_rand_new_with_seed(seed * CLIENTS_MAX + i)};
+        threads[i] = g_thread_new("client", client_run, &all[i]);
+    }
+    GThread *operator= g_thread_new("operator", operator_run, &s);
+    run_schedule(&s, seconds);
+    check_recovered(&s);
+    g_atomic_int_set(&s.stop, 1);
+    for (guint i = 0; i < clients; i++) {
+        g_thread_join(threads[i]);
+        g_rand_free(all[i].random);
+    }
+    g_thread_join(operator);
+    check_runs(&s);
+    if (s.served * 100 < s.asked * SERVED_LEAST) {
+        broke(&s, "serves on", "too few were served");
+    }
+    printf("seed %u: %d asked, %d served, version %d, %d broken%s%s\n", seed,
+           s.asked, s.served, s.acked, s.broken, s.broken ? ", logs in " : "",
+           s.broken ? s.fleet->folder : "");
+    fleet_destroy_keep(s.fleet, s.broken > 0);
+    proxies_stop();
+    g_ptr_array_unref(s.told);
+    g_rand_free(s.random);
+    return s.broken > 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_int *seed = arg_int0("s", "seed", "N", "of the schedule (1)");
+    struct arg_int *count = arg_int0("n", "count", "N", "seeds in a row (1)");
+    struct arg_int *seconds =
+        arg_int0("t", "seconds", "S", "of faults for each seed (15)");
+    struct arg_int *controls = arg_int0(NULL, "controls", "N", "(3)");
+    struct arg_int *entries = arg_int0(NULL, "entries", "N", "(3)");
+    struct arg_int *endpoints = arg_int0(NULL, "endpoints", "N", "(4)");
+    struct arg_int *clients = arg_int0(NULL, "clients", "N", "(8)");
+    struct arg_end *end = arg_end(10);
+    void *table[] = {seed,    count,     seconds, controls,
+                     entries, endpoints, clients, end};
+    if (arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        arg_print_glossary(stderr, table, "  %-20s %s\n");
+        return 2;
+    }
+#define OR(arg, fallback) ((arg)->count > 0 ? (arg)->ival[0] : (fallback))
+    signal(SIGPIPE, SIG_IGN);
+    int failed = 0;
+    int many = OR(count, 1);
+    for (int i = 0; i < many; i++) {
+        failed += soak_run((guint32)(OR(seed, 1) + i), OR(seconds, 15),
+                           (guint)CLAMP(OR(controls, 3), 1, 9),
+                           (guint)CLAMP(OR(entries, 3), 1, 24),
+                           (guint)CLAMP(OR(endpoints, 4), 1, 24),
+                           (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX));
+    }
+#undef OR
+    arg_freetable(table, G_N_ELEMENTS(table));
+    printf("%d passed, %d failed\n", many - failed, failed);
+    return failed > 0;
+}
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -263,8 +263,9 @@
 leader_of(fleet_t *f)
 {
     for (guint i = 0; i < f->controls; i++) {
-        reply_t *reply = fleet_call(fleet_control(f, i)->ip, 27341, "GET",
-                                    "/dump", "", "", 1000);
+        reply_t *reply =
+            fleet_call(fleet_control(f, i)->ip, FLEET_METRICS_PORT, "GET",
+                       "/dump", "", "", 1000);
         gboolean leads = strstr(reply->body->str, "leads 1") != NULL;
         reply_free(reply);
         if (leads) {
@@ -370,16 +371,19 @@
         fleet_kill(gone);
         /* The new one takes the place in the table, at a new address. */
         g_free(gone->ip);
+        g_free(gone->bind);
         gone->ip = g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
                                    1 + f->net % 250, 200 + round);
+        gone->bind = g_strdup(gone->ip);
         fleet_lose_disk(gone);
         fleet_start(f, gone);
         fleet_sleep(8000); /* taken in, and the old one taken out */
         CU_ASSERT_EQUAL(put_version(f, 10 + round, 2), 200);
         CU_ASSERT(wait_in_force(f, 10 + round));
     }
-    reply_t *reply = fleet_call(fleet_control(f, leader_of(f))->ip, 27341,
-                                "GET", "/dump", "", "", 1000);
+    reply_t *reply =
+        fleet_call(fleet_control(f, leader_of(f))->ip, FLEET_METRICS_PORT,
+                   "GET", "/dump", "", "", 1000);
     guint voters = 0;
     for (const char *at = reply->body->str;
          (at = strstr(at, "\nvoter ")) != NULL; at++) {
@@ -416,11 +420,11 @@
     fleet_sleep(500);
     for (guint i = 0; i < f->entries; i++) {
         reply_t *one = fleet_call(
-            fleet_entry(f, i)->ip, 28227, "GET", "/safe/1",
+            fleet_entry(f, i)->ip, FLEET_CALLERS_PORT, "GET", "/safe/1",
             "Request-Id: r1\r\nAuthorization: Bearer key-of-one\r\n", "",
             3000);
         reply_t *two = fleet_call(
-            fleet_entry(f, i)->ip, 28227, "GET", "/safe/1",
+            fleet_entry(f, i)->ip, FLEET_CALLERS_PORT, "GET", "/safe/1",
             "Request-Id: r2\r\nAuthorization: Bearer key-of-two\r\n", "",
             3000);
         CU_ASSERT_EQUAL(one->status, 200);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -425,9 +425,13 @@
 static void
 test_closed_while_idle(void)
 {
-    static const call_case_t CLOSES = {
-        "closes without a word", OK_HEAD ID TWO, THEN_CLOSE, TRUE, 0, "ok",
-        FALSE};
+    static const call_case_t CLOSES = {"closes without a word",
+                                       OK_HEAD ID TWO,
+                                       THEN_CLOSE,
+                                       TRUE,
+                                       0,
+                                       "ok",
+                                       FALSE};
     loop_t loop;
     guint16 port;
     outcome_t outcome;
