--- a/bench/bench.h
+++ b/bench/bench.h
@@ -40,6 +40,7 @@
 gboolean bench_decisions(void);
 gboolean bench_streams(void);
 gboolean bench_claims(void);
+gboolean bench_gateway(void);
 gboolean bench_gossip(void);
 gboolean bench_changes(void);
 
--- a/bench/main.c
+++ b/bench/main.c
@@ -9,8 +9,8 @@
     gboolean (*run)(void);
 } BENCHES[] = {
     {"changes", bench_changes},     {"claims", bench_claims},
-    {"decisions", bench_decisions}, {"gossip", bench_gossip},
-    {"streams", bench_streams},
+    {"decisions", bench_decisions}, {"gateway", bench_gateway},
+    {"gossip", bench_gossip},       {"streams", bench_streams},
 };
 
 int
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -42,6 +42,7 @@
     char **controls;
     guint at; /* of controls */
     int beat_ms;
+    int slots;
     FILE *log;
     GMainLoop *loop;
     task_t *task;
@@ -385,9 +386,9 @@
         e->left ? g_strdup("")
                 : g_strdup_printf(
                       "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"z\","
-                      "\"Slots\":8,\"State\":\"%s\",\"ColdRemainingMs\":0,"
+                      "\"Slots\":%d,\"State\":\"%s\",\"ColdRemainingMs\":0,"
                       "\"Sequence\":%" G_GUINT64_FORMAT "}",
-                      e->service, e->address,
+                      e->service, e->address, e->slots,
                       e->draining ? "draining" : "ready", ++e->sequence);
     char *text = g_strdup_printf(
         "%s /api/instances/%s HTTP/1.1\r\nHost: %s\r\nContent-Length: "
@@ -476,9 +477,11 @@
         arg_str1(NULL, "controls", "LIST", "IP:PORT, by commas");
     struct arg_int *beat =
         arg_int0(NULL, "beat-ms", "MS", "between renewals (300)");
+    struct arg_int *slots = arg_int0(NULL, "slots", "N", "that it says (8)");
     struct arg_file *log = arg_file1(NULL, "log", "FILE", "what it ran");
     struct arg_end *end = arg_end(10);
-    void *table[] = {id, address, listen, service, controls, beat, log, end};
+    void *table[] = {id,   address, listen, service, controls,
+                     beat, slots,   log,    end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         return 2;
@@ -491,6 +494,7 @@
         .service = service->sval[0],
         .controls = g_strsplit(controls->sval[0], ",", -1),
         .beat_ms = beat->count > 0 ? beat->ival[0] : 300,
+        .slots = slots->count > 0 ? slots->ival[0] : 8,
         .log = fopen(log->filename[0], "a"),
     };
     if (endpoint.log == NULL) {
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -80,6 +80,7 @@
     static guint made;
     fleet_t *f = g_new0(fleet_t, 1);
     f->proxied = proxied;
+    f->slots = 8;
     f->folder = g_dir_make_tmp("carobloom-fleet-XXXXXX", NULL);
     f->net = (guint)getpid() * 7 + made++;
     for (guint i = 0; i < controls; i++) {
@@ -152,14 +153,16 @@
     char *id = g_strdup_printf("%s.%u", p->name, p->starts);
     char *address = g_strdup_printf("%s:%d", p->ip, FLEET_ENDPOINT_PORT);
     char *listen = g_strdup_printf("%s:%d", p->bind, FLEET_ENDPOINT_PORT);
+    char *slots = g_strdup_printf("%u", f->slots);
     const char *argv[] = {ENDPOINT,      "--id",      id,     "--address",
                           address,       "--service", "a",    "--controls",
-                          controls->str, "--listen",  listen, "--log",
-                          p->log,        NULL};
+                          controls->str, "--slots",   slots,  "--listen",
+                          listen,        "--log",     p->log, NULL};
     p->process = spawn(p, argv);
     g_free(id);
     g_free(address);
     g_free(listen);
+    g_free(slots);
     g_string_free(controls, TRUE);
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -43,6 +43,7 @@
     guint controls;
     guint entries;
     gboolean proxied;
+    guint slots; /* of each endpoint started from now on */
 } fleet_t;
 
 /* What came back. */
