--- /dev/null
+++ b/carobloomd/control/control_state.h
@@ -0,0 +1,90 @@
+/* Private to the control task: its state, shared by the files that make it
+ * up.
+ *
+ * control.c           listeners, messages of the log, life
+ * operator_calls.c    the operator's changes and reads
+ * entry_news.c        news to entry instances, and what they report
+ * voter_letters.c     messages between voters
+ * endpoint_leases.c   renewals and departures of endpoints */
+#ifndef CAROBLOOMD_CONTROL_CONTROL_STATE_H
+#define CAROBLOOMD_CONTROL_CONTROL_STATE_H
+
+#include "carobloom/control/config_log.h"
+#include "carobloom/control/control.h"
+#include "carobloom/gateway/sync_wire.h"
+#include "carobloom/http/client.h"
+#include "carobloom/http/server.h"
+#include "carobloom/policy/registry.h"
+
+/* A configuration that was committed here. */
+typedef struct {
+    guint64 version;
+    GBytes *text;
+} kept_text_t;
+
+struct control {
+    const gateway_settings_t *settings;
+    task_t *task;
+    poller_t *poller;
+    timers_t *timers;
+    char *self;
+    guint64 epoch;
+    http_server_t *server; /* endpoints and operators */
+    http_server_t *inner;  /* other instances */
+    registry_t *registry;
+    load_sum_t *loads; /* of the entry instances that report here */
+    config_log_t *log;
+    task_t *log_task;
+    config_view_message_t view;
+    GQueue texts;        /* kept_text_t, the newest at the tail */
+    GHashTable *peers;   /* address -> correspondent_t */
+    GList *held;         /* held_sync_t */
+    GHashTable *entries; /* instance name -> gint64, when it asked last */
+    GHashTable *puts;    /* call -> pending_put_t */
+    guint64 last_call;
+    gint64 quorum_us; /* when the quorum was last heard of */
+    gint64 asked_us;  /* when an entry instance last asked */
+    gboolean draining;
+    gint64 drained_us;
+};
+
+gint64 control_now(const control_t *control);
+/* The newest configuration committed here, or NULL; and its version, or 0. */
+const kept_text_t *control_newest(const control_t *control);
+guint64 control_newest_version(const control_t *control);
+/* Whether what is committed here is the newest there is, now. */
+gboolean control_may_read(const control_t *control);
+void answer_plain(http_exchange_t *exchange, guint status, const char *text);
+str_t bytes_view(GBytes *bytes);
+
+/* operator_calls.c */
+void handle_config_put(control_t *control, http_exchange_t *exchange);
+void handle_config_get(control_t *control, http_exchange_t *exchange);
+void handle_result(control_t *control, const config_result_message_t *m);
+/* The operator left before the answer. */
+void operator_gone(http_exchange_t *exchange);
+
+/* entry_news.c */
+void handle_sync(control_t *control, http_exchange_t *exchange);
+/* Answers the entry instances for which there is news by now. */
+void spread_news(control_t *control);
+/* Answers all that are held, or drops them without an answer. */
+void held_answer_all(control_t *control);
+void held_drop_all(control_t *control);
+void entry_gone(http_exchange_t *exchange);
+/* Entry instances that asked lately. */
+guint entries_fresh(const control_t *control);
+/* Whether any did. */
+gboolean entries_ask(const control_t *control);
+
+/* voter_letters.c */
+void handle_send(control_t *control, const config_letter_message_t *m);
+void handle_letter(control_t *control, http_exchange_t *exchange);
+/* For the table of correspondents. */
+void correspondent_free(gpointer data);
+
+/* endpoint_leases.c */
+void handle_heartbeat(control_t *control, http_exchange_t *exchange, str_t id);
+void handle_leave(control_t *control, http_exchange_t *exchange, str_t id);
+
+#endif
--- /dev/null
+++ b/carobloomd/control/entry_news.c
@@ -0,0 +1,225 @@
+#include "carobloom/common/event_log.h"
+#include "carobloom/version/site_state.h"
+#include "control_state.h"
+
+enum {
+    MS = 1000,
+    /* An entry instance that asked within this time counts as one. */
+    ENTRY_FRESH_US = 3000 * MS,
+    WAIT_MOST_MS = 10000, /* that an entry instance may be held for */
+};
+
+/* An entry instance's question, held until there is news. */
+typedef struct {
+    control_t *control;
+    http_exchange_t *exchange;
+    sync_request_t request;
+    guint64 timer;
+} held_sync_t;
+
+static const kept_text_t *
+text_of(const control_t *c, guint64 version)
+{
+    for (GList *l = c->texts.tail; l != NULL; l = l->prev) {
+        if (((kept_text_t *)l->data)->version == version) {
+            return l->data;
+        }
+    }
+    return NULL;
+}
+
+static void
+fill_config(const control_t *c, const sync_request_t *request,
+            sync_answer_t *answer)
+{
+    const kept_text_t *now = control_newest(c);
+    answer->version = control_newest_version(c);
+    if (now == NULL || answer->version <= request->version) {
+        return;
+    }
+    const kept_text_t *base = text_of(c, request->version);
+    if (base == NULL) {
+        answer->inserted = g_bytes_ref(now->text);
+        return;
+    }
+    splice_t splice =
+        splice_between(bytes_view(base->text), bytes_view(now->text));
+    answer->base = base->version;
+    answer->prefix = splice.prefix;
+    answer->removed = splice.removed;
+    answer->inserted = splice.inserted;
+}
+
+guint
+entries_fresh(const control_t *c)
+{
+    GHashTableIter iter;
+    gpointer value;
+    guint count = 0;
+    g_hash_table_iter_init(&iter, c->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count += control_now(c) - *(gint64 *)value < ENTRY_FRESH_US;
+    }
+    return count;
+}
+
+static GBytes *
+sync_news(const control_t *c, const sync_request_t *request)
+{
+    gboolean full = request->epoch != c->epoch;
+    sync_answer_t answer = {
+        .epoch = c->epoch,
+        .cursor = registry_cursor(c->registry),
+        .full = full,
+        .confirmed = control_may_read(c),
+        .entries = entries_fresh(c),
+        .leases = registry_since(c->registry, full ? 0 : request->cursor),
+        .controls = g_ptr_array_new(),
+    };
+    for (guint i = 0; i < c->view.voters.count; i++) {
+        g_ptr_array_add(answer.controls,
+                        (gpointer)c->view.voters.members[i].name);
+    }
+    if (request->reports) {
+        answer.loads = load_sum_all(c->loads);
+    }
+    fill_config(c, request, &answer);
+    GBytes *bytes = sync_answer_write(&answer);
+    sync_answer_clear(&answer);
+    return bytes;
+}
+
+static gboolean
+has_news(const control_t *c, const sync_request_t *request)
+{
+    return request->epoch != c->epoch ||
+           request->cursor != registry_cursor(c->registry) ||
+           request->version < control_newest_version(c);
+}
+
+static void
+sync_answer(control_t *c, http_exchange_t *exchange,
+            const sync_request_t *request)
+{
+    GBytes *bytes = sync_news(c, request);
+    http_exchange_answer(exchange, 200, STR(""), bytes_view(bytes));
+    g_bytes_unref(bytes);
+}
+
+static void
+held_free(held_sync_t *held)
+{
+    control_t *c = held->control;
+    timers_cancel(c->timers, held->timer);
+    c->held = g_list_remove(c->held, held);
+    sync_request_clear(&held->request);
+    g_free(held);
+}
+
+static void
+held_answer(held_sync_t *held)
+{
+    http_exchange_t *exchange = held->exchange;
+    http_exchange_set_data(exchange, NULL);
+    GBytes *bytes = sync_news(held->control, &held->request);
+    held_free(held);
+    http_exchange_answer(exchange, 200, STR(""), bytes_view(bytes));
+    g_bytes_unref(bytes);
+}
+
+static void
+held_expired(void *data)
+{
+    held_sync_t *held = data;
+    held->timer = 0;
+    held_answer(held);
+}
+
+void
+spread_news(control_t *c)
+{
+    GList *next;
+    for (GList *l = c->held; l != NULL; l = next) {
+        held_sync_t *held = l->data;
+        next = l->next;
+        if (has_news(c, &held->request)) {
+            held_answer(held);
+        }
+    }
+}
+
+static void
+note_entry(control_t *c, const char *instance)
+{
+    gint64 now = control_now(c);
+    g_hash_table_replace(c->entries, g_strdup(instance),
+                         g_memdup2(&now, sizeof(now)));
+    c->asked_us = now;
+}
+
+void
+handle_sync(control_t *c, http_exchange_t *exchange)
+{
+    str_t body = http_exchange_body(exchange);
+    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    sync_request_t request;
+    gboolean sound = sync_request_read(bytes, &request);
+    g_bytes_unref(bytes);
+    if (!sound) {
+        answer_plain(exchange, 400, "{\"error\":\"malformed\"}");
+        return;
+    }
+    note_entry(c, request.instance);
+    if (request.reports) {
+        load_sum_report(c->loads, request.instance, request.loads,
+                        control_now(c));
+    }
+    if (has_news(c, &request) || request.wait_ms == 0 || c->draining) {
+        sync_answer(c, exchange, &request);
+        sync_request_clear(&request);
+        return;
+    }
+    held_sync_t *held = g_new0(held_sync_t, 1);
+    *held =
+        (held_sync_t){.control = c, .exchange = exchange, .request = request};
+    held->timer = timers_subscribe(
+        c->timers, MIN(request.wait_ms, WAIT_MOST_MS) * (gint64)MS, 0,
+        held_expired, held);
+    c->held = g_list_prepend(c->held, held);
+    http_exchange_set_data(exchange, held);
+}
+
+void
+held_answer_all(control_t *c)
+{
+    GList *next;
+    for (GList *l = c->held; l != NULL; l = next) {
+        next = l->next;
+        held_answer(l->data);
+    }
+}
+
+void
+held_drop_all(control_t *c)
+{
+    GList *next;
+    for (GList *l = c->held; l != NULL; l = next) {
+        next = l->next;
+        held_free(l->data);
+    }
+}
+
+void
+entry_gone(http_exchange_t *exchange)
+{
+    held_sync_t *held = http_exchange_data(exchange);
+    if (held != NULL) {
+        held_free(held);
+    }
+}
+
+gboolean
+entries_ask(const control_t *c)
+{
+    return control_now(c) - c->asked_us < ENTRY_FRESH_US;
+}
--- /dev/null
+++ b/carobloomd/control/voter_letters.c
@@ -0,0 +1,158 @@
+#include "carobloom/common/counters.h"
+#include "control_state.h"
+
+enum {
+    MS = 1000,
+    /* Letters to one voter under way; more are dropped, the log sends them
+     * again. */
+    LETTERS_MAX = 16,
+    LETTER_US = 700 * MS,
+};
+
+static const http_peer_limits_t VOTER_LIMITS = {
+    .connect_us = 500 * MS,
+    .idle_us = 2 * G_USEC_PER_SEC,
+    .idle_max = 4,
+    .head_max = 4096,
+};
+
+/* Another control instance, to send letters to. */
+typedef struct {
+    control_t *control;
+    char *address;
+    http_peer_t *peer;
+    GList *calls; /* letter_t */
+    guint count;
+} correspondent_t;
+
+typedef struct {
+    correspondent_t *to;
+    client_call_t *call;
+    guint64 timer;
+} letter_t;
+
+static void
+letter_end(letter_t *letter)
+{
+    correspondent_t *to = letter->to;
+    timers_cancel(to->control->timers, letter->timer);
+    to->calls = g_list_remove(to->calls, letter);
+    to->count--;
+    g_free(letter);
+}
+
+static call_verdict_t
+on_letter_head(client_call_t *call, const http_head_t *head, void *user)
+{
+    (void)call;
+    (void)head;
+    (void)user;
+    return CALL_TAKE;
+}
+
+static void
+on_letter_body(client_call_t *call, str_t bytes, void *user)
+{
+    (void)call;
+    (void)bytes;
+    (void)user;
+}
+
+static void
+on_letter_done(client_call_t *call, void *user)
+{
+    (void)call;
+    letter_end(user);
+}
+
+static void
+on_letter_failed(client_call_t *call, call_failure_t failure, void *user)
+{
+    (void)call;
+    (void)failure; /* the log sends what matters again */
+    counter_add(counter_get("voter_letters_failed_total", NULL, FALSE), 1);
+    letter_end(user);
+}
+
+static const client_call_ops_t LETTER_OPS = {.head = on_letter_head,
+                                             .body = on_letter_body,
+                                             .done = on_letter_done,
+                                             .failed = on_letter_failed};
+
+static void
+letter_expired(void *data)
+{
+    letter_t *letter = data;
+    letter->timer = 0;
+    client_call_cancel(letter->call);
+    counter_add(counter_get("voter_letters_failed_total", NULL, FALSE), 1);
+    letter_end(letter);
+}
+
+void
+correspondent_free(gpointer data)
+{
+    correspondent_t *to = data;
+    if (to->peer != NULL) {
+        http_peer_destroy(to->peer);
+    }
+    g_free(to->address);
+    g_free(to);
+}
+
+static correspondent_t *
+correspondent_find(control_t *c, const char *address)
+{
+    correspondent_t *to = g_hash_table_lookup(c->peers, address);
+    if (to == NULL) {
+        to = g_new0(correspondent_t, 1);
+        to->control = c;
+        to->address = g_strdup(address);
+        to->peer = http_peer_create(c->poller, c->timers,
+                                    str_from_cstr(address), &VOTER_LIMITS);
+        g_hash_table_insert(c->peers, to->address, to);
+    }
+    return to;
+}
+
+void
+handle_send(control_t *c, const config_letter_message_t *m)
+{
+    correspondent_t *to = correspondent_find(c, m->to);
+    if (to->peer == NULL || to->count >= LETTERS_MAX) {
+        counter_add(counter_get("voter_letters_dropped_total", NULL, FALSE),
+                    1);
+        return;
+    }
+    str_t body = bytes_view(m->letter);
+    GString *bytes = g_string_sized_new(body.length + 128);
+    g_string_append_printf(bytes,
+                           "POST " VOTER_PATH " HTTP/1.1\r\nHost: %s\r\n"
+                           "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
+                           to->address, body.length);
+    g_string_append_len(bytes, body.data, (gssize)body.length);
+    letter_t *letter = g_new0(letter_t, 1);
+    letter->to = to;
+    letter->call = client_call_create(
+        to->peer, (str_t){.data = bytes->str, .length = bytes->len}, FALSE,
+        &LETTER_OPS, letter);
+    g_string_free(bytes, TRUE);
+    if (letter->call == NULL) {
+        g_free(letter);
+        return;
+    }
+    letter->timer =
+        timers_subscribe(c->timers, LETTER_US, 0, letter_expired, letter);
+    to->calls = g_list_prepend(to->calls, letter);
+    to->count++;
+}
+
+void
+handle_letter(control_t *c, http_exchange_t *exchange)
+{
+    str_t body = http_exchange_body(exchange);
+    task_send(c->log_task,
+              config_letter_message(CONFIG_LOG_LETTER, "",
+                                    g_bytes_new(body.data, body.length)));
+    http_exchange_answer(exchange, 204, STR(""), STR(""));
+}
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -2,7 +2,7 @@
  *
  * entry.c        listeners, readiness, draining
  * control_link.c news from the control instances
- * forward.c      one request: admitted, placed, sent, repeated, answered
+ * forward*.c     one request: admitted, placed, sent, repeated, answered
  * event_stream.c events of a stream, told apart in bytes as they come */
 #ifndef CAROBLOOMD_GATEWAY_ENTRY_STATE_H
 #define CAROBLOOMD_GATEWAY_ENTRY_STATE_H
--- /dev/null
+++ b/carobloomd/gateway/forward_answer.c
@@ -0,0 +1,214 @@
+#include "carobloom/common/counters.h"
+#include "forward_state.h"
+
+enum {
+    /* Answers held whole before they go on: a part that is lost can still be
+     * made good by another endpoint. Plain answers met so far have 5 KB. */
+    ANSWER_MAX = 16 * 1024 * 1024,
+    /* Towards a caller that reads slowly; beyond it the endpoint waits. */
+    BACKLOG_MAX = 128 * 1024,
+};
+
+void
+forward_note_endpoint(forward_t *f, endpoint_outcome_t outcome)
+{
+    if (f->endpoint != NULL) {
+        endpoint_note(f->endpoint, outcome, forward_now(f));
+    }
+}
+
+static gboolean
+is_event_stream(const http_head_t *head)
+{
+    str_t type;
+    return http_head_find(head, "Content-Type", &type) &&
+           str_has_prefix(type, STR("text/event-stream"));
+}
+
+static void
+keep_fields(forward_t *f, const http_head_t *head)
+{
+    g_string_truncate(f->fields, 0);
+    for (guint i = 0; i < head->fields->len; i++) {
+        str_t name = http_field_name(head, i);
+        if (!http_field_is_hop(head, i) &&
+            !http_name_is(name, "Content-Length")) {
+            http_write_field(f->fields, name, http_field_value(head, i));
+        }
+    }
+}
+
+static call_verdict_t
+on_answer_head(client_call_t *call, const http_head_t *head, void *user)
+{
+    (void)call;
+    forward_t *f = user;
+    answer_info_t answer;
+    str_t encoding;
+    platform_answer_decode(head, &answer);
+    gboolean success = head->status >= 200 && head->status < 300;
+    if (answer.id.length > 0 && !str_equal(answer.id, f->info.id)) {
+        counter_add(counter_get("answers_of_others_total", NULL, FALSE), 1);
+        return CALL_SKIP;
+    }
+    if (success && (!answer.sealed || answer.id.length == 0 ||
+                    http_head_find(head, "Content-Encoding", &encoding))) {
+        return CALL_REFUSE;
+    }
+    f->not_run = answer.not_run;
+    f->progress_us = forward_now(f);
+    if (f->begun) {
+        f->streaming = success;
+        f->status = head->status;
+        return CALL_TAKE;
+    }
+    f->status = head->status;
+    f->streaming = success && is_event_stream(head);
+    keep_fields(f, head);
+    g_byte_array_set_size(f->body, 0);
+    return CALL_TAKE;
+}
+
+static void
+note_first(forward_t *f)
+{
+    if (f->waiting_tokens > 0) {
+        f->endpoint->waiting_tokens -=
+            MIN(f->endpoint->waiting_tokens, f->waiting_tokens);
+        f->waiting_tokens = 0;
+    }
+    if (f->first_us == 0) {
+        f->first_us = forward_now(f);
+    }
+}
+
+static void
+on_event(str_t bytes, guint64 id, void *user)
+{
+    forward_t *f = user;
+    if (id != G_MAXUINT64) {
+        if (f->has_event && id <= f->last_event) {
+            return; /* the caller has it */
+        }
+        f->has_event = TRUE;
+        f->last_event = id;
+    }
+    note_first(f);
+    if (!f->begun) {
+        f->begun = TRUE;
+        http_exchange_begin(
+            f->exchange, f->status,
+            (str_t){.data = f->fields->str, .length = f->fields->len});
+    }
+    http_exchange_write(f->exchange, bytes);
+}
+
+static void
+on_answer_body(client_call_t *call, str_t bytes, void *user)
+{
+    forward_t *f = user;
+    f->progress_us = forward_now(f);
+    if (!f->streaming) {
+        if (f->body->len + bytes.length <= ANSWER_MAX) {
+            g_byte_array_append(f->body, (const guint8 *)bytes.data,
+                                (guint)bytes.length);
+        }
+        return;
+    }
+    if (event_stream_feed(&f->events, bytes, on_event, f) != EVENT_STREAM_OK) {
+        event_stream_reset(&f->events);
+        counter_add(counter_get("events_too_long_total", NULL, FALSE), 1);
+    }
+    if (f->begun && http_exchange_backlog(f->exchange) > BACKLOG_MAX) {
+        f->paused = TRUE;
+        client_call_read(call, FALSE);
+    }
+}
+
+static void
+finish_stream(forward_t *f)
+{
+    if (!event_stream_at_boundary(&f->events)) {
+        forward_note_endpoint(f, ENDPOINT_BROKE);
+        f->runs++;
+        forward_repeat(f, TRUE, "the stream ended within an event");
+        return;
+    }
+    forward_note_endpoint(f, ENDPOINT_SERVED);
+    if (!f->begun) {
+        f->streaming = FALSE;
+        forward_deliver(f);
+        return;
+    }
+    forward_finish(f);
+}
+
+/* The endpoint says that it did not run the request. */
+static void
+handle_not_run(forward_t *f)
+{
+    f->refusals++;
+    forward_note_endpoint(f, f->status == 421 ? ENDPOINT_MISDIRECTED
+                                              : ENDPOINT_FULL);
+    if (f->status == 400 && !f->begun) {
+        forward_deliver(f);
+        return;
+    }
+    forward_repeat(f, TRUE, "refused by the endpoint");
+}
+
+static void
+on_answer_done(client_call_t *call, void *user)
+{
+    (void)call;
+    forward_t *f = user;
+    f->call = NULL;
+    if (f->not_run) {
+        handle_not_run(f);
+        return;
+    }
+    if (f->streaming) {
+        finish_stream(f);
+        return;
+    }
+    gboolean erred = f->status >= 500;
+    forward_note_endpoint(f, erred ? ENDPOINT_ERRED : ENDPOINT_SERVED);
+    if (f->begun) {
+        f->runs++;
+        forward_repeat(f, TRUE, "a resumed stream was not taken up");
+        return;
+    }
+    if (erred && route_repeatable(f->route)) {
+        f->runs++;
+        if (forward_may_repeat(f) && forward_take_repeat(f)) {
+            forward_leave_endpoint(f);
+            forward_send(f);
+            return;
+        }
+    }
+    note_first(f);
+    forward_deliver(f);
+}
+
+static void
+on_answer_failed(client_call_t *call, call_failure_t failure, void *user)
+{
+    static const char *const REASONS[] = {
+        [CALL_FAILED_UNSENT] = "the endpoint could not be reached",
+        [CALL_FAILED_SENT] = "the endpoint closed without an answer",
+        [CALL_FAILED_CUT] = "the endpoint's answer broke off",
+        [CALL_FAILED_SYNTAX] = "the endpoint's answer is not one",
+    };
+    (void)call;
+    forward_t *f = user;
+    f->call = NULL;
+    gboolean arrived = failure != CALL_FAILED_UNSENT;
+    forward_note_endpoint(f, arrived ? ENDPOINT_BROKE : ENDPOINT_UNREACHABLE);
+    f->runs += arrived;
+    forward_repeat(f, arrived, REASONS[failure]);
+}
+
+const client_call_ops_t FORWARD_CALL_OPS = {.head = on_answer_head,
+                                            .body = on_answer_body,
+                                            .done = on_answer_done,
+                                            .failed = on_answer_failed};
--- /dev/null
+++ b/carobloomd/gateway/forward_send.c
@@ -0,0 +1,190 @@
+#include <string.h>
+
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/policy/placement.h"
+#include "forward_state.h"
+
+enum {
+    MS = 1000,
+    /* Connections that fail before a byte left may be tried elsewhere at
+     * once; so many endpoints that are all gone mean that more will not
+     * help. */
+    SENDS_MAX = 6,
+    CONNECT_US = 250 * MS, /* a round trip and a busy endpoint, many times */
+    ENDPOINT_IDLE_US = 8 * G_USEC_PER_SEC,
+    ENDPOINT_IDLE_MAX = 64,
+    ANSWER_HEAD_MAX = 65536,
+    /* Less than this is not worth an endpoint's work. */
+    DEADLINE_LEAST_MS = 5,
+    /* A service that got no long prompt for so long is not parted. */
+    LONG_REMEMBERED_US = 60 * G_USEC_PER_SEC,
+};
+
+static const http_peer_limits_t ENDPOINT_LIMITS = {
+    .connect_us = CONNECT_US,
+    .idle_us = ENDPOINT_IDLE_US,
+    .idle_max = ENDPOINT_IDLE_MAX,
+    .head_max = ANSWER_HEAD_MAX,
+};
+
+gboolean
+forward_may_repeat(forward_t *f)
+{
+    if (f->runs > 0 &&
+        (!route_repeatable(f->route) || f->runs >= f->route->max_attempts)) {
+        return FALSE;
+    }
+    if (f->begun && !f->route->resumable) {
+        return FALSE;
+    }
+    return f->sends < SENDS_MAX &&
+           f->final_us - forward_now(f) > DEADLINE_LEAST_MS * MS;
+}
+
+gboolean
+forward_take_repeat(forward_t *f)
+{
+    entry_t *e = f->entry;
+    repeat_limits_t limits = entry_repeat_limits(e);
+    return repeat_budget_take(&f->use->budget, &limits, e->entries,
+                              forward_now(f));
+}
+
+void
+forward_repeat(forward_t *f, gboolean arrived, const char *reason)
+{
+    forward_leave_endpoint(f);
+    if (!forward_may_repeat(f) || (arrived && !forward_take_repeat(f))) {
+        forward_give_up(f, reason);
+        return;
+    }
+    if (event_log_begin(EVENT_FAILURE, "repeat")) {
+        event_log_text("request", f->info.id);
+        event_log_cstr("reason", reason);
+        event_log_cstr("endpoint", f->last_endpoint);
+        event_log_number("sends", f->sends);
+        event_log_number("runs", f->runs);
+        event_log_number("elapsed_ms", (forward_now(f) - f->started_us) / MS);
+        event_log_end();
+    }
+    counter_add(counter_get("repeats_total", NULL, FALSE), 1);
+    forward_send(f);
+}
+
+static void
+placement_of(const forward_t *f, placement_request_t *request)
+{
+    *request = (placement_request_t){
+        .parts = f->info.parts,
+        .part_count = f->info.part_count,
+        .prompt_tokens = f->info.prompt_tokens,
+        .parted = f->use->long_us != 0 &&
+                  forward_now(f) - f->use->long_us < LONG_REMEMBERED_US,
+        .data_centre = f->entry->settings->data_centre,
+        .tried_count = MIN(f->sends, PLACEMENT_TRIED_MAX),
+        .draw = g_rand_int(f->entry->random),
+    };
+    memcpy(request->tried, f->tried, sizeof(request->tried));
+}
+
+static http_peer_t *
+peer_of(const forward_t *f, endpoint_t *endpoint)
+{
+    entry_t *e = f->entry;
+    if (endpoint->connections == NULL) {
+        http_peer_limits_t limits = ENDPOINT_LIMITS;
+        const service_t *service =
+            route_config_service(f->config, endpoint->service);
+        if (service != NULL && service->connections > 0) {
+            limits.connections =
+                MAX(service->connections / MAX(e->entries, 2), 4);
+        }
+        endpoint->connections = http_peer_create(
+            e->poller, e->timers, str_from_cstr(endpoint->address), &limits);
+    }
+    return endpoint->connections;
+}
+
+/* The route's rank goes first and the team's decides among equals. The other
+ * way round engines preempt an urgent kind for a less urgent one
+ * (docs/design/placement.md, round 2). */
+static gint
+priority_of(const forward_t *f)
+{
+    enum { RANKS = 2, LOWEST = 9 };
+    guint team =
+        f->team != NULL && f->team->has_priority ? f->team->priority : 0;
+    return (gint)MIN(f->route->priority * RANKS + MIN(team, RANKS - 1),
+                     LOWEST);
+}
+
+static GString *
+request_bytes(const forward_t *f, const endpoint_t *endpoint)
+{
+    const service_t *service = route_config_service(f->config, f->service);
+    forward_info_t info = {
+        .deadline_ms = (f->final_us - forward_now(f)) / MS,
+        .instance = endpoint->id,
+        .team = f->team != NULL ? f->team->name : NULL,
+        .priority =
+            service != NULL && service->slots > 0 ? priority_of(f) : -1,
+        .resume = f->has_event || f->info.resumes,
+        .last_event = f->has_event ? f->last_event : f->info.last_event,
+    };
+    return platform_request_encode(http_exchange_head(f->exchange),
+                                   http_exchange_body(f->exchange), &info);
+}
+
+static void
+join_endpoint(forward_t *f, endpoint_t *endpoint,
+              const placement_request_t *request)
+{
+    f->endpoint = endpoint;
+    g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
+    endpoint->running++;
+    f->waiting_tokens = placement_unread(endpoint, request);
+    endpoint->waiting_tokens += f->waiting_tokens;
+    for (guint i = 0; i < request->part_count; i++) {
+        endpoint_note_part(endpoint, request->parts[i].id);
+    }
+}
+
+void
+forward_send(forward_t *f)
+{
+    entry_t *e = f->entry;
+    const GPtrArray *endpoints = directory_service(e->directory, f->service);
+    placement_request_t request;
+    placement_of(f, &request);
+    endpoint_t *endpoint =
+        endpoints != NULL && endpoints->len > 0
+            ? placement_pick(endpoints, &request, forward_now(f))
+            : NULL;
+    if (endpoint == NULL) {
+        forward_give_up(f, "no endpoint takes it");
+        return;
+    }
+    http_peer_t *peer = peer_of(f, endpoint);
+    GString *bytes = request_bytes(f, endpoint);
+    f->tried[f->sends % PLACEMENT_TRIED_MAX] = endpoint;
+    f->sends++;
+    f->not_run = FALSE;
+    event_stream_reset(&f->events);
+    f->call =
+        peer == NULL
+            ? NULL
+            : client_call_create(
+                  peer, (str_t){.data = bytes->str, .length = bytes->len},
+                  g_str_equal(http_exchange_head(f->exchange)->method, "HEAD"),
+                  &FORWARD_CALL_OPS, f);
+    g_string_free(bytes, TRUE);
+    f->sent_us = forward_now(f);
+    if (f->call == NULL) {
+        endpoint_note(endpoint, ENDPOINT_FULL, forward_now(f));
+        forward_repeat(f, FALSE, "no connection to the endpoint is free");
+        return;
+    }
+    join_endpoint(f, endpoint, &request);
+    forward_arm(f);
+}
--- /dev/null
+++ b/carobloomd/gateway/forward_state.h
@@ -0,0 +1,81 @@
+/* Private to the requests of the entry task: one request, shared by the files
+ * that carry it.
+ *
+ * forward.c         admission, time, the final answer
+ * forward_send.c    placement, sending, repeating
+ * forward_answer.c  what the endpoint answers */
+#ifndef CAROBLOOMD_GATEWAY_FORWARD_STATE_H
+#define CAROBLOOMD_GATEWAY_FORWARD_STATE_H
+
+#include "entry_state.h"
+#include "event_stream.h"
+#include "platform.h"
+
+enum { ENDPOINT_NAME_MAX = 64 };
+
+/* One request of a caller, until it is answered. */
+typedef struct {
+    entry_t *entry;
+    http_exchange_t *exchange;
+    route_config_t *config; /* the version it started with */
+    const route_t *route;
+    const team_t *team; /* NULL: none is needed */
+    const char *service;
+    service_use_t *use;
+    request_info_t info;
+    gint64 started_us;
+    gint64 final_us; /* it is answered by then */
+    guint64 timer;
+    /* where it runs */
+    endpoint_t *endpoint;
+    char last_endpoint[ENDPOINT_NAME_MAX]; /* its id, for the log */
+    client_call_t *call;
+    gint64 sent_us;
+    guint waiting_tokens; /* that it added to the endpoint's */
+    const endpoint_t *tried[PLACEMENT_TRIED_MAX];
+    guint sends;
+    guint runs;     /* sends that may have run */
+    guint refusals; /* sends that an endpoint refused */
+    /* the answer */
+    guint status;
+    gboolean not_run;
+    gboolean streaming; /* events; passed on as they come */
+    gboolean begun;     /* its head went to the caller */
+    GString *fields;
+    GByteArray *body;
+    event_stream_t events;
+    gboolean has_event;
+    guint64 last_event;
+    gint64 progress_us; /* the last byte of the answer */
+    gint64 first_us;
+    gboolean paused;
+} forward_t;
+
+/* forward.c */
+gint64 forward_now(const forward_t *f);
+/* The endpoint's answer, whole, goes to the caller. */
+void forward_deliver(forward_t *f);
+/* The stream that was begun is complete. */
+void forward_finish(forward_t *f);
+/* Gives up: what is said depends on whether it may have run. */
+void forward_give_up(forward_t *f, const char *reason);
+/* Sets the time at which something is to be done next. */
+void forward_arm(forward_t *f);
+/* Takes it off its endpoint; the call is over or cancelled. */
+void forward_leave_endpoint(forward_t *f);
+
+/* forward_send.c */
+void forward_send(forward_t *f);
+/* Whether it may go to another endpoint at all. */
+gboolean forward_may_repeat(forward_t *f);
+/* Takes a repeat from the budget of all instances. */
+gboolean forward_take_repeat(forward_t *f);
+/* Sends it to another endpoint, or ends it. `arrived` tells whether the last
+ * one got it, so that one more counts as a repeat there. */
+void forward_repeat(forward_t *f, gboolean arrived, const char *reason);
+
+/* forward_answer.c */
+extern const client_call_ops_t FORWARD_CALL_OPS;
+void forward_note_endpoint(forward_t *f, endpoint_outcome_t outcome);
+
+#endif
