Soak: let faults meet requests that must not repeat

Cause: with 15 ms of work no kill met such a request; a mutant that counted no run was not found in 8 s.

--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -18,6 +18,7 @@
     EVENTS = 12,
     LINGER_US = 1500 * MS, /* served on after the goodbye was heard */
     WORK_US = 15 * MS,
+    SLOW_WORK_US = 200 * MS, /* of a path with /slow: for faults to meet it */
 };
 
 typedef enum {
@@ -234,7 +235,9 @@
         stream_begin(run);
         return;
     }
-    run->timer = timers_subscribe(e->timers, WORK_US, 0, plain_over, run);
+    gboolean slow = str_find(target, STR("/slow"), 0) >= 0;
+    run->timer = timers_subscribe(e->timers, slow ? SLOW_WORK_US : WORK_US, 0,
+                                  plain_over, run);
 }
 
 static void
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -20,8 +20,8 @@
 typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_FRAGILE } kind_t;
 
 static const char *const TARGETS[] = {
-    [KIND_SAFE] = "/safe/1",
-    [KIND_ONCE] = "/once/1",
+    [KIND_SAFE] = "/safe/slow",
+    [KIND_ONCE] = "/once/slow",
     [KIND_STREAM] = "/stream/1",
     [KIND_FRAGILE] = "/fragile/stream/1",
 };
