Outlive a disk that takes no more bytes; write the gateway's capacity

The signal is ignored; the failed write makes the voter start from its disk again, and another leads meanwhile.

Loads are endpoint_load_t now: the benchmarks had a load_t of their own.

--- a/bench/gateway.c
+++ b/bench/gateway.c
@@ -6,6 +6,7 @@
 
 #include "../tests/fleet.h"
 #include "bench.h"
+#include "carobloom/gateway/sync_wire.h"
 
 enum {
     THREADS = 8,
@@ -188,6 +189,40 @@
     return open <= OPEN_MB;
 }
 
+/* What an entry instance spends on asking at rest, from the codecs: two heads
+ * of HTTP, the question and an answer without news that names nine control
+ * instances. */
+static void
+bench_question(void)
+{
+    enum { HEADS = 165, CONTROLS = 9, ENDPOINTS = 60 };
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    for (guint i = 0; i < ENDPOINTS; i++) {
+        endpoint_load_t load = {.endpoint = i * 1000003, .running = 3};
+        g_array_append_val(loads, load);
+    }
+    for (int leader = 0; leader < 2; leader++) {
+        sync_request_t request = {.instance = "entry-amman-a-100",
+                                  .reports = leader,
+                                  .loads = leader ? loads : NULL};
+        sync_answer_t answer = {.controls = g_ptr_array_new(),
+                                .loads = leader ? loads : NULL};
+        for (int i = 0; i < CONTROLS; i++) {
+            g_ptr_array_add(answer.controls, "10.100.100.100:7340");
+        }
+        GBytes *asked = sync_request_write(&request);
+        GBytes *told = sync_answer_write(&answer);
+        printf("  a question to %s without news: %zu bytes, its answer %zu, "
+               "heads %d\n",
+               leader ? "the leader, 60 endpoints busy," : "another control",
+               g_bytes_get_size(asked), g_bytes_get_size(told), HEADS);
+        g_bytes_unref(asked);
+        g_bytes_unref(told);
+        g_ptr_array_unref(answer.controls);
+    }
+    g_array_unref(loads);
+}
+
 gboolean
 bench_gateway(void)
 {
@@ -199,6 +234,7 @@
         fleet_destroy(f);
         return FALSE;
     }
+    bench_question();
     gboolean ok = bench_calls(f);
     ok = bench_leases(f) && ok;
     ok = bench_memory(f) && ok;
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -212,7 +212,7 @@
     entry_t *e = data;
     directory_sweep(e->directory, entry_now(e));
     if (entry_now(e) - e->loads_us > LOADS_US) {
-        GArray *none = g_array_new(FALSE, FALSE, sizeof(load_t));
+        GArray *none = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
         directory_take_loads(e->directory, none, none);
         g_array_unref(none);
     }
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -31,7 +31,7 @@
     GVariantBuilder b;
     g_variant_builder_init(&b, G_VARIANT_TYPE(LOADS_TYPE));
     for (guint i = 0; loads != NULL && i < loads->len; i++) {
-        const load_t *l = &g_array_index(loads, load_t, i);
+        const endpoint_load_t *l = &g_array_index(loads, endpoint_load_t, i);
         g_variant_builder_add(&b, "(tu)", l->endpoint, l->running);
     }
     return g_variant_builder_end(&b);
@@ -41,7 +41,7 @@
 loads_take(GVariant *list)
 {
     GVariantIter iter;
-    load_t l;
+    endpoint_load_t l;
     GArray *loads = g_array_new(FALSE, FALSE, sizeof(l));
     g_variant_iter_init(&iter, list);
     while (loads->len < SYNC_ENDPOINTS_MAX &&
--- a/carobloomd/process/main.c
+++ b/carobloomd/process/main.c
@@ -350,6 +350,7 @@
     }
     if (is_gateway(options.settings)) {
         signal(SIGPIPE, SIG_IGN);
+        signal(SIGXFSZ, SIG_IGN); /* a full disk shows as a failed write */
         return options.check ? gateway_check(options.settings)
                              : gateway_run(options.settings);
     }
@@ -363,6 +364,7 @@
         return EXIT_OK;
     }
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN);
     log_start(g_str_equal(settings->log_form, "json"),
               level_of(settings->log_level));
     int code = daemon_run(settings);
--- a/include/carobloom/gateway/sync_wire.h
+++ b/include/carobloom/gateway/sync_wire.h
@@ -24,7 +24,7 @@
     guint32 wait_ms; /* to be held for, at most, when there is no news */
     gboolean takes_config; /* news of the configuration are to be sent here */
     gboolean reports; /* `loads` are this instance's, and all are asked for */
-    GArray *loads;    /* load_t */
+    GArray *loads;    /* endpoint_load_t */
 } sync_request_t;
 
 typedef struct {
@@ -39,7 +39,7 @@
     GPtrArray *leases;   /* endpoint_lease_t * */
     GPtrArray *controls; /* char *: IP:PORT of the voters' listeners */
     guint32 entries;     /* entry instances that ask here */
-    GArray *loads;       /* load_t of all that report here; NULL when
+    GArray *loads;       /* endpoint_load_t of all that report here; NULL when
                             not asked for */
 } sync_answer_t;
 
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -96,7 +96,7 @@
 const GPtrArray *directory_service(const directory_t *directory,
                                    const char *service);
 guint directory_count(const directory_t *directory);
-/* Requests under way here: a new array of load_t. */
+/* Requests under way here: a new array of endpoint_load_t. */
 GArray *directory_loads(const directory_t *directory);
 /* Takes the sums over all entry instances, of which `own` were reported by
  * this one. */
--- a/include/carobloom/policy/load_sum.h
+++ b/include/carobloom/policy/load_sum.h
@@ -11,13 +11,13 @@
 typedef struct {
     guint64 endpoint; /* hash of its id */
     guint32 running;
-} load_t;
+} endpoint_load_t;
 
 typedef struct load_sum load_sum_t;
 
 load_sum_t *load_sum_create(void);
 void load_sum_destroy(load_sum_t *sum);
-/* `loads` holds load_t and is counted by reference. */
+/* `loads` holds endpoint_load_t and is counted by reference. */
 void load_sum_report(load_sum_t *sum, const char *instance, GArray *loads,
                      gint64 now_us);
 /* Takes out what was not renewed since `oldest_us`. */
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -253,12 +253,13 @@
 {
     GHashTableIter iter;
     gpointer value;
-    GArray *loads = g_array_new(FALSE, FALSE, sizeof(load_t));
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
     g_hash_table_iter_init(&iter, d->by_id);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const endpoint_t *e = value;
         if (e->running > 0) {
-            load_t load = {.endpoint = e->hash, .running = e->running};
+            endpoint_load_t load = {.endpoint = e->hash,
+                                    .running = e->running};
             g_array_append_val(loads, load);
         }
     }
@@ -268,7 +269,7 @@
 static guint32
 running_in(GHashTable *index, guint64 endpoint)
 {
-    const load_t *load = g_hash_table_lookup(index, &endpoint);
+    const endpoint_load_t *load = g_hash_table_lookup(index, &endpoint);
     return load != NULL ? load->running : 0;
 }
 
@@ -278,7 +279,7 @@
 {
     GHashTable *index = g_hash_table_new(g_int64_hash, g_int64_equal);
     for (guint i = 0; i < loads->len; i++) {
-        load_t *l = &g_array_index(loads, load_t, i);
+        endpoint_load_t *l = &g_array_index(loads, endpoint_load_t, i);
         g_hash_table_insert(index, &l->endpoint, l);
     }
     return index;
--- a/policy/load_sum.c
+++ b/policy/load_sum.c
@@ -7,7 +7,7 @@
 
 struct load_sum {
     GHashTable *reports; /* instance -> report_t */
-    GHashTable *sums;    /* endpoint -> load_t */
+    GHashTable *sums;    /* endpoint -> endpoint_load_t */
 };
 
 static void
@@ -40,8 +40,8 @@
 take_out(load_sum_t *s, const GArray *loads)
 {
     for (guint i = 0; i < loads->len; i++) {
-        const load_t *l = &g_array_index(loads, load_t, i);
-        load_t *sum = g_hash_table_lookup(s->sums, &l->endpoint);
+        const endpoint_load_t *l = &g_array_index(loads, endpoint_load_t, i);
+        endpoint_load_t *sum = g_hash_table_lookup(s->sums, &l->endpoint);
         if (sum == NULL) {
             continue;
         }
@@ -56,8 +56,8 @@
 put_in(load_sum_t *s, const GArray *loads)
 {
     for (guint i = 0; i < loads->len; i++) {
-        const load_t *l = &g_array_index(loads, load_t, i);
-        load_t *sum = g_hash_table_lookup(s->sums, &l->endpoint);
+        const endpoint_load_t *l = &g_array_index(loads, endpoint_load_t, i);
+        endpoint_load_t *sum = g_hash_table_lookup(s->sums, &l->endpoint);
         if (sum == NULL) {
             sum = g_memdup2(l, sizeof(*l));
             g_hash_table_insert(s->sums, &sum->endpoint, sum);
@@ -74,7 +74,7 @@
     report_t *report = g_hash_table_lookup(s->reports, instance);
     if (report == NULL) {
         report = g_new0(report_t, 1);
-        report->loads = g_array_new(FALSE, FALSE, sizeof(load_t));
+        report->loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
         g_hash_table_insert(s->reports, g_strdup(instance), report);
     }
     take_out(s, report->loads);
@@ -104,7 +104,7 @@
 {
     GHashTableIter iter;
     gpointer value;
-    GArray *all = g_array_sized_new(FALSE, FALSE, sizeof(load_t),
+    GArray *all = g_array_sized_new(FALSE, FALSE, sizeof(endpoint_load_t),
                                     g_hash_table_size(s->sums));
     g_hash_table_iter_init(&iter, s->sums);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -671,10 +671,10 @@
 {
     directory_t *d = engines_create();
     endpoint_t *home = place(d, 12000, 7, 5000, TRUE, 3);
-    load_t sum = {.endpoint = home->hash, .running = SLOTS};
-    load_t own = {.endpoint = home->hash, .running = 1};
-    GArray *sums = g_array_new(FALSE, FALSE, sizeof(load_t));
-    GArray *owns = g_array_new(FALSE, FALSE, sizeof(load_t));
+    endpoint_load_t sum = {.endpoint = home->hash, .running = SLOTS};
+    endpoint_load_t own = {.endpoint = home->hash, .running = 1};
+    GArray *sums = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    GArray *owns = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
     g_array_append_val(sums, sum);
     g_array_append_val(owns, own);
     directory_take_loads(d, sums, owns);
@@ -694,9 +694,9 @@
 test_load_sum(void)
 {
     load_sum_t *s = load_sum_create();
-    load_t loads[] = {{1, 4}, {2, 3}};
-    GArray *mine = g_array_new(FALSE, FALSE, sizeof(load_t));
-    GArray *theirs = g_array_new(FALSE, FALSE, sizeof(load_t));
+    endpoint_load_t loads[] = {{1, 4}, {2, 3}};
+    GArray *mine = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    GArray *theirs = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
     g_array_append_vals(mine, loads, 2);
     g_array_append_vals(theirs, loads, 1);
     load_sum_report(s, "a", mine, SECOND);
@@ -705,7 +705,7 @@
     GArray *all = load_sum_all(s);
     guint total = 0;
     for (guint i = 0; i < all->len; i++) {
-        total += g_array_index(all, load_t, i).running;
+        total += g_array_index(all, endpoint_load_t, i).running;
     }
     CU_ASSERT_EQUAL(all->len, 2);
     CU_ASSERT_EQUAL(total, 11);
@@ -714,7 +714,7 @@
     CU_ASSERT_EQUAL(load_sum_reporters(s), 1);
     all = load_sum_all(s);
     CU_ASSERT_EQUAL_FATAL(all->len, 1);
-    CU_ASSERT_EQUAL(g_array_index(all, load_t, 0).running, 4);
+    CU_ASSERT_EQUAL(g_array_index(all, endpoint_load_t, 0).running, 4);
     g_array_unref(all);
     g_array_unref(mine);
     g_array_unref(theirs);
@@ -863,7 +863,7 @@
 static void
 test_sync_request(void)
 {
-    load_t load = {.endpoint = 77, .running = 3};
+    endpoint_load_t load = {.endpoint = 77, .running = 3};
     for (int bits = 0; bits < 4; bits++) {
         sync_request_t request = {
             .instance = "entry-1",
@@ -873,7 +873,7 @@
             .wait_ms = 200,
             .takes_config = bits & 1,
             .reports = bits >> 1,
-            .loads = g_array_new(FALSE, FALSE, sizeof(load_t))};
+            .loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t))};
         sync_request_t read;
         g_array_append_val(request.loads, load);
         GBytes *bytes = sync_request_write(&request);
@@ -886,8 +886,10 @@
         CU_ASSERT_EQUAL(read.takes_config, request.takes_config);
         CU_ASSERT_EQUAL(read.reports, request.reports);
         CU_ASSERT_EQUAL_FATAL(read.loads->len, 1);
-        CU_ASSERT_EQUAL(g_array_index(read.loads, load_t, 0).endpoint, 77);
-        CU_ASSERT_EQUAL(g_array_index(read.loads, load_t, 0).running, 3);
+        CU_ASSERT_EQUAL(g_array_index(read.loads, endpoint_load_t, 0).endpoint,
+                        77);
+        CU_ASSERT_EQUAL(g_array_index(read.loads, endpoint_load_t, 0).running,
+                        3);
         sync_request_clear(&read);
         g_array_unref(request.loads);
         g_bytes_unref(bytes);
@@ -898,18 +900,18 @@
 test_sync_wire(void)
 {
     endpoint_lease_t lease = lease_of("e", 7, LEASE_DRAINING);
-    sync_answer_t answer = {.epoch = 3,
-                            .cursor = 9,
-                            .confirmed = TRUE,
-                            .version = 4,
-                            .base = 2,
-                            .delta = g_bytes_new("text", 4),
-                            .leases = g_ptr_array_new(),
-                            .controls = g_ptr_array_new(),
-                            .entries = 8,
-                            .loads =
-                                g_array_new(FALSE, FALSE, sizeof(load_t))};
-    load_t load = {.endpoint = 77, .running = 3};
+    sync_answer_t answer = {
+        .epoch = 3,
+        .cursor = 9,
+        .confirmed = TRUE,
+        .version = 4,
+        .base = 2,
+        .delta = g_bytes_new("text", 4),
+        .leases = g_ptr_array_new(),
+        .controls = g_ptr_array_new(),
+        .entries = 8,
+        .loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t))};
+    endpoint_load_t load = {.endpoint = 77, .running = 3};
     g_array_append_val(answer.loads, load);
     g_ptr_array_add(answer.leases, &lease);
     g_ptr_array_add(answer.controls, "10.0.0.1:7000");
@@ -929,7 +931,7 @@
     CU_ASSERT_EQUAL(read.version, 4);
     CU_ASSERT_EQUAL(read.entries, 8);
     CU_ASSERT_EQUAL_FATAL(read.loads->len, 1);
-    CU_ASSERT_EQUAL(g_array_index(read.loads, load_t, 0).running, 3);
+    CU_ASSERT_EQUAL(g_array_index(read.loads, endpoint_load_t, 0).running, 3);
     sync_answer_clear(&read);
     /* Cut or changed bytes are refused or read to some answer, no more. */
     gsize length;
