Split the configuration's log; drop what nothing uses

Decoded fields and functions without a reader are gone; the platform's field for a request's id is written in platform/ only. Behaviour as before: the gateway's, routing and HTTP tests pass.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -1,5 +1,3 @@
-#include "carobloom/control/config_log.h"
-
 #include <string.h>
 
 #include "carobloom/common/clock.h"
@@ -8,8 +6,7 @@
 #include "carobloom/common/event_log.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/policy/voter_codec.h"
-#include "carobloom/policy/voter_repair.h"
-#include "carobloom/process/log_store.h"
+#include "config_log_state.h"
 
 enum {
     MS = 1000,
@@ -20,145 +17,14 @@
     ELECTION_US = 800 * MS,
     HEARTBEAT_US = 150 * MS,
     HELLO_US = 250 * MS,
-    /* A voter not heard of for so long gives its place to one that asks. */
-    DEAD_US = 5000 * MS,
-    FRESH_US = 1500 * MS,
     /* A put that no quorum has by then is left to the caller's next try. */
     PUT_US = 3000 * MS,
     DISK_RETRY_US = 500 * MS, /* a full or refusing disk is tried again */
     COMPACT_BYTES = 8 * 1024 * 1024, /* of a disk of 128 MB */
-    VOTERS_LEAST = 3,
 };
 
 #define COMMAND_TYPE "(tay)"
 
-typedef struct {
-    guint64 call;
-    guint64 version;
-    gint64 until_us;
-} owed_t;
-
-/* Another control instance, as its letters told. */
-typedef struct {
-    char *name;
-    guint64 id;
-    gint64 heard_us;
-    gboolean asks; /* it is not a voting member by its own account */
-} correspondent_t;
-
-struct config_log {
-    const gateway_settings_t *settings;
-    char *self; /* IP:PORT; the name as a voter */
-    task_t *owner;
-    task_t *task;
-    log_store_t *store;
-    guint64 id;
-    voter_t *core;
-    guint64 version; /* applied */
-    GBytes *text;
-    GArray *owed;      /* owed_t */
-    GHashTable *heard; /* name -> correspondent_t */
-    GPtrArray *seeds;  /* names */
-    gint64 hello_us;
-    voter_role_t role;
-    gboolean failed; /* the disk refused; started anew from it later */
-    gint64 retry_us;
-    config_view_message_t view; /* last sent */
-};
-
-/* ---- messages ---- */
-
-static void
-put_free(message_t *message)
-{
-    g_bytes_unref(((config_put_message_t *)message)->text);
-    g_free(message);
-}
-
-static void
-letter_free(message_t *message)
-{
-    config_letter_message_t *m = (config_letter_message_t *)message;
-    g_free(m->to);
-    g_bytes_unref(m->letter);
-    g_free(m);
-}
-
-static void
-plain_free(message_t *message)
-{
-    g_free(message);
-}
-
-static void
-applied_free(message_t *message)
-{
-    g_bytes_unref(((config_applied_message_t *)message)->text);
-    g_free(message);
-}
-
-message_t *
-config_put_message(guint64 call, guint64 version, GBytes *text)
-{
-    config_put_message_t *m = g_new0(config_put_message_t, 1);
-    *m = (config_put_message_t){.base = {CONFIG_LOG_PUT, put_free},
-                                .call = call,
-                                .version = version,
-                                .text = text};
-    return &m->base;
-}
-
-message_t *
-config_letter_message(config_log_message_t type, const char *to,
-                      GBytes *letter)
-{
-    config_letter_message_t *m = g_new0(config_letter_message_t, 1);
-    *m = (config_letter_message_t){.base = {(int)type, letter_free},
-                                   .to = g_strdup(to),
-                                   .letter = letter};
-    return &m->base;
-}
-
-message_t *
-config_hand_over_message(void)
-{
-    message_t *m = g_new0(message_t, 1);
-    *m = (message_t){CONFIG_LOG_HAND_OVER, plain_free};
-    return m;
-}
-
-static void
-send_letter(config_log_t *log, const char *to, GBytes *message)
-{
-    voter_letter_t letter = {
-        .from = log->self, .id = log->id, .message = message};
-    task_send(log->owner, config_letter_message(CONFIG_LOG_SEND, to,
-                                                voter_letter_write(&letter)));
-}
-
-static void
-send_result(config_log_t *log, guint64 call, gboolean durable)
-{
-    config_result_message_t *m = g_new0(config_result_message_t, 1);
-    *m = (config_result_message_t){.base = {CONFIG_LOG_RESULT, plain_free},
-                                   .call = call,
-                                   .durable = durable};
-    task_send(log->owner, &m->base);
-}
-
-static void
-send_applied(config_log_t *log)
-{
-    if (log->text == NULL) {
-        return;
-    }
-    config_applied_message_t *m = g_new0(config_applied_message_t, 1);
-    *m = (config_applied_message_t){.base = {CONFIG_LOG_APPLIED, applied_free},
-                                    .version = log->version,
-                                    .text = g_bytes_ref(log->text)};
-    task_send(log->owner, &m->base);
-}
-
 /* ---- starting ---- */
 
 static void
@@ -167,7 +33,7 @@
     g_clear_pointer(&log->text, g_bytes_unref);
     log->version = version;
     log->text = g_bytes_ref(text);
-    send_applied(log);
+    config_log_tell(log);
 }
 
 /* A command and a snapshot have one form: version and text. */
@@ -309,9 +175,9 @@
 }
 
 static void
-correspondent_free(gpointer data)
+voter_peer_free(gpointer data)
 {
-    correspondent_t *c = data;
+    voter_peer_t *c = data;
     g_free(c->name);
     g_free(c);
 }
@@ -325,8 +191,8 @@
     log->self = g_strdup(self);
     log->owner = owner;
     log->owed = g_array_new(FALSE, FALSE, sizeof(owed_t));
-    log->heard = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                       correspondent_free);
+    log->heard =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, voter_peer_free);
     log->seeds = g_ptr_array_new_with_free_func(g_free);
     for (int i = 0; settings->seeds[i] != NULL; i++) {
         char *colon = strrchr(settings->seeds[i], ':');
@@ -374,7 +240,8 @@
     counter_add(counter_get("voter_disk_failures_total", NULL, FALSE), 1);
     g_free(why);
     log->retry_us = clock_boot_us() + DISK_RETRY_US;
-    log->view = (config_view_message_t){.base = {CONFIG_LOG_VIEW, plain_free}};
+    log->view =
+        (config_view_message_t){.base = {CONFIG_LOG_VIEW, message_free_plain}};
     task_send(log->owner, g_memdup2(&log->view, sizeof(log->view)));
 }
 
@@ -414,8 +281,8 @@
     gpointer value;
     g_hash_table_iter_init(&iter, log->heard);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (((correspondent_t *)value)->id == id) {
-            return ((correspondent_t *)value)->name;
+        if (((voter_peer_t *)value)->id == id) {
+            return ((voter_peer_t *)value)->name;
         }
     }
     return NULL;
@@ -429,7 +296,7 @@
         const char *name = name_of(log, m->to);
         if (name != NULL) {
             GBytes *bytes = voter_message_write(m);
-            send_letter(log, name, bytes);
+            config_log_send(log, name, bytes);
             g_bytes_unref(bytes);
         }
     }
@@ -442,12 +309,12 @@
     for (guint i = log->owed->len; i > 0; i--) {
         owed_t owed = g_array_index(log->owed, owed_t, i - 1);
         if (owed.version <= log->version) {
-            send_result(log, owed.call, TRUE);
+            config_log_result(log, owed.call, TRUE);
             g_array_remove_index_fast(log->owed, i - 1);
         }
         else if (clock_boot_us() > owed.until_us ||
                  voter_role(log->core) != ROLE_LEADER) {
-            send_result(log, owed.call, FALSE);
+            config_log_result(log, owed.call, FALSE);
             g_array_remove_index_fast(log->owed, i - 1);
         }
     }
@@ -502,7 +369,7 @@
                        : leader != 0     ? name_of(log, leader)
                                          : NULL;
     config_view_message_t view = {
-        .base = {CONFIG_LOG_VIEW, plain_free},
+        .base = {CONFIG_LOG_VIEW, message_free_plain},
         .leads = voter_role(log->core) == ROLE_LEADER,
         .term = voter_term(log->core),
         .voters = *voter_config(log->core),
@@ -566,141 +433,6 @@
     send_view(log);
 }
 
-/* ---- membership ---- */
-
-/* Whoever is not a voting member, or hears of no leader and may have been
- * taken out, says so to all that may lead. */
-static void
-say_hello(config_log_t *log)
-{
-    const voter_config_t *config = voter_config(log->core);
-    const voter_member_t *self = voter_config_find(config, log->id);
-    if (self != NULL && !self->learner && voter_leader(log->core) != 0) {
-        return;
-    }
-    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-    GHashTableIter iter;
-    gpointer name;
-    for (guint i = 0; i < log->seeds->len; i++) {
-        g_hash_table_add(names, log->seeds->pdata[i]);
-    }
-    for (guint i = 0; i < config->count; i++) {
-        g_hash_table_add(names, (gpointer)config->members[i].name);
-    }
-    g_hash_table_iter_init(&iter, log->heard);
-    while (g_hash_table_iter_next(&iter, &name, NULL)) {
-        g_hash_table_add(names, name);
-    }
-    g_hash_table_iter_init(&iter, names);
-    while (g_hash_table_iter_next(&iter, &name, NULL)) {
-        if (strcmp(name, log->self) != 0) {
-            send_letter(log, name, NULL);
-        }
-    }
-    g_hash_table_unref(names);
-}
-
-static gint64
-silent_for(const config_log_t *log, const voter_member_t *member, gint64 now)
-{
-    const correspondent_t *c = g_hash_table_lookup(log->heard, member->name);
-    if (member->id == log->id) {
-        return 0;
-    }
-    return c != NULL && c->id == member->id ? now - c->heard_us : G_MAXINT64;
-}
-
-/* A voter that is gone for good only makes quorums larger. It is taken out
- * when the membership is even, as after a newcomer came in its place, and all
- * others are there. One taken out by mistake asks to be taken in again. */
-static void
-remove_dead(config_log_t *log, gint64 now)
-{
-    voter_config_t config = *voter_config(log->core);
-    const voter_member_t *dead = NULL;
-    if (voter_config_pending(log->core) || config.count <= VOTERS_LEAST ||
-        config.count % 2 == 1) {
-        return;
-    }
-    for (guint i = 0; i < config.count; i++) {
-        gint64 silence = silent_for(log, &config.members[i], now);
-        if (silence > DEAD_US && dead != NULL) {
-            return;
-        }
-        if (silence > DEAD_US) {
-            dead = &config.members[i];
-        }
-        else if (silence > FRESH_US) {
-            return;
-        }
-    }
-    if (dead == NULL) {
-        return;
-    }
-    if (event_log_begin(EVENT_STATE, "voter_removed")) {
-        event_log_cstr("name", dead->name);
-        event_log_number("voters", config.count);
-        event_log_end();
-    }
-    voter_config_remove(&config, dead->id);
-    voter_change(log->core, &config, now);
-}
-
-static void
-take_in(config_log_t *log, gint64 now)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, log->heard);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        correspondent_t *c = value;
-        if (!c->asks || now - c->heard_us > FRESH_US) {
-            continue;
-        }
-        repair_state_t state =
-            voter_repair_step(log->core, c->name, c->id, now);
-        if (state == REPAIR_WHOLE) {
-            c->asks = FALSE;
-        }
-        if (state == REPAIR_CHANGED) {
-            if (event_log_begin(EVENT_STATE, "voter_taken_in")) {
-                event_log_cstr("name", c->name);
-                event_log_end();
-            }
-            return;
-        }
-    }
-}
-
-static void
-handle_letter(config_log_t *log, const config_letter_message_t *m)
-{
-    voter_letter_t letter;
-    if (!voter_letter_read(m->letter, &letter)) {
-        counter_add(counter_get("voter_malformed_total", NULL, FALSE), 1);
-        return;
-    }
-    correspondent_t *c = g_hash_table_lookup(log->heard, letter.from);
-    if (c == NULL) {
-        c = g_new0(correspondent_t, 1);
-        c->name = g_strdup(letter.from);
-        g_hash_table_insert(log->heard, c->name, c);
-    }
-    c->id = letter.id;
-    c->heard_us = clock_boot_us();
-    gsize length = g_bytes_get_size(letter.message);
-    voter_message_t *message =
-        length > 0 ? voter_message_read(letter.message) : NULL;
-    if (length == 0) {
-        c->asks = TRUE;
-    }
-    if (message != NULL) {
-        voter_step(log->core, message, clock_boot_us());
-        voter_message_free(message);
-    }
-    voter_letter_clear(&letter);
-}
-
 /* ---- the task ---- */
 
 static void
@@ -708,7 +440,7 @@
 {
     gint64 now = clock_boot_us();
     if (log->failed || voter_role(log->core) != ROLE_LEADER) {
-        send_result(log, m->call, FALSE);
+        config_log_result(log, m->call, FALSE);
         return;
     }
     guint64 index;
@@ -716,7 +448,7 @@
     int result = voter_propose(log->core, command, &index, now);
     g_bytes_unref(command);
     if (result != VOTER_OK) {
-        send_result(log, m->call, FALSE);
+        config_log_result(log, m->call, FALSE);
         return;
     }
     owed_t owed = {
@@ -749,10 +481,9 @@
     voter_tick(log->core, now);
     if (now - log->hello_us >= HELLO_US) {
         log->hello_us = now;
-        say_hello(log);
+        members_say_hello(log);
         if (voter_role(log->core) == ROLE_LEADER) {
-            take_in(log, now);
-            remove_dead(log, now);
+            members_repair(log, now);
         }
     }
     turn(log);
@@ -762,7 +493,7 @@
 config_log_begin(void *state)
 {
     config_log_t *log = state;
-    send_applied(log);
+    config_log_tell(log);
     timers_subscribe(task_timers(log->task), TICK_US, TICK_US, on_tick, log);
     on_tick(log);
 }
@@ -773,7 +504,8 @@
     config_log_t *log = state;
     if (log->failed) {
         if (message->type == CONFIG_LOG_PUT) {
-            send_result(log, ((config_put_message_t *)message)->call, FALSE);
+            config_log_result(log, ((config_put_message_t *)message)->call,
+                              FALSE);
         }
         return;
     }
@@ -782,7 +514,7 @@
         handle_put(log, (const config_put_message_t *)message);
         break;
     case CONFIG_LOG_LETTER:
-        handle_letter(log, (const config_letter_message_t *)message);
+        members_handle_letter(log, (const config_letter_message_t *)message);
         break;
     case CONFIG_LOG_HAND_OVER:
         voter_hand_over(log->core, clock_boot_us());
--- /dev/null
+++ b/carobloomd/control/config_log_members.c
@@ -0,0 +1,154 @@
+#include <string.h>
+
+#include "carobloom/common/clock.h"
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/policy/voter_codec.h"
+#include "carobloom/policy/voter_repair.h"
+#include "config_log_state.h"
+
+enum {
+    MS = 1000,
+    /* A voter not heard of for so long gives its place to one that asks. */
+    DEAD_US = 5000 * MS,
+    FRESH_US = 1500 * MS,
+    VOTERS_LEAST = 3,
+};
+
+void
+members_say_hello(config_log_t *log)
+{
+    const voter_config_t *config = voter_config(log->core);
+    const voter_member_t *self = voter_config_find(config, log->id);
+    if (self != NULL && !self->learner && voter_leader(log->core) != 0) {
+        return;
+    }
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    gpointer name;
+    for (guint i = 0; i < log->seeds->len; i++) {
+        g_hash_table_add(names, log->seeds->pdata[i]);
+    }
+    for (guint i = 0; i < config->count; i++) {
+        g_hash_table_add(names, (gpointer)config->members[i].name);
+    }
+    g_hash_table_iter_init(&iter, log->heard);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        g_hash_table_add(names, name);
+    }
+    g_hash_table_iter_init(&iter, names);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        if (strcmp(name, log->self) != 0) {
+            config_log_send(log, name, NULL);
+        }
+    }
+    g_hash_table_unref(names);
+}
+
+static gint64
+silent_for(const config_log_t *log, const voter_member_t *member, gint64 now)
+{
+    const voter_peer_t *c = g_hash_table_lookup(log->heard, member->name);
+    if (member->id == log->id) {
+        return 0;
+    }
+    return c != NULL && c->id == member->id ? now - c->heard_us : G_MAXINT64;
+}
+
+/* A voter that is gone for good only makes quorums larger. It is taken out
+ * when the membership is even, as after a newcomer came in its place, and all
+ * others are there. One taken out by mistake asks to be taken in again. */
+static void
+remove_dead(config_log_t *log, gint64 now)
+{
+    voter_config_t config = *voter_config(log->core);
+    const voter_member_t *dead = NULL;
+    if (voter_config_pending(log->core) || config.count <= VOTERS_LEAST ||
+        config.count % 2 == 1) {
+        return;
+    }
+    for (guint i = 0; i < config.count; i++) {
+        gint64 silence = silent_for(log, &config.members[i], now);
+        if (silence > DEAD_US && dead != NULL) {
+            return;
+        }
+        if (silence > DEAD_US) {
+            dead = &config.members[i];
+        }
+        else if (silence > FRESH_US) {
+            return;
+        }
+    }
+    if (dead == NULL) {
+        return;
+    }
+    if (event_log_begin(EVENT_STATE, "voter_removed")) {
+        event_log_cstr("name", dead->name);
+        event_log_number("voters", config.count);
+        event_log_end();
+    }
+    voter_config_remove(&config, dead->id);
+    voter_change(log->core, &config, now);
+}
+
+static void
+take_in(config_log_t *log, gint64 now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, log->heard);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        voter_peer_t *c = value;
+        if (!c->asks || now - c->heard_us > FRESH_US) {
+            continue;
+        }
+        repair_state_t state =
+            voter_repair_step(log->core, c->name, c->id, now);
+        if (state == REPAIR_WHOLE) {
+            c->asks = FALSE;
+        }
+        if (state == REPAIR_CHANGED) {
+            if (event_log_begin(EVENT_STATE, "voter_taken_in")) {
+                event_log_cstr("name", c->name);
+                event_log_end();
+            }
+            return;
+        }
+    }
+}
+
+void
+members_handle_letter(config_log_t *log, const config_letter_message_t *m)
+{
+    voter_letter_t letter;
+    if (!voter_letter_read(m->letter, &letter)) {
+        counter_add(counter_get("voter_malformed_total", NULL, FALSE), 1);
+        return;
+    }
+    voter_peer_t *c = g_hash_table_lookup(log->heard, letter.from);
+    if (c == NULL) {
+        c = g_new0(voter_peer_t, 1);
+        c->name = g_strdup(letter.from);
+        g_hash_table_insert(log->heard, c->name, c);
+    }
+    c->id = letter.id;
+    c->heard_us = clock_boot_us();
+    gsize length = g_bytes_get_size(letter.message);
+    voter_message_t *message =
+        length > 0 ? voter_message_read(letter.message) : NULL;
+    if (length == 0) {
+        c->asks = TRUE;
+    }
+    if (message != NULL) {
+        voter_step(log->core, message, clock_boot_us());
+        voter_message_free(message);
+    }
+    voter_letter_clear(&letter);
+}
+
+void
+members_repair(config_log_t *log, gint64 now_us)
+{
+    take_in(log, now_us);
+    remove_dead(log, now_us);
+}
--- /dev/null
+++ b/carobloomd/control/config_log_messages.c
@@ -0,0 +1,93 @@
+#include "config_log_state.h"
+
+static void
+put_free(message_t *message)
+{
+    g_bytes_unref(((config_put_message_t *)message)->text);
+    g_free(message);
+}
+
+static void
+letter_free(message_t *message)
+{
+    config_letter_message_t *m = (config_letter_message_t *)message;
+    g_free(m->to);
+    g_bytes_unref(m->letter);
+    g_free(m);
+}
+
+void
+message_free_plain(message_t *message)
+{
+    g_free(message);
+}
+
+static void
+applied_free(message_t *message)
+{
+    g_bytes_unref(((config_applied_message_t *)message)->text);
+    g_free(message);
+}
+
+message_t *
+config_put_message(guint64 call, guint64 version, GBytes *text)
+{
+    config_put_message_t *m = g_new0(config_put_message_t, 1);
+    *m = (config_put_message_t){.base = {CONFIG_LOG_PUT, put_free},
+                                .call = call,
+                                .version = version,
+                                .text = text};
+    return &m->base;
+}
+
+message_t *
+config_letter_message(config_log_message_t type, const char *to,
+                      GBytes *letter)
+{
+    config_letter_message_t *m = g_new0(config_letter_message_t, 1);
+    *m = (config_letter_message_t){.base = {(int)type, letter_free},
+                                   .to = g_strdup(to),
+                                   .letter = letter};
+    return &m->base;
+}
+
+message_t *
+config_hand_over_message(void)
+{
+    message_t *m = g_new0(message_t, 1);
+    *m = (message_t){CONFIG_LOG_HAND_OVER, message_free_plain};
+    return m;
+}
+
+void
+config_log_send(config_log_t *log, const char *to, GBytes *message)
+{
+    voter_letter_t letter = {
+        .from = log->self, .id = log->id, .message = message};
+    task_send(log->owner, config_letter_message(CONFIG_LOG_SEND, to,
+                                                voter_letter_write(&letter)));
+}
+
+void
+config_log_result(config_log_t *log, guint64 call, gboolean durable)
+{
+    config_result_message_t *m = g_new0(config_result_message_t, 1);
+    *m = (config_result_message_t){
+        .base = {CONFIG_LOG_RESULT, message_free_plain},
+        .call = call,
+        .durable = durable};
+    task_send(log->owner, &m->base);
+}
+
+void
+config_log_tell(config_log_t *log)
+{
+    if (log->text == NULL) {
+        return;
+    }
+    config_applied_message_t *m = g_new0(config_applied_message_t, 1);
+    *m = (config_applied_message_t){.base = {CONFIG_LOG_APPLIED, applied_free},
+                                    .version = log->version,
+                                    .text = g_bytes_ref(log->text)};
+    task_send(log->owner, &m->base);
+}
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -446,17 +446,6 @@
     g_ptr_array_unref(e->links);
 }
 
-guint
-control_links_answering(const entry_t *e)
-{
-    guint count = 0;
-    for (guint i = 0; i < e->links->len; i++) {
-        const control_link_t *link = e->links->pdata[i];
-        count += link->answered_us != 0 && !link->lost;
-    }
-    return count;
-}
-
 void
 control_links_dump(const entry_t *e, GString *text)
 {
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -66,7 +66,6 @@
 /* control_link.c */
 void control_links_seed(entry_t *entry);
 void control_links_destroy(entry_t *entry);
-guint control_links_answering(const entry_t *entry);
 void control_links_dump(const entry_t *entry, GString *text);
 
 /* forward.c */
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -132,7 +132,7 @@
     http_exchange_t *exchange = f->exchange;
     GString *fields = g_string_new("Content-Type: text/plain\r\n");
     if (f->info.id.length > 0) {
-        http_write_field(fields, STR("Request-Id"), f->info.id);
+        platform_answer_encode_id(fields, f->info.id);
     }
     if (status == 503 || status == 429) {
         retry_after_t after = retry_after_of(f);
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -39,7 +39,6 @@
     GList *idle; /* the most recent first */
     guint busy_count;
     guint idle_count;
-    guint connects;
 };
 
 static void
@@ -313,12 +312,6 @@
     return peer->busy_count + peer->idle_count;
 }
 
-guint
-http_peer_connects(const http_peer_t *peer)
-{
-    return peer->connects;
-}
-
 static client_call_t *
 idle_take(http_peer_t *peer)
 {
@@ -356,7 +349,6 @@
         g_free(call);
         return NULL;
     }
-    peer->connects++;
     call->busy = TRUE;
     call->connecting = TRUE;
     http_reader_init(&call->reader, FALSE, peer->limits.head_max, &READER_OPS,
--- a/carobloomd/http/head.c
+++ b/carobloomd/http/head.c
@@ -74,16 +74,6 @@
     return FALSE;
 }
 
-guint
-http_head_count(const http_head_t *head, const char *name)
-{
-    guint count = 0;
-    for (guint i = 0; i < head->fields->len; i++) {
-        count += http_name_is(http_field_name(head, i), name);
-    }
-    return count;
-}
-
 /* Whether the comma-separated `list` holds `name`. */
 static gboolean
 list_has(str_t list, str_t name)
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -305,11 +305,3 @@
     s->reading = on;
     update_watch(s);
 }
-
-void
-stream_socket_set_owner(stream_socket_t *s, const stream_socket_ops_t *ops,
-                        void *user)
-{
-    s->ops = ops;
-    s->user = user;
-}
--- a/carobloomd/version/route_config.c
+++ b/carobloomd/version/route_config.c
@@ -28,7 +28,6 @@
 {
     service_t *service = data;
     g_free(service->name);
-    g_free(service->health_path);
     g_free(service);
 }
 
--- a/include/carobloom/http/client.h
+++ b/include/carobloom/http/client.h
@@ -46,7 +46,6 @@
 /* Calls under way fail; each owner is told. */
 void http_peer_destroy(http_peer_t *peer);
 guint http_peer_connections(const http_peer_t *peer);
-guint http_peer_connects(const http_peer_t *peer);
 
 /* Sends `bytes`, a whole request. NULL when no connection can be had; the
  * owner is not told then. `head_request` marks an answer without a body. */
--- a/include/carobloom/http/head.h
+++ b/include/carobloom/http/head.h
@@ -41,8 +41,6 @@
 /* The first field of that name in any case; FALSE when there is none. */
 gboolean http_head_find(const http_head_t *head, const char *name,
                         str_t *value);
-/* How many fields have that name. */
-guint http_head_count(const http_head_t *head, const char *name);
 /* Whether `name` equals `text` in any case. */
 gboolean http_name_is(str_t name, const char *text);
 /* Whether a field concerns one connection only (RFC 9110, 7.6.1): the known
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -56,7 +56,5 @@
  * knows by now. */
 gboolean stream_socket_is_quiet(const stream_socket_t *socket);
 void stream_socket_read(stream_socket_t *socket, gboolean on);
-void stream_socket_set_owner(stream_socket_t *socket,
-                             const stream_socket_ops_t *ops, void *user);
 
 #endif
--- a/include/carobloom/version/route_config.h
+++ b/include/carobloom/version/route_config.h
@@ -34,11 +34,9 @@
     route_kind_t kind;
     gint64 timeout_ms;  /* the longest that a caller is kept waiting */
     gint64 target_ms;   /* latency objective: the answer, or the first event */
-    gint64 gap_ms;      /* longest pause between events on time; 0: none */
     guint priority;     /* 0 is the most urgent */
     guint max_attempts; /* endpoints that one request may be sent to */
     gboolean open;      /* needs no key */
-    gboolean affinity;  /* its requests tell the parts of their prompts */
     gboolean resumable; /* a stream may go on at another endpoint */
     GArray *shares;     /* route_share_t */
     guint weight_sum;
@@ -46,7 +44,6 @@
 
 typedef struct {
     char *name;
-    char *health_path;
     guint connections; /* that one endpoint takes, of all callers together */
     guint slots;       /* of a model engine; 0 for a plain service */
 } service_t;
