Break an answer over its bound off instead of passing on a part of it

Cause: a plain answer over 16 MB lost what came after and was still delivered as whole; an event over 256 KB was dropped and the stream went on. Found by reading. A news answer of control over its bound lost its tail the same way (its reader then refused it).

Now the call is left at once, counted as one that may have run, and repeated where the route allows.

--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -286,13 +286,16 @@
 static void
 on_body(client_call_t *call, str_t bytes, void *user)
 {
-    (void)call;
     control_link_t *link = user;
     link->progress = TRUE;
-    if (link->body->len + bytes.length <= ANSWER_MAX) {
-        g_byte_array_append(link->body, (const guint8 *)bytes.data,
-                            (guint)bytes.length);
+    if (link->body->len + bytes.length > ANSWER_MAX) {
+        counter_add(counter_get("control_too_long_total", NULL, FALSE), 1);
+        client_call_cancel(call);
+        link_failed(link);
+        return;
     }
+    g_byte_array_append(link->body, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
 }
 
 static void
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -103,21 +103,36 @@
     http_exchange_write(f->exchange, bytes);
 }
 
+/* The answer is over a bound and can not be passed on whole: it is left
+ * unread. The request may be gone after this. */
+static void
+answer_too_long(forward_t *f, const char *reason)
+{
+    counter_add(counter_get("answers_too_long_total", NULL, FALSE), 1);
+    client_call_cancel(f->call);
+    f->call = NULL;
+    forward_note_endpoint(f, ENDPOINT_BROKE);
+    f->runs++;
+    forward_repeat(f, TRUE, reason);
+}
+
 static void
 on_answer_body(client_call_t *call, str_t bytes, void *user)
 {
     forward_t *f = user;
     f->progress_us = forward_now(f);
     if (!f->streaming) {
-        if (f->body->len + bytes.length <= ANSWER_MAX) {
-            g_byte_array_append(f->body, (const guint8 *)bytes.data,
-                                (guint)bytes.length);
+        if (f->body->len + bytes.length > ANSWER_MAX) {
+            answer_too_long(f, "the endpoint's answer is too long");
+            return;
         }
+        g_byte_array_append(f->body, (const guint8 *)bytes.data,
+                            (guint)bytes.length);
         return;
     }
     if (event_stream_feed(&f->events, bytes, on_event, f) != EVENT_STREAM_OK) {
-        event_stream_reset(&f->events);
-        counter_add(counter_get("events_too_long_total", NULL, FALSE), 1);
+        answer_too_long(f, "an event of the endpoint is too long");
+        return;
     }
     if (f->begun && http_exchange_backlog(f->exchange) > BACKLOG_MAX) {
         f->paused = TRUE;
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -19,6 +19,8 @@
     LINGER_US = 1500 * MS, /* served on after the goodbye was heard */
     WORK_US = 15 * MS,
     SLOW_WORK_US = 200 * MS, /* of a path with /slow: for faults to meet it */
+    HUGE_BYTES = 17 * 1024 * 1024, /* of FAULT_HUGE: over an entry's bounds */
+    HUGE_EVENT_BYTES = 300 * 1024,
 };
 
 typedef enum {
@@ -28,11 +30,13 @@
     FAULT_FULL,  /* refused, not run */
     FAULT_ERROR, /* its own failure */
     FAULT_MUTE,  /* runs it and says nothing */
+    FAULT_HUGE,  /* more in one answer or event than anyone may hold */
 } fault_t;
 
 static const char *const FAULT_NAMES[] = {
     [FAULT_NONE] = "none", [FAULT_RESET] = "reset", [FAULT_CUT] = "cut",
     [FAULT_FULL] = "full", [FAULT_ERROR] = "error", [FAULT_MUTE] = "mute",
+    [FAULT_HUGE] = "huge",
 };
 
 typedef struct {
@@ -166,6 +170,11 @@
     case FAULT_ERROR:
         answer(e, exchange, 500, "", "failed");
         break;
+    case FAULT_HUGE:
+        g_free(body);
+        body = g_strnfill(HUGE_BYTES, 'x');
+        answer(e, exchange, 200, "", body);
+        break;
     default:
         answer(e, exchange, 200, "", body);
     }
@@ -195,9 +204,13 @@
         http_exchange_finish(exchange);
         return;
     }
+    char *filler = run->fault == FAULT_HUGE && half
+                       ? g_strnfill(HUGE_EVENT_BYTES, 'x')
+                       : g_strdup("");
     char *text = g_strdup_printf("id: %" G_GUINT64_FORMAT
-                                 "\ndata: w%" G_GUINT64_FORMAT "\n\n",
-                                 run->event, run->event);
+                                 "\ndata: w%" G_GUINT64_FORMAT "%s\n\n",
+                                 run->event, run->event, filler);
+    g_free(filler);
     http_exchange_write(exchange, str_from_cstr(text));
     g_free(text);
     run->event++;
