Fetch shared prompt parts between engines; place without word of the others

Now every prompt with shared parts names a second keeper to fetch from (the home, or the next in the same ranking), engines are parted until an instance has seen ten seconds of requests, and without loads each instance takes the others to have as many long prompts as itself.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -144,6 +144,12 @@
     return limits;
 }
 
+gboolean
+entry_knows_loads(const entry_t *e)
+{
+    return e->loads_us != 0 && entry_now(e) - e->loads_us < LOADS_US;
+}
+
 /* ---- readiness ---- */
 
 static gboolean
@@ -211,11 +217,6 @@
 {
     entry_t *e = data;
     directory_sweep(e->directory, entry_now(e));
-    if (entry_now(e) - e->loads_us > LOADS_US) {
-        GArray *none = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
-        directory_take_loads(e->directory, none, none);
-        g_array_unref(none);
-    }
     counter_set(counter_get("endpoints", NULL, TRUE),
                 directory_count(e->directory));
     counter_set(counter_get("requests_in_flight", NULL, TRUE), e->forwards);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -22,7 +22,7 @@
 /* What this instance remembers of a service. */
 typedef struct {
     repeat_budget_t budget;
-    gint64 long_us; /* when a long prompt last came; 0: never */
+    prompt_mix_t prompts;
 } service_use_t;
 
 struct entry {
@@ -62,6 +62,8 @@
 gint64 entry_now(const entry_t *entry);
 service_use_t *entry_service(entry_t *entry, const char *service);
 repeat_limits_t entry_repeat_limits(const entry_t *entry);
+/* Whether the requests of the other entry instances were told lately. */
+gboolean entry_knows_loads(const entry_t *entry);
 
 /* control_link.c */
 void control_links_seed(entry_t *entry);
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -80,6 +80,14 @@
                   (double)(forward_now(f) - f->started_us) / 1e6);
 }
 
+void
+forward_end_wait(forward_t *f)
+{
+    f->endpoint->waiting_tokens -=
+        MIN(f->endpoint->waiting_tokens, f->waiting_tokens);
+    f->waiting_tokens = 0;
+}
+
 void
 forward_leave_endpoint(forward_t *f)
 {
@@ -87,11 +95,7 @@
         return;
     }
     f->endpoint->running--;
-    if (f->waiting_tokens > 0 || f->first_us == 0) {
-        f->endpoint->waiting_tokens -=
-            MIN(f->endpoint->waiting_tokens, f->waiting_tokens);
-        f->waiting_tokens = 0;
-    }
+    forward_end_wait(f);
     f->call = NULL;
     f->endpoint = NULL;
 }
@@ -319,9 +323,7 @@
                                                 (gint)f->route->weight_sum));
     repeat_limits_t limits = entry_repeat_limits(e);
     f->use = entry_service(e, f->service);
-    if (placement_is_long(f->info.prompt_tokens)) {
-        f->use->long_us = forward_now(f);
-    }
+    prompt_mix_note(&f->use->prompts, f->info.prompt_tokens, forward_now(f));
     repeat_budget_note_first(&f->use->budget, &limits, forward_now(f));
     forward_send(f);
 }
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -72,11 +72,7 @@
 static void
 note_first(forward_t *f)
 {
-    if (f->waiting_tokens > 0) {
-        f->endpoint->waiting_tokens -=
-            MIN(f->endpoint->waiting_tokens, f->waiting_tokens);
-        f->waiting_tokens = 0;
-    }
+    forward_end_wait(f);
     if (f->first_us == 0) {
         f->first_us = forward_now(f);
     }
@@ -195,9 +191,7 @@
     }
     if (erred && route_repeatable(f->route)) {
         f->runs++;
-        if (forward_may_repeat(f) && forward_take_repeat(f)) {
-            forward_leave_endpoint(f);
-            forward_send(f);
+        if (forward_try_repeat(f, TRUE, "the endpoint failed")) {
             return;
         }
     }
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -17,8 +17,6 @@
     ANSWER_HEAD_MAX = 65536,
     /* Less than this is not worth an endpoint's work. */
     DEADLINE_LEAST_MS = 5,
-    /* A service that got no long prompt for so long is not parted. */
-    LONG_REMEMBERED_US = 60 * G_USEC_PER_SEC,
 };
 
 static const http_peer_limits_t ENDPOINT_LIMITS = {
@@ -28,8 +26,9 @@
     .head_max = ANSWER_HEAD_MAX,
 };
 
-gboolean
-forward_may_repeat(forward_t *f)
+/* Whether it may go to another endpoint at all. */
+static gboolean
+may_repeat(const forward_t *f)
 {
     if (f->runs > 0 &&
         (!route_repeatable(f->route) || f->runs >= f->route->max_attempts)) {
@@ -42,8 +41,9 @@
            f->final_us - forward_now(f) > DEADLINE_LEAST_MS * MS;
 }
 
-gboolean
-forward_take_repeat(forward_t *f)
+/* Takes a repeat from the budget of all instances. */
+static gboolean
+take_repeat(forward_t *f)
 {
     entry_t *e = f->entry;
     repeat_limits_t limits = entry_repeat_limits(e);
@@ -51,14 +51,13 @@
                               forward_now(f));
 }
 
-void
-forward_repeat(forward_t *f, gboolean arrived, const char *reason)
+gboolean
+forward_try_repeat(forward_t *f, gboolean arrived, const char *reason)
 {
-    forward_leave_endpoint(f);
-    if (!forward_may_repeat(f) || (arrived && !forward_take_repeat(f))) {
-        forward_give_up(f, reason);
-        return;
+    if (!may_repeat(f) || (arrived && !take_repeat(f))) {
+        return FALSE;
     }
+    forward_leave_endpoint(f);
     if (event_log_begin(EVENT_FAILURE, "repeat")) {
         event_log_text("request", f->info.id);
         event_log_cstr("reason", reason);
@@ -70,17 +69,29 @@
     }
     counter_add(counter_get("repeats_total", NULL, FALSE), 1);
     forward_send(f);
+    return TRUE;
+}
+
+void
+forward_repeat(forward_t *f, gboolean arrived, const char *reason)
+{
+    if (!forward_try_repeat(f, arrived, reason)) {
+        forward_leave_endpoint(f);
+        forward_give_up(f, reason);
+    }
 }
 
 static void
 placement_of(const forward_t *f, placement_request_t *request)
 {
+    const service_t *service = route_config_service(f->config, f->service);
     *request = (placement_request_t){
         .parts = f->info.parts,
         .part_count = f->info.part_count,
         .prompt_tokens = f->info.prompt_tokens,
-        .parted = f->use->long_us != 0 &&
-                  forward_now(f) - f->use->long_us < LONG_REMEMBERED_US,
+        .parted = prompt_mix_parted(&f->use->prompts, forward_now(f)),
+        .fetch_tokens_a_ms = service != NULL ? service->fetch_tokens_a_ms : 0,
+        .unknown_sharers = entry_knows_loads(f->entry) ? 0 : f->entry->entries,
         .data_centre = f->entry->settings->data_centre,
         .tried_count = MIN(f->sends, PLACEMENT_TRIED_MAX),
         .draw = g_rand_int(f->entry->random),
@@ -120,8 +131,9 @@
 }
 
 static GString *
-request_bytes(const forward_t *f, const endpoint_t *endpoint)
+request_bytes(const forward_t *f, const placement_t *placement)
 {
+    const endpoint_t *endpoint = placement->endpoint;
     const service_t *service = route_config_service(f->config, f->service);
     forward_info_t info = {
         .deadline_ms = (f->final_us - forward_now(f)) / MS,
@@ -131,19 +143,22 @@
             service != NULL && service->slots > 0 ? priority_of(f) : -1,
         .resume = f->has_event || f->info.resumes,
         .last_event = f->has_event ? f->last_event : f->info.last_event,
+        .fetch_from =
+            placement->source != NULL ? placement->source->address : NULL,
     };
     return platform_request_encode(http_exchange_head(f->exchange),
                                    http_exchange_body(f->exchange), &info);
 }
 
 static void
-join_endpoint(forward_t *f, endpoint_t *endpoint,
+join_endpoint(forward_t *f, const placement_t *placement,
               const placement_request_t *request)
 {
+    endpoint_t *endpoint = placement->endpoint;
     f->endpoint = endpoint;
     g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
     endpoint->running++;
-    f->waiting_tokens = placement_unread(endpoint, request);
+    f->waiting_tokens = placement->read_tokens;
     endpoint->waiting_tokens += f->waiting_tokens;
     for (guint i = 0; i < request->part_count; i++) {
         endpoint_note_part(endpoint, request->parts[i].id);
@@ -157,16 +172,17 @@
     const GPtrArray *endpoints = directory_service(e->directory, f->service);
     placement_request_t request;
     placement_of(f, &request);
-    endpoint_t *endpoint =
-        endpoints != NULL && endpoints->len > 0
-            ? placement_pick(endpoints, &request, forward_now(f))
-            : NULL;
+    placement_t placement = {0};
+    if (endpoints != NULL && endpoints->len > 0) {
+        placement = placement_pick(endpoints, &request, forward_now(f));
+    }
+    endpoint_t *endpoint = placement.endpoint;
     if (endpoint == NULL) {
         forward_give_up(f, "no endpoint takes it");
         return;
     }
     http_peer_t *peer = peer_of(f, endpoint);
-    GString *bytes = request_bytes(f, endpoint);
+    GString *bytes = request_bytes(f, &placement);
     f->tried[f->sends % PLACEMENT_TRIED_MAX] = endpoint;
     f->sends++;
     f->not_run = FALSE;
@@ -185,6 +201,6 @@
         forward_repeat(f, FALSE, "no connection to the endpoint is free");
         return;
     }
-    join_endpoint(f, endpoint, &request);
+    join_endpoint(f, &placement, &request);
     forward_arm(f);
 }
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -61,17 +61,18 @@
 void forward_give_up(forward_t *f, const char *reason);
 /* Sets the time at which something is to be done next. */
 void forward_arm(forward_t *f);
+/* Its prompt is read: it no longer counts as waiting at its endpoint. */
+void forward_end_wait(forward_t *f);
 /* Takes it off its endpoint; the call is over or cancelled. */
 void forward_leave_endpoint(forward_t *f);
 
 /* forward_send.c */
 void forward_send(forward_t *f);
-/* Whether it may go to another endpoint at all. */
-gboolean forward_may_repeat(forward_t *f);
-/* Takes a repeat from the budget of all instances. */
-gboolean forward_take_repeat(forward_t *f);
-/* Sends it to another endpoint, or ends it. `arrived` tells whether the last
- * one got it, so that one more counts as a repeat there. */
+/* Sends it to another endpoint if that is allowed. `arrived` tells whether the
+ * last one got it, so that one more counts as a repeat. */
+gboolean forward_try_repeat(forward_t *f, gboolean arrived,
+                            const char *reason);
+/* The same, and ends it where it is not allowed. */
 void forward_repeat(forward_t *f, gboolean arrived, const char *reason);
 
 /* forward_answer.c */
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -21,6 +21,17 @@
 /* Whether a prompt of so many tokens counts as long. */
 gboolean placement_is_long(guint prompt_tokens);
 
+/* What prompts a service was seen to get, at this instance. */
+typedef struct {
+    gint64 first_us; /* when a request first came; 0: never */
+    gint64 long_us;  /* when a long prompt last came; 0: never */
+} prompt_mix_t;
+
+void prompt_mix_note(prompt_mix_t *mix, guint prompt_tokens, gint64 now_us);
+/* Whether the service's engines are parted between long prompts and the
+ * rest. */
+gboolean prompt_mix_parted(const prompt_mix_t *mix, gint64 now_us);
+
 /* A part of a prompt; requests whose prompts begin alike share parts. */
 typedef struct {
     guint64 id;
@@ -31,16 +42,28 @@
     const prompt_part_t *parts; /* of the prompt, in order */
     guint part_count;
     guint prompt_tokens;
-    gboolean parted;         /* the service gets long prompts: see above */
-    const char *data_centre; /* of this instance */
+    gboolean parted; /* the service gets long prompts: see above */
+    /* Tokens an engine fetches from another's memory in a ms; 0: none. */
+    double fetch_tokens_a_ms;
+    /* Entry instances that share the endpoints, when what the others have
+     * under way is not known; 0 when it is. */
+    guint unknown_sharers;
+    const char *data_centre;                      /* of this instance */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX]; /* not these again */
     guint tried_count;
     guint32 draw; /* random, to break ties */
 } placement_request_t;
 
-/* The endpoint with the earliest expected first byte; NULL when none may be
- * sent work. */
-endpoint_t *placement_pick(const GPtrArray *endpoints,
+typedef struct {
+    endpoint_t *endpoint; /* NULL when none may be sent work */
+    /* Most likely keeps shared parts of the prompt that `endpoint` lacks; NULL
+     * when there is none, or engines do not fetch. */
+    const endpoint_t *source;
+    guint read_tokens; /* prompt tokens that it has to read */
+} placement_t;
+
+/* The endpoint with the earliest expected first byte. */
+placement_t placement_pick(const GPtrArray *endpoints,
                            const placement_request_t *request, gint64 now_us);
 /* Prompt tokens that `endpoint` would have to read. */
 guint placement_unread(const endpoint_t *endpoint,
--- a/include/carobloom/version/route_config.h
+++ b/include/carobloom/version/route_config.h
@@ -46,6 +46,9 @@
     char *name;
     guint connections; /* that one endpoint takes, of all callers together */
     guint slots;       /* of a model engine; 0 for a plain service */
+    /* Prompt tokens that one engine fetches from another's memory in a
+     * millisecond; 0: they do not fetch. */
+    double fetch_tokens_a_ms;
 } service_t;
 
 typedef struct {
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -19,9 +19,14 @@
  * multiple of its objective. */
 static const double FAILURE_MS = 400.0;
 static const double COLD_MS = 30.0;
+/* One that fails a tenth of its requests is not asked for its memory. */
+static const double SOURCE_FAILURES = 0.1;
 /* Reading a shared part again costs the engine its time and is priced: it
  * weighs so many times its time. */
 static const double REREAD_WEIGHT = 3.0;
+/* Fetching it from another engine takes a fourteenth of that, and is priced
+ * too. */
+static const double FETCH_WEIGHT = 3.0;
 
 /* A prompt of so many tokens holds an engine up for two chunks of its reading
  * or more, some 65 ms, a quarter of the shortest pause objective (250 ms). */
@@ -48,12 +53,41 @@
  * of an objective of 100. */
 static const double PLAIN_SLOTS = 4.0;
 
+/* A service that got no long prompt for so long is not parted. */
+static const gint64 LONG_REMEMBERED_US = 60 * G_USEC_PER_SEC;
+/* Until then an instance can not know whether it gets any: at 13 requests a
+ * second, one in seven of them long, it would have met one. Without the
+ * parting, chats begun in the first second share their engines with long
+ * prompts to their end and miss their deadline (48 of 2,120 on gaf-carobloom
+ * scale-1). */
+static const gint64 LONG_UNKNOWN_US = 10 * G_USEC_PER_SEC;
+
 gboolean
 placement_is_long(guint prompt_tokens)
 {
     return prompt_tokens >= LONG_TOKENS;
 }
 
+void
+prompt_mix_note(prompt_mix_t *mix, guint prompt_tokens, gint64 now_us)
+{
+    if (mix->first_us == 0) {
+        mix->first_us = now_us;
+    }
+    if (placement_is_long(prompt_tokens)) {
+        mix->long_us = now_us;
+    }
+}
+
+gboolean
+prompt_mix_parted(const prompt_mix_t *mix, gint64 now_us)
+{
+    if (mix->long_us != 0) {
+        return now_us - mix->long_us < LONG_REMEMBERED_US;
+    }
+    return now_us - mix->first_us < LONG_UNKNOWN_US;
+}
+
 guint
 placement_unread(const endpoint_t *e, const placement_request_t *r)
 {
@@ -114,33 +148,76 @@
                : (side_t){.from = for_long, .to = count};
 }
 
-/* The endpoint of the side that all instances rank first for a prompt. */
-static const endpoint_t *
-home_of(const GPtrArray *endpoints, side_t side, guint64 part, gint64 now_us)
+/* The endpoints of the side that all instances rank first and second for a
+ * prompt: its shared parts are kept there. NULL where there is none. */
+typedef struct {
+    const endpoint_t *home;
+    const endpoint_t *deputy;
+} homes_t;
+
+static homes_t
+homes_of(const GPtrArray *endpoints, side_t side, guint64 part, gint64 now_us)
 {
-    const endpoint_t *home = NULL;
-    guint64 best = 0;
+    homes_t homes = {0};
+    guint64 first = 0;
+    guint64 second = 0;
     for (guint i = side.from; part != 0 && i < side.to; i++) {
         const endpoint_t *e = endpoints->pdata[i];
         guint64 rank = hash_pair(part, e->hash);
-        if (endpoint_usable(e, now_us) && (home == NULL || rank > best)) {
-            home = e;
-            best = rank;
+        if (!endpoint_usable(e, now_us)) {
+            continue;
+        }
+        if (homes.home == NULL || rank > first) {
+            homes.deputy = homes.home;
+            second = first;
+            homes.home = e;
+            first = rank;
+        }
+        else if (homes.deputy == NULL || rank > second) {
+            homes.deputy = e;
+            second = rank;
         }
     }
-    return home;
+    return homes;
 }
 
 /* How an endpoint stands to a request. */
 typedef struct {
     gboolean home;
     gboolean on_side;
+    guint read_tokens;  /* it would have to read */
+    guint fetch_tokens; /* it would fetch from the home's memory */
 } standing_t;
 
+static void
+set_tokens(standing_t *s, const endpoint_t *e, const placement_request_t *r,
+           gboolean fetchable)
+{
+    guint own = r->prompt_tokens - shared_tokens(r);
+    guint unread = placement_unread(e, r);
+    s->read_tokens = unread;
+    if (s->home) {
+        s->read_tokens = MIN(unread, own);
+    }
+    else if (fetchable && unread > own) {
+        s->read_tokens = own;
+        s->fetch_tokens = unread - own;
+    }
+}
+
+/* Requests under way there, of all instances. Callers are spread evenly over
+ * them, so when nothing is told of the others they are taken to have as many
+ * as this one. That is a coarse count; short requests, which end at once, are
+ * not refused by it. */
 static guint
-running_at(const endpoint_t *e)
+running_at(const endpoint_t *e, const placement_request_t *r)
 {
-    return e->running + e->others_running;
+    if (r->unknown_sharers == 0) {
+        return e->running + e->others_running;
+    }
+    return placement_is_long(r->prompt_tokens)
+               ? e->running * r->unknown_sharers
+               : e->running;
 }
 
 static gboolean
@@ -156,7 +233,7 @@
                : standing.on_side ? LONG_AWAY_SLOTS
                                   : LONG_OFF_SIDE_SLOTS;
     }
-    return running_at(e) < MAX(part * e->slots, 1);
+    return running_at(e, r) < MAX(part * e->slots, 1);
 }
 
 /* Costs count this instance's own requests only. Those of the others are
@@ -167,11 +244,14 @@
           standing_t standing)
 {
     guint own = r->prompt_tokens - shared_tokens(r);
-    guint unread = placement_unread(e, r);
-    unread = standing.home ? MIN(unread, own) : unread;
-    double reread = unread > own ? unread - own : 0;
-    double ms = (double)(e->waiting_tokens + unread) / TOKENS_A_MS;
+    double reread =
+        standing.read_tokens > own ? standing.read_tokens - own : 0;
+    double ms =
+        (double)(e->waiting_tokens + standing.read_tokens) / TOKENS_A_MS;
     ms += reread * (REREAD_WEIGHT - 1) / TOKENS_A_MS;
+    if (standing.fetch_tokens > 0) {
+        ms += standing.fetch_tokens / r->fetch_tokens_a_ms * FETCH_WEIGHT;
+    }
     ms += e->running * RUNNING_ENGINE_MS;
     if (!standing.on_side) {
         ms += placement_is_long(r->prompt_tokens) ? LONG_AMONG_SHORT_MS
@@ -202,37 +282,65 @@
            (closed_too || endpoint_open(e, now_us));
 }
 
-static endpoint_t *
+/* Whether an endpoint is well enough to be asked for its memory. */
+static gboolean
+may_be_asked(const endpoint_t *e, gint64 now_us)
+{
+    return e != NULL && endpoint_open(e, now_us) &&
+           e->failures < SOURCE_FAILURES;
+}
+
+/* Where `endpoint` may fetch the shared parts from. */
+static const endpoint_t *
+source_for(const endpoint_t *endpoint, homes_t homes, gint64 now_us)
+{
+    if (endpoint != homes.home && may_be_asked(homes.home, now_us)) {
+        return homes.home;
+    }
+    if (endpoint != homes.deputy && may_be_asked(homes.deputy, now_us)) {
+        return homes.deputy;
+    }
+    return NULL;
+}
+
+static placement_t
 pick_among(const GPtrArray *endpoints, const placement_request_t *r,
            gboolean closed_too, gint64 now_us)
 {
     side_t side = side_of(endpoints, r);
-    const endpoint_t *home = home_of(endpoints, side, shared_part(r), now_us);
-    endpoint_t *best = NULL;
+    homes_t homes = homes_of(endpoints, side, shared_part(r), now_us);
+    gboolean fetches = r->fetch_tokens_a_ms > 0;
+    placement_t best = {0};
     double best_ms = 0;
     for (guint i = 0; i < endpoints->len; i++) {
         guint at = (i + r->draw) % endpoints->len;
         endpoint_t *e = endpoints->pdata[at];
-        standing_t standing = {.home = home != NULL && e == home,
+        standing_t standing = {.home = homes.home != NULL && e == homes.home,
                                .on_side = at >= side.from && at < side.to};
         if (!is_candidate(e, r, standing, closed_too, now_us)) {
             continue;
         }
+        const endpoint_t *source =
+            fetches ? source_for(e, homes, now_us) : NULL;
+        set_tokens(&standing, e, r, source != NULL);
         double ms = expected_ms(e, r, standing, now_us);
-        if (best == NULL || ms < best_ms) {
-            best = e;
+        if (best.endpoint == NULL || ms < best_ms) {
+            best.endpoint = e;
+            best.source = source;
+            best.read_tokens = standing.read_tokens;
             best_ms = ms;
         }
     }
     return best;
 }
 
-endpoint_t *
+placement_t
 placement_pick(const GPtrArray *endpoints, const placement_request_t *r,
                gint64 now_us)
 {
-    endpoint_t *best = pick_among(endpoints, r, FALSE, now_us);
+    placement_t best = pick_among(endpoints, r, FALSE, now_us);
     /* All that are left were closed after failures: one of them is still
      * better than none. */
-    return best != NULL ? best : pick_among(endpoints, r, TRUE, now_us);
+    return best.endpoint != NULL ? best
+                                 : pick_among(endpoints, r, TRUE, now_us);
 }
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -294,6 +294,7 @@
               "Request-Id: abc\r\nAuthorization: Bearer secret\r\n"
               "Deadline-Ms: 900\r\nTenant: forged\r\nHold: 1\r\n"
               "Pin-Ms: 9\r\nKv-From: 1.2.3.4:5/x\r\nKv-Backup: y\r\n"
+              "Kv-Fetch: 6.6.6.6:6\r\n"
               "Request-Priority: 0\r\nExpect-Instance: other\r\n"
               "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Own: 2\r\n"
               "Prompt-Prefix: 5c1e07a2:800, 91bd3f06:410\r\n"
@@ -308,8 +309,11 @@
     CU_ASSERT_EQUAL(info.part_count, 2);
     CU_ASSERT_EQUAL(info.parts[1].id, 0x91bd3f06);
     CU_ASSERT_EQUAL(info.parts[1].tokens, 410);
-    forward_info_t forward = {
-        .deadline_ms = 500, .instance = "i-1", .team = "t", .priority = 3};
+    forward_info_t forward = {.deadline_ms = 500,
+                              .instance = "i-1",
+                              .team = "t",
+                              .priority = 3,
+                              .fetch_from = "10.0.0.9:80"};
     GString *bytes =
         platform_request_encode(&reader.head, STR("body"), &forward);
     CU_ASSERT(g_str_has_prefix(bytes->str, "POST /x/1?q=2 HTTP/1.1\r\n"));
@@ -321,11 +325,12 @@
         "\r\nExpect-Instance: i-1\r\n",
         "\r\nDeadline-Ms: 500\r\n",
         "\r\nRequest-Priority: 3\r\n",
+        "\r\nKv-Fetch: 10.0.0.9:80\r\n",
         "\r\nContent-Length: 4\r\n\r\nbody",
     };
     static const char *const DROPPED[] = {
-        "secret", "forged", "Hold",       "Pin-Ms", "Kv-",
-        "other",  "X-Hop",  "Connection", "900",
+        "secret",  "forged", "Hold",  "Pin-Ms",     "Kv-From", "Kv-Backup",
+        "6.6.6.6", "other",  "X-Hop", "Connection", "900",
     };
     for (gsize i = 0; i < G_N_ELEMENTS(KEPT); i++) {
         CU_ASSERT_PTR_NOT_NULL(strstr(bytes->str, KEPT[i]));
@@ -544,21 +549,44 @@
     return d;
 }
 
-static endpoint_t *
-place(directory_t *d, guint tokens, guint64 shared, guint shared_tokens,
-      gboolean parted, guint32 draw)
+typedef struct {
+    guint tokens;
+    guint64 shared; /* id of the shared part; 0: none */
+    guint shared_tokens;
+    gboolean parted;
+    guint32 draw;
+    guint unknown_sharers;
+    double fetch_tokens_a_ms;
+} place_case_t;
+
+static placement_t
+place_of(directory_t *d, place_case_t c)
 {
-    prompt_part_t parts[] = {{shared, shared_tokens},
-                             {0xabc000 + draw, tokens - shared_tokens}};
+    prompt_part_t parts[] = {{c.shared, c.shared_tokens},
+                             {0xabc000 + c.draw, c.tokens - c.shared_tokens}};
     placement_request_t request = {.parts = parts,
-                                   .part_count = shared != 0 ? 2 : 0,
-                                   .prompt_tokens = tokens,
-                                   .parted = parted,
+                                   .part_count = c.shared != 0 ? 2 : 0,
+                                   .prompt_tokens = c.tokens,
+                                   .parted = c.parted,
+                                   .unknown_sharers = c.unknown_sharers,
+                                   .fetch_tokens_a_ms = c.fetch_tokens_a_ms,
                                    .data_centre = "dc",
-                                   .draw = draw};
+                                   .draw = c.draw};
     return placement_pick(directory_service(d, "s"), &request, 2 * SECOND);
 }
 
+static endpoint_t *
+place(directory_t *d, guint tokens, guint64 shared, guint shared_tokens,
+      gboolean parted, guint32 draw)
+{
+    place_case_t c = {.tokens = tokens,
+                      .shared = shared,
+                      .shared_tokens = shared_tokens,
+                      .parted = parted,
+                      .draw = draw};
+    return place_of(d, c).endpoint;
+}
+
 /* Long and short prompts meet on no engine while neither side is loaded. */
 static void
 test_sides(void)
@@ -664,6 +692,103 @@
     directory_destroy(d);
 }
 
+/* Away from where its shared parts are, a prompt takes them from there over
+ * the engines' links; the other way round when they may be elsewhere. */
+static void
+test_fetching(void)
+{
+    static const double LINK = 800; /* tokens a ms */
+    directory_t *d = engines_create();
+    place_case_t c = {.tokens = 12000,
+                      .shared = 7,
+                      .shared_tokens = 5000,
+                      .parted = TRUE,
+                      .draw = 3};
+    endpoint_t *home = place_of(d, c).endpoint;
+    CU_ASSERT_PTR_NULL(place_of(d, c).source); /* engines that do not fetch */
+    c.fetch_tokens_a_ms = LINK;
+    CU_ASSERT_PTR_EQUAL(place_of(d, c).endpoint, home);
+    CU_ASSERT_PTR_NOT_EQUAL(place_of(d, c).source, home);
+    home->running = SLOTS;
+    placement_t away = place_of(d, c);
+    CU_ASSERT_PTR_NOT_EQUAL(away.endpoint, home);
+    CU_ASSERT_PTR_EQUAL(away.source, home);
+    CU_ASSERT_EQUAL(away.read_tokens, 7000);
+    /* One that fails is not asked: the next keeper is, and no third. */
+    home->failures = 0.5;
+    away = place_of(d, c);
+    CU_ASSERT_PTR_NOT_EQUAL(away.source, home);
+    c.shared = 0;
+    c.shared_tokens = 0;
+    CU_ASSERT_PTR_NULL(place_of(d, c).source);
+    directory_destroy(d);
+}
+
+/* A burst while no control instance passes loads on: eight instances that
+ * know their own requests only still take no more than the engines can end. */
+static void
+test_places_without_loads(void)
+{
+    enum { INSTANCES = 8, REQUESTS = 800 };
+    directory_t *seen[INSTANCES];
+    guint taken[ENGINES] = {0};
+    guint sum = 0;
+    for (guint i = 0; i < INSTANCES; i++) {
+        seen[i] = engines_create();
+    }
+    for (guint32 n = 0; n < REQUESTS; n++) {
+        place_case_t c = {.tokens = 12000,
+                          .shared = 1 + n % 40,
+                          .shared_tokens = 5000,
+                          .parted = TRUE,
+                          .draw = n,
+                          .unknown_sharers = INSTANCES};
+        endpoint_t *e = place_of(seen[n % INSTANCES], c).endpoint;
+        if (e != NULL) {
+            e->running++;
+            taken[atoi(e->id + strlen("engine-"))]++;
+            sum++;
+        }
+        /* A short prompt is not refused by the coarse count. */
+        c.tokens = 800;
+        c.shared = 0;
+        c.shared_tokens = 0;
+        CU_ASSERT_PTR_NOT_NULL(place_of(seen[n % INSTANCES], c).endpoint);
+    }
+    for (guint i = 0; i < ENGINES; i++) {
+        /* Each instance rounds up by one. */
+        CU_ASSERT(taken[i] <= 0.85 * SLOTS + INSTANCES);
+    }
+    CU_ASSERT(sum >= ENGINES * SLOTS / 4);
+    for (guint i = 0; i < INSTANCES; i++) {
+        directory_destroy(seen[i]);
+    }
+}
+
+/* Engines are parted while long prompts come, and until an instance has seen
+ * enough requests to know that none do. */
+static void
+test_prompt_mix(void)
+{
+    static const struct {
+        guint tokens[2]; /* of two requests */
+        gint64 at_s[2];  /* when they come */
+        gint64 asked_s;
+        gboolean parted;
+    } CASES[] = {
+        {{800, 800}, {1, 2}, 2, TRUE},     {{800, 800}, {1, 12}, 12, FALSE},
+        {{800, 9000}, {1, 12}, 12, TRUE},  {{9000, 800}, {1, 30}, 30, TRUE},
+        {{9000, 800}, {1, 62}, 62, FALSE},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
+        prompt_mix_t mix = {0};
+        prompt_mix_note(&mix, CASES[i].tokens[0], CASES[i].at_s[0] * SECOND);
+        prompt_mix_note(&mix, CASES[i].tokens[1], CASES[i].at_s[1] * SECOND);
+        CU_ASSERT_EQUAL(prompt_mix_parted(&mix, CASES[i].asked_s * SECOND),
+                        CASES[i].parted);
+    }
+}
+
 /* What the other instances run counts against the places. */
 static void
 test_loads_of_others(void)
@@ -971,6 +1096,9 @@
     {"sessions stay where their prompts are", test_affinity},
     {"failing endpoints are left", test_failing},
     {"long prompts take so many places", test_places},
+    {"prompts fetched from another engine", test_fetching},
+    {"places without word of the others", test_places_without_loads},
+    {"long prompts are remembered", test_prompt_mix},
     {"loads of the other instances", test_loads_of_others},
     {"loads are summed", test_load_sum},
     {"an endpoint that refuses all", test_refusing},
