Bound long prompts by an engine's memory; leave a home for its queue

Cause: places were a part of the slots alone. At 64 slots an engine then held prompts over its memory (0.85 x 64 x 12,000 tokens against 626,000), dropped shared parts to make room and read them again; with 32 slots the slots bound first. And how long the prompts of other instances queue was not known, so a request stayed at a home whose queue made its first event late.

Loads now carry, beside the count, the tokens of the prompts under way and those still to be read (24 bytes an endpoint, 16 before). Long prompts take up to 0.6 of the memory, and leave their home for a queue of a second.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -95,6 +95,7 @@
         return;
     }
     f->endpoint->running--;
+    f->endpoint->prompt_tokens -= f->info.prompt_tokens;
     forward_end_wait(f);
     f->call = NULL;
     f->endpoint = NULL;
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -90,6 +90,7 @@
         .part_count = f->info.part_count,
         .prompt_tokens = f->info.prompt_tokens,
         .parted = prompt_mix_parted(&f->use->prompts, forward_now(f)),
+        .memory_tokens = service != NULL ? service->memory_tokens : 0,
         .fetch_tokens_a_ms = service != NULL ? service->fetch_tokens_a_ms : 0,
         .unknown_sharers = entry_knows_loads(f->entry) ? 0 : f->entry->entries,
         .data_centre = f->entry->settings->data_centre,
@@ -158,6 +159,7 @@
     f->endpoint = endpoint;
     g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
     endpoint->running++;
+    endpoint->prompt_tokens += f->info.prompt_tokens;
     f->waiting_tokens = placement->read_tokens;
     endpoint->waiting_tokens += f->waiting_tokens;
     for (guint i = 0; i < request->part_count; i++) {
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -2,9 +2,9 @@
 
 #include "carobloom/common/codec.h"
 
-#define LOADS_TYPE "a(tu)"
-#define REQUEST_TYPE "(stttubba(tu))"
-#define ANSWER_TYPE "(ttbbttbaya(sssstuyx)asuba(tu))"
+#define LOADS_TYPE "a(tuuu)"
+#define REQUEST_TYPE "(stttubba(tuuu))"
+#define ANSWER_TYPE "(ttbbttbaya(sssstuyx)asuba(tuuu))"
 #define LETTER_TYPE "(stay)"
 
 static GVariant *
@@ -32,7 +32,8 @@
     g_variant_builder_init(&b, G_VARIANT_TYPE(LOADS_TYPE));
     for (guint i = 0; loads != NULL && i < loads->len; i++) {
         const endpoint_load_t *l = &g_array_index(loads, endpoint_load_t, i);
-        g_variant_builder_add(&b, "(tu)", l->endpoint, l->running);
+        g_variant_builder_add(&b, "(tuuu)", l->endpoint, l->running,
+                              l->prompt_tokens, l->waiting_tokens);
     }
     return g_variant_builder_end(&b);
 }
@@ -45,7 +46,8 @@
     GArray *loads = g_array_new(FALSE, FALSE, sizeof(l));
     g_variant_iter_init(&iter, list);
     while (loads->len < SYNC_ENDPOINTS_MAX &&
-           g_variant_iter_next(&iter, "(tu)", &l.endpoint, &l.running)) {
+           g_variant_iter_next(&iter, "(tuuu)", &l.endpoint, &l.running,
+                               &l.prompt_tokens, &l.waiting_tokens)) {
         g_array_append_val(loads, l);
     }
     g_variant_unref(list);
@@ -56,7 +58,7 @@
 sync_request_write(const sync_request_t *r)
 {
     return codec_write(g_variant_new(
-        "(stttubb@a(tu))", r->instance, r->version, r->epoch, r->cursor,
+        "(stttubb@a(tuuu))", r->instance, r->version, r->epoch, r->cursor,
         r->wait_ms, r->takes_config, r->reports, loads_variant(r->loads)));
 }
 
@@ -69,7 +71,7 @@
         return FALSE;
     }
     GVariant *loads;
-    g_variant_get(v, "(stttubb@a(tu))", &r->instance, &r->version, &r->epoch,
+    g_variant_get(v, "(stttubb@a(tuuu))", &r->instance, &r->version, &r->epoch,
                   &r->cursor, &r->wait_ms, &r->takes_config, &r->reports,
                   &loads);
     r->loads = loads_take(loads);
@@ -121,7 +123,7 @@
 sync_answer_write(const sync_answer_t *a)
 {
     return codec_write(
-        g_variant_new("(ttbbttb@ay@a(sssstuyx)@asub@a(tu))", a->epoch,
+        g_variant_new("(ttbbttb@ay@a(sssstuyx)@asub@a(tuuu))", a->epoch,
                       a->cursor, a->full, a->confirmed, a->version, a->base,
                       a->delta != NULL, bytes_variant(a->delta),
                       leases_variant(a->leases), names_variant(a->controls),
@@ -177,7 +179,7 @@
     GVariant *loads;
     gboolean news;
     gboolean loaded;
-    g_variant_get(v, "(ttbbttb@ay@a(sssstuyx)@asub@a(tu))", &a->epoch,
+    g_variant_get(v, "(ttbbttb@ay@a(sssstuyx)@asub@a(tuuu))", &a->epoch,
                   &a->cursor, &a->full, &a->confirmed, &a->version, &a->base,
                   &news, &delta, &leases, &controls, &a->entries, &loaded,
                   &loads);
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -65,9 +65,11 @@
     gint64 cold_until_us;
     /* this instance's own requests there */
     guint running;
-    guint waiting;          /* of them, before their first byte */
-    guint64 waiting_tokens; /* prompt tokens of those */
+    guint32 waiting_tokens; /* that they wait for to be read */
+    guint32 prompt_tokens;  /* of all these requests' whole prompts */
     guint others_running;   /* of the other entry instances, as last told */
+    guint32 others_tokens;  /* the prompts of those */
+    guint32 others_waiting; /* their waiting_tokens */
     /* health */
     double failures;        /* decaying share of failed requests */
     gint64 closed_until_us; /* gets nothing until then */
--- a/include/carobloom/policy/load_sum.h
+++ b/include/carobloom/policy/load_sum.h
@@ -11,6 +11,8 @@
 typedef struct {
     guint64 endpoint; /* hash of its id */
     guint32 running;
+    guint32 prompt_tokens;  /* of these requests' whole prompts */
+    guint32 waiting_tokens; /* to be read before their first events */
 } endpoint_load_t;
 
 typedef struct load_sum load_sum_t;
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -42,7 +42,8 @@
     const prompt_part_t *parts; /* of the prompt, in order */
     guint part_count;
     guint prompt_tokens;
-    gboolean parted; /* the service gets long prompts: see above */
+    gboolean parted;      /* the service gets long prompts: see above */
+    gint64 memory_tokens; /* that an engine holds in all; 0: not known */
     /* Tokens an engine fetches from another's memory in a ms; 0: none. */
     double fetch_tokens_a_ms;
     /* Entry instances that share the endpoints, when what the others have
--- a/include/carobloom/version/route_config.h
+++ b/include/carobloom/version/route_config.h
@@ -46,6 +46,8 @@
     char *name;
     guint connections; /* that one endpoint takes, of all callers together */
     guint slots;       /* of a model engine; 0 for a plain service */
+    gint64 memory_tokens; /* that an engine holds, of requests and kept parts;
+                           * 0: not known */
     /* Prompt tokens that one engine fetches from another's memory in a
      * millisecond; 0: they do not fetch. */
     double fetch_tokens_a_ms;
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -259,18 +259,20 @@
         const endpoint_t *e = value;
         if (e->running > 0) {
             endpoint_load_t load = {.endpoint = e->hash,
-                                    .running = e->running};
+                                    .running = e->running,
+                                    .prompt_tokens = e->prompt_tokens,
+                                    .waiting_tokens = e->waiting_tokens};
             g_array_append_val(loads, load);
         }
     }
     return loads;
 }
 
-static guint32
-running_in(GHashTable *index, guint64 endpoint)
+static endpoint_load_t
+load_in(GHashTable *index, guint64 endpoint)
 {
     const endpoint_load_t *load = g_hash_table_lookup(index, &endpoint);
-    return load != NULL ? load->running : 0;
+    return load != NULL ? *load : (endpoint_load_t){0};
 }
 
 /* By endpoint, for look-ups; the keys lie in `loads`. */
@@ -295,9 +297,13 @@
     g_hash_table_iter_init(&iter, d->by_id);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         endpoint_t *e = value;
-        guint32 sum = running_in(all, e->hash);
-        guint32 part = running_in(mine, e->hash);
-        e->others_running = sum > part ? sum - part : 0;
+        endpoint_load_t sum = load_in(all, e->hash);
+        endpoint_load_t part = load_in(mine, e->hash);
+        e->others_running = sum.running - MIN(sum.running, part.running);
+        e->others_tokens =
+            sum.prompt_tokens - MIN(sum.prompt_tokens, part.prompt_tokens);
+        e->others_waiting =
+            sum.waiting_tokens - MIN(sum.waiting_tokens, part.waiting_tokens);
     }
     g_hash_table_unref(all);
     g_hash_table_unref(mine);
--- a/policy/load_sum.c
+++ b/policy/load_sum.c
@@ -46,6 +46,8 @@
             continue;
         }
         sum->running -= MIN(sum->running, l->running);
+        sum->prompt_tokens -= MIN(sum->prompt_tokens, l->prompt_tokens);
+        sum->waiting_tokens -= MIN(sum->waiting_tokens, l->waiting_tokens);
         if (sum->running == 0) {
             g_hash_table_remove(s->sums, &l->endpoint);
         }
@@ -64,6 +66,8 @@
             continue;
         }
         sum->running += l->running;
+        sum->prompt_tokens += l->prompt_tokens;
+        sum->waiting_tokens += l->waiting_tokens;
     }
 }
 
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -46,6 +46,14 @@
  * long prompt costs the engine twice the reading: only engines with next to
  * nothing to do take it. Short prompts may wait for a moment. */
 static const double LONG_HOME_SLOTS = 0.85;
+/* And of its memory, by the tokens of the prompts that run there: above, parts
+ * that many share are dropped to make room and read again, and engines with
+ * many slots read so much that no stream ends in time (gaf-carobloom, 64
+ * slots: worth 0.54 by the slots alone, 0.58 with this on scale-1). */
+static const double LONG_MEMORY = 0.6;
+/* A long prompt leaves its home for a queue there of half its objective of
+ * 2 s; sooner, what it reads again elsewhere makes others late. */
+static const double LONG_AWAY_MS = 1000.0;
 static const double LONG_AWAY_SLOTS = 0.15;
 static const double LONG_OFF_SIDE_SLOTS = 0.1;
 static const double SHORT_SLOTS = 1.2;
@@ -220,6 +228,15 @@
                : e->running;
 }
 
+/* The tokens of the prompts of those requests. */
+static guint64
+tokens_at(const endpoint_t *e, const placement_request_t *r)
+{
+    return r->unknown_sharers > 0
+               ? (guint64)e->prompt_tokens * r->unknown_sharers
+               : (guint64)e->prompt_tokens + e->others_tokens;
+}
+
 static gboolean
 has_place(const endpoint_t *e, const placement_request_t *r,
           standing_t standing)
@@ -233,6 +250,10 @@
                : standing.on_side ? LONG_AWAY_SLOTS
                                   : LONG_OFF_SIDE_SLOTS;
     }
+    if (placement_is_long(r->prompt_tokens) && r->memory_tokens > 0 &&
+        (double)tokens_at(e, r) > LONG_MEMORY * (double)r->memory_tokens) {
+        return FALSE;
+    }
     return running_at(e, r) < MAX(part * e->slots, 1);
 }
 
@@ -248,6 +269,10 @@
         standing.read_tokens > own ? standing.read_tokens - own : 0;
     double ms =
         (double)(e->waiting_tokens + standing.read_tokens) / TOKENS_A_MS;
+    if (placement_is_long(r->prompt_tokens)) {
+        ms += e->others_waiting / TOKENS_A_MS;
+        ms += standing.home ? 0 : LONG_AWAY_MS;
+    }
     ms += reread * (REREAD_WEIGHT - 1) / TOKENS_A_MS;
     if (standing.fetch_tokens > 0) {
         ms += standing.fetch_tokens / r->fetch_tokens_a_ms * FETCH_WEIGHT;
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -557,6 +557,7 @@
     guint32 draw;
     guint unknown_sharers;
     double fetch_tokens_a_ms;
+    gint64 memory_tokens;
 } place_case_t;
 
 static placement_t
@@ -570,6 +571,7 @@
                                    .parted = c.parted,
                                    .unknown_sharers = c.unknown_sharers,
                                    .fetch_tokens_a_ms = c.fetch_tokens_a_ms,
+                                   .memory_tokens = c.memory_tokens,
                                    .data_centre = "dc",
                                    .draw = c.draw};
     return placement_pick(directory_service(d, "s"), &request, 2 * SECOND);
@@ -724,6 +726,72 @@
     directory_destroy(d);
 }
 
+/* A burst of prompts on engines whose slots would hold more than their memory:
+ * the tokens bound them, so large prompts take more of the places. */
+static void
+test_places_by_memory(void)
+{
+    enum { MEMORY = 560000, REQUESTS = 1000 };
+    static const guint TOKENS[] = {6000, 12000, 24000, 50000};
+    guint before = G_MAXUINT;
+    for (gsize i = 0; i < G_N_ELEMENTS(TOKENS); i++) {
+        directory_t *d = engines_create();
+        guint taken = 0;
+        for (guint32 n = 0; n < REQUESTS; n++) {
+            place_case_t c = {.tokens = TOKENS[i],
+                              .shared = 1 + n % 40,
+                              .shared_tokens = 5000,
+                              .parted = TRUE,
+                              .draw = n,
+                              .memory_tokens = MEMORY};
+            endpoint_t *e = place_of(d, c).endpoint;
+            if (e != NULL) {
+                CU_ASSERT(e->prompt_tokens <= 0.6 * MEMORY);
+                e->running++;
+                e->prompt_tokens += TOKENS[i];
+                taken++;
+            }
+        }
+        CU_ASSERT(taken <= before);
+        CU_ASSERT(taken >= 3 * ENGINES / 2);
+        before = taken;
+        directory_destroy(d);
+    }
+}
+
+/* The home is left for a queue that would make the first event late, not for
+ * a shorter one; both as the others tell. */
+static void
+test_queue_at_home(void)
+{
+    static const struct {
+        guint32 waiting; /* tokens of the other instances' prompts */
+        gboolean stays;
+    } QUEUES[] = {{0, TRUE}, {40000, TRUE}, {80000, FALSE}};
+    for (gsize i = 0; i < G_N_ELEMENTS(QUEUES); i++) {
+        directory_t *d = engines_create();
+        place_case_t c = {.tokens = 12000,
+                          .shared = 7,
+                          .shared_tokens = 5000,
+                          .parted = TRUE,
+                          .fetch_tokens_a_ms = 800};
+        endpoint_t *home = place_of(d, c).endpoint;
+        endpoint_load_t sum = {.endpoint = home->hash,
+                               .running = 5,
+                               .prompt_tokens = 60000,
+                               .waiting_tokens = QUEUES[i].waiting};
+        GArray *sums = g_array_new(FALSE, FALSE, sizeof(sum));
+        GArray *own = g_array_new(FALSE, FALSE, sizeof(sum));
+        g_array_append_val(sums, sum);
+        directory_take_loads(d, sums, own);
+        CU_ASSERT_EQUAL(home->others_tokens, 60000);
+        CU_ASSERT_EQUAL(place_of(d, c).endpoint == home, QUEUES[i].stays);
+        g_array_unref(sums);
+        g_array_unref(own);
+        directory_destroy(d);
+    }
+}
+
 /* A burst while no control instance passes loads on: eight instances that
  * know their own requests only still take no more than the engines can end. */
 static void
@@ -818,7 +886,7 @@
 test_load_sum(void)
 {
     load_sum_t *s = load_sum_create();
-    endpoint_load_t loads[] = {{1, 4}, {2, 3}};
+    endpoint_load_t loads[] = {{1, 4, 400, 40}, {2, 3, 300, 30}};
     GArray *mine = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
     GArray *theirs = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
     g_array_append_vals(mine, loads, 2);
@@ -827,12 +895,17 @@
     load_sum_report(s, "b", theirs, 2 * SECOND);
     load_sum_report(s, "b", theirs, 3 * SECOND);
     GArray *all = load_sum_all(s);
-    guint total = 0;
+    endpoint_load_t total = {0};
     for (guint i = 0; i < all->len; i++) {
-        total += g_array_index(all, endpoint_load_t, i).running;
+        const endpoint_load_t *l = &g_array_index(all, endpoint_load_t, i);
+        total.running += l->running;
+        total.prompt_tokens += l->prompt_tokens;
+        total.waiting_tokens += l->waiting_tokens;
     }
     CU_ASSERT_EQUAL(all->len, 2);
-    CU_ASSERT_EQUAL(total, 11);
+    CU_ASSERT_EQUAL(total.running, 11);
+    CU_ASSERT_EQUAL(total.prompt_tokens, 1100);
+    CU_ASSERT_EQUAL(total.waiting_tokens, 110);
     g_array_unref(all);
     load_sum_expire(s, 2 * SECOND);
     CU_ASSERT_EQUAL(load_sum_reporters(s), 1);
@@ -987,7 +1060,10 @@
 static void
 test_sync_request(void)
 {
-    endpoint_load_t load = {.endpoint = 77, .running = 3};
+    endpoint_load_t load = {.endpoint = 77,
+                            .running = 3,
+                            .prompt_tokens = 90000,
+                            .waiting_tokens = 7000};
     for (int bits = 0; bits < 4; bits++) {
         sync_request_t request = {
             .instance = "entry-1",
@@ -1035,7 +1111,10 @@
         .controls = g_ptr_array_new(),
         .entries = 8,
         .loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t))};
-    endpoint_load_t load = {.endpoint = 77, .running = 3};
+    endpoint_load_t load = {.endpoint = 77,
+                            .running = 3,
+                            .prompt_tokens = 90000,
+                            .waiting_tokens = 7000};
     g_array_append_val(answer.loads, load);
     g_ptr_array_add(answer.leases, &lease);
     g_ptr_array_add(answer.controls, "10.0.0.1:7000");
@@ -1055,7 +1134,12 @@
     CU_ASSERT_EQUAL(read.version, 4);
     CU_ASSERT_EQUAL(read.entries, 8);
     CU_ASSERT_EQUAL_FATAL(read.loads->len, 1);
-    CU_ASSERT_EQUAL(g_array_index(read.loads, endpoint_load_t, 0).running, 3);
+    const endpoint_load_t *loaded =
+        &g_array_index(read.loads, endpoint_load_t, 0);
+    CU_ASSERT_EQUAL(loaded->endpoint, 77);
+    CU_ASSERT_EQUAL(loaded->running, 3);
+    CU_ASSERT_EQUAL(loaded->prompt_tokens, 90000);
+    CU_ASSERT_EQUAL(loaded->waiting_tokens, 7000);
     sync_answer_clear(&read);
     /* Cut or changed bytes are refused or read to some answer, no more. */
     gsize length;
@@ -1097,6 +1181,8 @@
     {"failing endpoints are left", test_failing},
     {"long prompts take so many places", test_places},
     {"prompts fetched from another engine", test_fetching},
+    {"places by an engine's memory", test_places_by_memory},
+    {"a queue at a prompt's home", test_queue_at_home},
     {"places without word of the others", test_places_without_loads},
     {"long prompts are remembered", test_prompt_mix},
     {"loads of the other instances", test_loads_of_others},
