Prove voters under stalls, suspension and replacement; soak clocks and disks

The 10,000 histories lacked three faults of the platform: a disk that answers nothing or a suspended voter (what comes waits, while the owner still reads by the lease it was last told of), and a voter that is gone for good while an empty one takes its place under another name. Who is taken out for it is now decided in policy/voter_repair, tested there, and after four election timeouts (3.2 s) instead of 5 s: the platform takes a newcomer for caught up after 4 s and may then wipe the next disk, and of three voters with a dead fourth all must stay until it is out.

--- a/carobloomd/control/config_log_members.c
+++ b/carobloomd/control/config_log_members.c
@@ -9,10 +9,7 @@
 
 enum {
     MS = 1000,
-    /* A voter not heard of for so long gives its place to one that asks. */
-    DEAD_US = 5000 * MS,
-    FRESH_US = 1500 * MS,
-    VOTERS_LEAST = 3,
+    FRESH_US = 1500 * MS, /* one that asked longer ago may be gone again */
 };
 
 void
@@ -55,40 +52,21 @@
     return c != NULL && c->id == member->id ? now - c->heard_us : G_MAXINT64;
 }
 
-/* A voter that is gone for good only makes quorums larger. It is taken out
- * when the membership is even, as after a newcomer came in its place, and all
- * others are there. One taken out by mistake asks to be taken in again. */
 static void
 remove_dead(config_log_t *log, gint64 now)
 {
-    voter_config_t config = *voter_config(log->core);
-    const voter_member_t *dead = NULL;
-    if (voter_config_pending(log->core) || config.count <= VOTERS_LEAST ||
-        config.count % 2 == 1) {
-        return;
-    }
+    const voter_config_t config = *voter_config(log->core);
+    gint64 silent_us[VOTER_MEMBERS_MAX];
     for (guint i = 0; i < config.count; i++) {
-        gint64 silence = silent_for(log, &config.members[i], now);
-        if (silence > DEAD_US && dead != NULL) {
-            return;
-        }
-        if (silence > DEAD_US) {
-            dead = &config.members[i];
-        }
-        else if (silence > FRESH_US) {
-            return;
-        }
-    }
-    if (dead == NULL) {
-        return;
+        silent_us[i] = silent_for(log, &config.members[i], now);
     }
-    if (event_log_begin(EVENT_STATE, "voter_removed")) {
-        event_log_cstr("name", dead->name);
+    guint64 dead = voter_repair_remove_dead(log->core, silent_us, now);
+    const voter_member_t *member = voter_config_find(&config, dead);
+    if (member != NULL && event_log_begin(EVENT_STATE, "voter_removed")) {
+        event_log_cstr("name", member->name);
         event_log_number("voters", config.count);
         event_log_end();
     }
-    voter_config_remove(&config, dead->id);
-    voter_change(log->core, &config, now);
 }
 
 static void
--- a/carobloomd/process/log_store.c
+++ b/carobloomd/process/log_store.c
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "carobloom/common/codec.h"
+#include "carobloom/common/disk.h"
 #include "carobloom/policy/voter_codec.h"
 
 #define ENTRIES_TYPE "a(ttyay)"
@@ -87,11 +88,11 @@
     frame_t frame = frame_of(data, length);
     int fd = open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     gboolean ok = fd >= 0 && write_all(fd, &frame, sizeof(frame)) &&
-                  write_all(fd, data, length) && fsync(fd) == 0;
+                  write_all(fd, data, length) && disk_sync(fd) == 0;
     if (fd >= 0) {
         ok = close(fd) == 0 && ok;
     }
-    ok = ok && rename(fresh, path) == 0 && fsync(s->folder_fd) == 0;
+    ok = ok && rename(fresh, path) == 0 && disk_sync(s->folder_fd) == 0;
     int result = ok ? STORE_OK : fail(why, STORE_ERROR_WRITE, path);
     g_free(path);
     g_free(fresh);
@@ -366,7 +367,7 @@
         s->log_bytes = at;
         s->log_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
         if (s->log_fd < 0 || ftruncate(s->log_fd, (off_t)at) != 0 ||
-            fsync(s->log_fd) != 0 || fsync(s->folder_fd) != 0) {
+            disk_sync(s->log_fd) != 0 || disk_sync(s->folder_fd) != 0) {
             result = fail(why, STORE_ERROR_OPEN, path);
         }
     }
@@ -401,7 +402,7 @@
     gboolean ok = lseek(s->log_fd, (off_t)s->log_bytes, SEEK_SET) >= 0 &&
                   write_all(s->log_fd, &frame, sizeof(frame)) &&
                   write_all(s->log_fd, data, length) &&
-                  fdatasync(s->log_fd) == 0;
+                  disk_sync_data(s->log_fd) == 0;
     if (!ok) {
         int result = fail(why, STORE_ERROR_WRITE, "log");
         if (ftruncate(s->log_fd, (off_t)s->log_bytes) != 0) {
@@ -451,11 +452,11 @@
     else if (replica_log_last(log) > snapshot->index) {
         result = log_store_append(s, log, snapshot->index + 1, why);
     }
-    else if (fsync(s->log_fd) != 0) {
+    else if (disk_sync(s->log_fd) != 0) {
         result = fail(why, STORE_ERROR_WRITE, fresh);
     }
     if (result == STORE_OK &&
-        (rename(fresh, path) != 0 || fsync(s->folder_fd) != 0)) {
+        (rename(fresh, path) != 0 || disk_sync(s->folder_fd) != 0)) {
         result = fail(why, STORE_ERROR_WRITE, path);
     }
     close(old);
--- a/include/carobloom/policy/voter.h
+++ b/include/carobloom/policy/voter.h
@@ -142,6 +142,8 @@
 gboolean voter_config_pending(const voter_t *voter);
 /* Until when, by this clock, no other leader can have been elected. Reads
  * and orders need now < this, and an entry of the own term applied. */
+/* Its settings' election timeout. */
+gint64 voter_election_us(const voter_t *voter);
 gint64 voter_lease(const voter_t *voter);
 /* Whether the leader may answer reads from its applied state now. */
 gboolean voter_may_read(const voter_t *voter, gint64 now_us);
--- a/include/carobloom/policy/voter_repair.h
+++ b/include/carobloom/policy/voter_repair.h
@@ -17,6 +17,13 @@
 /* The next step, on the leader, for the member `id` named `name`. */
 repair_state_t voter_repair_step(voter_t *voter, const char *name, guint64 id,
                                  gint64 now_us);
+/* On the leader: takes out a voter that is gone for good, which only makes
+ * quorums larger. `silent_us` tells for how long each member of voter_config
+ * was not heard of. Only when the membership is even, as after a newcomer came
+ * in its place, and all others are there; one taken out by mistake asks to be
+ * taken in again. The identity taken out, or 0. */
+guint64 voter_repair_remove_dead(voter_t *voter, const gint64 *silent_us,
+                                 gint64 now_us);
 /* Takes a member out; FALSE when it is not there. */
 gboolean voter_config_remove(voter_config_t *config, guint64 id);
 
--- a/policy/voter.c
+++ b/policy/voter.c
@@ -925,6 +925,12 @@
     return &v->config;
 }
 
+gint64
+voter_election_us(const voter_t *v)
+{
+    return v->settings.election_us;
+}
+
 gint64
 voter_lease(const voter_t *v)
 {
--- a/policy/voter_repair.c
+++ b/policy/voter_repair.c
@@ -2,6 +2,16 @@
 
 #include <string.h>
 
+enum {
+    /* In election timeouts (0.8 s in the gateway): a voter not heard of for so
+     * long gives its place to the newcomer. Sooner than the 4 s after which
+     * the platform takes a newcomer for caught up and the next machine may
+     * lose its disk: until then three voters of four must stay. */
+    DEAD_ELECTIONS = 4,
+    FRESH_ELECTIONS = 2,
+    VOTERS_LEAST = 3,
+};
+
 gboolean
 voter_config_remove(voter_config_t *config, guint64 id)
 {
@@ -62,3 +72,32 @@
     int result = voter_change(voter, &config, now_us);
     return result == VOTER_OK ? REPAIR_CHANGED : REPAIR_WAITING;
 }
+
+guint64
+voter_repair_remove_dead(voter_t *voter, const gint64 *silent_us,
+                         gint64 now_us)
+{
+    voter_config_t config = *voter_config(voter);
+    gint64 election_us = voter_election_us(voter);
+    guint64 dead = 0;
+    if (voter_config_pending(voter) || config.count <= VOTERS_LEAST ||
+        config.count % 2 == 1) {
+        return 0;
+    }
+    for (guint i = 0; i < config.count; i++) {
+        if (silent_us[i] > DEAD_ELECTIONS * election_us && dead != 0) {
+            return 0;
+        }
+        if (silent_us[i] > DEAD_ELECTIONS * election_us) {
+            dead = config.members[i].id;
+        }
+        else if (silent_us[i] > FRESH_ELECTIONS * election_us) {
+            return 0;
+        }
+    }
+    if (dead == 0) {
+        return 0;
+    }
+    voter_config_remove(&config, dead);
+    return voter_change(voter, &config, now_us) == VOTER_OK ? dead : 0;
+}
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -127,15 +128,45 @@
     return &f->processes[f->controls + f->entries + at];
 }
 
+static char *
+faults_path(const fleet_process_t *p)
+{
+    return g_strconcat(p->log, ".faults", NULL);
+}
+
+void
+fleet_set_faults(const fleet_process_t *p)
+{
+    char *path = faults_path(p);
+    char *text = g_strdup_printf("%" G_GINT64_FORMAT " %" G_GINT64_FORMAT "\n",
+                                 p->ahead_us, p->sync_us);
+    g_file_set_contents(path, text, -1, NULL);
+    g_free(text);
+    g_free(path);
+}
+
+gboolean
+fleet_limit_files(const fleet_process_t *p, guint64 bytes)
+{
+    struct rlimit limit = {.rlim_cur = bytes, .rlim_max = RLIM_INFINITY};
+    const char *id =
+        p->process ? g_subprocess_get_identifier(p->process) : NULL;
+    return id != NULL &&
+           prlimit((pid_t)atoi(id), RLIMIT_FSIZE, &limit, NULL) == 0;
+}
+
 static GSubprocess *
 spawn(const fleet_process_t *p, const char *const *argv)
 {
+    char *faults = faults_path(p);
     GSubprocessLauncher *launcher =
         g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
     char *errors = g_strconcat(p->log, ".errors", NULL);
     g_subprocess_launcher_set_stdout_file_path(
         launcher, p->role == FLEET_ENDPOINT ? "/dev/null" : p->log);
     g_subprocess_launcher_set_stderr_file_path(launcher, errors);
+    g_subprocess_launcher_setenv(launcher, "CAROBLOOM_FAULTS", faults, TRUE);
+    g_free(faults);
     GSubprocess *process = g_subprocess_launcher_spawnv(launcher, argv, NULL);
     g_object_unref(launcher);
     g_free(errors);
@@ -176,7 +207,8 @@
     }
     write_settings(f, p);
     char *settings = g_build_filename(p->folder, "settings.jsonc", NULL);
-    const char *argv[] = {CAROBLOOMD, "--settings", settings, NULL};
+    const char *program = f->proxied ? CAROBLOOMD_FAULTY : CAROBLOOMD;
+    const char *argv[] = {program, "--settings", settings, NULL};
     p->process = spawn(p, argv);
     p->founding = FALSE;
     g_free(settings);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -32,6 +32,8 @@
     char *log;
     GSubprocess *process; /* NULL while down */
     gboolean founding;    /* as its next start is told */
+    gint64 ahead_us;      /* its machine's clock, see faulty_system.c */
+    gint64 sync_us;       /* that a sync of its disk takes */
     guint starts;
 } fleet_process_t;
 
@@ -76,6 +78,11 @@
 /* The exit code; -1 when it does not end in time or was killed. */
 int fleet_wait_exit(fleet_process_t *process);
 void fleet_lose_disk(fleet_process_t *process);
+/* Puts `ahead_us` and `sync_us` in force; of a proxied fleet only. */
+void fleet_set_faults(const fleet_process_t *process);
+/* From now on the process can write no file beyond `bytes`. FALSE when it has
+ * ended. */
+gboolean fleet_limit_files(const fleet_process_t *process, guint64 bytes);
 gboolean fleet_wait_ready(fleet_process_t *entry);
 /* All entries ready with the sample of `version` in force. */
 gboolean fleet_up(fleet_t *fleet, guint64 version);
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -184,6 +184,7 @@
     fleet_process_t *process; /* to start, or to continue */
     gboolean stopped;
     proxy_t *proxy; /* to pass again */
+    gboolean disk;  /* of the process: sound again */
 } undo_t;
 
 static fleet_process_t *
@@ -267,11 +268,55 @@
     return (undo_t){.at_ms = since_ms(s) + down, .proxy = proxy};
 }
 
+static fleet_process_t *
+any_control(soak_t *s)
+{
+    return fleet_control(
+        s->fleet,
+        (guint)g_rand_int_range(s->random, 0, (gint)s->fleet->controls));
+}
+
+/* A disk that is slow, answers nothing for seconds, or takes no more bytes. */
+static undo_t
+fault_disk(soak_t *s)
+{
+    enum { SLOW_US = 150 * 1000, STALLED_US = 60 * 1000000 };
+    fleet_process_t *p = any_control(s);
+    int kind = g_rand_int_range(s->random, 0, 3);
+    int down = g_rand_int_range(s->random, 300, 4000);
+    static const char *const SAID[] = {"slow disk", "stalled disk",
+                                       "full disk"};
+    say(s, SAID[kind], p->name);
+    if (kind == 2) {
+        fleet_limit_files(p, 1);
+    }
+    else {
+        p->sync_us = kind == 0 ? SLOW_US : STALLED_US;
+        fleet_set_faults(p);
+    }
+    return (undo_t){.at_ms = since_ms(s) + down, .process = p, .disk = TRUE};
+}
+
+/* The machine was suspended: its clock is ahead of what the process counted.
+ * It does not go back. */
+static undo_t
+fault_suspended(soak_t *s)
+{
+    fleet_process_t *p = any_process(s);
+    gint64 ms = g_rand_int_range(s->random, 300, 6000);
+    if (p->role != FLEET_ENDPOINT) {
+        say(s, "suspended", p->name);
+        p->ahead_us += ms * 1000;
+        fleet_set_faults(p);
+    }
+    return (undo_t){0};
+}
+
 typedef undo_t (*fault_fn_t)(soak_t *s);
 
 static const fault_fn_t FAULTS[] = {fault_kill, fault_kill, fault_stop,
                                     fault_term, fault_link, fault_link,
-                                    fault_link};
+                                    fault_link, fault_disk, fault_suspended};
 
 static void
 undo_one(soak_t *s, const undo_t *undo)
@@ -280,6 +325,12 @@
         proxy_set(undo->proxy, PROXY_PASS);
         return;
     }
+    if (undo->disk) {
+        undo->process->sync_us = 0;
+        fleet_set_faults(undo->process);
+        fleet_limit_files(undo->process, G_MAXUINT64);
+        return;
+    }
     fleet_signal(undo->process, SIGCONT);
     if (undo->stopped) {
         return;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -353,17 +353,6 @@
     fleet_destroy(f);
 }
 
-/* From now on the process can write no file beyond `bytes`. */
-static void
-limit_files(const fleet_process_t *p, rlim_t bytes)
-{
-    struct rlimit limit = {.rlim_cur = bytes, .rlim_max = RLIM_INFINITY};
-    const char *name = g_subprocess_get_identifier(p->process);
-    CU_ASSERT_PTR_NOT_NULL(name); /* else it has ended */
-    pid_t pid = (pid_t)atoi(name != NULL ? name : "-1");
-    CU_ASSERT_EQUAL(prlimit(pid, RLIMIT_FSIZE, &limit, NULL), 0);
-}
-
 /* The leader's disk takes no more bytes: another leads, nothing acknowledged
  * is lost, and once there is room the voter counts again. */
 static void
@@ -372,10 +361,10 @@
     fleet_t *f = fleet_of(3, 1, 1);
     guint full = leader_of(f);
     CU_ASSERT_FATAL(full < f->controls);
-    limit_files(fleet_control(f, full), 1);
+    CU_ASSERT(fleet_limit_files(fleet_control(f, full), 1));
     CU_ASSERT_EQUAL(put_version(f, 3, full), 200);
     CU_ASSERT(wait_in_force(f, 3));
-    limit_files(fleet_control(f, full), RLIM_INFINITY);
+    CU_ASSERT(fleet_limit_files(fleet_control(f, full), RLIM_INFINITY));
     fleet_sleep(2500);
     /* With one of the others gone there is a quorum only with this one. */
     fleet_kill(fleet_control(f, (full + 1) % 3));
--- a/tests/test_voter.c
+++ b/tests/test_voter.c
@@ -1,5 +1,6 @@
-/* Voters under random loss, delay, repetition, partition, crash and disk
- * loss. Each seed is one history; what clients saw must be linearizable.
+/* Voters under random loss, delay, repetition, partition, crash, disk loss,
+ * stalled disks, suspension, and replacement by an empty voter. Each seed is
+ * one history; what clients saw must be linearizable.
  *
  * The network is an array of bytes in flight and a disk is what a voter was
  * told to make durable: nothing else is modelled. */
@@ -23,6 +24,8 @@
     STEP_US = 10000,
     ELECTION_US = 100000,
     COMPACT_EVERY = 12,
+    PAUSE_STEPS = 60, /* six election timeouts */
+    REPLACED_MAX = 4,
 };
 
 /* What one voter made durable. */
@@ -38,8 +41,14 @@
     disk_t disk;
     GArray *state; /* operation numbers applied, the state machine */
     guint64 state_index;
-    gint64 skew_us; /* its clock against the world's */
-    gboolean lost;  /* it lost its disk and rejoins as a learner */
+    gint64 skew_us;       /* its clock against the world's */
+    gboolean lost;        /* it lost its disk and rejoins as a learner */
+    char name;            /* a new one when another machine took its place */
+    gint64 paused_until;  /* its disk answers nothing, or it is suspended:
+                           * what comes waits for it */
+    gint64 read_until_us; /* as its owner was last told; the owner goes on
+                           * reading while the voter waits for its disk */
+    gint64 heard_us;      /* by the world's clock: when it last was up */
 } node_t;
 
 typedef struct {
@@ -71,6 +80,8 @@
     gboolean calm;
     gboolean wrong;
     guint reads;
+    guint replaced;
+    guint pauses;
 } world_t;
 
 static void
@@ -123,6 +134,8 @@
         voter_destroy(n->voter);
         n->voter = NULL;
     }
+    n->read_until_us = 0; /* its owner is gone with it */
+    n->paused_until = 0;
 }
 
 static void
@@ -304,6 +317,11 @@
         note_leader(w, n);
         compact(n);
     }
+    if (n->voter) {
+        n->read_until_us = voter_may_read(n->voter, clock_of(w, n))
+                               ? voter_lease(n->voter)
+                               : 0;
+    }
 }
 
 static void
@@ -315,8 +333,12 @@
             i++;
             continue;
         }
-        w->flight[i] = w->flight[--w->in_flight];
         node_t *n = &w->nodes[p.to_name];
+        if (n->voter && w->now < n->paused_until) {
+            w->flight[i++].due = n->paused_until;
+            continue;
+        }
+        w->flight[i] = w->flight[--w->in_flight];
         if (n->voter && !w->cut[p.from][p.to_name]) {
             voter_message_t *m = voter_message_read(p.bytes);
             voter_step(n->voter, m, clock_of(w, n));
@@ -331,7 +353,7 @@
 static void
 read_check(world_t *w, node_t *n)
 {
-    if (!n->voter || !voter_may_read(n->voter, clock_of(w, n))) {
+    if (!n->voter || clock_of(w, n) >= n->read_until_us) {
         return;
     }
     w->reads++;
@@ -362,16 +384,33 @@
     g_bytes_unref(data);
 }
 
-/* A voter that lost its disk comes back under a new identity. */
+/* Whether a membership still counts an identity that no machine has. */
+static gboolean
+counts_the_dead(const world_t *w, const node_t *n)
+{
+    const voter_config_t *config = voter_config(n->voter);
+    for (guint i = 0; i < config->count; i++) {
+        gboolean alive = FALSE;
+        for (guint k = 0; k < w->count; k++) {
+            alive |= w->nodes[k].id == config->members[i].id;
+        }
+        if (!alive) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* A voter that lost its disk comes back under a new identity. One disk at a
+ * time: the next when the one before is replaced in the membership. */
 static void
 lose_disk(world_t *w, node_t *n)
 {
-    guint lost = 0;
     for (guint i = 0; i < w->count; i++) {
-        lost += w->nodes[i].lost;
-    }
-    if (lost > 0) {
-        return;
+        const node_t *other = &w->nodes[i];
+        if (other->lost || !other->voter || counts_the_dead(w, other)) {
+            return;
+        }
     }
     node_crash(n);
     disk_clear(&n->disk);
@@ -389,7 +428,7 @@
     }
     for (guint i = 0; i < w->count; i++) {
         node_t *n = &w->nodes[i];
-        char name[] = {(char)('a' + i), 0};
+        char name[] = {n->name, 0};
         repair_state_t state =
             voter_repair_step(leader->voter, name, n->id, clock_of(w, leader));
         if (state == REPAIR_WHOLE) {
@@ -401,6 +440,41 @@
     }
 }
 
+/* Another machine takes the place of one that is gone for good. */
+static void
+replace(world_t *w, node_t *n)
+{
+    guint64 before = n->id;
+    char name = n->name;
+    n->name = (char)('a' + w->count + w->replaced);
+    lose_disk(w, n);
+    if (n->id == before) {
+        n->name = name; /* another is still being taken in */
+        return;
+    }
+    w->replaced++;
+}
+
+/* The leader takes out what is gone, by how long it was silent. */
+static void
+remove_dead(world_t *w, node_t *leader)
+{
+    if (!leader->voter || voter_role(leader->voter) != ROLE_LEADER) {
+        return;
+    }
+    const voter_config_t *config = voter_config(leader->voter);
+    gint64 silent_us[VOTER_MEMBERS_MAX];
+    for (guint i = 0; i < config->count; i++) {
+        silent_us[i] = G_MAXINT64;
+        for (guint k = 0; k < w->count; k++) {
+            if (w->nodes[k].id == config->members[i].id) {
+                silent_us[i] = w->now - w->nodes[k].heard_us;
+            }
+        }
+    }
+    voter_repair_remove_dead(leader->voter, silent_us, clock_of(w, leader));
+}
+
 static void
 partition(world_t *w)
 {
@@ -446,6 +520,18 @@
         /* A clock jumps ahead, but never by more than the lease allows. */
         n->skew_us += g_rand_int_range(w->rand, 0, ELECTION_US / 50);
         break;
+    case 6:
+    case 7:
+        w->pauses++;
+        n->paused_until =
+            w->now + STEP_US * g_rand_int_range(w->rand, 1, PAUSE_STEPS);
+        break;
+    case 8:
+        if (g_rand_int_range(w->rand, 0, 6) == 0 &&
+            w->replaced < REPLACED_MAX) {
+            replace(w, n);
+        }
+        break;
     default:
         break;
     }
@@ -458,13 +544,18 @@
     deliver(w);
     for (guint i = 0; i < w->count; i++) {
         node_t *n = &w->nodes[i];
-        if (n->voter) {
+        if (n->voter && w->now < n->paused_until) {
+            read_check(w, n);
+        }
+        else if (n->voter) {
+            n->heard_us = w->now;
             voter_tick(n->voter, clock_of(w, n));
             if (g_rand_int_range(w->rand, 0, 8) == 0) {
                 propose(w, n);
             }
             if (g_rand_int_range(w->rand, 0, 4) == 0) {
                 repair(w, n);
+                remove_dead(w, n);
             }
             read_check(w, n);
             drive(w, i);
@@ -492,6 +583,8 @@
     for (guint i = 0; i < w->count; i++) {
         node_t *n = &w->nodes[i];
         n->id = i + 1;
+        n->name = (char)('a' + i);
+        n->heard_us = w->now;
         n->state = g_array_new(FALSE, FALSE, sizeof(guint32));
         n->disk.entries = g_ptr_array_new_with_free_func(entry_free);
         n->disk.snapshot.config = config;
@@ -506,6 +599,7 @@
     w->calm = TRUE;
     memset(w->cut, 0, sizeof(w->cut));
     for (guint i = 0; i < w->count; i++) {
+        w->nodes[i].paused_until = 0;
         if (!w->nodes[i].voter) {
             node_start(w, &w->nodes[i]);
         }
@@ -515,7 +609,7 @@
         gboolean same = i > 100;
         for (guint k = 0; k < w->count && same; k++) {
             same = w->nodes[k].state_index == w->nodes[0].state_index &&
-                   !w->nodes[k].lost;
+                   !w->nodes[k].lost && !counts_the_dead(w, &w->nodes[k]);
         }
         if (same && w->operation_count >= OPERATIONS_MAX) {
             break;
@@ -577,6 +671,8 @@
     guint answered;
     guint reads;
     guint repaired;
+    guint replaced;
+    guint pauses;
     guint unsettled;
     guint unsettled_seed;
     guint wrong;
@@ -587,7 +683,7 @@
 settled(const world_t *w)
 {
     for (guint i = 0; i < w->count; i++) {
-        if (w->nodes[i].lost ||
+        if (w->nodes[i].lost || counts_the_dead(w, &w->nodes[i]) ||
             w->nodes[i].state_index != w->nodes[0].state_index) {
             return FALSE;
         }
@@ -610,6 +706,8 @@
     }
     totals->reads += w.reads;
     totals->repaired += w.next_id > 100;
+    totals->replaced += w.replaced;
+    totals->pauses += w.pauses;
     if (!settled(&w)) {
         totals->unsettled++;
         totals->unsettled_seed = seed;
@@ -628,6 +726,8 @@
     sum->answered += part->answered;
     sum->reads += part->reads;
     sum->repaired += part->repaired;
+    sum->replaced += part->replaced;
+    sum->pauses += part->pauses;
     sum->unsettled += part->unsettled;
     sum->unsettled_seed = MAX(sum->unsettled_seed, part->unsettled_seed);
     sum->wrong += part->wrong;
@@ -675,12 +775,15 @@
         wait(NULL);
     }
     printf("%u histories, %u answered writes, %u lease reads, %u with a lost "
-           "disk, %u not settled (seed %u), %u wrong (seed %u) ",
+           "disk, %u replacements, %u pauses, %u not settled (seed %u), %u "
+           "wrong (seed %u) ",
            totals.histories, totals.answered, totals.reads, totals.repaired,
-           totals.unsettled, totals.unsettled_seed, totals.wrong,
-           totals.wrong_seed);
+           totals.replaced, totals.pauses, totals.unsettled,
+           totals.unsettled_seed, totals.wrong, totals.wrong_seed);
     CU_ASSERT_EQUAL(totals.histories, last - first + 1);
     CU_ASSERT(totals.answered > 0);
+    CU_ASSERT(totals.pauses > 0);
+    CU_ASSERT(totals.histories < 100 || totals.replaced > 0);
     CU_ASSERT_EQUAL(totals.wrong, 0);
     CU_ASSERT_EQUAL(totals.unsettled, 0);
 }
