Leave a silent endpoint only for another one; say why none took a request

Now it is left only if another endpoint takes it and the budget allows; else it stays, and is looked at again after as long. test_gateway fails before (502, the run thrown away).

A request that no endpoint took is logged with what each was: unusable, tried, full, without a place; the reason names the most of them. It said only that no endpoint takes it.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -60,6 +60,14 @@
     event_log_number("runs", f->runs);
     event_log_number("refusals", f->refusals);
     event_log_number("elapsed_ms", (forward_now(f) - f->started_us) / MS);
+    if (f->placed.known > 0) {
+        event_log_number("endpoints", f->placed.known);
+        event_log_number("unusable", f->placed.unusable);
+        event_log_number("tried", f->placed.tried);
+        event_log_number("full", f->placed.full);
+        event_log_number("no_place", f->placed.no_place);
+        event_log_number("prompt_tokens", f->info.prompt_tokens);
+    }
     if (f->first_us != 0) {
         event_log_number("first_ms", (f->first_us - f->started_us) / MS);
     }
@@ -212,11 +220,12 @@
         return G_MAXINT64;
     }
     if (f->has_event) {
-        return MAX(f->progress_us, f->sent_us) + STREAM_SILENCE_US;
+        gint64 since = MAX(f->progress_us, f->sent_us);
+        return MAX(since, f->stayed_us) + STREAM_SILENCE_US;
     }
     gint64 patience = MAX(PATIENCE_TARGETS * f->route->target_ms * MS,
                           (gint64)PATIENCE_LEAST_US);
-    return f->sent_us + patience;
+    return MAX(f->sent_us, f->stayed_us) + patience;
 }
 
 static void
@@ -235,11 +244,7 @@
         return;
     }
     if (now >= patience_until(f)) {
-        forward_note_endpoint(f, ENDPOINT_BROKE);
-        f->runs += client_call_sent(f->call);
-        client_call_cancel(f->call);
-        f->call = NULL;
-        forward_repeat(f, TRUE, "the endpoint is silent");
+        forward_leave_silent(f);
         return;
     }
     forward_arm(f);
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -51,12 +51,10 @@
                               forward_now(f));
 }
 
-gboolean
-forward_try_repeat(forward_t *f, gboolean arrived, const char *reason)
+/* Sends it to another endpoint; all that allows it was asked. */
+static void
+repeat(forward_t *f, const char *reason)
 {
-    if (!may_repeat(f) || (arrived && !take_repeat(f))) {
-        return FALSE;
-    }
     forward_leave_endpoint(f);
     if (event_log_begin(EVENT_FAILURE, "repeat")) {
         event_log_text("request", f->info.id);
@@ -69,6 +67,15 @@
     }
     counter_add(counter_get("repeats_total", NULL, FALSE), 1);
     forward_send(f);
+}
+
+gboolean
+forward_try_repeat(forward_t *f, gboolean arrived, const char *reason)
+{
+    if (!may_repeat(f) || (arrived && !take_repeat(f))) {
+        return FALSE;
+    }
+    repeat(f, reason);
     return TRUE;
 }
 
@@ -167,20 +174,44 @@
     }
 }
 
+static placement_t
+place(const forward_t *f, placement_request_t *request)
+{
+    const GPtrArray *endpoints =
+        directory_service(f->entry->directory, f->service);
+    placement_of(f, request);
+    if (endpoints == NULL || endpoints->len == 0) {
+        return (placement_t){0};
+    }
+    return placement_pick(endpoints, request, forward_now(f));
+}
+
 void
-forward_send(forward_t *f)
+forward_leave_silent(forward_t *f)
 {
-    entry_t *e = f->entry;
-    const GPtrArray *endpoints = directory_service(e->directory, f->service);
     placement_request_t request;
-    placement_of(f, &request);
-    placement_t placement = {0};
-    if (endpoints != NULL && endpoints->len > 0) {
-        placement = placement_pick(endpoints, &request, forward_now(f));
+    forward_note_endpoint(f, ENDPOINT_BROKE);
+    if (place(f, &request).endpoint == NULL || !may_repeat(f) ||
+        !take_repeat(f)) {
+        f->stayed_us = forward_now(f);
+        forward_arm(f);
+        return;
     }
+    f->runs += client_call_sent(f->call);
+    client_call_cancel(f->call);
+    f->call = NULL;
+    repeat(f, "the endpoint is silent");
+}
+
+void
+forward_send(forward_t *f)
+{
+    placement_request_t request;
+    placement_t placement = place(f, &request);
     endpoint_t *endpoint = placement.endpoint;
     if (endpoint == NULL) {
-        forward_give_up(f, "no endpoint takes it");
+        f->placed = placement.counts;
+        forward_give_up(f, placement_reason(&f->placed));
         return;
     }
     http_peer_t *peer = peer_of(f, endpoint);
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -31,11 +31,13 @@
     char last_endpoint[ENDPOINT_NAME_MAX]; /* its id, for the log */
     client_call_t *call;
     gint64 sent_us;
+    gint64 stayed_us;     /* when it was silent last and no other took it */
     guint waiting_tokens; /* that it added to the endpoint's */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX];
     guint sends;
-    guint runs;     /* sends that may have run */
-    guint refusals; /* sends that an endpoint refused */
+    guint runs;                /* sends that may have run */
+    guint refusals;            /* sends that an endpoint refused */
+    placement_counts_t placed; /* when none took it: why */
     /* the answer */
     guint status;
     gboolean not_run;
@@ -74,6 +76,9 @@
                             const char *reason);
 /* The same, and ends it where it is not allowed. */
 void forward_repeat(forward_t *f, gboolean arrived, const char *reason);
+/* Leaves an endpoint that is silent for one that takes the request; stays
+ * where there is none, since the silent one may still answer. */
+void forward_leave_silent(forward_t *f);
 
 /* forward_answer.c */
 extern const client_call_ops_t FORWARD_CALL_OPS;
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -55,14 +55,28 @@
     guint32 draw; /* random, to break ties */
 } placement_request_t;
 
+/* What kept endpoints from taking a request. */
+typedef struct {
+    guint known;    /* of the service */
+    guint unusable; /* draining, or not heard of */
+    guint tried;    /* by this request */
+    guint full;     /* refused a request a moment ago */
+    guint no_place; /* have as much as they end in time */
+    guint closed;   /* failed lately; taken when there is no other */
+} placement_counts_t;
+
 typedef struct {
     endpoint_t *endpoint; /* NULL when none may be sent work */
     /* Most likely keeps shared parts of the prompt that `endpoint` lacks; NULL
      * when there is none, or engines do not fetch. */
     const endpoint_t *source;
     guint read_tokens; /* prompt tokens that it has to read */
+    placement_counts_t counts;
 } placement_t;
 
+/* Why no endpoint takes it, for people. */
+const char *placement_reason(const placement_counts_t *counts);
+
 /* The endpoint with the earliest expected first byte. */
 placement_t placement_pick(const GPtrArray *endpoints,
                            const placement_request_t *request, gint64 now_us);
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -297,14 +297,41 @@
     return ms;
 }
 
-/* Whether it may take the request at all. */
+/* Whether it may take the request at all; counts why not. */
 static gboolean
 is_candidate(const endpoint_t *e, const placement_request_t *r,
-             standing_t standing, gboolean closed_too, gint64 now_us)
+             standing_t standing, placement_counts_t *counts, gint64 now_us)
 {
-    return endpoint_usable(e, now_us) && !was_tried(r, e) &&
-           now_us >= e->full_until_us && has_place(e, r, standing) &&
-           (closed_too || endpoint_open(e, now_us));
+    guint *why = NULL;
+    if (!endpoint_usable(e, now_us)) {
+        why = &counts->unusable;
+    }
+    else if (was_tried(r, e)) {
+        why = &counts->tried;
+    }
+    else if (now_us < e->full_until_us) {
+        why = &counts->full;
+    }
+    else if (!has_place(e, r, standing)) {
+        why = &counts->no_place;
+    }
+    if (why != NULL) {
+        (*why)++;
+    }
+    return why == NULL;
+}
+
+const char *
+placement_reason(const placement_counts_t *c)
+{
+    if (c->known == c->unusable) {
+        return "no endpoint of the service is up";
+    }
+    if (c->no_place >= c->full + c->tried) {
+        return "all places are taken";
+    }
+    return c->full >= c->tried ? "the endpoints refuse"
+                               : "the endpoints left were tried";
 }
 
 /* Whether an endpoint is well enough to be asked for its memory. */
@@ -328,21 +355,26 @@
     return NULL;
 }
 
+/* The best of those that are open, or of those closed after failures. */
 static placement_t
 pick_among(const GPtrArray *endpoints, const placement_request_t *r,
-           gboolean closed_too, gint64 now_us)
+           gboolean closed, gint64 now_us)
 {
     side_t side = side_of(endpoints, r);
     homes_t homes = homes_of(endpoints, side, shared_part(r), now_us);
     gboolean fetches = r->fetch_tokens_a_ms > 0;
-    placement_t best = {0};
+    placement_t best = {.counts = {.known = endpoints->len}};
     double best_ms = 0;
     for (guint i = 0; i < endpoints->len; i++) {
         guint at = (i + r->draw) % endpoints->len;
         endpoint_t *e = endpoints->pdata[at];
         standing_t standing = {.home = homes.home != NULL && e == homes.home,
                                .on_side = at >= side.from && at < side.to};
-        if (!is_candidate(e, r, standing, closed_too, now_us)) {
+        if (!is_candidate(e, r, standing, &best.counts, now_us)) {
+            continue;
+        }
+        if (endpoint_open(e, now_us) == closed) {
+            best.counts.closed += !closed;
             continue;
         }
         const endpoint_t *source =
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -18,7 +18,8 @@
     EVENTS = 12,
     LINGER_US = 1500 * MS, /* served on after the goodbye was heard */
     WORK_US = 15 * MS,
-    SLOW_WORK_US = 200 * MS, /* of a path with /slow: for faults to meet it */
+    SLOW_WORK_US = 200 * MS,  /* of a path with /slow: for faults to meet it */
+    LATE_WORK_US = 2500 * MS, /* of FAULT_LATE */
     HUGE_BYTES = 17 * 1024 * 1024, /* of FAULT_HUGE: over an entry's bounds */
     HUGE_EVENT_BYTES = 300 * 1024,
 };
@@ -30,13 +31,14 @@
     FAULT_FULL,  /* refused, not run */
     FAULT_ERROR, /* its own failure */
     FAULT_MUTE,  /* runs it and says nothing */
+    FAULT_LATE,  /* answers after several objectives */
     FAULT_HUGE,  /* more in one answer or event than anyone may hold */
 } fault_t;
 
 static const char *const FAULT_NAMES[] = {
     [FAULT_NONE] = "none", [FAULT_RESET] = "reset", [FAULT_CUT] = "cut",
     [FAULT_FULL] = "full", [FAULT_ERROR] = "error", [FAULT_MUTE] = "mute",
-    [FAULT_HUGE] = "huge",
+    [FAULT_LATE] = "late", [FAULT_HUGE] = "huge",
 };
 
 typedef struct {
@@ -249,8 +251,10 @@
         return;
     }
     gboolean slow = str_find(target, STR("/slow"), 0) >= 0;
-    run->timer = timers_subscribe(e->timers, slow ? SLOW_WORK_US : WORK_US, 0,
-                                  plain_over, run);
+    gint64 work_us = fault == FAULT_LATE ? LATE_WORK_US
+                     : slow              ? SLOW_WORK_US
+                                         : WORK_US;
+    run->timer = timers_subscribe(e->timers, work_us, 0, plain_over, run);
 }
 
 static void
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -135,6 +135,25 @@
     fleet_destroy(f);
 }
 
+/* A silent endpoint is left for another one only where there is one: its late
+ * answer is better than none. */
+static void
+test_silent_alone(void)
+{
+    fleet_t *f = fleet_of(1, 1, 1);
+    for (int i = 0; i < 2; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "alone-%d", i);
+        reply_t *reply =
+            fleet_request(fleet_entry(f, 0), "/safe/1", id, "Fault: late\r\n");
+        CU_ASSERT_EQUAL(reply->status, 200);
+        CU_ASSERT_EQUAL(fleet_ran(f, "run", id), 1);
+        CU_ASSERT_EQUAL(fleet_ran(f, "gone", id), 0);
+        reply_free(reply);
+    }
+    fleet_destroy(f);
+}
+
 /* Crash of an endpoint amid streams: those that may go on do. */
 typedef struct {
     fleet_t *fleet;
@@ -492,6 +511,7 @@
 static const test_case_t CASES[] = {
     {"requests and faulty endpoints", test_requests},
     {"a stream that may not go on", test_fragile_stream},
+    {"a silent endpoint without another", test_silent_alone},
     {"endpoints lost amid streams", test_endpoint_lost},
     {"an entry instance drains", test_entry_drains},
     {"an endpoint drains", test_endpoint_drains},
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -690,6 +690,11 @@
     CU_ASSERT(taken < 500);
     CU_ASSERT(taken >= ENGINES * SLOTS / 4);
     CU_ASSERT_PTR_NULL(place(d, 12000, 3, 5000, TRUE, 9));
+    place_case_t refused = {.tokens = 12000, .parted = TRUE};
+    placement_counts_t counts = place_of(d, refused).counts;
+    CU_ASSERT_EQUAL(counts.known, ENGINES);
+    CU_ASSERT_EQUAL(counts.no_place, ENGINES);
+    CU_ASSERT_STRING_EQUAL(placement_reason(&counts), "all places are taken");
     CU_ASSERT_PTR_NOT_NULL(place(d, 800, 0, 0, TRUE, 9));
     directory_destroy(d);
 }
