Read settings files, number their faults and print them in one place

Both kinds of settings had their own copy. The counters of an answered request are looked up once, not by name for each.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -7,6 +7,7 @@
     MS = 1000,
     /* Without word of how long a caller waits. */
     DEADLINE_DEFAULT_MS = 60000,
+    STATUS_MAX = 999, /* of HTTP */
     /* A silent endpoint is left, where the request may repeat, after this
      * many objectives, or this long within a stream. */
     PATIENCE_TARGETS = 3,
@@ -74,18 +75,34 @@
     event_log_end();
 }
 
+/* Counters live as long as the process: each is looked up once. */
+static counter_t *
+outcome_counter(guint status)
+{
+    static counter_t *counters[STATUS_MAX + 1];
+    counter_t **counter = &counters[MIN(status, STATUS_MAX)];
+    if (*counter == NULL) {
+        char label[32];
+        g_snprintf(label, sizeof(label), "status=\"%u\"", status);
+        *counter = counter_get("requests_total", label, FALSE);
+    }
+    return *counter;
+}
+
 static void
 count_outcome(const forward_t *f, guint status)
 {
-    char label[32];
-    g_snprintf(label, sizeof(label), "status=\"%u\"", status);
-    counter_add(counter_get("requests_total", label, FALSE), 1);
+    static histogram_t *first_byte;
+    static histogram_t *whole;
+    if (whole == NULL) {
+        first_byte = histogram_get("first_byte_seconds", NULL);
+        whole = histogram_get("request_seconds", NULL);
+    }
+    counter_add(outcome_counter(status), 1);
     if (f->first_us != 0) {
-        histogram_add(histogram_get("first_byte_seconds", NULL),
-                      (double)(f->first_us - f->started_us) / 1e6);
+        histogram_add(first_byte, (double)(f->first_us - f->started_us) / 1e6);
     }
-    histogram_add(histogram_get("request_seconds", NULL),
-                  (double)(forward_now(f) - f->started_us) / 1e6);
+    histogram_add(whole, (double)(forward_now(f) - f->started_us) / 1e6);
 }
 
 void
--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -100,9 +100,9 @@
     GPtrArray *faults = faults_create();
     gateway_settings_t *settings = NULL;
     gateway_settings_load(path, &settings, faults);
+    faults_print(faults, path);
     for (guint i = 0; i < faults->len; i++) {
         const fault_t *fault = faults->pdata[i];
-        fprintf(stderr, "carobloomd: %s: %s\n", path, fault->text);
         if (event_log_begin(EVENT_STATE, "settings_fault")) {
             event_log_cstr("fault", fault->text);
             event_log_end();
--- a/carobloomd/gateway/settings.c
+++ b/carobloomd/gateway/settings.c
@@ -102,16 +102,6 @@
     }
 }
 
-static void
-add_lines(str_t text, GPtrArray *raw, GPtrArray *faults)
-{
-    for (guint i = 0; i < raw->len; i++) {
-        const fault_t *fault = raw->pdata[i];
-        faults_add(faults, NULL, NULL, "line %d: %s: %s",
-                   jsonc_line(text, fault->path), fault->path, fault->text);
-    }
-}
-
 int
 gateway_settings_parse(str_t text, gateway_settings_t **settings,
                        GPtrArray *faults)
@@ -125,20 +115,18 @@
         return GATEWAY_SETTINGS_ERROR_FAULTS;
     }
     root_t root = {0};
-    GPtrArray *raw = faults_create();
-    fields_read(json, "", ROOT_FIELDS, G_N_ELEMENTS(ROOT_FIELDS), &root, raw);
+    fields_read(json, "", ROOT_FIELDS, G_N_ELEMENTS(ROOT_FIELDS), &root,
+                faults);
     if (root.gateway != NULL) {
         fields_read(root.gateway, "gateway", GATEWAY_FIELDS,
-                    G_N_ELEMENTS(GATEWAY_FIELDS), &root.settings, raw);
-        check_whole(&root.settings, raw);
+                    G_N_ELEMENTS(GATEWAY_FIELDS), &root.settings, faults);
+        check_whole(&root.settings, faults);
     }
     json_decref(root.gateway);
     json_decref(json);
-    add_lines(text, raw, faults);
-    gboolean sound = raw->len == 0;
-    faults_destroy(raw);
     gateway_settings_t *s = g_memdup2(&root.settings, sizeof(root.settings));
-    if (!sound) {
+    if (faults->len > 0) {
+        faults_add_lines(faults, text);
         gateway_settings_destroy(s);
         return GATEWAY_SETTINGS_ERROR_FAULTS;
     }
@@ -150,12 +138,9 @@
 gateway_settings_load(const char *path, gateway_settings_t **settings,
                       GPtrArray *faults)
 {
-    char *text = NULL;
     gsize length = 0;
-    GError *error = NULL;
-    if (!g_file_get_contents(path, &text, &length, &error)) {
-        faults_add(faults, NULL, NULL, "%s", error->message);
-        g_error_free(error);
+    char *text = faults_read_file(path, &length, faults);
+    if (text == NULL) {
         return GATEWAY_SETTINGS_ERROR_READ;
     }
     int result = gateway_settings_parse(
--- a/carobloomd/process/main.c
+++ b/carobloomd/process/main.c
@@ -103,12 +103,8 @@
 {
     GPtrArray *faults = faults_create();
     settings_t *settings = NULL;
-    if (settings_load(path, &settings, faults) != SETTINGS_OK) {
-        for (guint i = 0; i < faults->len; i++) {
-            const fault_t *fault = faults->pdata[i];
-            fprintf(stderr, "carobloomd: %s: %s\n", path, fault->text);
-        }
-    }
+    settings_load(path, &settings, faults);
+    faults_print(faults, path);
     faults_destroy(faults);
     return settings;
 }
@@ -131,10 +127,7 @@
     GPtrArray *faults = faults_create();
     gateway_settings_t *settings = NULL;
     gateway_settings_load(path, &settings, faults);
-    for (guint i = 0; i < faults->len; i++) {
-        const fault_t *fault = faults->pdata[i];
-        fprintf(stderr, "carobloomd: %s: %s\n", path, fault->text);
-    }
+    faults_print(faults, path);
     faults_destroy(faults);
     if (settings == NULL) {
         return EXIT_SETTINGS;
--- a/carobloomd/process/settings.c
+++ b/carobloomd/process/settings.c
@@ -295,23 +295,6 @@
     check_voters(s, faults);
 }
 
-/* Puts the line of each fault in front of its text. */
-static void
-add_lines(str_t text, GPtrArray *faults)
-{
-    for (guint i = 0; i < faults->len; i++) {
-        fault_t *fault = faults->pdata[i];
-        if (*fault->path == '\0') {
-            continue;
-        }
-        char *with_line =
-            g_strdup_printf("line %d: %s: %s", jsonc_line(text, fault->path),
-                            fault->path, fault->text);
-        g_free(fault->text);
-        fault->text = with_line;
-    }
-}
-
 int
 settings_parse(str_t text, settings_t **settings, GPtrArray *faults)
 {
@@ -334,7 +317,7 @@
     json_decref(root.log);
     json_decref(json);
     if (faults->len > 0) {
-        add_lines(text, faults);
+        faults_add_lines(faults, text);
         settings_destroy(s);
         return SETTINGS_ERROR_FAULTS;
     }
@@ -345,12 +328,9 @@
 int
 settings_load(const char *path, settings_t **settings, GPtrArray *faults)
 {
-    char *text = NULL;
     gsize length = 0;
-    GError *error = NULL;
-    if (!g_file_get_contents(path, &text, &length, &error)) {
-        faults_add(faults, NULL, NULL, "%s", error->message);
-        g_error_free(error);
+    char *text = faults_read_file(path, &length, faults);
+    if (text == NULL) {
         return SETTINGS_ERROR_READ;
     }
     int result = settings_parse((str_t){.data = text, .length = length},
--- a/common/fields.c
+++ b/common/fields.c
@@ -1,8 +1,11 @@
 #include "carobloom/common/fields.h"
 
 #include <math.h>
+#include <stdio.h>
 #include <string.h>
 
+#include "carobloom/common/jsonc.h"
+
 static void
 fault_free(gpointer data)
 {
@@ -42,6 +45,43 @@
     g_ptr_array_add(faults, fault);
 }
 
+void
+faults_add_lines(GPtrArray *faults, str_t text)
+{
+    for (guint i = 0; i < faults->len; i++) {
+        fault_t *fault = faults->pdata[i];
+        if (*fault->path == '\0') {
+            continue;
+        }
+        char *with_line =
+            g_strdup_printf("line %d: %s: %s", jsonc_line(text, fault->path),
+                            fault->path, fault->text);
+        g_free(fault->text);
+        fault->text = with_line;
+    }
+}
+
+void
+faults_print(const GPtrArray *faults, const char *file)
+{
+    for (guint i = 0; i < faults->len; i++) {
+        const fault_t *fault = faults->pdata[i];
+        fprintf(stderr, "carobloomd: %s: %s\n", file, fault->text);
+    }
+}
+
+char *
+faults_read_file(const char *path, gsize *length, GPtrArray *faults)
+{
+    char *text = NULL;
+    GError *error = NULL;
+    if (!g_file_get_contents(path, &text, length, &error)) {
+        faults_add(faults, NULL, NULL, "%s", error->message);
+        g_error_free(error);
+    }
+    return text;
+}
+
 static const field_t *
 field_find(const field_t *fields, gsize count, const char *key)
 {
--- a/include/carobloom/common/fields.h
+++ b/include/carobloom/common/fields.h
@@ -8,6 +8,8 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "carobloom/common/str.h"
+
 enum { FIELDS_MAX_FAULTS = 100 };
 
 typedef enum {
@@ -43,6 +45,15 @@
 void faults_add(GPtrArray *faults, const char *base, const char *key,
                 const char *format, ...) G_GNUC_PRINTF(4, 5);
 
+/* Puts in front of each fault's text the line and the path of its place in
+ * `text`; those without a path stay. */
+void faults_add_lines(GPtrArray *faults, str_t text);
+/* To standard error, a line each, with the name of the file. */
+void faults_print(const GPtrArray *faults, const char *file);
+/* The text of a file, freed with g_free; NULL with a fault when it can not be
+ * read. */
+char *faults_read_file(const char *path, gsize *length, GPtrArray *faults);
+
 /* Fills `target` from `object`; returns the number of faults added. */
 guint fields_read(json_t *object, const char *base, const field_t *fields,
                   gsize count, void *target, GPtrArray *faults);
