Batch news to entry instances; keep a lease at one control instance

Each change of a lease answered every waiting entry instance at once, and one that had just been answered was answered again at once while changes went on; renewals went to any control instance, so each heard endpoints fall silent and come back; instances that can not become members greeted all the others four times a second; entry instances without a configuration asked ten times a second.

Now news go out in batches of 1.5 ms an entry instance (half a second at most), a renewal's answer names the instance itself for the later ones, non-members greet the members, the seeds and four others, questions slow down with the number of instances also while nothing is confirmed, and a new leader's confirmation is told at once instead.

--- a/carobloomd/control/config_log_members.c
+++ b/carobloomd/control/config_log_members.c
@@ -10,14 +10,42 @@
 enum {
     MS = 1000,
     FRESH_US = 1500 * MS, /* one that asked longer ago may be gone again */
+    HELLO_HEARD_MAX = 4,
+    /* Hellos, four a second, in which a newcomer is taken in when there is a
+     * place; then one a second is enough, well within FRESH_US. */
+    HELLO_EAGER = 40,
+    HELLO_PATIENT = 4,
 };
 
+/* Some of the others that were heard of, in turn: when the seeds are gone one
+ * of them knows who leads. Not all: a hundred instances that are no members
+ * and greet each other four times a second are 40,000 letters. */
+static void
+add_heard(config_log_t *log, GHashTable *names)
+{
+    GHashTableIter iter;
+    gpointer name;
+    guint count = g_hash_table_size(log->heard);
+    guint at = 0;
+    g_hash_table_iter_init(&iter, log->heard);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        if ((at++ + log->hellos) % MAX(count, 1) < HELLO_HEARD_MAX) {
+            g_hash_table_add(names, name);
+        }
+    }
+}
+
 void
 members_say_hello(config_log_t *log)
 {
     const voter_config_t *config = voter_config(log->core);
     const voter_member_t *self = voter_config_find(config, log->id);
     if (self != NULL && !self->learner && voter_leader(log->core) != 0) {
+        log->hellos = 0;
+        return;
+    }
+    log->hellos++;
+    if (log->hellos > HELLO_EAGER && log->hellos % HELLO_PATIENT != 0) {
         return;
     }
     GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
@@ -29,10 +57,7 @@
     for (guint i = 0; i < config->count; i++) {
         g_hash_table_add(names, (gpointer)config->members[i].name);
     }
-    g_hash_table_iter_init(&iter, log->heard);
-    while (g_hash_table_iter_next(&iter, &name, NULL)) {
-        g_hash_table_add(names, name);
-    }
+    add_heard(log, names);
     g_hash_table_iter_init(&iter, names);
     while (g_hash_table_iter_next(&iter, &name, NULL)) {
         if (strcmp(name, log->self) != 0) {
--- a/carobloomd/control/config_log_state.h
+++ b/carobloomd/control/config_log_state.h
@@ -39,6 +39,7 @@
     GHashTable *heard; /* name -> voter_peer_t */
     GPtrArray *seeds;  /* names */
     gint64 hello_us;
+    guint hellos; /* since it was last a member that knew its leader */
     voter_role_t role;
     gboolean failed; /* the disk refused; started anew from it later */
     gint64 retry_us;
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -25,8 +25,8 @@
     .head_max = 16384,
     .body_max = 16 * 1024 * 1024, /* four times the largest body met */
     .head_us = 5 * G_USEC_PER_SEC,
-    .idle_us = 20 * G_USEC_PER_SEC,
-    .connections = 2000,
+    .idle_us = 5 * G_USEC_PER_SEC, /* four heartbeats of 1.2 s */
+    .connections = 2800,           /* of 4,096 descriptors */
     .buffered_max = 64 * 1024 * 1024,
 };
 
@@ -191,10 +191,15 @@
         event_log_number("term", (gint64)view->term);
         event_log_end();
     }
+    gboolean may_read_now =
+        c->view.read_until_us == 0 && view->read_until_us != 0;
     c->view = *view;
     if (view->in_quorum) {
         c->quorum_us = control_now(c);
     }
+    if (may_read_now) { /* entry instances may wait for the confirmation */
+        held_answer_all(c);
+    }
 }
 
 void
@@ -288,6 +293,7 @@
     }
     g_clear_pointer(&c->log, config_log_destroy);
     held_drop_all(c);
+    timers_cancel(c->timers, c->spread);
     g_clear_pointer(&c->server, http_server_destroy);
     g_clear_pointer(&c->inner, http_server_destroy);
     g_hash_table_unref(c->peers);
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -49,6 +49,8 @@
     GQueue texts;        /* kept_text_t, the newest at the tail */
     GHashTable *peers;   /* address -> correspondent_t */
     GList *held;         /* held_sync_t */
+    guint64 spread;      /* timer: when news go out next; 0: none wait */
+    gint64 spread_us;    /* when they last went out */
     GHashTable *entries; /* instance name -> gint64, when it asked last */
     GHashTable *puts;    /* call -> pending_put_t */
     guint64 last_call;
--- a/carobloomd/control/endpoint_leases.c
+++ b/carobloomd/control/endpoint_leases.c
@@ -61,7 +61,12 @@
     }
     g_free(name);
     heartbeat_clear(&heartbeat);
-    answer_plain(exchange, 200, "{}");
+    /* It stays with this instance: if its renewals went to another one each
+     * time, each instance would hear it fall silent and come back, and tell
+     * all entry instances so. */
+    char *answer = platform_heartbeat_answer(c->settings->control);
+    answer_plain(exchange, 200, answer);
+    g_free(answer);
     if (registry_cursor(c->registry) != before) {
         spread_news(c);
     }
--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -7,6 +7,12 @@
     /* An entry instance that asked within this time counts as one. */
     ENTRY_FRESH_US = 3000 * MS,
     WAIT_MOST_MS = 10000, /* that an entry instance may be held for */
+    /* Between two answers to all that are held: each costs 0.1 ms, so 7% of a
+     * core at most. Thousands of endpoints that start together are told in
+     * tens of such, not one by one. Half a second is a quarter of the bound
+     * for an endpoint that drains. */
+    SPREAD_US_AN_ENTRY = 1500,
+    SPREAD_MOST_US = 500 * MS,
 };
 
 /* An entry instance's question, held until there is news. */
@@ -145,10 +151,11 @@
     held_answer(held);
 }
 
-void
-spread_news(control_t *c)
+static void
+spread_now(control_t *c)
 {
     GList *next;
+    c->spread_us = control_now(c);
     for (GList *l = c->held; l != NULL; l = next) {
         held_sync_t *held = l->data;
         next = l->next;
@@ -158,6 +165,36 @@
     }
 }
 
+static void
+spread_due(void *data)
+{
+    control_t *c = data;
+    c->spread = 0;
+    spread_now(c);
+}
+
+/* Until news may go out again; 0 or less: now. */
+static gint64
+spread_pause(const control_t *c)
+{
+    gint64 pause = entries_fresh(c) * (gint64)SPREAD_US_AN_ENTRY;
+    return c->spread_us + MIN(pause, SPREAD_MOST_US) - control_now(c);
+}
+
+void
+spread_news(control_t *c)
+{
+    gint64 left = spread_pause(c);
+    if (c->spread != 0) {
+        return;
+    }
+    if (left <= 0) {
+        spread_now(c);
+        return;
+    }
+    c->spread = timers_subscribe(c->timers, left, 0, spread_due, c);
+}
+
 static void
 note_entry(control_t *c, const char *instance)
 {
@@ -184,7 +221,12 @@
         load_sum_report(c->loads, request.instance, request.loads,
                         control_now(c));
     }
-    if (has_news(c, &request) || request.wait_ms == 0 || c->draining) {
+    gboolean news = has_news(c, &request);
+    /* While endpoints come and go all the time there is always news: one that
+     * was just answered waits for the next batch like the others. */
+    gboolean batched =
+        news && request.epoch == c->epoch && spread_pause(c) > 0;
+    if ((news && !batched) || request.wait_ms == 0 || c->draining) {
         sync_answer(c, exchange, &request);
         sync_request_clear(&request);
         return;
@@ -197,6 +239,9 @@
         held_expired, held);
     c->held = g_list_prepend(c->held, held);
     http_exchange_set_data(exchange, held);
+    if (batched) {
+        spread_news(c);
+    }
 }
 
 void
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -19,11 +19,15 @@
      * instances that is 250 calls a second of 0.08 ms at the leader. */
     LEADER_WAIT_LEAST_MS = 200,
     LEADER_WAIT_MS_AN_ENTRY = 4,
-    /* While nothing is confirmed or the other is only just back. */
+    /* While nothing is confirmed or the other is only just back; at the
+     * leader's pace where many ask, or 291 instances without a configuration
+     * keep all control instances too busy to elect a leader. */
     FIRST_WAIT_MS = 100,
-    /* Over the time held: a round trip between regions and a busy
-     * instance. */
+    /* Over the time held: a round trip between regions and a busy instance,
+     * the busier the more ask. One given up too soon asks again and makes it
+     * busier still. */
     ANSWER_US = 700 * MS,
+    ANSWER_US_AN_ENTRY = 5 * MS,
     /* For a configuration to come from the leader before another is asked:
      * a hundred KB over 10 Mbit/s take a tenth of it. */
     DELIVERY_US = 800 * MS,
@@ -100,6 +104,12 @@
         timers_subscribe(e->timers, link->retry_us, 0, link_retry, link);
 }
 
+static gint64
+answer_us(const entry_t *e)
+{
+    return ANSWER_US + e->entries * (gint64)ANSWER_US_AN_ENTRY;
+}
+
 static void
 link_expired(void *data)
 {
@@ -107,8 +117,9 @@
     link->timer = 0;
     if (link->progress) { /* a long answer over a narrow link */
         link->progress = FALSE;
-        link->timer = timers_subscribe(link->entry->timers, ANSWER_US, 0,
-                                       link_expired, link);
+        link->timer =
+            timers_subscribe(link->entry->timers, answer_us(link->entry), 0,
+                             link_expired, link);
         return;
     }
     client_call_cancel(link->call);
@@ -370,7 +381,8 @@
 {
     const entry_t *e = link->entry;
     if (link->answered_us == 0 || link->lost || !entry_is_confirmed(e)) {
-        return FIRST_WAIT_MS;
+        return CLAMP(e->entries * LEADER_WAIT_MS_AN_ENTRY, FIRST_WAIT_MS,
+                     WAIT_MOST_MS);
     }
     if (link->leads) {
         return CLAMP(e->entries * LEADER_WAIT_MS_AN_ENTRY,
@@ -418,8 +430,8 @@
         link_failed(link);
         return;
     }
-    link->timer = timers_subscribe(e->timers, request.wait_ms * MS + ANSWER_US,
-                                   0, link_expired, link);
+    link->timer = timers_subscribe(
+        e->timers, request.wait_ms * MS + answer_us(e), 0, link_expired, link);
 }
 
 /* ---- all links ---- */
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -342,6 +342,15 @@
     http_reader_clear(&reader);
 }
 
+/* What an endpoint is told when its renewal was taken. */
+static void
+test_heartbeat_answer(void)
+{
+    char *answer = platform_heartbeat_answer("10.0.0.4:8080");
+    CU_ASSERT_STRING_EQUAL(answer, "{\"HeartbeatAddr\":\"10.0.0.4:8080\"}");
+    g_free(answer);
+}
+
 /* ---- events ---- */
 
 typedef struct {
@@ -1176,6 +1185,7 @@
     {"faults of settings are named", test_settings},
     {"the sample settings have none", test_sample_settings},
     {"a client sets only what is its own", test_request_fields},
+    {"a renewal names where the next goes", test_heartbeat_answer},
     {"events are told apart however they come", test_events},
     {"leases by sequence, silence and leaving", test_registry},
     {"leases of several control instances are merged", test_merge},
