--- a/policy/placement.c
+++ b/policy/placement.c
@@ -368,8 +368,12 @@
     for (guint i = 0; i < endpoints->len; i++) {
         guint at = (i + r->draw) % endpoints->len;
         endpoint_t *e = endpoints->pdata[at];
-        standing_t standing = {.home = homes.home != NULL && e == homes.home,
-                               .on_side = at >= side.from && at < side.to};
+        gboolean on_side = at >= side.from && at < side.to;
+        /* A prompt that shares no part is at home anywhere on its side. */
+        standing_t standing = {
+            .home = homes.home != NULL ? e == homes.home : on_side,
+            .on_side = on_side,
+        };
         if (!is_candidate(e, r, standing, &best.counts, now_us)) {
             continue;
         }
