--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
 #include "carobloom/version/text_delta.h"
 #include "control_state.h"
@@ -127,6 +128,7 @@
     fill_config(c, request, &answer);
     GBytes *bytes = sync_answer_write(&answer);
     sync_answer_clear(&answer);
+    counter_add(counter_get("entry_answers_written_total", NULL, FALSE), 1);
     return bytes;
 }
 
@@ -137,6 +139,7 @@
 static GBytes *
 sync_news(control_t *c, const sync_request_t *request)
 {
+    counter_add(counter_get("entry_answers_total", NULL, FALSE), 1);
     if (request->reports) {
         return sync_build(c, request);
     }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -301,6 +301,52 @@
     return f->controls;
 }
 
+/* The value of a counter in a control's metrics. */
+static guint64
+counter_of(const fleet_process_t *control, const char *name)
+{
+    reply_t *reply = fleet_call(control->ip, FLEET_METRICS_PORT, "GET",
+                                "/metrics", "", "", 1000);
+    char *line = g_strconcat("\ncarobloom_", name, " ", NULL);
+    const char *at = strstr(reply->body->str, line);
+    guint64 value = at != NULL ? g_ascii_strtoull(at + strlen(line), NULL, 10)
+                               : G_MAXUINT64;
+    g_free(line);
+    reply_free(reply);
+    return value;
+}
+
+/* Entry instances that ask the same get the same bytes: a control instance
+ * that does not lead writes far fewer answers than it gives. */
+static void
+test_answers_shared(void)
+{
+    enum { ENTRIES = 6, WATCHED_MS = 3000, SHARED_BY_LEAST = 3 };
+    guint64 answers = 0;
+    guint64 written = 0;
+    fleet_t *f = fleet_of(3, ENTRIES, 3);
+    fleet_sleep(1000);
+    for (int round = 0; round < 2; round++) {
+        for (guint i = 0; i < f->controls; i++) {
+            if (i == leader_of(f)) {
+                continue;
+            }
+            const fleet_process_t *control = fleet_control(f, i);
+            answers = counter_of(control, "entry_answers_total") - answers;
+            written =
+                counter_of(control, "entry_answers_written_total") - written;
+            break;
+        }
+        if (round == 0) {
+            fleet_sleep(WATCHED_MS);
+        }
+    }
+    CU_ASSERT(answers >= ENTRIES * 2);
+    CU_ASSERT(answers < G_MAXUINT32);
+    CU_ASSERT(written * SHARED_BY_LEAST <= answers);
+    fleet_destroy(f);
+}
+
 static gboolean
 wait_in_force(fleet_t *f, guint64 version)
 {
@@ -515,6 +561,7 @@
     {"endpoints lost amid streams", test_endpoint_lost},
     {"an entry instance drains", test_entry_drains},
     {"an endpoint drains", test_endpoint_drains},
+    {"entry instances share answers", test_answers_shared},
     {"acknowledged changes survive", test_config_survives},
     {"a disk that takes no more", test_disk_full},
     {"all processes killed at once", test_all_killed},
