--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -271,7 +271,7 @@
     link->leads = answer->confirmed;
     if (answer->loads != NULL && link->reported != NULL) {
         directory_take_loads(e->directory, answer->loads, link->reported);
-        e->loads_us = now;
+        entry_take_loads(e);
     }
     gboolean sound = take_config(link, answer);
     if (sound && answer->confirmed && e->config != NULL &&
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -128,6 +128,7 @@
     service_use_t *use = g_hash_table_lookup(e->services, service);
     if (use == NULL) {
         use = g_new0(service_use_t, 1);
+        engine_model_init(&use->engine);
         g_hash_table_insert(e->services, g_strdup(service), use);
     }
     return use;
@@ -144,6 +145,49 @@
     return limits;
 }
 
+static void
+log_split(const char *service, const engine_split_t *split,
+          const split_demand_t *demand)
+{
+    if (!event_log_begin(EVENT_STATE, "engines_divided")) {
+        return;
+    }
+    event_log_cstr("service", service);
+    event_log_number("engines", demand->engines);
+    event_log_number("for_long_percent",
+                     (gint64)(100 * engine_split_part(split)));
+    event_log_number("tokens_a_ms", (gint64)demand->tokens_a_ms);
+    event_log_number("running_most", (gint64)demand->running_most);
+    event_log_number("long_running", demand->of_long.running);
+    event_log_number("long_waiting", (gint64)demand->of_long.waiting_tokens);
+    event_log_number("rest_running", demand->of_rest.running);
+    event_log_number("rest_waiting", (gint64)demand->of_rest.waiting_tokens);
+    event_log_end();
+}
+
+void
+entry_take_loads(entry_t *e)
+{
+    GHashTableIter iter;
+    gpointer service;
+    gpointer value;
+    e->loads_us = entry_now(e);
+    g_hash_table_iter_init(&iter, e->services);
+    while (g_hash_table_iter_next(&iter, &service, &value)) {
+        service_use_t *use = value;
+        split_demand_t demand =
+            directory_demand(e->directory, service, e->loads_us);
+        demand.tokens_a_ms = engine_model_tokens_a_ms(&use->engine);
+        demand.running_most = engine_model_running_twice(&use->engine);
+        prompt_mix_fill(&use->prompts, &demand);
+        double before = engine_split_part(&use->split);
+        engine_split_update(&use->split, &demand, e->loads_us);
+        if (engine_split_part(&use->split) != before) {
+            log_split(service, &use->split, &demand);
+        }
+    }
+}
+
 gboolean
 entry_knows_loads(const entry_t *e)
 {
@@ -319,6 +363,27 @@
     return http_server_exchanges(e->callers) == 0;
 }
 
+static void
+dump_services(const entry_t *e, GString *text)
+{
+    GHashTableIter iter;
+    gpointer service;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->services);
+    while (g_hash_table_iter_next(&iter, &service, &value)) {
+        const service_use_t *use = value;
+        g_string_append_printf(
+            text,
+            "service %s: %.0f tokens read a ms, first event of none after"
+            " %.0f ms, %.0f at once take twice the time, %.2f of the engines"
+            " for long prompts\n",
+            (const char *)service, engine_model_tokens_a_ms(&use->engine),
+            engine_model_first_ms(&use->engine, 0),
+            engine_model_running_twice(&use->engine),
+            engine_split_part(&use->split));
+    }
+}
+
 char *
 entry_dump(const entry_t *e)
 {
@@ -331,6 +396,7 @@
         (long)entry_config_age_ms(e), is_ready(e), e->forwards,
         http_server_connections(e->callers), directory_count(e->directory),
         e->entries);
+    dump_services(e, text);
     control_links_dump(e, text);
     return g_string_free(text, FALSE);
 }
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -13,7 +13,9 @@
 #include "carobloom/http/client.h"
 #include "carobloom/http/server.h"
 #include "carobloom/policy/directory.h"
+#include "carobloom/policy/engine_model.h"
 #include "carobloom/policy/placement.h"
+#include "carobloom/policy/prompt_mix.h"
 #include "carobloom/policy/repeat_budget.h"
 #include "carobloom/version/route_config.h"
 
@@ -23,6 +25,8 @@
 typedef struct {
     repeat_budget_t budget;
     prompt_mix_t prompts;
+    engine_split_t split;
+    engine_model_t engine;
 } service_use_t;
 
 struct entry {
@@ -62,6 +66,9 @@
 gint64 entry_now(const entry_t *entry);
 service_use_t *entry_service(entry_t *entry, const char *service);
 repeat_limits_t entry_repeat_limits(const entry_t *entry);
+/* The loads of the others were told: what follows from them is brought up to
+ * date. */
+void entry_take_loads(entry_t *entry);
 /* Whether the requests of the other entry instances were told lately. */
 gboolean entry_knows_loads(const entry_t *entry);
 
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -71,6 +71,11 @@
     }
     if (f->first_us != 0) {
         event_log_number("first_ms", (f->first_us - f->started_us) / MS);
+        event_log_number("longest_pause_ms", f->longest_us / MS);
+    }
+    if (f->sends > 0) {
+        event_log_number("found_running", f->found_running);
+        event_log_number("found_waiting", f->found_waiting);
     }
     event_log_end();
 }
@@ -108,8 +113,7 @@
 void
 forward_end_wait(forward_t *f)
 {
-    f->endpoint->waiting_tokens -=
-        MIN(f->endpoint->waiting_tokens, f->waiting_tokens);
+    endpoint_end_wait(f->endpoint, f->info.prompt_tokens, f->waiting_tokens);
     f->waiting_tokens = 0;
 }
 
@@ -119,8 +123,7 @@
     if (f->endpoint == NULL) {
         return;
     }
-    f->endpoint->running--;
-    f->endpoint->prompt_tokens -= f->info.prompt_tokens;
+    endpoint_leave(f->endpoint, f->info.prompt_tokens);
     forward_end_wait(f);
     f->call = NULL;
     f->endpoint = NULL;
@@ -151,7 +154,7 @@
     if (!entry_is_confirmed(f->entry)) {
         return AFTER_START;
     }
-    return placement_is_long(f->info.prompt_tokens) ? AFTER_LONG : AFTER_SHORT;
+    return prompt_is_long(f->info.prompt_tokens) ? AFTER_LONG : AFTER_SHORT;
 }
 
 /* A whole answer of this system's own. */
@@ -346,7 +349,11 @@
                                                 (gint)f->route->weight_sum));
     repeat_limits_t limits = entry_repeat_limits(e);
     f->use = entry_service(e, f->service);
-    prompt_mix_note(&f->use->prompts, f->info.prompt_tokens, forward_now(f));
+    prompt_note_t note = {.prompt_tokens = f->info.prompt_tokens,
+                          .target_ms = f->route->target_ms,
+                          .pause_ms = f->route->pause_ms,
+                          .priority = f->route->priority};
+    prompt_mix_note(&f->use->prompts, note, forward_now(f));
     repeat_budget_note_first(&f->use->budget, &limits, forward_now(f));
     forward_send(f);
 }
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -2,6 +2,7 @@
 #include "forward_state.h"
 
 enum {
+    MS = 1000,
     /* Answers held whole before they go on: a part that is lost can still be
      * made good by another endpoint. Plain answers met so far have 5 KB. */
     ANSWER_MAX = 16 * 1024 * 1024,
@@ -69,6 +70,35 @@
     return CALL_TAKE;
 }
 
+/* What a first event tells of the endpoint's engine. */
+static void
+learn_first(const forward_t *f)
+{
+    if (f->endpoint == NULL || f->info.prompt_tokens == 0) {
+        return;
+    }
+    double tokens = (double)f->found_waiting + f->waiting_tokens;
+    double ms = (double)(forward_now(f) - f->sent_us) / MS;
+    engine_model_note_first(&f->use->engine, tokens, ms);
+}
+
+/* What a whole stream tells of it: long prompts are left out, whose streams
+ * wait for each other's prompts. */
+static void
+learn_pause(const forward_t *f)
+{
+    enum { EVENTS_LEAST = 4 }; /* fewer say little of the pause */
+    if (f->endpoint == NULL || f->events_seen < EVENTS_LEAST ||
+        prompt_is_long(f->info.prompt_tokens)) {
+        return;
+    }
+    const endpoint_t *e = f->endpoint;
+    double running = (f->found_running + e->running + e->others.running) / 2.0;
+    double ms =
+        (double)(f->event_us - f->events_us) / MS / (f->events_seen - 1);
+    engine_model_note_pause(&f->use->engine, running, ms);
+}
+
 static void
 note_first(forward_t *f)
 {
@@ -78,6 +108,21 @@
     }
 }
 
+static void
+note_event(forward_t *f)
+{
+    gint64 now = forward_now(f);
+    if (f->events_seen++ == 0) {
+        learn_first(f);
+        f->events_us = now;
+    }
+    note_first(f);
+    if (f->event_us != 0) {
+        f->longest_us = MAX(f->longest_us, now - f->event_us);
+    }
+    f->event_us = now;
+}
+
 static void
 on_event(str_t bytes, guint64 id, void *user)
 {
@@ -89,7 +134,7 @@
         f->has_event = TRUE;
         f->last_event = id;
     }
-    note_first(f);
+    note_event(f);
     if (!f->begun) {
         f->begun = TRUE;
         http_exchange_begin(
@@ -146,6 +191,7 @@
         return;
     }
     forward_note_endpoint(f, ENDPOINT_SERVED);
+    learn_pause(f);
     if (!f->begun) {
         f->streaming = FALSE;
         forward_deliver(f);
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -97,6 +97,10 @@
         .part_count = f->info.part_count,
         .prompt_tokens = f->info.prompt_tokens,
         .parted = prompt_mix_parted(&f->use->prompts, forward_now(f)),
+        .long_part = engine_split_part(&f->use->split),
+        .target_ms = f->route->target_ms,
+        .rest_pause_ms = f->use->prompts.rest_pause_ms,
+        .tokens_a_ms = engine_model_tokens_a_ms(&f->use->engine),
         .memory_tokens = service != NULL ? service->memory_tokens : 0,
         .fetch_tokens_a_ms = service != NULL ? service->fetch_tokens_a_ms : 0,
         .unknown_sharers = entry_knows_loads(f->entry) ? 0 : f->entry->entries,
@@ -165,10 +169,12 @@
     endpoint_t *endpoint = placement->endpoint;
     f->endpoint = endpoint;
     g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
-    endpoint->running++;
-    endpoint->prompt_tokens += f->info.prompt_tokens;
+    f->events_seen = 0;
+    f->found_running = endpoint->running + endpoint->others.running;
+    f->found_waiting =
+        endpoint->waiting_tokens + endpoint->others.waiting_tokens;
     f->waiting_tokens = placement->read_tokens;
-    endpoint->waiting_tokens += f->waiting_tokens;
+    endpoint_join(endpoint, f->info.prompt_tokens, f->waiting_tokens);
     for (guint i = 0; i < request->part_count; i++) {
         endpoint_note_part(endpoint, request->parts[i].id);
     }
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -33,6 +33,11 @@
     gint64 sent_us;
     gint64 stayed_us;     /* when it was silent last and no other took it */
     guint waiting_tokens; /* that it added to the endpoint's */
+    /* when it was sent: what all instances' requests took of the endpoint */
+    guint found_running;
+    guint found_waiting; /* tokens */
+    guint events_seen;   /* passed on from this endpoint */
+    gint64 events_us;    /* when the first of them came */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX];
     guint sends;
     guint runs;                /* sends that may have run */
@@ -50,6 +55,8 @@
     guint64 last_event;
     gint64 progress_us; /* the last byte of the answer */
     gint64 first_us;
+    gint64 event_us;   /* the last event that went on */
+    gint64 longest_us; /* the longest pause between two of them */
     gboolean paused;
 } forward_t;
 
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -1,10 +1,11 @@
 #include "carobloom/gateway/sync_wire.h"
 
+#include <string.h>
+
 #include "carobloom/common/codec.h"
 
-#define LOADS_TYPE "a(tuuu)"
-#define REQUEST_TYPE "(stttubba(tuuu))"
-#define ANSWER_TYPE "(ttbbttbaya(sssstuyx)asuba(tuuu))"
+#define REQUEST_TYPE "(stttubbay)"
+#define ANSWER_TYPE "(ttbbttbaya(sssstuyx)asubay)"
 #define LETTER_TYPE "(stay)"
 
 static GVariant *
@@ -25,30 +26,77 @@
     return bytes;
 }
 
+/* Loads go as packed records of a fixed size: 66 entry instances told of 112
+ * endpoints four times a second are 30,000 records a second at the leader, and
+ * a leader that is kept busy by them tells of loads that are old. */
+typedef struct {
+    guint64 endpoint;
+    guint32 prompt_tokens;
+    guint32 waiting_tokens;
+    guint32 long_waiting;
+    guint16 running;
+    guint16 long_running;
+} load_record_t;
+
+G_STATIC_ASSERT(sizeof(load_record_t) == 24);
+
+static load_record_t
+load_pack(const endpoint_load_t *l)
+{
+    return (load_record_t){
+        .endpoint = GUINT64_TO_LE(l->endpoint),
+        .prompt_tokens = GUINT32_TO_LE(l->prompt_tokens),
+        .waiting_tokens = GUINT32_TO_LE(l->waiting_tokens),
+        .long_waiting = GUINT32_TO_LE(l->long_waiting),
+        .running = GUINT16_TO_LE((guint16)MIN(l->running, G_MAXUINT16)),
+        .long_running =
+            GUINT16_TO_LE((guint16)MIN(l->long_running, G_MAXUINT16)),
+    };
+}
+
+static endpoint_load_t
+load_unpack(const load_record_t *r)
+{
+    return (endpoint_load_t){
+        .endpoint = GUINT64_FROM_LE(r->endpoint),
+        .prompt_tokens = GUINT32_FROM_LE(r->prompt_tokens),
+        .waiting_tokens = GUINT32_FROM_LE(r->waiting_tokens),
+        .long_waiting = GUINT32_FROM_LE(r->long_waiting),
+        .running = GUINT16_FROM_LE(r->running),
+        .long_running = GUINT16_FROM_LE(r->long_running),
+    };
+}
+
 static GVariant *
 loads_variant(const GArray *loads)
 {
-    GVariantBuilder b;
-    g_variant_builder_init(&b, G_VARIANT_TYPE(LOADS_TYPE));
-    for (guint i = 0; loads != NULL && i < loads->len; i++) {
-        const endpoint_load_t *l = &g_array_index(loads, endpoint_load_t, i);
-        g_variant_builder_add(&b, "(tuuu)", l->endpoint, l->running,
-                              l->prompt_tokens, l->waiting_tokens);
+    guint count = loads != NULL ? loads->len : 0;
+    load_record_t *records = g_new(load_record_t, count);
+    for (guint i = 0; i < count; i++) {
+        records[i] = load_pack(&g_array_index(loads, endpoint_load_t, i));
     }
-    return g_variant_builder_end(&b);
+    return g_variant_new_from_data(G_VARIANT_TYPE("ay"), records,
+                                   count * sizeof(*records), TRUE, g_free,
+                                   records);
 }
 
+/* NULL when it is no list of records. */
 static GArray *
 loads_take(GVariant *list)
 {
-    GVariantIter iter;
-    endpoint_load_t l;
-    GArray *loads = g_array_new(FALSE, FALSE, sizeof(l));
-    g_variant_iter_init(&iter, list);
-    while (loads->len < SYNC_ENDPOINTS_MAX &&
-           g_variant_iter_next(&iter, "(tuuu)", &l.endpoint, &l.running,
-                               &l.prompt_tokens, &l.waiting_tokens)) {
-        g_array_append_val(loads, l);
+    gsize length;
+    const guint8 *data = g_variant_get_fixed_array(list, &length, 1);
+    gsize count = length / sizeof(load_record_t);
+    GArray *loads = NULL;
+    if (length % sizeof(load_record_t) == 0 && count <= SYNC_ENDPOINTS_MAX) {
+        loads = g_array_sized_new(FALSE, FALSE, sizeof(endpoint_load_t),
+                                  (guint)count);
+    }
+    for (gsize i = 0; loads != NULL && i < count; i++) {
+        load_record_t record;
+        memcpy(&record, data + i * sizeof(record), sizeof(record));
+        endpoint_load_t load = load_unpack(&record);
+        g_array_append_val(loads, load);
     }
     g_variant_unref(list);
     return loads;
@@ -58,7 +106,7 @@
 sync_request_write(const sync_request_t *r)
 {
     return codec_write(g_variant_new(
-        "(stttubb@a(tuuu))", r->instance, r->version, r->epoch, r->cursor,
+        "(stttubb@ay)", r->instance, r->version, r->epoch, r->cursor,
         r->wait_ms, r->takes_config, r->reports, loads_variant(r->loads)));
 }
 
@@ -71,11 +119,15 @@
         return FALSE;
     }
     GVariant *loads;
-    g_variant_get(v, "(stttubb@a(tuuu))", &r->instance, &r->version, &r->epoch,
+    g_variant_get(v, "(stttubb@ay)", &r->instance, &r->version, &r->epoch,
                   &r->cursor, &r->wait_ms, &r->takes_config, &r->reports,
                   &loads);
     r->loads = loads_take(loads);
     g_variant_unref(v);
+    if (r->loads == NULL) {
+        sync_request_clear(r);
+        return FALSE;
+    }
     return TRUE;
 }
 
@@ -123,8 +175,8 @@
 sync_answer_write(const sync_answer_t *a)
 {
     return codec_write(
-        g_variant_new("(ttbbttb@ay@a(sssstuyx)@asub@a(tuuu))", a->epoch,
-                      a->cursor, a->full, a->confirmed, a->version, a->base,
+        g_variant_new("(ttbbttb@ay@a(sssstuyx)@asub@ay)", a->epoch, a->cursor,
+                      a->full, a->confirmed, a->version, a->base,
                       a->delta != NULL, bytes_variant(a->delta),
                       leases_variant(a->leases), names_variant(a->controls),
                       a->entries, a->loads != NULL, loads_variant(a->loads)));
@@ -179,11 +231,11 @@
     GVariant *loads;
     gboolean news;
     gboolean loaded;
-    g_variant_get(v, "(ttbbttb@ay@a(sssstuyx)@asub@a(tuuu))", &a->epoch,
-                  &a->cursor, &a->full, &a->confirmed, &a->version, &a->base,
-                  &news, &delta, &leases, &controls, &a->entries, &loaded,
-                  &loads);
+    g_variant_get(v, "(ttbbttb@ay@a(sssstuyx)@asub@ay)", &a->epoch, &a->cursor,
+                  &a->full, &a->confirmed, &a->version, &a->base, &news,
+                  &delta, &leases, &controls, &a->entries, &loaded, &loads);
     a->loads = loads_take(loads);
+    gboolean sound = a->loads != NULL;
     if (!loaded) {
         g_clear_pointer(&a->loads, g_array_unref);
     }
@@ -191,7 +243,7 @@
     if (!news) {
         g_clear_pointer(&a->delta, g_bytes_unref);
     }
-    gboolean sound = leases_take(leases, a);
+    sound = leases_take(leases, a) && sound;
     sound = names_take(controls, a) && sound;
     g_variant_unref(v);
     if (!sound) {
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "carobloom/common/str.h"
+#include "carobloom/policy/engine_split.h"
 #include "carobloom/policy/load_sum.h"
 
 enum {
@@ -67,9 +68,9 @@
     guint running;
     guint32 waiting_tokens; /* that they wait for to be read */
     guint32 prompt_tokens;  /* of all these requests' whole prompts */
-    guint others_running;   /* of the other entry instances, as last told */
-    guint32 others_tokens;  /* the prompts of those */
-    guint32 others_waiting; /* their waiting_tokens */
+    guint long_running;     /* of them, those with long prompts */
+    guint32 long_waiting;
+    endpoint_load_t others; /* of the other entry instances, as last told */
     /* health */
     double failures;        /* decaying share of failed requests */
     gint64 closed_until_us; /* gets nothing until then */
@@ -104,8 +105,21 @@
  * this one. */
 void directory_take_loads(directory_t *directory, const GArray *sums,
                           const GArray *own);
+/* Requests of all instances at a service's endpoints, by kind; objectives and
+ * speed are the caller's to fill in. */
+split_demand_t directory_demand(const directory_t *directory,
+                                const char *service, gint64 now_us);
 /* Whether it may be sent new work at all. */
 gboolean endpoint_usable(const endpoint_t *endpoint, gint64 now_us);
+/* One of this instance's requests goes there, `waiting_tokens` of whose prompt
+ * have to be read. */
+void endpoint_join(endpoint_t *endpoint, guint prompt_tokens,
+                   guint waiting_tokens);
+/* Its prompt is read. */
+void endpoint_end_wait(endpoint_t *endpoint, guint prompt_tokens,
+                       guint waiting_tokens);
+/* It is over there. */
+void endpoint_leave(endpoint_t *endpoint, guint prompt_tokens);
 /* Whether its health lets it take work just now. */
 gboolean endpoint_open(const endpoint_t *endpoint, gint64 now_us);
 void endpoint_note(endpoint_t *endpoint, endpoint_outcome_t outcome,
--- /dev/null
+++ b/include/carobloom/policy/keepers.h
@@ -0,0 +1,37 @@
+/* Which endpoints keep the shared parts of a prompt.
+ *
+ * All instances rank the endpoints of a part the same (rendezvous hashing)
+ * without talking. The first is its home; the next takes over what the home
+ * has no time for, so that few endpoints keep a part. Pure. */
+#ifndef CAROBLOOM_POLICY_KEEPERS_H
+#define CAROBLOOM_POLICY_KEEPERS_H
+
+#include "carobloom/policy/directory.h"
+
+enum { KEEPERS_MAX = 2 };
+
+/* Endpoints for prompts of one kind, by their place in the service's list. */
+typedef struct {
+    guint from;
+    guint to;
+} side_t;
+
+typedef struct {
+    const endpoint_t *at[KEEPERS_MAX]; /* in order of rank */
+    guint count;
+    /* Ranked before the home, but on the other side by now: it was the home
+     * while its side was this one, and got the part. NULL: none. */
+    const endpoint_t *former;
+} keepers_t;
+
+/* The keepers of a part among the usable endpoints of a side; none for part
+ * 0. */
+keepers_t keepers_of(const GPtrArray *endpoints, side_t side, guint64 part,
+                     gint64 now_us);
+/* Its place among them; KEEPERS_MAX when it is none. */
+guint keepers_rank(const keepers_t *keepers, const endpoint_t *endpoint);
+/* Whom `endpoint` best fetches the part from; NULL: nobody well enough. */
+const endpoint_t *keepers_source(const keepers_t *keepers,
+                                 const endpoint_t *endpoint, gint64 now_us);
+
+#endif
--- a/include/carobloom/policy/load_sum.h
+++ b/include/carobloom/policy/load_sum.h
@@ -13,6 +13,9 @@
     guint32 running;
     guint32 prompt_tokens;  /* of these requests' whole prompts */
     guint32 waiting_tokens; /* to be read before their first events */
+    /* of these, the requests with long prompts */
+    guint32 long_running;
+    guint32 long_waiting;
 } endpoint_load_t;
 
 typedef struct load_sum load_sum_t;
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -18,20 +18,6 @@
 
 enum { PLACEMENT_TRIED_MAX = 8 };
 
-/* Whether a prompt of so many tokens counts as long. */
-gboolean placement_is_long(guint prompt_tokens);
-
-/* What prompts a service was seen to get, at this instance. */
-typedef struct {
-    gint64 first_us; /* when a request first came; 0: never */
-    gint64 long_us;  /* when a long prompt last came; 0: never */
-} prompt_mix_t;
-
-void prompt_mix_note(prompt_mix_t *mix, guint prompt_tokens, gint64 now_us);
-/* Whether the service's engines are parted between long prompts and the
- * rest. */
-gboolean prompt_mix_parted(const prompt_mix_t *mix, gint64 now_us);
-
 /* A part of a prompt; requests whose prompts begin alike share parts. */
 typedef struct {
     guint64 id;
@@ -43,6 +29,10 @@
     guint part_count;
     guint prompt_tokens;
     gboolean parted;      /* the service gets long prompts: see above */
+    double long_part;     /* of its engines, for long prompts */
+    gint64 target_ms;     /* objective of the first event; 0: none */
+    gint64 rest_pause_ms; /* of pauses, of what is not long; 0: none */
+    double tokens_a_ms;   /* that an engine reads */
     gint64 memory_tokens; /* that an engine holds in all; 0: not known */
     /* Tokens an engine fetches from another's memory in a ms; 0: none. */
     double fetch_tokens_a_ms;
--- /dev/null
+++ b/include/carobloom/policy/prompt_mix.h
@@ -0,0 +1,38 @@
+/* What prompts a service gets, as seen by this instance: long ones and the
+ * rest, with their objectives. Pure. */
+#ifndef CAROBLOOM_POLICY_PROMPT_MIX_H
+#define CAROBLOOM_POLICY_PROMPT_MIX_H
+
+#include "carobloom/policy/engine_split.h"
+
+/* Whether a prompt of so many tokens counts as long. */
+gboolean prompt_is_long(guint prompt_tokens);
+
+typedef struct {
+    gint64 first_us; /* when a request first came; 0: never */
+    gint64 long_us;  /* when a long prompt last came; 0: never */
+    /* of the last request of each kind */
+    gint64 long_target_ms; /* objective of the first event */
+    gint64 rest_target_ms;
+    guint long_priority; /* 0 is the most urgent */
+    guint rest_priority;
+    /* the shortest objective of pauses among the rest; 0: none */
+    gint64 rest_pause_ms;
+} prompt_mix_t;
+
+/* What of a request the mix is made of. */
+typedef struct {
+    guint prompt_tokens;
+    gint64 target_ms; /* objective of the first event */
+    gint64 pause_ms;  /* objective of pauses; 0: none */
+    guint priority;
+} prompt_note_t;
+
+void prompt_mix_note(prompt_mix_t *mix, prompt_note_t note, gint64 now_us);
+/* Whether the service's engines are parted between long prompts and the
+ * rest. */
+gboolean prompt_mix_parted(const prompt_mix_t *mix, gint64 now_us);
+/* Fills in what the demand for engines takes from the mix. */
+void prompt_mix_fill(const prompt_mix_t *mix, split_demand_t *demand);
+
+#endif
--- a/include/carobloom/version/route_config.h
+++ b/include/carobloom/version/route_config.h
@@ -34,6 +34,7 @@
     route_kind_t kind;
     gint64 timeout_ms;  /* the longest that a caller is kept waiting */
     gint64 target_ms;   /* latency objective: the answer, or the first event */
+    gint64 pause_ms;    /* objective: between two events; 0: none */
     guint priority;     /* 0 is the most urgent */
     guint max_attempts; /* endpoints that one request may be sent to */
     gboolean open;      /* needs no key */
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "carobloom/policy/prompt_mix.h"
 #include "carobloom/policy/rendezvous.h"
 
 enum {
@@ -107,7 +108,7 @@
 }
 
 static void
-endpoint_leave(directory_t *d, endpoint_t *e, gint64 now_us)
+directory_drop(directory_t *d, endpoint_t *e, gint64 now_us)
 {
     if (e->left) {
         return;
@@ -165,7 +166,7 @@
     endpoint_t *e = g_hash_table_lookup(d->by_id, lease->id);
     if (lease->state == LEASE_LEFT) {
         if (e != NULL) {
-            endpoint_leave(d, e, now_us);
+            directory_drop(d, e, now_us);
         }
         else {
             g_hash_table_insert(d->left_at, g_strdup(lease->id),
@@ -261,7 +262,9 @@
             endpoint_load_t load = {.endpoint = e->hash,
                                     .running = e->running,
                                     .prompt_tokens = e->prompt_tokens,
-                                    .waiting_tokens = e->waiting_tokens};
+                                    .waiting_tokens = e->waiting_tokens,
+                                    .long_running = e->long_running,
+                                    .long_waiting = e->long_waiting};
             g_array_append_val(loads, load);
         }
     }
@@ -275,6 +278,25 @@
     return load != NULL ? *load : (endpoint_load_t){0};
 }
 
+/* What of `sum` is not in `part`; a part told later than the sum may be
+ * larger. */
+static endpoint_load_t
+load_less(endpoint_load_t sum, endpoint_load_t part)
+{
+    return (endpoint_load_t){
+        .endpoint = sum.endpoint,
+        .running = sum.running - MIN(sum.running, part.running),
+        .prompt_tokens =
+            sum.prompt_tokens - MIN(sum.prompt_tokens, part.prompt_tokens),
+        .waiting_tokens =
+            sum.waiting_tokens - MIN(sum.waiting_tokens, part.waiting_tokens),
+        .long_running =
+            sum.long_running - MIN(sum.long_running, part.long_running),
+        .long_waiting =
+            sum.long_waiting - MIN(sum.long_waiting, part.long_waiting),
+    };
+}
+
 /* By endpoint, for look-ups; the keys lie in `loads`. */
 static GHashTable *
 loads_index(const GArray *loads)
@@ -299,16 +321,33 @@
         endpoint_t *e = value;
         endpoint_load_t sum = load_in(all, e->hash);
         endpoint_load_t part = load_in(mine, e->hash);
-        e->others_running = sum.running - MIN(sum.running, part.running);
-        e->others_tokens =
-            sum.prompt_tokens - MIN(sum.prompt_tokens, part.prompt_tokens);
-        e->others_waiting =
-            sum.waiting_tokens - MIN(sum.waiting_tokens, part.waiting_tokens);
+        e->others = load_less(sum, part);
     }
     g_hash_table_unref(all);
     g_hash_table_unref(mine);
 }
 
+split_demand_t
+directory_demand(const directory_t *d, const char *service, gint64 now_us)
+{
+    split_demand_t demand = {0};
+    const GPtrArray *list = directory_service(d, service);
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const endpoint_t *e = list->pdata[i];
+        guint running = e->running + e->others.running;
+        guint waiting = e->waiting_tokens + e->others.waiting_tokens;
+        guint long_running = e->long_running + e->others.long_running;
+        guint long_waiting = e->long_waiting + e->others.long_waiting;
+        demand.engines += endpoint_usable(e, now_us);
+        demand.slots = MAX(demand.slots, e->slots);
+        demand.of_long.running += long_running;
+        demand.of_long.waiting_tokens += long_waiting;
+        demand.of_rest.running += running - MIN(running, long_running);
+        demand.of_rest.waiting_tokens += waiting - MIN(waiting, long_waiting);
+    }
+    return demand;
+}
+
 gboolean
 endpoint_usable(const endpoint_t *e, gint64 now_us)
 {
@@ -322,6 +361,35 @@
     return now_us >= e->closed_until_us && now_us >= e->full_until_us;
 }
 
+void
+endpoint_join(endpoint_t *e, guint prompt_tokens, guint waiting_tokens)
+{
+    e->running++;
+    e->prompt_tokens += prompt_tokens;
+    e->waiting_tokens += waiting_tokens;
+    if (prompt_is_long(prompt_tokens)) {
+        e->long_running++;
+        e->long_waiting += waiting_tokens;
+    }
+}
+
+void
+endpoint_end_wait(endpoint_t *e, guint prompt_tokens, guint waiting_tokens)
+{
+    e->waiting_tokens -= MIN(e->waiting_tokens, waiting_tokens);
+    if (prompt_is_long(prompt_tokens)) {
+        e->long_waiting -= MIN(e->long_waiting, waiting_tokens);
+    }
+}
+
+void
+endpoint_leave(endpoint_t *e, guint prompt_tokens)
+{
+    e->running--;
+    e->prompt_tokens -= prompt_tokens;
+    e->long_running -= prompt_is_long(prompt_tokens);
+}
+
 /* Twice as long for each failure in a row. */
 static void
 endpoint_close(endpoint_t *e, gint64 now_us)
--- /dev/null
+++ b/policy/engine_split.c
@@ -0,0 +1,80 @@
+#include "carobloom/policy/engine_split.h"
+
+#include <math.h>
+
+/* Until loads are told: with long prompts on fewer engines summaries were late
+ * in the first second, with more of them chats. */
+static const double PART_AT_START = 0.6;
+/* A kind has enough engines while the prompts that wait are read within such a
+ * part of its objective, so that a first event is in time behind a queue twice
+ * the mean, and while so many of the slots are taken. 0.4 lost 0.013 of worth
+ * (12 pairs). */
+static const double QUEUE_PART = 0.2;
+static const double SLOTS_PART = 0.7;
+/* Each kind keeps some engines, for a burst of it. At most 0.7 for long
+ * prompts lost 0.012 of worth on 12 engines of 64 slots (12 pairs). */
+static const double PART_LEAST = 0.2;
+static const double PART_MOST = 0.85;
+/* Need of a kind with nothing under way, in engines. */
+static const double NEED_LEAST = 0.3;
+/* The part in force follows what is wanted with this time constant: bursts
+ * last seconds, and each move costs shared parts that are fetched or read
+ * again. 2.5 s lost 0.008 of worth (12 pairs), 0.4 s gained nothing. */
+static const double SMOOTH_US = 1000 * 1000;
+/* The border moves once it is off by more than this, in engines: one, less
+ * what instances differ by. */
+static const double MOVE_AT = 0.75;
+/* For the objective of a kind that has come with none. */
+static const gint64 TARGET_DEFAULT_MS = 500;
+
+double
+engine_split_part(const engine_split_t *s)
+{
+    return s->at_us == 0 ? PART_AT_START : s->applied;
+}
+
+/* Engines that would serve a kind well. */
+static double
+engines_needed(const kind_load_t *load, const split_demand_t *d)
+{
+    gint64 target_ms =
+        load->target_ms > 0 ? load->target_ms : TARGET_DEFAULT_MS;
+    double read_in_time = d->tokens_a_ms * QUEUE_PART * (double)target_ms;
+    double to_read = (double)load->waiting_tokens / read_in_time;
+    double places = MIN(SLOTS_PART * d->slots, d->running_most);
+    double to_run = load->running / MAX(places, 1);
+    return MAX(MAX(to_read, to_run), NEED_LEAST);
+}
+
+/* The part for long prompts. The more urgent kind gets what it needs first;
+ * what is left over is shared as the kinds need it. */
+static double
+part_wanted(const split_demand_t *d)
+{
+    double of_long = engines_needed(&d->of_long, d);
+    double of_rest = engines_needed(&d->of_rest, d);
+    double part = of_long / (of_long + of_rest);
+    if (of_long + of_rest > d->engines && d->engines > 0) {
+        part = d->of_long.priority < d->of_rest.priority
+                   ? of_long / d->engines
+                   : 1 - of_rest / d->engines;
+    }
+    return CLAMP(part, PART_LEAST, PART_MOST);
+}
+
+void
+engine_split_update(engine_split_t *s, const split_demand_t *d, gint64 now_us)
+{
+    double wanted = part_wanted(d);
+    if (s->at_us == 0) {
+        s->part = s->applied = PART_AT_START;
+        s->at_us = now_us;
+        return;
+    }
+    double weight = 1 - exp(-(double)(now_us - s->at_us) / SMOOTH_US);
+    s->part += weight * (wanted - s->part);
+    s->at_us = now_us;
+    if (fabs(s->part - s->applied) * d->engines > MOVE_AT) {
+        s->applied = s->part;
+    }
+}
--- /dev/null
+++ b/policy/keepers.c
@@ -0,0 +1,90 @@
+#include "carobloom/policy/keepers.h"
+
+#include "carobloom/policy/rendezvous.h"
+
+/* One that fails a tenth of its requests is not asked for its memory. */
+static const double SOURCE_FAILURES = 0.1;
+
+typedef struct {
+    keepers_t keepers;
+    guint64 ranks[KEEPERS_MAX];
+    guint64 former_rank;
+} ranking_t;
+
+/* Puts an endpoint in its place, if it has one among the first. */
+static void
+rank_in(ranking_t *r, const endpoint_t *e, guint64 rank)
+{
+    keepers_t *k = &r->keepers;
+    guint at = k->count;
+    while (at > 0 && rank > r->ranks[at - 1]) {
+        at--;
+    }
+    if (at == KEEPERS_MAX) {
+        return;
+    }
+    k->count = MIN(k->count + 1, KEEPERS_MAX);
+    for (guint i = k->count - 1; i > at; i--) {
+        k->at[i] = k->at[i - 1];
+        r->ranks[i] = r->ranks[i - 1];
+    }
+    k->at[at] = e;
+    r->ranks[at] = rank;
+}
+
+keepers_t
+keepers_of(const GPtrArray *endpoints, side_t side, guint64 part,
+           gint64 now_us)
+{
+    ranking_t r = {0};
+    for (guint i = 0; part != 0 && i < endpoints->len; i++) {
+        const endpoint_t *e = endpoints->pdata[i];
+        guint64 rank = hash_pair(part, e->hash);
+        if (!endpoint_usable(e, now_us)) {
+            continue;
+        }
+        if (i >= side.from && i < side.to) {
+            rank_in(&r, e, rank);
+        }
+        else if (rank > r.former_rank && endpoint_has_part(e, part)) {
+            r.keepers.former = e;
+            r.former_rank = rank;
+        }
+    }
+    if (r.keepers.count > 0 && r.former_rank < r.ranks[0]) {
+        r.keepers.former = NULL;
+    }
+    return r.keepers;
+}
+
+guint
+keepers_rank(const keepers_t *k, const endpoint_t *endpoint)
+{
+    guint rank = 0;
+    while (rank < k->count && k->at[rank] != endpoint) {
+        rank++;
+    }
+    return rank < k->count ? rank : KEEPERS_MAX;
+}
+
+/* Whether an endpoint is well enough to be asked for its memory. */
+static gboolean
+may_be_asked(const endpoint_t *e, gint64 now_us)
+{
+    return e != NULL && endpoint_open(e, now_us) &&
+           e->failures < SOURCE_FAILURES;
+}
+
+const endpoint_t *
+keepers_source(const keepers_t *k, const endpoint_t *endpoint, gint64 now_us)
+{
+    const endpoint_t *home = k->count > 0 ? k->at[0] : NULL;
+    const endpoint_t *next = k->count > 1 ? k->at[1] : NULL;
+    const endpoint_t *const sources[] = {home, k->former, next};
+    for (gsize i = 0; i < G_N_ELEMENTS(sources); i++) {
+        if (sources[i] != endpoint && may_be_asked(sources[i], now_us)) {
+            return sources[i];
+        }
+    }
+    return NULL;
+}
--- a/policy/load_sum.c
+++ b/policy/load_sum.c
@@ -48,6 +48,8 @@
         sum->running -= MIN(sum->running, l->running);
         sum->prompt_tokens -= MIN(sum->prompt_tokens, l->prompt_tokens);
         sum->waiting_tokens -= MIN(sum->waiting_tokens, l->waiting_tokens);
+        sum->long_running -= MIN(sum->long_running, l->long_running);
+        sum->long_waiting -= MIN(sum->long_waiting, l->long_waiting);
         if (sum->running == 0) {
             g_hash_table_remove(s->sums, &l->endpoint);
         }
@@ -68,6 +70,8 @@
         sum->running += l->running;
         sum->prompt_tokens += l->prompt_tokens;
         sum->waiting_tokens += l->waiting_tokens;
+        sum->long_running += l->long_running;
+        sum->long_waiting += l->long_waiting;
     }
 }
 
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -1,26 +1,25 @@
 #include "carobloom/policy/placement.h"
 
+#include "carobloom/policy/keepers.h"
+#include "carobloom/policy/prompt_mix.h"
 #include "carobloom/policy/rendezvous.h"
 
-/* The figures below were chosen by rounds on the heaviest days; the table
- * stands in docs/design/placement.md. */
+/* Where each figure comes from, and what half and twice of it do, stands in
+ * docs/design/constants.md. "Pairs" are plays of the same day and seed with
+ * and without a change, on the heaviest days of a deployment of 12 engines. */
 
-/* Prompt tokens an engine reads in a millisecond; the engines met so far read
- * 61, less what the batch takes. Only the ratio to the other terms counts. */
-static const double TOKENS_A_MS = 50.0;
 /* What one more request under way costs the next, in ms: on engines the step
  * grows little; a plain server works one off in about 15 ms on 6 slots. */
 static const double RUNNING_ENGINE_MS = 1.0;
 static const double RUNNING_PLAIN_MS = 2.5;
-/* Going to another data centre: half a millisecond each way, and bytes that
- * cost. */
-static const double FAR_MS = 1.0;
+/* Going to another data centre: as much as 30 running requests at an engine,
+ * which saves an eighth of the bytes between data centres (their price 0.031
+ * to 0.026 of worth, 15 pairs) and makes no first event late. */
+static const double FAR_MS = 30.0;
 /* A request at an endpoint that fails always is lost, or repeated after a
  * multiple of its objective. */
 static const double FAILURE_MS = 400.0;
 static const double COLD_MS = 30.0;
-/* One that fails a tenth of its requests is not asked for its memory. */
-static const double SOURCE_FAILURES = 0.1;
 /* Reading a shared part again costs the engine its time and is priced: it
  * weighs so many times its time. */
 static const double REREAD_WEIGHT = 3.0;
@@ -28,16 +27,34 @@
  * too. */
 static const double FETCH_WEIGHT = 3.0;
 
-/* A prompt of so many tokens holds an engine up for two chunks of its reading
- * or more, some 65 ms, a quarter of the shortest pause objective (250 ms). */
-static const guint LONG_TOKENS = 4000;
-/* The part of a service's engines that long prompts are for. */
-static const double LONG_PART = 0.6;
-/* A long prompt goes among short ones only when that spares it most of its
- * objective of 2 s; a short one goes among long ones rather than wait for two
- * thirds of its own of 300 ms. */
-static const double LONG_AMONG_SHORT_MS = 1500.0;
-static const double SHORT_AMONG_LONG_MS = 200.0;
+/* Prompts that are read in one go hold up the streams beside them: at most for
+ * so much of the shortest objective of their pauses, since other instances may
+ * send there at the same time. At 0.8 of it long prompts lost 0.010 of their
+ * worth and chats gained nothing (12 pairs). */
+static const double STALL_PART = 0.4;
+/* A short prompt rather goes where 200 others run than where one of those
+ * reads holds its stream up; without it 0.009 of worth were lost (15 pairs).
+ */
+static const double SHORT_STALLED_MS = 200.0;
+/* An engine whose slots are nearly full makes a short prompt wait for one:
+ * over half of them, each tenth weighs 10 ms, so that a full one weighs more
+ * than going to another data centre. */
+static const double SHORT_FULL_MS = 100.0;
+static const double SHORT_FULL_FROM = 0.5;
+/* Short prompts take the best of so many. On 112 engines of 16 slots chats got
+ * 0.95 of their worth and not 0.92 on a quiet day, 0.70 and not 0.66 on a
+ * heavy one; worth of 12 engines' heaviest days +0.015 +- 0.004 (15 pairs).
+ * Four at the edge of the side and not anywhere in it lost 0.06 of the
+ * chats'. */
+static const guint SHORT_SAMPLE = 4;
+/* Off its side a prompt goes when it spares it this much. */
+static const double OFF_SIDE_MS = 100.0;
+/* To a long prompt, in parts of its objective, each stream that is not long on
+ * an engine: the border moved over them and they still run there. Seven of
+ * them make it go to the next keeper. The same in ms for any objective (30)
+ * lost 0.012 +- 0.006 of worth where that is 2 s, most of it of chats (20
+ * pairs on 9 engines). */
+static const double LONG_AT_REST_PART = 0.06;
 
 /* Parts of an engine's slots that requests may take. While prompts are read
  * all the time a token takes ten times as long, and a draft of 400 of them
@@ -48,12 +65,16 @@
 static const double LONG_HOME_SLOTS = 0.85;
 /* And of its memory, by the tokens of the prompts that run there: above, parts
  * that many share are dropped to make room and read again, and engines with
- * many slots read so much that no stream ends in time (gaf-carobloom, 64
- * slots: worth 0.54 by the slots alone, 0.58 with this on scale-1). */
+ * many slots read so much that no stream ends in time (9 engines of 64 slots:
+ * worth 0.54 by the slots alone, 0.58 with this on their heaviest day). */
 static const double LONG_MEMORY = 0.6;
-/* A long prompt leaves its home for a queue there of half its objective of
- * 2 s; sooner, what it reads again elsewhere makes others late. */
-static const double LONG_AWAY_MS = 1000.0;
+/* A long prompt leaves its home for a queue there of so much of its objective:
+ * for the next keeper of its shared parts, or for any other engine of its
+ * side. Others later, so that few engines keep a part: half the objective for
+ * either read 0.003 of worth more again and lost 0.008 (15 pairs); a quarter
+ * lost 0.008, twice the objective 0.004. */
+static const double LONG_KEEPER_PART = 0.4;
+static const double LONG_AWAY_PART = 0.7;
 static const double LONG_AWAY_SLOTS = 0.15;
 static const double LONG_OFF_SIDE_SLOTS = 0.1;
 static const double SHORT_SLOTS = 1.2;
@@ -61,41 +82,6 @@
  * of an objective of 100. */
 static const double PLAIN_SLOTS = 4.0;
 
-/* A service that got no long prompt for so long is not parted. */
-static const gint64 LONG_REMEMBERED_US = 60 * G_USEC_PER_SEC;
-/* Until then an instance can not know whether it gets any: at 13 requests a
- * second, one in seven of them long, it would have met one. Without the
- * parting, chats begun in the first second share their engines with long
- * prompts to their end and miss their deadline (48 of 2,120 on gaf-carobloom
- * scale-1). */
-static const gint64 LONG_UNKNOWN_US = 10 * G_USEC_PER_SEC;
-
-gboolean
-placement_is_long(guint prompt_tokens)
-{
-    return prompt_tokens >= LONG_TOKENS;
-}
-
-void
-prompt_mix_note(prompt_mix_t *mix, guint prompt_tokens, gint64 now_us)
-{
-    if (mix->first_us == 0) {
-        mix->first_us = now_us;
-    }
-    if (placement_is_long(prompt_tokens)) {
-        mix->long_us = now_us;
-    }
-}
-
-gboolean
-prompt_mix_parted(const prompt_mix_t *mix, gint64 now_us)
-{
-    if (mix->long_us != 0) {
-        return now_us - mix->long_us < LONG_REMEMBERED_US;
-    }
-    return now_us - mix->first_us < LONG_UNKNOWN_US;
-}
-
 guint
 placement_unread(const endpoint_t *e, const placement_request_t *r)
 {
@@ -137,61 +123,23 @@
     return MIN(tokens, r->prompt_tokens);
 }
 
-/* Which endpoints, by their place in the list, are for prompts like this. */
-typedef struct {
-    guint from;
-    guint to;
-} side_t;
-
+/* Which endpoints are for prompts like this. */
 static side_t
 side_of(const GPtrArray *endpoints, const placement_request_t *r)
 {
     guint count = endpoints->len;
-    guint for_long = (guint)(LONG_PART * count + 0.5);
+    guint for_long = (guint)(r->long_part * count + 0.5);
     if (!r->parted || for_long == 0 || for_long >= count) {
         return (side_t){.from = 0, .to = count};
     }
-    return placement_is_long(r->prompt_tokens)
+    return prompt_is_long(r->prompt_tokens)
                ? (side_t){.from = 0, .to = for_long}
                : (side_t){.from = for_long, .to = count};
 }
 
-/* The endpoints of the side that all instances rank first and second for a
- * prompt: its shared parts are kept there. NULL where there is none. */
-typedef struct {
-    const endpoint_t *home;
-    const endpoint_t *deputy;
-} homes_t;
-
-static homes_t
-homes_of(const GPtrArray *endpoints, side_t side, guint64 part, gint64 now_us)
-{
-    homes_t homes = {0};
-    guint64 first = 0;
-    guint64 second = 0;
-    for (guint i = side.from; part != 0 && i < side.to; i++) {
-        const endpoint_t *e = endpoints->pdata[i];
-        guint64 rank = hash_pair(part, e->hash);
-        if (!endpoint_usable(e, now_us)) {
-            continue;
-        }
-        if (homes.home == NULL || rank > first) {
-            homes.deputy = homes.home;
-            second = first;
-            homes.home = e;
-            first = rank;
-        }
-        else if (homes.deputy == NULL || rank > second) {
-            homes.deputy = e;
-            second = rank;
-        }
-    }
-    return homes;
-}
-
 /* How an endpoint stands to a request. */
 typedef struct {
-    gboolean home;
+    guint rank; /* among the keepers of its shared parts; 0: their home */
     gboolean on_side;
     guint read_tokens;  /* it would have to read */
     guint fetch_tokens; /* it would fetch from the home's memory */
@@ -204,7 +152,7 @@
     guint own = r->prompt_tokens - shared_tokens(r);
     guint unread = placement_unread(e, r);
     s->read_tokens = unread;
-    if (s->home) {
+    if (s->rank == 0) {
         s->read_tokens = MIN(unread, own);
     }
     else if (fetchable && unread > own) {
@@ -221,11 +169,10 @@
 running_at(const endpoint_t *e, const placement_request_t *r)
 {
     if (r->unknown_sharers == 0) {
-        return e->running + e->others_running;
+        return e->running + e->others.running;
     }
-    return placement_is_long(r->prompt_tokens)
-               ? e->running * r->unknown_sharers
-               : e->running;
+    return prompt_is_long(r->prompt_tokens) ? e->running * r->unknown_sharers
+                                            : e->running;
 }
 
 /* The tokens of the prompts of those requests. */
@@ -234,7 +181,39 @@
 {
     return r->unknown_sharers > 0
                ? (guint64)e->prompt_tokens * r->unknown_sharers
-               : (guint64)e->prompt_tokens + e->others_tokens;
+               : (guint64)e->prompt_tokens + e->others.prompt_tokens;
+}
+
+/* Requests that are not long at an endpoint, of all instances. */
+static guint
+rest_at(const endpoint_t *e)
+{
+    guint running = e->running + e->others.running;
+    guint of_long = e->long_running + e->others.long_running;
+    return running - MIN(running, of_long);
+}
+
+/* Prompt tokens that wait at an endpoint, of all instances. */
+static double
+waiting_at(const endpoint_t *e)
+{
+    return (double)e->waiting_tokens + e->others.waiting_tokens;
+}
+
+/* Requests of all instances there, in parts of its slots. */
+static double
+fullness(const endpoint_t *e)
+{
+    return (double)(e->running + e->others.running) / MAX(e->slots, 1);
+}
+
+/* Whether reading so many tokens in a row makes pauses late for what streams
+ * beside. */
+static gboolean
+stalls(const placement_request_t *r, double tokens)
+{
+    return r->rest_pause_ms > 0 &&
+           tokens > STALL_PART * (double)r->rest_pause_ms * r->tokens_a_ms;
 }
 
 static gboolean
@@ -245,18 +224,33 @@
     if (r->prompt_tokens == 0) {
         part = PLAIN_SLOTS;
     }
-    else if (placement_is_long(r->prompt_tokens)) {
-        part = standing.home      ? LONG_HOME_SLOTS
+    else if (prompt_is_long(r->prompt_tokens)) {
+        part = standing.rank == 0 ? LONG_HOME_SLOTS
                : standing.on_side ? LONG_AWAY_SLOTS
                                   : LONG_OFF_SIDE_SLOTS;
     }
-    if (placement_is_long(r->prompt_tokens) && r->memory_tokens > 0 &&
+    if (prompt_is_long(r->prompt_tokens) && r->memory_tokens > 0 &&
         (double)tokens_at(e, r) > LONG_MEMORY * (double)r->memory_tokens) {
         return FALSE;
     }
+    if (prompt_is_long(r->prompt_tokens) && !standing.on_side &&
+        rest_at(e) > 0 && stalls(r, waiting_at(e) + standing.read_tokens)) {
+        return FALSE;
+    }
     return running_at(e, r) < MAX(part * e->slots, 1);
 }
 
+/* What leaving the home of its shared parts has to spare a long prompt, in
+ * parts of its objective. */
+static double
+away_part(standing_t standing)
+{
+    if (standing.rank == 0) {
+        return 0;
+    }
+    return standing.rank < KEEPERS_MAX ? LONG_KEEPER_PART : LONG_AWAY_PART;
+}
+
 /* Costs count this instance's own requests only. Those of the others are
  * known a few hundred ms late, and what all see as the least loaded endpoint
  * would be the most loaded next. */
@@ -264,23 +258,28 @@
 engine_ms(const endpoint_t *e, const placement_request_t *r,
           standing_t standing)
 {
+    double tokens_a_ms = r->tokens_a_ms;
     guint own = r->prompt_tokens - shared_tokens(r);
     double reread =
         standing.read_tokens > own ? standing.read_tokens - own : 0;
     double ms =
-        (double)(e->waiting_tokens + standing.read_tokens) / TOKENS_A_MS;
-    if (placement_is_long(r->prompt_tokens)) {
-        ms += e->others_waiting / TOKENS_A_MS;
-        ms += standing.home ? 0 : LONG_AWAY_MS;
+        (double)(e->waiting_tokens + standing.read_tokens) / tokens_a_ms;
+    if (prompt_is_long(r->prompt_tokens)) {
+        ms += e->others.waiting_tokens / tokens_a_ms;
+        ms += away_part(standing) * (double)r->target_ms;
+        ms += rest_at(e) * LONG_AT_REST_PART * (double)r->target_ms;
+    }
+    else {
+        ms += stalls(r, waiting_at(e)) ? SHORT_STALLED_MS : 0;
+        ms += SHORT_FULL_MS * MAX(fullness(e) - SHORT_FULL_FROM, 0);
     }
-    ms += reread * (REREAD_WEIGHT - 1) / TOKENS_A_MS;
+    ms += reread * (REREAD_WEIGHT - 1) / tokens_a_ms;
     if (standing.fetch_tokens > 0) {
         ms += standing.fetch_tokens / r->fetch_tokens_a_ms * FETCH_WEIGHT;
     }
     ms += e->running * RUNNING_ENGINE_MS;
     if (!standing.on_side) {
-        ms += placement_is_long(r->prompt_tokens) ? LONG_AMONG_SHORT_MS
-                                                  : SHORT_AMONG_LONG_MS;
+        ms += OFF_SIDE_MS;
     }
     return ms;
 }
@@ -334,25 +333,16 @@
                                : "the endpoints left were tried";
 }
 
-/* Whether an endpoint is well enough to be asked for its memory. */
-static gboolean
-may_be_asked(const endpoint_t *e, gint64 now_us)
+/* How many endpoints of its side a request chooses from. Loads of others are
+ * told late, so that all instances would take the one that was the least
+ * loaded; each takes the least loaded of a few drawn at random. A long prompt
+ * has a home. */
+static guint
+sample_most(const placement_request_t *r)
 {
-    return e != NULL && endpoint_open(e, now_us) &&
-           e->failures < SOURCE_FAILURES;
-}
-
-/* Where `endpoint` may fetch the shared parts from. */
-static const endpoint_t *
-source_for(const endpoint_t *endpoint, homes_t homes, gint64 now_us)
-{
-    if (endpoint != homes.home && may_be_asked(homes.home, now_us)) {
-        return homes.home;
-    }
-    if (endpoint != homes.deputy && may_be_asked(homes.deputy, now_us)) {
-        return homes.deputy;
-    }
-    return NULL;
+    gboolean is_short =
+        r->prompt_tokens > 0 && !prompt_is_long(r->prompt_tokens);
+    return is_short ? SHORT_SAMPLE : G_MAXUINT;
 }
 
 /* The best of those that are open, or of those closed after failures. */
@@ -361,19 +351,25 @@
            gboolean closed, gint64 now_us)
 {
     side_t side = side_of(endpoints, r);
-    homes_t homes = homes_of(endpoints, side, shared_part(r), now_us);
+    keepers_t keepers = keepers_of(endpoints, side, shared_part(r), now_us);
     gboolean fetches = r->fetch_tokens_a_ms > 0;
     placement_t best = {.counts = {.known = endpoints->len}};
     double best_ms = 0;
+    guint sampled = 0;
+    guint start = side.from + r->draw % (side.to - side.from);
     for (guint i = 0; i < endpoints->len; i++) {
-        guint at = (i + r->draw) % endpoints->len;
+        guint at = (start + i) % endpoints->len;
         endpoint_t *e = endpoints->pdata[at];
         gboolean on_side = at >= side.from && at < side.to;
         /* A prompt that shares no part is at home anywhere on its side. */
         standing_t standing = {
-            .home = homes.home != NULL ? e == homes.home : on_side,
+            .rank =
+                keepers.count > 0 || !on_side ? keepers_rank(&keepers, e) : 0,
             .on_side = on_side,
         };
+        const endpoint_t *source =
+            fetches ? keepers_source(&keepers, e, now_us) : NULL;
+        set_tokens(&standing, e, r, source != NULL);
         if (!is_candidate(e, r, standing, &best.counts, now_us)) {
             continue;
         }
@@ -381,16 +377,17 @@
             best.counts.closed += !closed;
             continue;
         }
-        const endpoint_t *source =
-            fetches ? source_for(e, homes, now_us) : NULL;
-        set_tokens(&standing, e, r, source != NULL);
         double ms = expected_ms(e, r, standing, now_us);
+        sampled += on_side;
         if (best.endpoint == NULL || ms < best_ms) {
             best.endpoint = e;
             best.source = source;
             best.read_tokens = standing.read_tokens;
             best_ms = ms;
         }
+        if (sampled == sample_most(r)) {
+            break;
+        }
     }
     return best;
 }
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,676 @@
+/* Placement over the requests of one service: which endpoint takes which
+ * prompt, and what the instances learn and tell each other for it. */
+#include <string.h>
+
+#include "carobloom/policy/directory.h"
+#include "carobloom/policy/engine_model.h"
+#include "carobloom/policy/placement.h"
+#include "carobloom/policy/prompt_mix.h"
+#include "check.h"
+
+enum { SECOND = 1000000 };
+
+static endpoint_lease_t
+lease_of(const char *id, guint64 sequence, lease_state_t state)
+{
+    return (endpoint_lease_t){.id = (char *)id,
+                              .service = "s",
+                              .address = "10.0.0.1:80",
+                              .data_centre = "dc",
+                              .sequence = sequence,
+                              .slots = 4,
+                              .state = state};
+}
+
+static void
+drop_nothing(void *connections)
+{
+    (void)connections;
+}
+
+enum { ENGINES = 18, SLOTS = 32 };
+
+static directory_t *
+engines_create(void)
+{
+    directory_t *d = directory_create(drop_nothing);
+    for (int i = 0; i < ENGINES; i++) {
+        char id[16];
+        char address[24];
+        g_snprintf(id, sizeof(id), "engine-%d", i);
+        g_snprintf(address, sizeof(address), "10.0.0.%d:80", i);
+        endpoint_lease_t lease = lease_of(id, 1, LEASE_READY);
+        lease.address = address;
+        lease.slots = SLOTS;
+        directory_update(d, 0, &lease, SECOND);
+    }
+    return d;
+}
+
+typedef struct {
+    guint tokens;
+    guint64 shared; /* id of the shared part; 0: none */
+    guint shared_tokens;
+    gboolean parted;
+    guint32 draw;
+    guint unknown_sharers;
+    double fetch_tokens_a_ms;
+    gint64 memory_tokens;
+    double long_part; /* 0: 0.6 */
+    gint64 target_ms; /* 0: 2000 */
+} place_case_t;
+
+static placement_t
+place_of(directory_t *d, place_case_t c)
+{
+    prompt_part_t parts[] = {{c.shared, c.shared_tokens},
+                             {0xabc000 + c.draw, c.tokens - c.shared_tokens}};
+    placement_request_t request = {
+        .parts = parts,
+        .part_count = c.shared != 0 ? 2 : 0,
+        .prompt_tokens = c.tokens,
+        .parted = c.parted,
+        .long_part = c.long_part > 0 ? c.long_part : 0.6,
+        .target_ms = c.target_ms > 0 ? c.target_ms : 2000,
+        .rest_pause_ms = 250,
+        .tokens_a_ms = 50,
+        .unknown_sharers = c.unknown_sharers,
+        .fetch_tokens_a_ms = c.fetch_tokens_a_ms,
+        .memory_tokens = c.memory_tokens,
+        .data_centre = "dc",
+        .draw = c.draw};
+    return placement_pick(directory_service(d, "s"), &request, 2 * SECOND);
+}
+
+static endpoint_t *
+place(directory_t *d, guint tokens, guint64 shared, guint shared_tokens,
+      gboolean parted, guint32 draw)
+{
+    place_case_t c = {.tokens = tokens,
+                      .shared = shared,
+                      .shared_tokens = shared_tokens,
+                      .parted = parted,
+                      .draw = draw};
+    return place_of(d, c).endpoint;
+}
+
+/* Long and short prompts meet on no engine while neither side is loaded. */
+static void
+test_sides(void)
+{
+    directory_t *d = engines_create();
+    GHashTable *with_long = g_hash_table_new(NULL, NULL);
+    for (guint32 draw = 0; draw < 200; draw++) {
+        endpoint_t *e = place(d, 12000, 1 + draw, 5000, TRUE, draw);
+        g_hash_table_add(with_long, e);
+    }
+    for (guint32 draw = 0; draw < 200; draw++) {
+        endpoint_t *e = place(d, 800, 0, 0, TRUE, draw);
+        CU_ASSERT_FALSE(g_hash_table_contains(with_long, e));
+    }
+    /* 0.6 of 18 are eleven. */
+    CU_ASSERT(g_hash_table_size(with_long) >= 10);
+    CU_ASSERT(g_hash_table_size(with_long) <= 11);
+    /* With all their engines loaded far over their objective, long prompts
+     * may go among the short ones. */
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, with_long);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        ((endpoint_t *)key)->waiting_tokens = 500000;
+    }
+    endpoint_t *e = place(d, 12000, 77, 5000, TRUE, 1);
+    CU_ASSERT_FALSE(g_hash_table_contains(with_long, e));
+    g_hash_table_unref(with_long);
+    directory_destroy(d);
+}
+
+/* Requests of one session go to one engine, at all instances, until it is
+ * loaded. */
+static void
+test_affinity(void)
+{
+    directory_t *d = engines_create();
+    directory_t *elsewhere = engines_create();
+    for (guint64 session = 1; session < 50; session++) {
+        endpoint_t *e = place(d, 12000, session, 5000, TRUE, 3);
+        endpoint_t *same = place(elsewhere, 12000, session, 5000, TRUE, 11);
+        CU_ASSERT_STRING_EQUAL(e->id, same->id);
+    }
+    endpoint_t *home = place(d, 12000, 7, 5000, TRUE, 3);
+    home->waiting_tokens = 100000;
+    CU_ASSERT_PTR_NOT_EQUAL(place(d, 12000, 7, 5000, TRUE, 3), home);
+    home->waiting_tokens = 0;
+    home->draining = TRUE;
+    CU_ASSERT_PTR_NOT_EQUAL(place(d, 12000, 7, 5000, TRUE, 3), home);
+    directory_destroy(d);
+    directory_destroy(elsewhere);
+}
+
+/* Failing endpoints are left, and still used when there is no other. */
+static void
+test_failing(void)
+{
+    directory_t *d = engines_create();
+    endpoint_t *first = place(d, 0, 0, 0, FALSE, 5);
+    endpoint_note(first, ENDPOINT_UNREACHABLE, 2 * SECOND);
+    CU_ASSERT_PTR_NOT_EQUAL(place(d, 0, 0, 0, FALSE, 5), first);
+    for (int i = 0; i < ENGINES; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "engine-%d", i);
+        endpoint_note(directory_find(d, id), ENDPOINT_UNREACHABLE, 2 * SECOND);
+    }
+    CU_ASSERT_PTR_NOT_NULL(place(d, 0, 0, 0, FALSE, 5));
+    for (int i = 0; i < ENGINES; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "engine-%d", i);
+        endpoint_lease_t lease = lease_of(id, 2, LEASE_LEFT);
+        directory_update(d, 0, &lease, SECOND);
+    }
+    CU_ASSERT_EQUAL(directory_service(d, "s")->len, 0);
+    directory_sweep(d, 2 * SECOND);
+    CU_ASSERT_EQUAL(directory_count(d), 0);
+    directory_destroy(d);
+}
+
+/* A burst of long prompts: so many are taken as an engine ends in time, the
+ * others are not, and short prompts still find a place. */
+static void
+test_places(void)
+{
+    directory_t *d = engines_create();
+    guint taken = 0;
+    for (guint32 draw = 0; draw < 500; draw++) {
+        endpoint_t *e = place(d, 12000, 1 + draw % 40, 5000, TRUE, draw);
+        if (e != NULL) {
+            e->running++;
+            taken++;
+        }
+    }
+    GPtrArray *engines = (GPtrArray *)directory_service(d, "s");
+    for (guint i = 0; i < engines->len; i++) {
+        const endpoint_t *e = engines->pdata[i];
+        CU_ASSERT(e->running <= 0.85 * e->slots + 1);
+    }
+    CU_ASSERT(taken < 500);
+    CU_ASSERT(taken >= ENGINES * SLOTS / 4);
+    CU_ASSERT_PTR_NULL(place(d, 12000, 3, 5000, TRUE, 9));
+    place_case_t refused = {
+        .tokens = 12000, .shared = 3, .shared_tokens = 5000, .parted = TRUE};
+    placement_counts_t counts = place_of(d, refused).counts;
+    CU_ASSERT_EQUAL(counts.known, ENGINES);
+    CU_ASSERT_EQUAL(counts.no_place, ENGINES);
+    CU_ASSERT_STRING_EQUAL(placement_reason(&counts), "all places are taken");
+    CU_ASSERT_PTR_NOT_NULL(place(d, 800, 0, 0, TRUE, 9));
+    directory_destroy(d);
+}
+
+/* Away from where its shared parts are, a prompt takes them from there over
+ * the engines' links; the other way round when they may be elsewhere. */
+static void
+test_fetching(void)
+{
+    static const double LINK = 800; /* tokens a ms */
+    directory_t *d = engines_create();
+    place_case_t c = {.tokens = 12000,
+                      .shared = 7,
+                      .shared_tokens = 5000,
+                      .parted = TRUE,
+                      .draw = 3};
+    endpoint_t *home = place_of(d, c).endpoint;
+    CU_ASSERT_PTR_NULL(place_of(d, c).source); /* engines that do not fetch */
+    c.fetch_tokens_a_ms = LINK;
+    CU_ASSERT_PTR_EQUAL(place_of(d, c).endpoint, home);
+    CU_ASSERT_PTR_NOT_EQUAL(place_of(d, c).source, home);
+    home->running = SLOTS;
+    placement_t away = place_of(d, c);
+    CU_ASSERT_PTR_NOT_EQUAL(away.endpoint, home);
+    CU_ASSERT_PTR_EQUAL(away.source, home);
+    CU_ASSERT_EQUAL(away.read_tokens, 7000);
+    /* One that fails is not asked: the next keeper is, and no third. */
+    home->failures = 0.5;
+    away = place_of(d, c);
+    CU_ASSERT_PTR_NOT_EQUAL(away.source, home);
+    c.shared = 0;
+    c.shared_tokens = 0;
+    CU_ASSERT_PTR_NULL(place_of(d, c).source);
+    directory_destroy(d);
+}
+
+/* Long prompts that share no part have no home: every engine of their side
+ * takes as many as a home does. */
+static void
+test_places_without_home(void)
+{
+    directory_t *d = engines_create();
+    guint taken = 0;
+    for (guint32 n = 0; n < 1000; n++) {
+        place_case_t c = {.tokens = 12000, .parted = TRUE, .draw = n};
+        endpoint_t *e = place_of(d, c).endpoint;
+        if (e != NULL) {
+            e->running++;
+            taken++;
+        }
+    }
+    CU_ASSERT(taken >= (guint)(0.6 * ENGINES * 0.85 * SLOTS));
+    directory_destroy(d);
+}
+
+/* A burst of prompts on engines whose slots would hold more than their memory:
+ * the tokens bound them, so large prompts take more of the places. */
+static void
+test_places_by_memory(void)
+{
+    enum { MEMORY = 560000, REQUESTS = 1000 };
+    static const guint TOKENS[] = {6000, 12000, 24000, 50000};
+    guint before = G_MAXUINT;
+    for (gsize i = 0; i < G_N_ELEMENTS(TOKENS); i++) {
+        directory_t *d = engines_create();
+        guint taken = 0;
+        for (guint32 n = 0; n < REQUESTS; n++) {
+            place_case_t c = {.tokens = TOKENS[i],
+                              .shared = 1 + n % 40,
+                              .shared_tokens = 5000,
+                              .parted = TRUE,
+                              .draw = n,
+                              .memory_tokens = MEMORY};
+            endpoint_t *e = place_of(d, c).endpoint;
+            if (e != NULL) {
+                CU_ASSERT(e->prompt_tokens <= 0.6 * MEMORY);
+                e->running++;
+                e->prompt_tokens += TOKENS[i];
+                taken++;
+            }
+        }
+        CU_ASSERT(taken <= before);
+        CU_ASSERT(taken >= 3 * ENGINES / 2);
+        before = taken;
+        directory_destroy(d);
+    }
+}
+
+/* The home is left for a queue that would make the first event late, not for
+ * a shorter one; both as the others tell. */
+static void
+test_queue_at_home(void)
+{
+    static const struct {
+        guint32 waiting; /* tokens of the other instances' prompts */
+        gboolean stays;
+    } QUEUES[] = {{0, TRUE}, {40000, TRUE}, {80000, FALSE}};
+    for (gsize i = 0; i < G_N_ELEMENTS(QUEUES); i++) {
+        directory_t *d = engines_create();
+        place_case_t c = {.tokens = 12000,
+                          .shared = 7,
+                          .shared_tokens = 5000,
+                          .parted = TRUE,
+                          .fetch_tokens_a_ms = 800};
+        endpoint_t *home = place_of(d, c).endpoint;
+        endpoint_load_t sum = {.endpoint = home->hash,
+                               .running = 5,
+                               .long_running = 5,
+                               .prompt_tokens = 60000,
+                               .waiting_tokens = QUEUES[i].waiting};
+        GArray *sums = g_array_new(FALSE, FALSE, sizeof(sum));
+        GArray *own = g_array_new(FALSE, FALSE, sizeof(sum));
+        g_array_append_val(sums, sum);
+        directory_take_loads(d, sums, own);
+        CU_ASSERT_EQUAL(home->others.prompt_tokens, 60000);
+        CU_ASSERT_EQUAL(place_of(d, c).endpoint == home, QUEUES[i].stays);
+        g_array_unref(sums);
+        g_array_unref(own);
+        directory_destroy(d);
+    }
+}
+
+/* A burst while no control instance passes loads on: eight instances that
+ * know their own requests only still take no more than the engines can end. */
+static void
+test_places_without_loads(void)
+{
+    enum { INSTANCES = 8, REQUESTS = 800 };
+    directory_t *seen[INSTANCES];
+    guint taken[ENGINES] = {0};
+    guint sum = 0;
+    for (guint i = 0; i < INSTANCES; i++) {
+        seen[i] = engines_create();
+    }
+    for (guint32 n = 0; n < REQUESTS; n++) {
+        place_case_t c = {.tokens = 12000,
+                          .shared = 1 + n % 40,
+                          .shared_tokens = 5000,
+                          .parted = TRUE,
+                          .draw = n,
+                          .unknown_sharers = INSTANCES};
+        endpoint_t *e = place_of(seen[n % INSTANCES], c).endpoint;
+        if (e != NULL) {
+            e->running++;
+            taken[atoi(e->id + strlen("engine-"))]++;
+            sum++;
+        }
+        /* A short prompt is not refused by the coarse count. */
+        c.tokens = 800;
+        c.shared = 0;
+        c.shared_tokens = 0;
+        CU_ASSERT_PTR_NOT_NULL(place_of(seen[n % INSTANCES], c).endpoint);
+    }
+    for (guint i = 0; i < ENGINES; i++) {
+        /* Each instance rounds up by one. */
+        CU_ASSERT(taken[i] <= 0.85 * SLOTS + INSTANCES);
+    }
+    CU_ASSERT(sum >= ENGINES * SLOTS / 4);
+    for (guint i = 0; i < INSTANCES; i++) {
+        directory_destroy(seen[i]);
+    }
+}
+
+/* Engines are parted while long prompts come, and until an instance has seen
+ * enough requests to know that none do. */
+static void
+test_prompt_mix(void)
+{
+    static const struct {
+        guint tokens[2]; /* of two requests */
+        gint64 at_s[2];  /* when they come */
+        gint64 asked_s;
+        gboolean parted;
+    } CASES[] = {
+        {{800, 800}, {1, 2}, 2, TRUE},     {{800, 800}, {1, 12}, 12, FALSE},
+        {{800, 9000}, {1, 12}, 12, TRUE},  {{9000, 800}, {1, 30}, 30, TRUE},
+        {{9000, 800}, {1, 62}, 62, FALSE},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
+        prompt_mix_t mix = {0};
+        prompt_mix_note(&mix,
+                        (prompt_note_t){.prompt_tokens = CASES[i].tokens[0]},
+                        CASES[i].at_s[0] * SECOND);
+        prompt_mix_note(&mix,
+                        (prompt_note_t){.prompt_tokens = CASES[i].tokens[1]},
+                        CASES[i].at_s[1] * SECOND);
+        CU_ASSERT_EQUAL(prompt_mix_parted(&mix, CASES[i].asked_s * SECOND),
+                        CASES[i].parted);
+    }
+}
+
+/* What the other instances run counts against the places. */
+static void
+test_loads_of_others(void)
+{
+    directory_t *d = engines_create();
+    endpoint_t *home = place(d, 12000, 7, 5000, TRUE, 3);
+    endpoint_load_t sum = {.endpoint = home->hash, .running = SLOTS};
+    endpoint_load_t own = {.endpoint = home->hash, .running = 1};
+    GArray *sums = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    GArray *owns = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    g_array_append_val(sums, sum);
+    g_array_append_val(owns, own);
+    directory_take_loads(d, sums, owns);
+    CU_ASSERT_EQUAL(home->others.running, SLOTS - 1);
+    CU_ASSERT_PTR_NOT_EQUAL(place(d, 12000, 7, 5000, TRUE, 3), home);
+    g_array_set_size(sums, 0);
+    directory_take_loads(d, sums, owns);
+    CU_ASSERT_EQUAL(home->others.running, 0);
+    CU_ASSERT_PTR_EQUAL(place(d, 12000, 7, 5000, TRUE, 3), home);
+    g_array_unref(sums);
+    g_array_unref(owns);
+    directory_destroy(d);
+}
+
+/* Sums follow the reports: replaced, renewed, and taken out when silent. */
+static void
+test_load_sum(void)
+{
+    load_sum_t *s = load_sum_create();
+    endpoint_load_t loads[] = {{1, 4, 400, 40}, {2, 3, 300, 30}};
+    GArray *mine = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    GArray *theirs = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    g_array_append_vals(mine, loads, 2);
+    g_array_append_vals(theirs, loads, 1);
+    load_sum_report(s, "a", mine, SECOND);
+    load_sum_report(s, "b", theirs, 2 * SECOND);
+    load_sum_report(s, "b", theirs, 3 * SECOND);
+    GArray *all = load_sum_all(s);
+    endpoint_load_t total = {0};
+    for (guint i = 0; i < all->len; i++) {
+        const endpoint_load_t *l = &g_array_index(all, endpoint_load_t, i);
+        total.running += l->running;
+        total.prompt_tokens += l->prompt_tokens;
+        total.waiting_tokens += l->waiting_tokens;
+    }
+    CU_ASSERT_EQUAL(all->len, 2);
+    CU_ASSERT_EQUAL(total.running, 11);
+    CU_ASSERT_EQUAL(total.prompt_tokens, 1100);
+    CU_ASSERT_EQUAL(total.waiting_tokens, 110);
+    g_array_unref(all);
+    load_sum_expire(s, 2 * SECOND);
+    CU_ASSERT_EQUAL(load_sum_reporters(s), 1);
+    all = load_sum_all(s);
+    CU_ASSERT_EQUAL_FATAL(all->len, 1);
+    CU_ASSERT_EQUAL(g_array_index(all, endpoint_load_t, 0).running, 4);
+    g_array_unref(all);
+    g_array_unref(mine);
+    g_array_unref(theirs);
+    load_sum_destroy(s);
+}
+
+/* One that refuses all looks idle; it is left for longer each time. */
+static void
+test_refusing(void)
+{
+    directory_t *d = engines_create();
+    endpoint_t *e = directory_find(d, "engine-0");
+    gint64 now = SECOND;
+    guint tries = 0;
+    while (now < 61 * SECOND) {
+        if (endpoint_open(e, now)) {
+            endpoint_note(e, ENDPOINT_FULL, now);
+            tries++;
+        }
+        now += 10000;
+    }
+    CU_ASSERT(tries <= 30);
+    endpoint_note(e, ENDPOINT_SERVED, now);
+    now = e->full_until_us;
+    endpoint_note(e, ENDPOINT_FULL, now);
+    CU_ASSERT(endpoint_open(e, now + SECOND / 2));
+    directory_destroy(d);
+}
+
+/* Runs `demand` for ten seconds, told each 200 ms. */
+static double
+part_after(split_demand_t demand)
+{
+    engine_split_t split = {0};
+    for (gint64 ms = 0; ms <= 10000; ms += 200) {
+        engine_split_update(&split, &demand, SECOND + ms * 1000);
+    }
+    return engine_split_part(&split);
+}
+
+/* The more urgent kind gets the engines that it needs, whatever the other one
+ * has waiting; the rest is shared. */
+static void
+test_split(void)
+{
+    static const struct {
+        const char *name;
+        kind_load_t of_long;
+        kind_load_t of_rest;
+        double least;
+        double most;
+    } SPLITS[] = {
+        {"nothing runs", {0}, {0}, 0.49, 0.6},
+        {"long ones wait, less urgent",
+         {.running = 60,
+          .waiting_tokens = 200000,
+          .target_ms = 500,
+          .priority = 1},
+         {.running = 90, .target_ms = 600},
+         0.65,
+         0.8},
+        {"long ones wait, more urgent",
+         {.running = 60, .waiting_tokens = 200000, .target_ms = 500},
+         {.running = 90, .target_ms = 600, .priority = 1},
+         0.8,
+         0.86},
+        {"many short ones run",
+         {.running = 10,
+          .waiting_tokens = 20000,
+          .target_ms = 500,
+          .priority = 1},
+         {.running = 300, .target_ms = 600},
+         0.19,
+         0.35},
+        {"a longer objective needs fewer engines",
+         {.running = 20,
+          .waiting_tokens = 20000,
+          .target_ms = 4000,
+          .priority = 1},
+         {.running = 60, .target_ms = 600},
+         0.19,
+         0.4},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(SPLITS); i++) {
+        split_demand_t demand = {.engines = 12,
+                                 .slots = 64,
+                                 .tokens_a_ms = 60,
+                                 .running_most = 25,
+                                 .of_long = SPLITS[i].of_long,
+                                 .of_rest = SPLITS[i].of_rest};
+        double part = part_after(demand);
+        CU_ASSERT(part >= SPLITS[i].least && part <= SPLITS[i].most);
+    }
+}
+
+/* The border goes by whole engines, not with every request. */
+static void
+test_split_is_steady(void)
+{
+    engine_split_t split = {0};
+    guint moves = 0;
+    CU_ASSERT_EQUAL(engine_split_part(&split), 0.6);
+    for (guint i = 0; i < 100; i++) {
+        split_demand_t demand = {
+            .engines = 12, .slots = 64, .tokens_a_ms = 60, .running_most = 25};
+        demand.of_long.waiting_tokens = i % 2 ? 17000 : 19000;
+        demand.of_long.target_ms = 500;
+        demand.of_rest.running = 50;
+        double before = engine_split_part(&split);
+        engine_split_update(&split, &demand, SECOND + i * SECOND / 5);
+        moves += engine_split_part(&split) != before;
+    }
+    CU_ASSERT(moves <= 2);
+}
+
+/* What the engines of a service do is learned from a bad guess, and outliers
+ * do not spoil it. */
+static void
+test_engine_model(void)
+{
+    static const struct {
+        double first_ms; /* before the first event, without any prompt */
+        double tokens_a_ms;
+        double pause_ms;
+        double running_ms;
+    } ENGINE_KINDS[] = {{5, 30, 20, 0.1}, {60, 60, 18, 0.73}, {2, 200, 8, 1}};
+    for (gsize i = 0; i < G_N_ELEMENTS(ENGINE_KINDS); i++) {
+        engine_model_t model;
+        engine_model_init(&model);
+        for (guint n = 0; n < 400; n++) {
+            double tokens = 500 + (n * 977) % 20000;
+            double first = ENGINE_KINDS[i].first_ms +
+                           tokens / ENGINE_KINDS[i].tokens_a_ms;
+            double running = n % 40;
+            double pause = ENGINE_KINDS[i].pause_ms +
+                           running * ENGINE_KINDS[i].running_ms;
+            engine_model_note_first(&model, tokens,
+                                    n % 50 == 0 ? 10000 : first);
+            engine_model_note_pause(&model, running, pause);
+        }
+        double expected =
+            ENGINE_KINDS[i].first_ms + 10000 / ENGINE_KINDS[i].tokens_a_ms;
+        CU_ASSERT_DOUBLE_EQUAL(engine_model_first_ms(&model, 10000), expected,
+                               0.15 * expected);
+        double twice = ENGINE_KINDS[i].pause_ms / ENGINE_KINDS[i].running_ms;
+        CU_ASSERT_DOUBLE_EQUAL(engine_model_running_twice(&model), twice,
+                               0.15 * twice);
+    }
+}
+
+/* A long prompt keeps away from streams that its reading would hold up; off
+ * its side it goes only where nothing would be. */
+static void
+test_pauses_guarded(void)
+{
+    directory_t *d = engines_create();
+    place_case_t c = {.tokens = 12000,
+                      .shared = 7,
+                      .shared_tokens = 5000,
+                      .parted = TRUE,
+                      .target_ms = 500,
+                      .fetch_tokens_a_ms = 800};
+    endpoint_t *home = place_of(d, c).endpoint;
+    home->running = 20; /* streams that are not long */
+    CU_ASSERT_PTR_NOT_EQUAL(place_of(d, c).endpoint, home);
+    home->long_running = 20;
+    CU_ASSERT_PTR_EQUAL(place_of(d, c).endpoint, home);
+    const GPtrArray *engines = directory_service(d, "s");
+    for (guint i = 0; i < engines->len; i++) {
+        endpoint_t *e = engines->pdata[i];
+        gboolean on_side = i < (guint)(0.6 * ENGINES + 0.5);
+        e->running = on_side ? SLOTS : 1;
+        e->long_running = on_side ? SLOTS : 0;
+    }
+    CU_ASSERT_PTR_NULL(place_of(d, c).endpoint);
+    directory_destroy(d);
+}
+
+/* When the border moves over a prompt's home, the next one fetches the shared
+ * parts from there. */
+static void
+test_former_home(void)
+{
+    directory_t *d = engines_create();
+    place_case_t c = {.tokens = 12000,
+                      .shared_tokens = 5000,
+                      .parted = TRUE,
+                      .fetch_tokens_a_ms = 800};
+    guint moved = 0;
+    for (guint64 part = 1; part <= 60; part++) {
+        c.shared = part;
+        c.long_part = 0.9;
+        endpoint_t *before = place_of(d, c).endpoint;
+        endpoint_note_part(before, part);
+        c.long_part = 0.3;
+        placement_t after = place_of(d, c);
+        if (after.endpoint != before) {
+            CU_ASSERT_PTR_EQUAL(after.source, before);
+            moved++;
+        }
+    }
+    CU_ASSERT(moved >= 20);
+    directory_destroy(d);
+}
+
+static const test_case_t CASES[] = {
+    {"engines divided by need", test_split},
+    {"engines divided by whole ones", test_split_is_steady},
+    {"what engines do is learned", test_engine_model},
+    {"pauses guarded from long prompts", test_pauses_guarded},
+    {"a home on the other side of the border", test_former_home},
+    {"long prompts and short ones are kept apart", test_sides},
+    {"sessions stay where their prompts are", test_affinity},
+    {"failing endpoints are left", test_failing},
+    {"long prompts take so many places", test_places},
+    {"prompts fetched from another engine", test_fetching},
+    {"places of prompts without a home", test_places_without_home},
+    {"places by an engine's memory", test_places_by_memory},
+    {"a queue at a prompt's home", test_queue_at_home},
+    {"places without word of the others", test_places_without_loads},
+    {"long prompts are remembered", test_prompt_mix},
+    {"loads of the other instances", test_loads_of_others},
+    {"loads are summed", test_load_sum},
+    {"an endpoint that refuses all", test_refusing},
+};
+
+CHECK_MAIN("placement", CASES)
--- /dev/null
+++ b/tests/test_placement_load.c
@@ -0,0 +1,440 @@
+/* Plays loads against the decisions of several entry instances on a model of
+ * engines, and checks what callers get: first events and pauses within their
+ * objectives. */
+#include <math.h>
+
+#include "batch_engine.h"
+#include "carobloom/policy/directory.h"
+#include "carobloom/policy/engine_model.h"
+#include "carobloom/policy/placement.h"
+#include "carobloom/policy/prompt_mix.h"
+#include "check.h"
+
+enum {
+    ENGINES_MOST = 64,
+    INSTANCES = 4,
+    TICK_MS = 2,
+    TELL_MS = 200, /* how often loads are told */
+    PARTS = 100,   /* shared by the long prompts */
+};
+
+typedef enum { KIND_LONG, KIND_CHAT, KINDS } kind_t;
+
+/* Requests a second, until a time of the play. */
+typedef struct {
+    double until_s;
+    double a_second[KINDS];
+} phase_t;
+
+typedef struct {
+    const engine_kind_t *kind;
+    guint engines;
+    phase_t phases[4];
+    guint phase_count;
+    double fixed_part; /* of the engines, for long prompts; 0: it follows */
+} load_t;
+
+/* What one kind of caller got. */
+typedef struct {
+    guint asked;
+    guint in_aim;
+    guint refused;
+} served_t;
+
+typedef struct {
+    guint prompt_tokens;
+    guint shared_tokens;
+    guint out_tokens;
+    guint priority;
+    gint64 target_ms;
+    gint64 pause_ms;
+} request_kind_t;
+
+static const request_kind_t REQUESTS[KINDS] = {
+    [KIND_LONG] = {.prompt_tokens = 9000,
+                   .shared_tokens = 6000,
+                   .out_tokens = 60,
+                   .priority = 1,
+                   .target_ms = 500,
+                   .pause_ms = 300},
+    [KIND_CHAT] = {.prompt_tokens = 800,
+                   .out_tokens = 300,
+                   .target_ms = 600,
+                   .pause_ms = 200},
+};
+
+typedef struct {
+    engine_job_t job;
+    kind_t kind;
+    guint instance;
+    guint waiting;
+    guint found_waiting;
+    gboolean heard; /* its first event was seen */
+    endpoint_t *endpoint;
+} play_request_t;
+
+typedef struct {
+    const load_t *load;
+    batch_engine_t *engines[ENGINES_MOST];
+    directory_t *seen[INSTANCES];
+    prompt_mix_t mix[INSTANCES];
+    engine_split_t split[INSTANCES];
+    engine_model_t model[INSTANCES];
+    GArray *errors; /* double, ms: expected first events less real ones */
+    GPtrArray *under_way; /* play_request_t * */
+    served_t served[KINDS];
+    GRand *random;
+} play_t;
+
+static void
+drop_nothing(void *connections)
+{
+    (void)connections;
+}
+
+static void
+play_init(play_t *p, const load_t *load, guint32 seed)
+{
+    *p = (play_t){.load = load};
+    p->errors = g_array_new(FALSE, FALSE, sizeof(double));
+    p->under_way = g_ptr_array_new_with_free_func(g_free);
+    p->random = g_rand_new_with_seed(seed);
+    for (guint i = 0; i < load->engines; i++) {
+        p->engines[i] = batch_engine_create(load->kind);
+    }
+    for (guint n = 0; n < INSTANCES; n++) {
+        p->seen[n] = directory_create(drop_nothing);
+        engine_model_init(&p->model[n]);
+        for (guint i = 0; i < load->engines; i++) {
+            char id[16];
+            g_snprintf(id, sizeof(id), "%u", i);
+            endpoint_lease_t lease = {.id = id,
+                                      .service = "s",
+                                      .address = id,
+                                      .data_centre = "dc",
+                                      .sequence = 1,
+                                      .slots = load->kind->slots,
+                                      .state = LEASE_READY};
+            directory_update(p->seen[n], 0, &lease, 0);
+        }
+    }
+}
+
+static void
+play_clear(play_t *p)
+{
+    g_array_unref(p->errors);
+    g_ptr_array_unref(p->under_way);
+    g_rand_free(p->random);
+    for (guint i = 0; i < p->load->engines; i++) {
+        batch_engine_destroy(p->engines[i]);
+    }
+    for (guint n = 0; n < INSTANCES; n++) {
+        directory_destroy(p->seen[n]);
+    }
+}
+
+static guint
+engine_of(const endpoint_t *e)
+{
+    return (guint)g_ascii_strtoull(e->id, NULL, 10);
+}
+
+static double
+long_part(const play_t *p, guint instance)
+{
+    return p->load->fixed_part > 0 ? p->load->fixed_part
+                                   : engine_split_part(&p->split[instance]);
+}
+
+static placement_t
+play_place(play_t *p, guint n, kind_t kind, guint64 part, double now_ms)
+{
+    const request_kind_t *k = &REQUESTS[kind];
+    prompt_part_t parts[] = {
+        {part, k->shared_tokens},
+        {g_rand_int(p->random) | G_GUINT64_CONSTANT(1) << 40,
+         k->prompt_tokens - k->shared_tokens}};
+    gint64 now_us = (gint64)(now_ms * 1000);
+    prompt_note_t note = {.prompt_tokens = k->prompt_tokens,
+                          .target_ms = k->target_ms,
+                          .pause_ms = k->pause_ms,
+                          .priority = k->priority};
+    prompt_mix_note(&p->mix[n], note, now_us);
+    placement_request_t request = {
+        .parts = parts,
+        .part_count = part != 0 ? 2 : 0,
+        .prompt_tokens = k->prompt_tokens,
+        .parted = prompt_mix_parted(&p->mix[n], now_us),
+        .long_part = long_part(p, n),
+        .target_ms = k->target_ms,
+        .rest_pause_ms = p->mix[n].rest_pause_ms,
+        .tokens_a_ms = engine_model_tokens_a_ms(&p->model[n]),
+        .fetch_tokens_a_ms = 3000,
+        .data_centre = "dc",
+        .draw = g_rand_int(p->random),
+    };
+    return placement_pick(directory_service(p->seen[n], "s"), &request,
+                          now_us);
+}
+
+static void
+play_request(play_t *p, kind_t kind, double now_ms)
+{
+    const request_kind_t *k = &REQUESTS[kind];
+    guint n = (guint)g_rand_int_range(p->random, 0, INSTANCES);
+    guint64 part = k->shared_tokens > 0
+                       ? 1 + (guint64)g_rand_int_range(p->random, 0, PARTS)
+                       : 0;
+    placement_t placed = play_place(p, n, kind, part, now_ms);
+    p->served[kind].asked++;
+    if (placed.endpoint == NULL) {
+        p->served[kind].refused++;
+        return;
+    }
+    endpoint_t *e = placed.endpoint;
+    play_request_t *r = g_new0(play_request_t, 1);
+    *r = (play_request_t){
+        .job = {.priority = k->priority,
+                .part = part,
+                .part_tokens = k->shared_tokens,
+                .own_tokens = k->prompt_tokens - k->shared_tokens,
+                .out_tokens = k->out_tokens,
+                .sent_ms = now_ms},
+        .kind = kind,
+        .instance = n,
+        .waiting = placed.read_tokens,
+        .found_waiting = e->waiting_tokens + e->others.waiting_tokens,
+        .endpoint = e,
+    };
+    batch_engine_t *engine = p->engines[engine_of(e)];
+    if (placed.source != NULL &&
+        batch_engine_keeps(p->engines[engine_of(placed.source)], part)) {
+        batch_engine_keep(engine, part);
+    }
+    endpoint_join(e, k->prompt_tokens, r->waiting);
+    batch_engine_add(engine, &r->job);
+    g_ptr_array_add(p->under_way, r);
+}
+
+static void
+hear_first(play_t *p, play_request_t *r)
+{
+    engine_model_t *model = &p->model[r->instance];
+    double tokens = (double)r->found_waiting + r->waiting;
+    double ms = r->job.first_ms - r->job.sent_ms;
+    double error = fabs(engine_model_first_ms(model, tokens) - ms);
+    g_array_append_val(p->errors, error);
+    r->heard = TRUE;
+    endpoint_end_wait(r->endpoint, REQUESTS[r->kind].prompt_tokens,
+                      r->waiting);
+    engine_model_note_first(model, tokens, ms);
+}
+
+static void
+hear_end(play_t *p, const play_request_t *r)
+{
+    const request_kind_t *k = &REQUESTS[r->kind];
+    const engine_job_t *job = &r->job;
+    endpoint_leave(r->endpoint, k->prompt_tokens);
+    if (job->first_ms - job->sent_ms <= (double)k->target_ms &&
+        job->longest_ms <= (double)k->pause_ms) {
+        p->served[r->kind].in_aim++;
+    }
+}
+
+static void
+hear_engines(play_t *p)
+{
+    for (guint i = p->under_way->len; i > 0; i--) {
+        play_request_t *r = p->under_way->pdata[i - 1];
+        if (r->job.made > 0 && !r->heard) {
+            hear_first(p, r);
+        }
+        if (r->job.done) {
+            hear_end(p, r);
+            g_ptr_array_remove_index_fast(p->under_way, i - 1);
+        }
+    }
+}
+
+/* The sums of all instances reach each of them. */
+static void
+tell_loads(play_t *p, double now_ms)
+{
+    load_sum_t *sum = load_sum_create();
+    GArray *own[INSTANCES];
+    for (guint n = 0; n < INSTANCES; n++) {
+        char name[8];
+        g_snprintf(name, sizeof(name), "%u", n);
+        own[n] = directory_loads(p->seen[n]);
+        load_sum_report(sum, name, own[n], 0);
+    }
+    GArray *all = load_sum_all(sum);
+    gint64 now_us = (gint64)(now_ms * 1000);
+    for (guint n = 0; n < INSTANCES; n++) {
+        directory_take_loads(p->seen[n], all, own[n]);
+        split_demand_t demand = directory_demand(p->seen[n], "s", now_us);
+        prompt_mix_fill(&p->mix[n], &demand);
+        demand.tokens_a_ms = engine_model_tokens_a_ms(&p->model[n]);
+        demand.running_most = engine_model_running_twice(&p->model[n]);
+        engine_split_update(&p->split[n], &demand, now_us);
+        g_array_unref(own[n]);
+    }
+    g_array_unref(all);
+    load_sum_destroy(sum);
+}
+
+static void
+play(play_t *p)
+{
+    const load_t *load = p->load;
+    guint phase = 0;
+    for (guint ms = 0;; ms += TICK_MS) {
+        while (phase < load->phase_count &&
+               ms >= load->phases[phase].until_s * 1000) {
+            phase++;
+        }
+        if (phase == load->phase_count) {
+            return;
+        }
+        for (kind_t kind = 0; kind < KINDS; kind++) {
+            double chance = load->phases[phase].a_second[kind] * TICK_MS / 1e3;
+            if (g_rand_double(p->random) < chance) {
+                play_request(p, kind, ms);
+            }
+        }
+        for (guint i = 0; i < load->engines; i++) {
+            batch_engine_run(p->engines[i], ms);
+        }
+        hear_engines(p);
+        if (ms % TELL_MS == 0) {
+            tell_loads(p, ms);
+        }
+    }
+}
+
+static double
+part_in_aim(const play_t *p, kind_t kind)
+{
+    return (double)p->served[kind].in_aim / MAX(p->served[kind].asked, 1);
+}
+
+/* Engines of two speeds and slot counts. */
+static const engine_kind_t FAST = {.slots = 64,
+                                   .step_ms = 3,
+                                   .slot_ms = 0.12,
+                                   .tokens_a_ms = 92,
+                                   .chunk = 2048,
+                                   .stride = 6};
+static const engine_kind_t SLOW = {.slots = 16,
+                                   .step_ms = 6,
+                                   .slot_ms = 0.2,
+                                   .tokens_a_ms = 45,
+                                   .chunk = 1024,
+                                   .stride = 3};
+
+/* A burst of long prompts, then one of chats: engines that went to the one are
+ * there for the other. Under a border that stays, part of the engines are idle
+ * while callers of the other kind wait: in aim were 0.62 and 0.84 of the long
+ * prompts, 0.96 and 0.78 of the chats; with a border that follows 0.99 and
+ * 0.90, 1.00 and 1.00 (four seeds, within 0.05). */
+static void
+test_bursts(void)
+{
+    static const struct {
+        load_t load;
+        double long_least; /* part in aim */
+        double chat_least;
+        double gain_least; /* of long prompts, against a border at 0.6 */
+    } CASES[] = {
+        {{.kind = &FAST,
+          .engines = 12,
+          .phases =
+              {{2, {45, 42}}, {11, {150, 42}}, {16, {45, 120}}, {22, {0, 0}}},
+          .phase_count = 4},
+         0.95,
+         0.97,
+         0.2},
+        {{.kind = &SLOW,
+          .engines = 48,
+          .phases =
+              {{2, {60, 60}}, {11, {260, 60}}, {16, {60, 160}}, {22, {0, 0}}},
+          .phase_count = 4},
+         0.85,
+         0.97,
+         0.02},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
+        play_t follows;
+        play_t stays;
+        load_t fixed = CASES[i].load;
+        fixed.fixed_part = 0.6;
+        play_init(&follows, &CASES[i].load, 7);
+        play(&follows);
+        play_init(&stays, &fixed, 7);
+        play(&stays);
+        CU_ASSERT(part_in_aim(&follows, KIND_LONG) >= CASES[i].long_least);
+        CU_ASSERT(part_in_aim(&follows, KIND_CHAT) >= CASES[i].chat_least);
+        CU_ASSERT(part_in_aim(&follows, KIND_LONG) >=
+                  part_in_aim(&stays, KIND_LONG) + CASES[i].gain_least);
+        play_clear(&follows);
+        play_clear(&stays);
+    }
+}
+
+static gint
+by_size(gconstpointer a, gconstpointer b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return x < y ? -1 : x > y;
+}
+
+/* Expected first events on engines of three speeds, learned within seconds
+ * from the same guess. Half of them are off by less than the time of three
+ * chunks; the tail is prompts whose shared part was not kept after all, or
+ * that met others nobody had told of yet. */
+static void
+test_expected_first_events(void)
+{
+    static const struct {
+        double speed; /* of a moderate engine */
+        guint slots;
+        double median_ms;
+        double most_ms; /* of 95 in 100 */
+    } CASES[] = {{0.5, 16, 60, 300}, {1, 32, 25, 200}, {3, 64, 12, 60}};
+    for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
+        play_t p;
+        engine_kind_t kind = {.slots = CASES[i].slots,
+                              .step_ms = 4 / CASES[i].speed,
+                              .slot_ms = 0.1 / CASES[i].speed,
+                              .tokens_a_ms = 70 * CASES[i].speed,
+                              .chunk = 2048,
+                              .stride = 4};
+        load_t load = {
+            .kind = &kind,
+            .engines = 16,
+            .phases = {{15, {60 * CASES[i].speed, 50 * CASES[i].speed}}},
+            .phase_count = 1,
+        };
+        play_init(&p, &load, 11);
+        play(&p);
+        g_array_remove_range(p.errors, 0, p.errors->len / 4);
+        g_array_sort(p.errors, by_size);
+        guint count = p.errors->len;
+        double median = g_array_index(p.errors, double, count / 2);
+        double most = g_array_index(p.errors, double, count * 95 / 100);
+        printf("%.0f and %.0f ms ", median, most);
+        CU_ASSERT(median <= CASES[i].median_ms);
+        CU_ASSERT(most <= CASES[i].most_ms);
+        play_clear(&p);
+    }
+}
+
+static const test_case_t CASES[] = {
+    {"bursts of either kind", test_bursts},
+    {"expected first events", test_expected_first_events},
+};
+
+CHECK_MAIN("placement under load", CASES)
