--- a/policy/placement.c
+++ b/policy/placement.c
@@ -59,9 +59,8 @@
 /* Parts of an engine's slots that requests may take. While prompts are read
  * all the time a token takes ten times as long, and a draft of 400 of them
  * does not end in 15 s: at 27 of 32 slots an engine reads for some 70% of its
- * time and drafts end within five. Away from where its shared parts are, a
- * long prompt costs the engine twice the reading: only engines with next to
- * nothing to do take it. Short prompts may wait for a moment. */
+ * time and drafts end within five. Short prompts
+ * may wait for a moment. */
 static const double LONG_HOME_SLOTS = 0.85;
 /* And of its memory, by the tokens of the prompts that run there: above, parts
  * that many share are dropped to make room and read again, and engines with
@@ -216,6 +215,30 @@
            tokens > STALL_PART * (double)r->rest_pause_ms * r->tokens_a_ms;
 }
 
+/* The part of its slots that long prompts may take. Away from where its shared
+ * parts are kept, a long prompt costs the engine twice the reading: only those
+ * with next to nothing to do take it. The next keeper takes as many as it
+ * reads within their objective: on 112 engines of 16 slots a quiet day's worth
+ * went from 0.653 to 0.696 +- 0.003, a heavy one's from 0.275 to 0.263 +-
+ * 0.005 (2 pairs each); on 12 engines +0.002 +- 0.004 (15 pairs). */
+static double
+long_slots(const endpoint_t *e, const placement_request_t *r,
+           standing_t standing)
+{
+    if (standing.rank == 0) {
+        return LONG_HOME_SLOTS;
+    }
+    if (!standing.on_side) {
+        return LONG_OFF_SIDE_SLOTS;
+    }
+    if (standing.rank == KEEPERS_MAX) {
+        return LONG_AWAY_SLOTS;
+    }
+    double in_time =
+        (double)r->target_ms * r->tokens_a_ms / MAX(standing.read_tokens, 1);
+    return CLAMP(in_time / e->slots, LONG_AWAY_SLOTS, LONG_HOME_SLOTS);
+}
+
 static gboolean
 has_place(const endpoint_t *e, const placement_request_t *r,
           standing_t standing)
@@ -225,9 +248,7 @@
         part = PLAIN_SLOTS;
     }
     else if (prompt_is_long(r->prompt_tokens)) {
-        part = standing.rank == 0 ? LONG_HOME_SLOTS
-               : standing.on_side ? LONG_AWAY_SLOTS
-                                  : LONG_OFF_SIDE_SLOTS;
+        part = long_slots(e, r, standing);
     }
     if (prompt_is_long(r->prompt_tokens) && r->memory_tokens > 0 &&
         (double)tokens_at(e, r) > LONG_MEMORY * (double)r->memory_tokens) {
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -625,6 +625,40 @@
     directory_destroy(d);
 }
 
+/* A home that is full leaves to the next keeper what that reads within the
+ * objective, and to no engine beyond. */
+static void
+test_next_keeper(void)
+{
+    static const struct {
+        gint64 target_ms;
+        guint least; /* requests that run at the next keeper in the end */
+        guint most;
+    } OBJECTIVES[] = {{500, 4, 5}, {2000, 14, 15}, {8000, 27, 28}};
+    for (gsize i = 0; i < G_N_ELEMENTS(OBJECTIVES); i++) {
+        directory_t *d = engines_create();
+        place_case_t c = {.tokens = 12000,
+                          .shared = 7,
+                          .shared_tokens = 5000,
+                          .parted = TRUE,
+                          .target_ms = OBJECTIVES[i].target_ms,
+                          .fetch_tokens_a_ms = 800};
+        endpoint_t *home = place_of(d, c).endpoint;
+        home->running = SLOTS;
+        home->long_running = SLOTS;
+        endpoint_t *next = place_of(d, c).endpoint;
+        endpoint_t *e = next;
+        while (e == next) {
+            e->running++;
+            e->long_running++;
+            e = place_of(d, c).endpoint;
+        }
+        CU_ASSERT(next->running >= OBJECTIVES[i].least);
+        CU_ASSERT(next->running <= OBJECTIVES[i].most);
+        directory_destroy(d);
+    }
+}
+
 /* When the border moves over a prompt's home, the next one fetches the shared
  * parts from there. */
 static void
@@ -657,6 +691,7 @@
     {"engines divided by whole ones", test_split_is_steady},
     {"what engines do is learned", test_engine_model},
     {"pauses guarded from long prompts", test_pauses_guarded},
+    {"what a full home leaves to the next keeper", test_next_keeper},
     {"a home on the other side of the border", test_former_home},
     {"long prompts and short ones are kept apart", test_sides},
     {"sessions stay where their prompts are", test_affinity},
