Drop the learned pace of engines; split the site state's commands and splices off

A part of the slots bounds the streams instead, as it did for engines of 16.

site_state.c loses the writing of commands and the splices of text to files of their own (759 to 639 lines), nothing else about it changes.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -157,7 +157,6 @@
     event_log_number("for_long_percent",
                      (gint64)(100 * engine_split_part(split)));
     event_log_number("tokens_a_ms", (gint64)demand->tokens_a_ms);
-    event_log_number("running_most", (gint64)demand->running_most);
     event_log_number("long_running", demand->of_long.running);
     event_log_number("long_waiting", (gint64)demand->of_long.waiting_tokens);
     event_log_number("rest_running", demand->of_rest.running);
@@ -178,7 +177,6 @@
         split_demand_t demand =
             directory_demand(e->directory, service, e->loads_us);
         demand.tokens_a_ms = engine_model_tokens_a_ms(&use->engine);
-        demand.running_most = engine_model_running_twice(&use->engine);
         prompt_mix_fill(&use->prompts, &demand);
         double before = engine_split_part(&use->split);
         engine_split_update(&use->split, &demand, e->loads_us);
@@ -375,11 +373,9 @@
         g_string_append_printf(
             text,
             "service %s: %.0f tokens read a ms, first event of none after"
-            " %.0f ms, %.0f at once take twice the time, %.2f of the engines"
-            " for long prompts\n",
+            " %.0f ms, %.2f of the engines for long prompts\n",
             (const char *)service, engine_model_tokens_a_ms(&use->engine),
             engine_model_first_ms(&use->engine, 0),
-            engine_model_running_twice(&use->engine),
             engine_split_part(&use->split));
     }
 }
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -82,23 +82,6 @@
     engine_model_note_first(&f->use->engine, tokens, ms);
 }
 
-/* What a whole stream tells of it: long prompts are left out, whose streams
- * wait for each other's prompts. */
-static void
-learn_pause(const forward_t *f)
-{
-    enum { EVENTS_LEAST = 4 }; /* fewer say little of the pause */
-    if (f->endpoint == NULL || f->events_seen < EVENTS_LEAST ||
-        prompt_is_long(f->info.prompt_tokens)) {
-        return;
-    }
-    const endpoint_t *e = f->endpoint;
-    double running = (f->found_running + e->running + e->others.running) / 2.0;
-    double ms =
-        (double)(f->event_us - f->events_us) / MS / (f->events_seen - 1);
-    engine_model_note_pause(&f->use->engine, running, ms);
-}
-
 static void
 note_first(forward_t *f)
 {
@@ -112,9 +95,9 @@
 note_event(forward_t *f)
 {
     gint64 now = forward_now(f);
-    if (f->events_seen++ == 0) {
+    if (!f->heard) {
+        f->heard = TRUE;
         learn_first(f);
-        f->events_us = now;
     }
     note_first(f);
     if (f->event_us != 0) {
@@ -191,7 +174,6 @@
         return;
     }
     forward_note_endpoint(f, ENDPOINT_SERVED);
-    learn_pause(f);
     if (!f->begun) {
         f->streaming = FALSE;
         forward_deliver(f);
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -169,7 +169,7 @@
     endpoint_t *endpoint = placement->endpoint;
     f->endpoint = endpoint;
     g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
-    f->events_seen = 0;
+    f->heard = FALSE;
     f->found_running = endpoint->running + endpoint->others.running;
     f->found_waiting =
         endpoint->waiting_tokens + endpoint->others.waiting_tokens;
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -36,8 +36,7 @@
     /* when it was sent: what all instances' requests took of the endpoint */
     guint found_running;
     guint found_waiting; /* tokens */
-    guint events_seen;   /* passed on from this endpoint */
-    gint64 events_us;    /* when the first of them came */
+    gboolean heard;      /* an event came from this endpoint */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX];
     guint sends;
     guint runs;                /* sends that may have run */
--- a/carobloomd/version/site_state.c
+++ b/carobloomd/version/site_state.c
@@ -3,13 +3,8 @@
 #include <string.h>
 
 #include "carobloom/common/codec.h"
+#include "site_commands.h"
 
-#define COMMAND_TYPE "(yxv)"
-#define SUBMIT_TYPE "(stssttay)"
-#define CLAIM_TYPE "(ssttx)"
-#define FINISH_TYPE "(sstisay)"
-#define ORDER_TYPE "(sss)"
-#define ORDER_DONE_TYPE "(ti)"
 #define STATE_TYPE "(xtaya(tsssx)a(sttxixsay)a(tsssbi))"
 enum { CLAIM_OVERHEAD = 200, CLAIM_RUNNING = 0, EXPIRE_A_COMMAND = 64 };
 
@@ -44,60 +39,6 @@
     GQueue deltas; /* site_delta_t, not part of the snapshot */
 };
 
-/* ---- text ---- */
-
-splice_t
-splice_between(str_t from, str_t to)
-{
-    gsize most = MIN(from.length, to.length);
-    gsize prefix = 0;
-    while (prefix < most && from.data[prefix] == to.data[prefix]) {
-        prefix++;
-    }
-    gsize suffix = 0;
-    while (suffix < most - prefix && from.data[from.length - 1 - suffix] ==
-                                         to.data[to.length - 1 - suffix]) {
-        suffix++;
-    }
-    return (splice_t){
-        .prefix = prefix,
-        .removed = from.length - prefix - suffix,
-        .inserted = g_bytes_new(to.data + prefix, to.length - prefix - suffix),
-    };
-}
-
-char *
-splice_apply(str_t from, const splice_t *splice, gsize *length)
-{
-    if (splice->prefix > from.length ||
-        splice->removed > from.length - splice->prefix) {
-        return NULL;
-    }
-    gsize added;
-    const char *inserted = g_bytes_get_data(splice->inserted, &added);
-    gsize rest = from.length - splice->prefix - splice->removed;
-    *length = splice->prefix + added + rest;
-    char *text = g_malloc(*length + 1);
-    if (splice->prefix > 0) {
-        memcpy(text, from.data, splice->prefix);
-    }
-    if (added > 0) {
-        memcpy(text + splice->prefix, inserted, added);
-    }
-    if (rest > 0) {
-        memcpy(text + splice->prefix + added,
-               from.data + splice->prefix + splice->removed, rest);
-    }
-    text[*length] = '\0';
-    return text;
-}
-
-void
-splice_clear(splice_t *splice)
-{
-    g_clear_pointer(&splice->inserted, g_bytes_unref);
-}
-
 /* ---- life ---- */
 
 static void
@@ -696,64 +637,3 @@
 {
     return s->claim_bytes;
 }
-
-/* ---- builders ---- */
-
-static GBytes *
-command_write(site_command_t kind, gint64 time_ms, GVariant *body)
-{
-    return codec_write(
-        g_variant_new(COMMAND_TYPE, (guchar)kind, time_ms, body));
-}
-
-GBytes *
-site_submit_write(gint64 time_ms, const char *change, guint64 base,
-                  const char *author, const char *note, const splice_t *splice)
-{
-    GVariant *inserted =
-        g_variant_new_from_bytes(G_VARIANT_TYPE("ay"), splice->inserted, TRUE);
-    return command_write(SITE_SUBMIT, time_ms,
-                         g_variant_new("(stsstt@ay)", change, base, author,
-                                       note, splice->prefix, splice->removed,
-                                       inserted));
-}
-
-GBytes *
-site_claim_write(gint64 time_ms, const char *team, const char *key,
-                 guint64 digest, guint64 holder, gint64 keep_s)
-{
-    return command_write(
-        SITE_CLAIM, time_ms,
-        g_variant_new(CLAIM_TYPE, team, key, digest, holder, keep_s));
-}
-
-GBytes *
-site_finish_write(gint64 time_ms, const char *team, const char *key,
-                  guint64 holder, int status, const char *type, GBytes *answer)
-{
-    GBytes *empty = g_bytes_new(NULL, 0);
-    GVariant *array = g_variant_new_from_bytes(G_VARIANT_TYPE("ay"),
-                                               answer ? answer : empty, TRUE);
-    GBytes *bytes =
-        command_write(SITE_FINISH, time_ms,
-                      g_variant_new("(sstis@ay)", team, key, holder,
-                                    (gint32)status, type ? type : "", array));
-    g_bytes_unref(empty);
-    return bytes;
-}
-
-GBytes *
-site_order_write(gint64 time_ms, const char *address, const char *verb,
-                 const char *value)
-{
-    return command_write(SITE_ORDER, time_ms,
-                         g_variant_new(ORDER_TYPE, address, verb, value));
-}
-
-GBytes *
-site_order_done_write(gint64 time_ms, guint64 fence, int status)
-{
-    return command_write(
-        SITE_ORDER_DONE, time_ms,
-        g_variant_new(ORDER_DONE_TYPE, fence, (gint32)status));
-}
--- a/include/carobloom/policy/engine_split.h
+++ b/include/carobloom/policy/engine_split.h
@@ -17,10 +17,9 @@
 } kind_load_t;
 
 typedef struct {
-    guint engines;       /* that take work */
-    guint slots;         /* of one */
-    double tokens_a_ms;  /* that one reads */
-    double running_most; /* at once on one, before each takes twice the time */
+    guint engines;      /* that take work */
+    guint slots;        /* of one */
+    double tokens_a_ms; /* that one reads */
     kind_load_t of_long;
     kind_load_t of_rest;
 } split_demand_t;
--- a/include/carobloom/version/site_state.h
+++ b/include/carobloom/version/site_state.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "carobloom/common/str.h"
+#include "carobloom/version/splice.h"
 
 enum {
     SITE_CHANGES_MAX = 20000, /* change ids remembered: near three days */
@@ -28,18 +29,6 @@
 /* As `removed` of a submit: `inserted` is the whole text. */
 #define SITE_WHOLE G_MAXUINT64
 
-/* A change of text: at `prefix`, `removed` bytes give way to `inserted`. */
-typedef struct {
-    guint64 prefix;
-    guint64 removed;
-    GBytes *inserted;
-} splice_t;
-
-splice_t splice_between(str_t from, str_t to);
-/* NULL when it does not fit; freed with g_free, `length` set. */
-char *splice_apply(str_t from, const splice_t *splice, gsize *length);
-void splice_clear(splice_t *splice);
-
 typedef enum {
     SITE_OK,
     SITE_REPEATED, /* a change id seen before: its first version */
--- a/policy/engine_split.c
+++ b/policy/engine_split.c
@@ -41,8 +41,7 @@
         load->target_ms > 0 ? load->target_ms : TARGET_DEFAULT_MS;
     double read_in_time = d->tokens_a_ms * QUEUE_PART * (double)target_ms;
     double to_read = (double)load->waiting_tokens / read_in_time;
-    double places = MIN(SLOTS_PART * d->slots, d->running_most);
-    double to_run = load->running / MAX(places, 1);
+    double to_run = load->running / MAX(SLOTS_PART * d->slots, 1);
     return MAX(MAX(to_read, to_run), NEED_LEAST);
 }
 
