--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -7,27 +7,10 @@
 #include "carobloom/policy/placement.h"
 #include "carobloom/policy/prompt_mix.h"
 #include "check.h"
+#include "leases.h"
 
 enum { SECOND = 1000000 };
 
-static endpoint_lease_t
-lease_of(const char *id, guint64 sequence, lease_state_t state)
-{
-    return (endpoint_lease_t){.id = (char *)id,
-                              .service = "s",
-                              .address = "10.0.0.1:80",
-                              .data_centre = "dc",
-                              .sequence = sequence,
-                              .slots = 4,
-                              .state = state};
-}
-
-static void
-drop_nothing(void *connections)
-{
-    (void)connections;
-}
-
 enum { ENGINES = 18, SLOTS = 32 };
 
 static directory_t *
--- a/tests/test_placement_load.c
+++ b/tests/test_placement_load.c
@@ -9,6 +9,7 @@
 #include "carobloom/policy/placement.h"
 #include "carobloom/policy/prompt_mix.h"
 #include "check.h"
+#include "leases.h"
 
 enum {
     ENGINES_MOST = 64,
@@ -86,12 +87,6 @@
     GRand *random;
 } play_t;
 
-static void
-drop_nothing(void *connections)
-{
-    (void)connections;
-}
-
 static void
 play_init(play_t *p, const load_t *load, guint32 seed)
 {
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -15,6 +15,7 @@
 #include "carobloom/version/route_config.h"
 #include "carobloom/version/text_delta.h"
 #include "check.h"
+#include "leases.h"
 #include "platform.h"
 
 enum { SECOND = 1000000 };
@@ -393,18 +394,6 @@
 
 /* ---- leases ---- */
 
-static endpoint_lease_t
-lease_of(const char *id, guint64 sequence, lease_state_t state)
-{
-    return (endpoint_lease_t){.id = (char *)id,
-                              .service = "s",
-                              .address = "10.0.0.1:80",
-                              .data_centre = "dc",
-                              .sequence = sequence,
-                              .slots = 4,
-                              .state = state};
-}
-
 static void
 test_registry(void)
 {
@@ -437,12 +426,6 @@
     registry_destroy(r);
 }
 
-static void
-drop_nothing(void *connections)
-{
-    (void)connections;
-}
-
 typedef struct {
     const char *name;
     struct {
