--- a/bench/gateway.c
+++ b/bench/gateway.c
@@ -138,7 +138,8 @@
         g_snprintf(target, sizeof(target), "/api/instances/bench-%d", i % 60);
         g_snprintf(body, sizeof(body),
                    "{\"Service\":\"other\",\"Address\":\"127.0.0.1:%d\","
-                   "\"Zone\":\"z\",\"Slots\":8,\"State\":\"ready\","
+                   "\"Zone\":\"z\",\"Version\":\"v1\",\"Slots\":8,"
+                   "\"State\":\"ready\",\"ColdRemainingMs\":0,"
                    "\"Sequence\":%d}",
                    1000 + i % 60, i);
         reply_t *reply = fleet_call(control->ip, FLEET_CONTROL_PORT, "PUT",
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -277,6 +277,7 @@
     c->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->puts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    c->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     timers_subscribe(c->timers, EXPIRE_US, EXPIRE_US, on_expire, c);
     if (!control_start(c)) {
         control_destroy(c);
@@ -301,6 +302,7 @@
     g_hash_table_unref(c->peers);
     g_hash_table_unref(c->entries);
     g_hash_table_unref(c->puts);
+    g_hash_table_unref(c->services);
     for (guint i = 0; i < CONTROL_DELTAS; i++) {
         g_clear_pointer(&c->deltas[i].bytes, g_bytes_unref);
     }
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -73,9 +73,11 @@
     gint64 spread_us;  /* when they last went out */
     guint64 published; /* cursor of the leases told by then */
     kept_answer_t answers[CONTROL_ANSWERS];
-    guint next_answer;   /* the one to give way */
-    GHashTable *entries; /* instance name -> gint64, when it asked last */
-    GHashTable *puts;    /* call -> pending_put_t */
+    guint next_answer;        /* the one to give way */
+    GHashTable *entries;      /* instance name -> gint64, when it asked last */
+    GHashTable *puts;         /* call -> pending_put_t */
+    GHashTable *services;     /* set of names that a configuration had */
+    guint64 services_version; /* the newest of these configurations */
     guint64 last_call;
     gint64 quorum_us; /* when the quorum was last heard of */
     gint64 asked_us;  /* when an entry instance last asked */
--- a/carobloomd/control/endpoint_leases.c
+++ b/carobloomd/control/endpoint_leases.c
@@ -1,3 +1,4 @@
+#include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
 #include "control_state.h"
 #include "platform.h"
@@ -22,6 +23,7 @@
         if (lease != NULL) {
             event_log_cstr("service", lease->service);
             event_log_cstr("address", lease->address);
+            event_log_number("started_ms", lease->started_ms);
             event_log_number("sequence", (gint64)lease->sequence);
         }
         event_log_cstr("outcome", outcome);
@@ -29,13 +31,90 @@
     }
 }
 
+/* What is no word of an endpoint names none, and is told so. */
+static void
+refuse(http_exchange_t *exchange, str_t id, const char *field)
+{
+    counter_add(counter_get("heartbeats_refused_total", NULL, FALSE), 1);
+    if (event_log_begin(EVENT_FAILURE, "heartbeat_refused")) {
+        event_log_text("endpoint", id);
+        event_log_cstr("field", field != NULL ? field : "");
+        event_log_end();
+    }
+    char *text = g_strdup_printf("{\"error\":\"malformed\",\"field\":\"%s\"}",
+                                 field != NULL ? field : "");
+    answer_plain(exchange, 400, text);
+    g_free(text);
+}
+
+/* Notes the services of the newest configuration. */
+static void
+learn_services(control_t *c)
+{
+    const kept_text_t *newest = control_newest(c);
+    route_config_t *config = NULL;
+    char *fault = NULL;
+    c->services_version = newest->version;
+    if (platform_config_decode(bytes_view(newest->text), &config, &fault) !=
+        PLATFORM_OK) {
+        if (event_log_begin(EVENT_STATE, "config_unreadable")) {
+            event_log_number("version", (gint64)newest->version);
+            event_log_cstr("why", fault);
+            event_log_end();
+        }
+        g_free(fault);
+        return;
+    }
+    for (guint i = 0; i < config->services->len; i++) {
+        const service_t *service = config->services->pdata[i];
+        g_hash_table_add(c->services, g_strdup(service->name));
+    }
+    route_config_unref(config);
+}
+
+/* Whether some configuration named the service; while there is none, any may
+ * be named yet. A configuration is read only when a name is not known, since
+ * one of 1,400 routes takes a tenth of a second of a small machine. */
+static gboolean
+is_named(control_t *c, const char *service)
+{
+    if (control_newest(c) == NULL ||
+        g_hash_table_contains(c->services, service)) {
+        return TRUE;
+    }
+    if (c->services_version < control_newest_version(c)) {
+        learn_services(c);
+    }
+    return g_hash_table_contains(c->services, service);
+}
+
+/* What a renewal is answered. One of an earlier start is not taken. One that
+ * came late, or after its endpoint left, is: the endpoint's own later word
+ * holds, and it has nothing to tell another instance. */
+static void
+answer_heartbeat(const control_t *c, http_exchange_t *exchange,
+                 registry_result_t result)
+{
+    if (result == REGISTRY_PAST) {
+        answer_plain(exchange, 409, "{\"error\":\"it has started again\"}");
+        return;
+    }
+    /* It stays with this instance: if its renewals went to another one each
+     * time, each instance would hear it fall silent and come back, and tell
+     * all entry instances so. */
+    char *answer = platform_heartbeat_answer(c->settings->control);
+    answer_plain(exchange, 200, answer);
+    g_free(answer);
+}
+
 void
 handle_heartbeat(control_t *c, http_exchange_t *exchange, str_t id)
 {
     heartbeat_t heartbeat;
-    if (platform_heartbeat_decode(http_exchange_body(exchange), &heartbeat) !=
-        PLATFORM_OK) {
-        answer_plain(exchange, 400, "{\"error\":\"malformed\"}");
+    const char *field;
+    if (platform_heartbeat_decode(http_exchange_body(exchange), &heartbeat,
+                                  &field) != PLATFORM_OK) {
+        refuse(exchange, id, field);
         return;
     }
     if (!is_connected(c)) {
@@ -43,6 +122,11 @@
         answer_plain(exchange, 503, "{\"error\":\"cut off\"}");
         return;
     }
+    if (!is_named(c, heartbeat.service)) {
+        heartbeat_clear(&heartbeat);
+        refuse(exchange, id, "Service");
+        return;
+    }
     char *name = str_dup(id);
     guint64 before = registry_cursor(c->registry);
     endpoint_lease_t lease = {
@@ -50,23 +134,20 @@
         .service = heartbeat.service,
         .address = heartbeat.address,
         .data_centre = heartbeat.data_centre,
+        .started_ms = heartbeat.started_ms,
         .sequence = heartbeat.sequence,
         .slots = heartbeat.slots,
         .state = heartbeat.draining ? LEASE_DRAINING : LEASE_READY,
         .cold_ms = heartbeat.cold_ms,
     };
-    registry_renew(c->registry, &lease, control_now(c));
+    registry_result_t result =
+        registry_renew(c->registry, &lease, control_now(c));
     if (registry_cursor(c->registry) != before) {
         log_lease(name, &lease, heartbeat.draining ? "draining" : "ready");
     }
     g_free(name);
     heartbeat_clear(&heartbeat);
-    /* It stays with this instance: if its renewals went to another one each
-     * time, each instance would hear it fall silent and come back, and tell
-     * all entry instances so. */
-    char *answer = platform_heartbeat_answer(c->settings->control);
-    answer_plain(exchange, 200, answer);
-    g_free(answer);
+    answer_heartbeat(c, exchange, result);
     if (registry_cursor(c->registry) != before) {
         spread_news(c);
     }
@@ -79,8 +160,15 @@
         answer_plain(exchange, 503, "{\"error\":\"cut off\"}");
         return;
     }
+    gint64 started_ms;
+    if (platform_leave_decode(http_exchange_body(exchange), &started_ms) !=
+        PLATFORM_OK) {
+        refuse(exchange, id, NULL);
+        return;
+    }
     char *name = str_dup(id);
-    registry_leave(c->registry, name, control_now(c));
+    registry_leave(c->registry, name, started_ms, g_get_real_time() / 1000,
+                   control_now(c));
     log_lease(name, NULL, "left");
     g_free(name);
     answer_plain(exchange, 200, "{}");
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -5,7 +5,8 @@
 #include "carobloom/common/codec.h"
 
 #define REQUEST_TYPE "(stttubbay)"
-#define ANSWER_TYPE "(ttbbttbaya(sssstuyx)asubay)"
+#define LEASES_TYPE "a(ssssxtuyx)"
+#define ANSWER_TYPE "(ttbbttbay" LEASES_TYPE "asubay)"
 #define LETTER_TYPE "(stay)"
 
 static GVariant *
@@ -149,13 +150,13 @@
 leases_variant(const GPtrArray *leases)
 {
     GVariantBuilder b;
-    g_variant_builder_init(&b, G_VARIANT_TYPE("a(sssstuyx)"));
+    g_variant_builder_init(&b, G_VARIANT_TYPE(LEASES_TYPE));
     for (guint i = 0; leases != NULL && i < leases->len; i++) {
         const endpoint_lease_t *l = leases->pdata[i];
-        g_variant_builder_add(&b, "(sssstuyx)", l->id, l->service, l->address,
+        g_variant_builder_add(&b, "(ssssxtuyx)", l->id, l->service, l->address,
                               l->data_centre ? l->data_centre : "",
-                              l->sequence, l->slots, (guchar)l->state,
-                              l->cold_ms);
+                              l->started_ms, l->sequence, l->slots,
+                              (guchar)l->state, l->cold_ms);
     }
     return g_variant_builder_end(&b);
 }
@@ -175,8 +176,8 @@
 sync_answer_write(const sync_answer_t *a)
 {
     return codec_write(
-        g_variant_new("(ttbbttb@ay@a(sssstuyx)@asub@ay)", a->epoch, a->cursor,
-                      a->full, a->confirmed, a->version, a->base,
+        g_variant_new("(ttbbttb@ay@" LEASES_TYPE "@asub@ay)", a->epoch,
+                      a->cursor, a->full, a->confirmed, a->version, a->base,
                       a->delta != NULL, bytes_variant(a->delta),
                       leases_variant(a->leases), names_variant(a->controls),
                       a->entries, a->loads != NULL, loads_variant(a->loads)));
@@ -190,9 +191,9 @@
     guchar state;
     gboolean sound = g_variant_iter_init(&iter, list) <= SYNC_ENDPOINTS_MAX;
     while (sound &&
-           g_variant_iter_next(&iter, "(sssstuyx)", &l.id, &l.service,
-                               &l.address, &l.data_centre, &l.sequence,
-                               &l.slots, &state, &l.cold_ms)) {
+           g_variant_iter_next(&iter, "(ssssxtuyx)", &l.id, &l.service,
+                               &l.address, &l.data_centre, &l.started_ms,
+                               &l.sequence, &l.slots, &state, &l.cold_ms)) {
         l.state = (lease_state_t)state;
         sound = state < LEASE_STATES;
         g_ptr_array_add(a->leases, g_memdup2(&l, sizeof(l)));
@@ -231,9 +232,10 @@
     GVariant *loads;
     gboolean news;
     gboolean loaded;
-    g_variant_get(v, "(ttbbttb@ay@a(sssstuyx)@asub@ay)", &a->epoch, &a->cursor,
-                  &a->full, &a->confirmed, &a->version, &a->base, &news,
-                  &delta, &leases, &controls, &a->entries, &loaded, &loads);
+    g_variant_get(v, "(ttbbttb@ay@" LEASES_TYPE "@asub@ay)", &a->epoch,
+                  &a->cursor, &a->full, &a->confirmed, &a->version, &a->base,
+                  &news, &delta, &leases, &controls, &a->entries, &loaded,
+                  &loads);
     a->loads = loads_take(loads);
     gboolean sound = a->loads != NULL;
     if (!loaded) {
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -3,7 +3,9 @@
  *
  * An endpoint renews its lease at any control instance; each tells what it
  * heard itself, and the merge is done here. That an endpoint drains or has
- * left is never taken back for its id. Pure. */
+ * left is never taken back for its id, unless it has started again since: a
+ * new start knows nothing of before, so nothing that was learned of the one
+ * before holds for it. Pure. */
 #ifndef CAROBLOOM_POLICY_DIRECTORY_H
 #define CAROBLOOM_POLICY_DIRECTORY_H
 
@@ -28,11 +30,12 @@
 
 /* What a control instance says of one endpoint. */
 typedef struct {
-    char *id; /* of one start of it */
+    char *id;
     char *service;
     char *address; /* IP:PORT */
     char *data_centre;
-    guint64 sequence;
+    gint64 started_ms; /* Unix time: which start of it; 0 where not said */
+    guint64 sequence;  /* within one start */
     guint slots;
     lease_state_t state;
     gint64 cold_ms; /* slow for so long from now */
@@ -58,7 +61,8 @@
     char *address;
     char *data_centre;
     guint slots;
-    guint64 hash; /* of the id */
+    gint64 started_ms; /* which start of it */
+    guint64 hash;      /* of the id and the start */
     gboolean draining;
     gboolean left;
     guint32 heard_by;        /* sources that hear its renewals */
@@ -91,7 +95,7 @@
                       const endpoint_lease_t *lease, gint64 now_us);
 /* `source` starts over: what only it had heard is trusted a while longer. */
 void directory_forget(directory_t *directory, guint source, gint64 now_us);
-/* Drops endpoints that have long left and have no requests. */
+/* Frees endpoints that have left, or started again, and have no requests. */
 void directory_sweep(directory_t *directory, gint64 now_us);
 endpoint_t *directory_find(directory_t *directory, const char *id);
 /* Endpoints of a service that have not left, or NULL; endpoint_t *, in an
--- a/include/carobloom/policy/registry.h
+++ b/include/carobloom/policy/registry.h
@@ -10,7 +10,8 @@
 typedef enum {
     REGISTRY_TAKEN,
     REGISTRY_LATE, /* an older call that came late; nothing changed */
-    REGISTRY_GONE, /* it has left */
+    REGISTRY_GONE, /* this start of it has left */
+    REGISTRY_PAST, /* of a start before the one that is known */
 } registry_result_t;
 
 typedef struct registry registry_t;
@@ -19,7 +20,10 @@
 void registry_destroy(registry_t *registry);
 registry_result_t registry_renew(registry_t *registry,
                                  const endpoint_lease_t *lease, gint64 now_us);
-void registry_leave(registry_t *registry, const char *id, gint64 now_us);
+/* The start at `started_ms` of an endpoint ends its lease; 0: the one known,
+ * or, of one never heard here, all that began before `wall_ms` (Unix time). */
+void registry_leave(registry_t *registry, const char *id, gint64 started_ms,
+                    gint64 wall_ms, gint64 now_us);
 /* Marks silent what was not renewed in time; TRUE when something changed. */
 gboolean registry_expire(registry_t *registry, gint64 now_us);
 /* Raised with each change. */
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -29,10 +29,17 @@
     GHashTable *by_id;      /* endpoint_t, owned */
     GHashTable *by_address; /* the newest endpoint of an address */
     GHashTable *by_service; /* name -> GPtrArray */
-    GHashTable *left_at;    /* id -> gint64, when it left */
+    GHashTable *left;       /* id -> departure_t */
+    GPtrArray *replaced;    /* endpoint_t, owned: starts before the known */
     void (*drop)(void *connections);
 };
 
+/* An endpoint left. */
+typedef struct {
+    gint64 at_us;
+    gint64 started_ms; /* the last start of it that did */
+} departure_t;
+
 void
 endpoint_lease_clear(endpoint_lease_t *lease)
 {
@@ -74,8 +81,8 @@
     d->by_address = g_hash_table_new(g_str_hash, g_str_equal);
     d->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)g_ptr_array_unref);
-    d->left_at =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->replaced = g_ptr_array_new();
     d->drop = drop;
     return d;
 }
@@ -89,10 +96,14 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         endpoint_free(d, value);
     }
+    for (guint i = 0; i < d->replaced->len; i++) {
+        endpoint_free(d, d->replaced->pdata[i]);
+    }
+    g_ptr_array_unref(d->replaced);
     g_hash_table_unref(d->by_id);
     g_hash_table_unref(d->by_address);
     g_hash_table_unref(d->by_service);
-    g_hash_table_unref(d->left_at);
+    g_hash_table_unref(d->left);
     g_free(d);
 }
 
@@ -108,7 +119,28 @@
 }
 
 static void
-directory_drop(directory_t *d, endpoint_t *e, gint64 now_us)
+note_departure(directory_t *d, const char *id, gint64 started_ms,
+               gint64 now_us)
+{
+    departure_t departure = {.at_us = now_us, .started_ms = started_ms};
+    const departure_t *before = g_hash_table_lookup(d->left, id);
+    if (before != NULL) {
+        departure.started_ms = MAX(started_ms, before->started_ms);
+    }
+    g_hash_table_insert(d->left, g_strdup(id),
+                        g_memdup2(&departure, sizeof(departure)));
+}
+
+static gboolean
+has_left(const directory_t *d, const endpoint_lease_t *lease)
+{
+    const departure_t *departure = g_hash_table_lookup(d->left, lease->id);
+    return departure != NULL && lease->started_ms <= departure->started_ms;
+}
+
+/* It is no longer one of its service's. */
+static void
+directory_drop(directory_t *d, endpoint_t *e)
 {
     if (e->left) {
         return;
@@ -118,18 +150,30 @@
     if (g_hash_table_lookup(d->by_address, e->address) == e) {
         g_hash_table_remove(d->by_address, e->address);
     }
-    g_hash_table_insert(d->left_at, g_strdup(e->id),
-                        g_memdup2(&now_us, sizeof(now_us)));
 }
 
-/* Two starts at one address: the one known before has most likely ended. Not
- * for good, since a renewal that was held up may make an old start known
- * last; the answer of the endpoint itself decides (ENDPOINT_MISDIRECTED). */
+/* It has started again: kept aside until its requests are over. */
+static void
+directory_replace(directory_t *d, endpoint_t *e)
+{
+    directory_drop(d, e);
+    g_hash_table_remove(d->by_id, e->id);
+    g_ptr_array_add(d->replaced, e);
+}
+
+/* Two endpoints at one address: the one that started later has it; where
+ * starts are not told, the one known before has most likely ended. Not for
+ * good, since a renewal that was held up may make an old start known last; the
+ * answer of the endpoint itself decides (ENDPOINT_MISDIRECTED). */
 static void
 take_address(directory_t *d, endpoint_t *e, gint64 now_us)
 {
     endpoint_t *before = g_hash_table_lookup(d->by_address, e->address);
-    if (before != NULL && before != e) {
+    if (before != NULL && before->started_ms > e->started_ms) {
+        e->closed_until_us = now_us + TRUST_US;
+        return;
+    }
+    if (before != NULL) {
         before->closed_until_us = now_us + TRUST_US;
     }
     g_hash_table_replace(d->by_address, e->address, e);
@@ -151,7 +195,11 @@
     e->service = g_strdup(lease->service);
     e->address = g_strdup(lease->address);
     e->data_centre = g_strdup(lease->data_centre);
+    e->started_ms = lease->started_ms;
     e->hash = hash_text(str_from_cstr(lease->id));
+    if (e->started_ms != 0) {
+        e->hash = hash_pair(e->hash, (guint64)e->started_ms);
+    }
     g_hash_table_insert(d->by_id, e->id, e);
     g_ptr_array_add(service_list(d, e->service), e);
     g_ptr_array_sort(service_list(d, e->service), by_hash);
@@ -165,17 +213,23 @@
 {
     endpoint_t *e = g_hash_table_lookup(d->by_id, lease->id);
     if (lease->state == LEASE_LEFT) {
-        if (e != NULL) {
-            directory_drop(d, e, now_us);
-        }
-        else {
-            g_hash_table_insert(d->left_at, g_strdup(lease->id),
-                                g_memdup2(&now_us, sizeof(now_us)));
+        if (e != NULL && e->started_ms <= lease->started_ms) {
+            directory_drop(d, e);
         }
+        note_departure(d, lease->id, lease->started_ms, now_us);
         return;
     }
-    if (e == NULL && (lease->state == LEASE_SILENT ||
-                      g_hash_table_contains(d->left_at, lease->id))) {
+    if (e != NULL && lease->started_ms < e->started_ms) {
+        return; /* of a start before */
+    }
+    if (has_left(d, lease)) {
+        return;
+    }
+    if (e != NULL && lease->started_ms > e->started_ms) {
+        directory_replace(d, e);
+        e = NULL;
+    }
+    if (e == NULL && lease->state == LEASE_SILENT) {
         return;
     }
     if (e == NULL) {
@@ -212,7 +266,8 @@
 left_is_old(gpointer key, gpointer value, gpointer now_us)
 {
     (void)key;
-    return *(gint64 *)now_us - *(gint64 *)value > REMEMBER_US;
+    const departure_t *departure = value;
+    return *(gint64 *)now_us - departure->at_us > REMEMBER_US;
 }
 
 void
@@ -228,7 +283,14 @@
             endpoint_free(d, e);
         }
     }
-    g_hash_table_foreach_remove(d->left_at, left_is_old, &now_us);
+    for (guint i = d->replaced->len; i > 0; i--) {
+        endpoint_t *e = d->replaced->pdata[i - 1];
+        if (e->running == 0) {
+            g_ptr_array_remove_index_fast(d->replaced, i - 1);
+            endpoint_free(d, e);
+        }
+    }
+    g_hash_table_foreach_remove(d->left, left_is_old, &now_us);
 }
 
 endpoint_t *
--- a/policy/registry.c
+++ b/policy/registry.c
@@ -82,13 +82,17 @@
         note_change(r, item);
         return REGISTRY_TAKEN;
     }
-    if (item->lease.state == LEASE_LEFT) {
+    gboolean started_again = lease->started_ms > item->lease.started_ms;
+    if (lease->started_ms < item->lease.started_ms) {
+        return REGISTRY_PAST;
+    }
+    if (!started_again && item->lease.state == LEASE_LEFT) {
         return REGISTRY_GONE;
     }
-    if (lease->sequence <= item->lease.sequence) {
+    if (!started_again && lease->sequence <= item->lease.sequence) {
         return REGISTRY_LATE;
     }
-    gboolean changed = item->lease.state != lease->state ||
+    gboolean changed = started_again || item->lease.state != lease->state ||
                        item->lease.slots != lease->slots ||
                        g_strcmp0(item->lease.address, lease->address) != 0 ||
                        g_strcmp0(item->lease.service, lease->service) != 0;
@@ -110,14 +114,22 @@
 }
 
 void
-registry_leave(registry_t *r, const char *id, gint64 now_us)
+registry_leave(registry_t *r, const char *id, gint64 started_ms,
+               gint64 wall_ms, gint64 now_us)
 {
     item_t *item = g_hash_table_lookup(r->by_id, id);
     if (item == NULL) {
-        endpoint_lease_t lease = {
-            .id = (char *)id, .service = "", .address = ""};
+        endpoint_lease_t lease = {.id = (char *)id,
+                                  .service = "",
+                                  .address = "",
+                                  .started_ms =
+                                      started_ms > 0 ? started_ms : wall_ms};
         item = item_add(r, &lease);
     }
+    if (started_ms > 0 && started_ms < item->lease.started_ms) {
+        return; /* it has started again meanwhile */
+    }
+    item->lease.started_ms = MAX(item->lease.started_ms, started_ms);
     if (item->lease.state != LEASE_LEFT || item->changed == 0) {
         item->lease.state = LEASE_LEFT;
         note_change(r, item);
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -57,6 +57,7 @@
     timers_t *timers;
     http_server_t *server;
     GHashTable *peers; /* address -> http_peer_t */
+    gint64 started_ms; /* Unix time */
     guint64 sequence;
     gboolean draining;
     gboolean left;
@@ -406,10 +407,12 @@
         e->left ? g_strdup("")
                 : g_strdup_printf(
                       "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"z\","
-                      "\"Slots\":%d,\"State\":\"%s\",\"ColdRemainingMs\":0,"
+                      "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"%s\","
+                      "\"ColdRemainingMs\":0,\"born\":%" G_GINT64_FORMAT ","
                       "\"Sequence\":%" G_GUINT64_FORMAT "}",
                       e->service, e->address, e->slots,
-                      e->draining ? "draining" : "ready", ++e->sequence);
+                      e->draining ? "draining" : "ready", e->started_ms,
+                      ++e->sequence);
     char *text = g_strdup_printf(
         "%s /api/instances/%s HTTP/1.1\r\nHost: %s\r\nContent-Length: "
         "%zu\r\n\r\n%s",
@@ -513,6 +516,7 @@
         .listen = listen->count > 0 ? listen->sval[0] : address->sval[0],
         .service = service->sval[0],
         .controls = g_strsplit(controls->sval[0], ",", -1),
+        .started_ms = g_get_real_time() / 1000,
         .beat_ms = beat->count > 0 ? beat->ival[0] : 300,
         .slots = slots->count > 0 ? slots->ival[0] : 8,
         .log = fopen(log->filename[0], "a"),
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -181,7 +181,8 @@
         g_string_append_printf(controls, "%s%s:%d", i > 0 ? "," : "",
                                f->processes[i].ip, FLEET_CONTROL_PORT);
     }
-    char *id = g_strdup_printf("%s.%u", p->name, p->starts);
+    char *id = p->id != NULL ? g_strdup(p->id)
+                             : g_strdup_printf("%s.%u", p->name, p->starts);
     char *address = g_strdup_printf("%s:%d", p->ip, FLEET_ENDPOINT_PORT);
     char *listen = g_strdup_printf("%s:%d", p->bind, FLEET_ENDPOINT_PORT);
     char *slots = g_strdup_printf("%u", f->slots);
@@ -312,6 +313,7 @@
         g_free(p->bind);
         g_free(p->folder);
         g_free(p->log);
+        g_free(p->id);
     }
     if (!keep) {
         remove_tree(f->folder);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -35,6 +35,7 @@
     gint64 ahead_us;      /* its machine's clock, see faulty_system.c */
     gint64 sync_us;       /* that a sync of its disk takes */
     guint starts;
+    char *id; /* that an endpoint goes by; NULL: a new one each start */
 } fleet_process_t;
 
 typedef struct {
--- /dev/null
+++ b/tests/test_endpoints.c
@@ -0,0 +1,488 @@
+/* What is believed of endpoints: heartbeats as the platform sends them, the
+ * leases that one control instance hears, and the merge at an entry instance.
+ * Without a socket or a clock. */
+#include <string.h>
+
+#include "carobloom/policy/directory.h"
+#include "carobloom/policy/registry.h"
+#include "check.h"
+#include "leases.h"
+#include "platform.h"
+
+enum { SECOND = 1000000 };
+
+/* ---- heartbeats ---- */
+
+#define WHOLE                                                                 \
+    "\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\","           \
+    "\"Version\":\"v1\",\"Slots\":4,\"State\":\"ready\","                     \
+    "\"ColdRemainingMs\":0,\"born\":1000,\"Sequence\":9"
+
+typedef struct {
+    const char *name;
+    const char *field; /* replaced; NULL: none */
+    const char *value; /* by this; NULL: left out */
+    int result;
+} heartbeat_case_t;
+
+static const heartbeat_case_t HEARTBEAT_CASES[] = {
+    {"whole", NULL, NULL, PLATFORM_OK},
+    {"no start, as on older platforms", "born", NULL, PLATFORM_OK},
+    {"draining", "State", "\"draining\"", PLATFORM_OK},
+    {"cold", "ColdRemainingMs", "12.5", PLATFORM_OK},
+    {"a state of another writer", "State", "\"zombie\"", PLATFORM_ERROR_FIELD},
+    {"a state of another type", "State", "7", PLATFORM_ERROR_FIELD},
+    {"no state", "State", NULL, PLATFORM_ERROR_FIELD},
+    {"a sequence as text", "Sequence", "\"9\"", PLATFORM_ERROR_FIELD},
+    {"a negative sequence", "Sequence", "-1", PLATFORM_ERROR_FIELD},
+    {"no sequence", "Sequence", NULL, PLATFORM_ERROR_FIELD},
+    {"slots as text", "Slots", "\"4\"", PLATFORM_ERROR_FIELD},
+    {"negative slots", "Slots", "-1", PLATFORM_ERROR_FIELD},
+    {"no slots", "Slots", NULL, PLATFORM_ERROR_FIELD},
+    {"too many slots", "Slots", "100000000000", PLATFORM_ERROR_FIELD},
+    {"a start as text", "born", "\"x\"", PLATFORM_ERROR_FIELD},
+    {"half a start", "born", "1.5", PLATFORM_ERROR_FIELD},
+    {"a start that is null", "born", "null", PLATFORM_ERROR_FIELD},
+    {"a service that is no text", "Service", "{}", PLATFORM_ERROR_FIELD},
+    {"no service", "Service", NULL, PLATFORM_ERROR_FIELD},
+    {"an address that is no text", "Address", "[1]", PLATFORM_ERROR_FIELD},
+    {"an address that is none", "Address", "\"here\"", PLATFORM_ERROR_FIELD},
+    {"no data centre", "Zone", NULL, PLATFORM_ERROR_FIELD},
+    {"a version that is no text", "Version", "1", PLATFORM_ERROR_FIELD},
+    {"cold as text", "ColdRemainingMs", "\"0\"", PLATFORM_ERROR_FIELD},
+    {"cold for years", "ColdRemainingMs", "1e300", PLATFORM_ERROR_FIELD},
+    {"models that are no list", "Models", "{}", PLATFORM_ERROR_FIELD},
+};
+
+/* The whole heartbeat with one field replaced, added or left out. */
+static char *
+heartbeat_text(const heartbeat_case_t *c)
+{
+    GString *text = g_string_new("{");
+    char **fields = g_strsplit("" WHOLE, ",", -1);
+    char *key = g_strdup_printf("\"%s\":", c->field);
+    for (guint i = 0; fields[i] != NULL; i++) {
+        if (c->field == NULL || !g_str_has_prefix(fields[i], key)) {
+            g_string_append_printf(text, "%s,", fields[i]);
+        }
+    }
+    if (c->value != NULL) {
+        g_string_append_printf(text, "%s%s,", key, c->value);
+    }
+    g_string_truncate(text, text->len - 1);
+    g_string_append_c(text, '}');
+    g_strfreev(fields);
+    g_free(key);
+    return g_string_free(text, FALSE);
+}
+
+static void
+test_heartbeats(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(HEARTBEAT_CASES); i++) {
+        const heartbeat_case_t *c = &HEARTBEAT_CASES[i];
+        const char *field;
+        heartbeat_t heartbeat;
+        char *text = heartbeat_text(c);
+        int result =
+            platform_heartbeat_decode(str_from_cstr(text), &heartbeat, &field);
+        if (result != c->result) {
+            printf("%s\n", c->name);
+        }
+        CU_ASSERT_EQUAL(result, c->result);
+        gboolean named = c->result == PLATFORM_ERROR_FIELD;
+        CU_ASSERT_STRING_EQUAL(field != NULL ? field : "",
+                               named ? c->field : "");
+        heartbeat_clear(&heartbeat);
+        g_free(text);
+    }
+}
+
+static void
+test_heartbeat_values(void)
+{
+    const char *field;
+    heartbeat_t h;
+    CU_ASSERT_EQUAL(platform_heartbeat_decode(STR("{" WHOLE "}"), &h, &field),
+                    PLATFORM_OK);
+    CU_ASSERT_STRING_EQUAL(h.service, "s");
+    CU_ASSERT_STRING_EQUAL(h.address, "10.0.0.1:80");
+    CU_ASSERT_STRING_EQUAL(h.data_centre, "z");
+    CU_ASSERT_EQUAL(h.started_ms, 1000);
+    CU_ASSERT_EQUAL(h.sequence, 9);
+    CU_ASSERT_EQUAL(h.slots, 4);
+    CU_ASSERT_FALSE(h.draining);
+    heartbeat_clear(&h);
+}
+
+/* Bodies that are no heartbeat at all, and random damage to one that is. */
+static void
+test_heartbeat_bytes(void)
+{
+    enum { DEPTH = 5000, HUGE = 100000, MUTATIONS = 20000 };
+    static const char WHOLE_TEXT[] = "{" WHOLE "}";
+    const char *field;
+    heartbeat_t h;
+    char *deep = g_strnfill(DEPTH, '[');
+    char *huge = g_strnfill(HUGE, ' ');
+    const char *const bodies[] = {"",
+                                  "[]",
+                                  "null",
+                                  "7",
+                                  "\"x\"",
+                                  deep,
+                                  huge,
+                                  "\xff\xfe",
+                                  "{" WHOLE "}}",
+                                  "{" WHOLE "," WHOLE "}"};
+    for (gsize i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        CU_ASSERT_EQUAL(
+            platform_heartbeat_decode(str_from_cstr(bodies[i]), &h, &field),
+            PLATFORM_ERROR_FORMAT);
+    }
+    GRand *random = g_rand_new_with_seed(7);
+    for (int i = 0; i < MUTATIONS; i++) {
+        gsize length = sizeof(WHOLE_TEXT) - 1;
+        char *copy = g_memdup2(WHOLE_TEXT, length);
+        for (int j = g_rand_int_range(random, 1, 4); j > 0; j--) {
+            copy[g_rand_int_range(random, 0, (gint)length)] =
+                (char)g_rand_int_range(random, 0, 256);
+        }
+        str_t body = {.data = copy, .length = length};
+        int result = platform_heartbeat_decode(body, &h, &field);
+        CU_ASSERT(result != PLATFORM_OK ||
+                  (h.slots >= 1 && h.service != NULL && h.address != NULL));
+        heartbeat_clear(&h);
+        gint64 started_ms;
+        platform_leave_decode(body, &started_ms);
+        CU_ASSERT(started_ms >= 0);
+        g_free(copy);
+    }
+    g_rand_free(random);
+    g_free(deep);
+    g_free(huge);
+}
+
+/* What an endpoint is told when its renewal was taken. */
+static void
+test_heartbeat_answer(void)
+{
+    char *answer = platform_heartbeat_answer("10.0.0.4:8080");
+    CU_ASSERT_STRING_EQUAL(answer, "{\"HeartbeatAddr\":\"10.0.0.4:8080\"}");
+    g_free(answer);
+}
+
+/* ---- leases ---- */
+
+static void
+test_registry(void)
+{
+    registry_t *r = registry_create(SECOND);
+    endpoint_lease_t ready = lease_of("e", 2, LEASE_READY);
+    endpoint_lease_t late = lease_of("e", 1, LEASE_DRAINING);
+    endpoint_lease_t again = lease_of("e", 3, LEASE_READY);
+    CU_ASSERT_EQUAL(registry_renew(r, &ready, SECOND), REGISTRY_TAKEN);
+    guint64 cursor = registry_cursor(r);
+    CU_ASSERT_EQUAL(registry_renew(r, &late, SECOND), REGISTRY_LATE);
+    CU_ASSERT_EQUAL(registry_renew(r, &again, 2 * SECOND), REGISTRY_TAKEN);
+    /* A renewal alone is no news. */
+    CU_ASSERT_EQUAL(registry_cursor(r), cursor);
+    CU_ASSERT_FALSE(registry_expire(r, 4 * SECOND));
+    CU_ASSERT(registry_expire(r, 8 * SECOND));
+    GPtrArray *news = registry_since(r, cursor);
+    CU_ASSERT_EQUAL_FATAL(news->len, 1);
+    CU_ASSERT_EQUAL(((endpoint_lease_t *)news->pdata[0])->state, LEASE_SILENT);
+    g_ptr_array_unref(news);
+    again.sequence = 4;
+    registry_renew(r, &again, 9 * SECOND);
+    CU_ASSERT(registry_cursor(r) > cursor + 1);
+    registry_leave(r, "e", 0, 1, 10 * SECOND);
+    again.sequence = 5;
+    CU_ASSERT_EQUAL(registry_renew(r, &again, 11 * SECOND), REGISTRY_GONE);
+    registry_leave(r, "never seen", 0, 1, 11 * SECOND);
+    news = registry_since(r, 0);
+    CU_ASSERT_EQUAL(news->len, 2);
+    g_ptr_array_unref(news);
+    registry_destroy(r);
+}
+
+typedef struct {
+    const char *name;
+    struct {
+        guint source;
+        const char *id;
+        guint64 sequence;
+        lease_state_t state;
+    } told[4];
+    guint count;
+    gboolean usable; /* endpoint "e" */
+} merge_case_t;
+
+static const merge_case_t MERGE_CASES[] = {
+    {"heard by one", {{0, "e", 1, LEASE_READY}}, 1, TRUE},
+    {"silent at one, heard by another",
+     {{0, "e", 1, LEASE_READY},
+      {1, "e", 4, LEASE_READY},
+      {0, "e", 1, LEASE_SILENT}},
+     3,
+     TRUE},
+    {"silent at all",
+     {{0, "e", 1, LEASE_READY},
+      {1, "e", 4, LEASE_READY},
+      {0, "e", 1, LEASE_SILENT},
+      {1, "e", 4, LEASE_SILENT}},
+     4,
+     FALSE},
+    {"draining is not taken back by one that missed it",
+     {{0, "e", 5, LEASE_DRAINING}, {1, "e", 4, LEASE_READY}},
+     2,
+     FALSE},
+    {"left is not taken back",
+     {{0, "e", 5, LEASE_LEFT}, {1, "e", 4, LEASE_READY}},
+     2,
+     FALSE},
+    {"left after it was known",
+     {{1, "e", 4, LEASE_READY}, {0, "e", 5, LEASE_LEFT}},
+     2,
+     FALSE},
+};
+
+static void
+test_merge(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(MERGE_CASES); i++) {
+        const merge_case_t *c = &MERGE_CASES[i];
+        directory_t *d = directory_create(drop_nothing);
+        for (guint j = 0; j < c->count; j++) {
+            endpoint_lease_t lease =
+                lease_of(c->told[j].id, c->told[j].sequence, c->told[j].state);
+            directory_update(d, c->told[j].source, &lease, SECOND);
+        }
+        const endpoint_t *e = directory_find(d, "e");
+        gboolean usable = e != NULL && endpoint_usable(e, SECOND);
+        if (usable != c->usable) {
+            printf("%s\n", c->name);
+        }
+        CU_ASSERT_EQUAL(usable, c->usable);
+        directory_destroy(d);
+    }
+}
+
+/* A control instance that starts over is not the end of what only it heard:
+ * endpoints are told again within a heartbeat. */
+static void
+test_forget(void)
+{
+    directory_t *d = directory_create(drop_nothing);
+    endpoint_lease_t lease = lease_of("e", 1, LEASE_READY);
+    directory_update(d, 3, &lease, SECOND);
+    directory_forget(d, 3, 2 * SECOND);
+    const endpoint_t *e = directory_find(d, "e");
+    CU_ASSERT(endpoint_usable(e, 3 * SECOND));
+    CU_ASSERT_FALSE(endpoint_usable(e, 20 * SECOND));
+    directory_destroy(d);
+}
+
+/* Two starts at one address: the new one gets the work, and the old one does
+ * not take it for good if its renewal came late. */
+static void
+test_address_taken(void)
+{
+    directory_t *d = directory_create(drop_nothing);
+    endpoint_lease_t old = lease_of("old", 9, LEASE_READY);
+    endpoint_lease_t new = lease_of("new", 1, LEASE_READY);
+    directory_update(d, 0, &old, SECOND);
+    directory_update(d, 0, &new, 2 * SECOND);
+    CU_ASSERT_FALSE(endpoint_open(directory_find(d, "old"), 3 * SECOND));
+    CU_ASSERT(endpoint_open(directory_find(d, "new"), 3 * SECOND));
+    endpoint_note(directory_find(d, "old"), ENDPOINT_MISDIRECTED, 9 * SECOND);
+    CU_ASSERT_FALSE(endpoint_open(directory_find(d, "old"), 30 * SECOND));
+    directory_destroy(d);
+}
+
+/* ---- endpoints that start again ---- */
+
+/* A lease of one start of "e". */
+static endpoint_lease_t
+lease_of_start(gint64 started_ms, guint64 sequence, lease_state_t state)
+{
+    endpoint_lease_t lease = lease_of("e", sequence, state);
+    lease.started_ms = started_ms;
+    return lease;
+}
+
+typedef struct {
+    const char *name;
+    struct {
+        gint64 started_ms;
+        guint64 sequence;
+        lease_state_t state;
+        registry_result_t result;
+    } heard[4];
+    guint count;
+    gint64 started_ms; /* what is believed in the end */
+    lease_state_t state;
+} start_case_t;
+
+static const start_case_t START_CASES[] = {
+    {"counts start anew",
+     {{100, 50, LEASE_READY, REGISTRY_TAKEN},
+      {200, 1, LEASE_READY, REGISTRY_TAKEN},
+      {200, 2, LEASE_READY, REGISTRY_TAKEN}},
+     3,
+     200,
+     LEASE_READY},
+    {"a renewal of the start before that came late",
+     {{100, 50, LEASE_READY, REGISTRY_TAKEN},
+      {200, 1, LEASE_READY, REGISTRY_TAKEN},
+      {100, 51, LEASE_DRAINING, REGISTRY_PAST}},
+     3,
+     200,
+     LEASE_READY},
+    {"it drained before",
+     {{100, 50, LEASE_DRAINING, REGISTRY_TAKEN},
+      {200, 1, LEASE_READY, REGISTRY_TAKEN}},
+     2,
+     200,
+     LEASE_READY},
+    {"it left before",
+     {{100, 50, LEASE_READY, REGISTRY_TAKEN},
+      {100, 0, LEASE_LEFT, REGISTRY_TAKEN},
+      {100, 51, LEASE_READY, REGISTRY_GONE},
+      {200, 1, LEASE_READY, REGISTRY_TAKEN}},
+     4,
+     200,
+     LEASE_READY},
+    {"the start before leaves late",
+     {{100, 50, LEASE_READY, REGISTRY_TAKEN},
+      {200, 1, LEASE_READY, REGISTRY_TAKEN},
+      {100, 0, LEASE_LEFT, REGISTRY_TAKEN}},
+     3,
+     200,
+     LEASE_READY},
+    {"without word of its start another writer changes nothing",
+     {{100, 50, LEASE_READY, REGISTRY_TAKEN},
+      {0, 51, LEASE_DRAINING, REGISTRY_PAST}},
+     2,
+     100,
+     LEASE_READY},
+};
+
+static void
+test_registry_starts(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(START_CASES); i++) {
+        const start_case_t *c = &START_CASES[i];
+        registry_t *r = registry_create(SECOND);
+        for (guint j = 0; j < c->count; j++) {
+            endpoint_lease_t lease =
+                lease_of_start(c->heard[j].started_ms, c->heard[j].sequence,
+                               c->heard[j].state);
+            if (lease.state == LEASE_LEFT) {
+                registry_leave(r, "e", lease.started_ms, 1, SECOND);
+                continue;
+            }
+            CU_ASSERT_EQUAL(registry_renew(r, &lease, SECOND),
+                            c->heard[j].result);
+        }
+        GPtrArray *all = registry_since(r, 0);
+        CU_ASSERT_EQUAL_FATAL(all->len, 1);
+        const endpoint_lease_t *lease = all->pdata[0];
+        if (lease->started_ms != c->started_ms || lease->state != c->state) {
+            printf("%s\n", c->name);
+        }
+        CU_ASSERT_EQUAL(lease->started_ms, c->started_ms);
+        CU_ASSERT_EQUAL(lease->state, c->state);
+        g_ptr_array_unref(all);
+        registry_destroy(r);
+    }
+}
+
+/* One that leaves at an instance that never heard it: all starts until then
+ * have left, a later one has not. */
+static void
+test_unheard_leaves(void)
+{
+    registry_t *r = registry_create(SECOND);
+    endpoint_lease_t before = lease_of_start(100, 50, LEASE_READY);
+    endpoint_lease_t after = lease_of_start(300, 1, LEASE_READY);
+    registry_leave(r, "e", 0, 200, SECOND);
+    CU_ASSERT_EQUAL(registry_renew(r, &before, SECOND), REGISTRY_PAST);
+    CU_ASSERT_EQUAL(registry_renew(r, &after, SECOND), REGISTRY_TAKEN);
+    registry_destroy(r);
+}
+
+/* Nothing that was learned of a start holds for the next one, and what is
+ * still told of the one before changes nothing. */
+static void
+test_directory_starts(void)
+{
+    directory_t *d = directory_create(drop_nothing);
+    endpoint_lease_t first = lease_of_start(100, 50, LEASE_READY);
+    endpoint_lease_t second = lease_of_start(200, 1, LEASE_READY);
+    endpoint_lease_t late = lease_of_start(100, 51, LEASE_DRAINING);
+    endpoint_lease_t left = lease_of_start(100, 0, LEASE_LEFT);
+    second.address = "10.0.0.2:80";
+    directory_update(d, 0, &first, SECOND);
+    endpoint_t *before = directory_find(d, "e");
+    endpoint_note_part(before, 77);
+    endpoint_note(before, ENDPOINT_UNREACHABLE, SECOND);
+    endpoint_join(before, 5000, 5000);
+    directory_update(d, 1, &second, SECOND);
+    endpoint_t *after = directory_find(d, "e");
+    CU_ASSERT(after != before);
+    CU_ASSERT_STRING_EQUAL(after->address, "10.0.0.2:80");
+    CU_ASSERT(endpoint_open(after, SECOND));
+    CU_ASSERT_FALSE(endpoint_has_part(after, 77));
+    CU_ASSERT_EQUAL(after->running, 0);
+    CU_ASSERT_EQUAL(directory_service(d, "s")->len, 1);
+    directory_update(d, 0, &late, SECOND);
+    directory_update(d, 2, &left, SECOND);
+    CU_ASSERT(endpoint_usable(directory_find(d, "e"), SECOND));
+    CU_ASSERT_FALSE(directory_find(d, "e")->draining);
+    directory_sweep(d, SECOND);
+    endpoint_leave(before, 5000); /* its request was still there */
+    directory_sweep(d, SECOND);
+    CU_ASSERT_EQUAL(directory_count(d), 1);
+    left.started_ms = 200;
+    directory_update(d, 2, &left, SECOND);
+    directory_update(d, 1, &second, SECOND);
+    CU_ASSERT_EQUAL(directory_service(d, "s")->len, 0);
+    directory_destroy(d);
+}
+
+/* Of two endpoints at one address the one that started later has it, in
+ * whatever order they are told. */
+static void
+test_address_by_start(void)
+{
+    for (int order = 0; order < 2; order++) {
+        directory_t *d = directory_create(drop_nothing);
+        endpoint_lease_t old = lease_of("old", 9, LEASE_READY);
+        endpoint_lease_t new = lease_of("new", 1, LEASE_READY);
+        old.started_ms = 100;
+        new.started_ms = 200;
+        directory_update(d, 0, order == 0 ? &old : &new, SECOND);
+        directory_update(d, 0, order == 0 ? &new : &old, SECOND);
+        CU_ASSERT_FALSE(endpoint_open(directory_find(d, "old"), SECOND));
+        CU_ASSERT(endpoint_open(directory_find(d, "new"), SECOND));
+        directory_destroy(d);
+    }
+}
+
+static const test_case_t CASES[] = {
+    {"heartbeats of other writers name no endpoint", test_heartbeats},
+    {"a heartbeat is read as written", test_heartbeat_values},
+    {"bytes that are no heartbeat", test_heartbeat_bytes},
+    {"a renewal names where the next goes", test_heartbeat_answer},
+    {"leases by sequence, silence and leaving", test_registry},
+    {"leases of several control instances are merged", test_merge},
+    {"a control instance that starts over", test_forget},
+    {"an address used again", test_address_taken},
+    {"leases by start", test_registry_starts},
+    {"one never heard here leaves", test_unheard_leaves},
+    {"an endpoint that starts again knows nothing", test_directory_starts},
+    {"an address goes to the later start", test_address_by_start},
+};
+
+CHECK_MAIN("endpoints", CASES)
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -283,6 +283,108 @@
     fleet_destroy(f);
 }
 
+/* ---- what endpoints say of themselves ---- */
+
+/* The value of a counter in a control's metrics. */
+static guint64
+counter_of(const fleet_process_t *control, const char *name)
+{
+    reply_t *reply = fleet_call(control->ip, FLEET_METRICS_PORT, "GET",
+                                "/metrics", "", "", 1000);
+    char *line = g_strconcat("\ncarobloom_", name, " ", NULL);
+    const char *at = strstr(reply->body->str, line);
+    guint64 value = at != NULL ? g_ascii_strtoull(at + strlen(line), NULL, 10)
+                               : G_MAXUINT64;
+    g_free(line);
+    reply_free(reply);
+    return value;
+}
+
+/* Whether a request is served before the time is up. */
+static gboolean
+served_soon(const fleet_process_t *entry, int within_ms)
+{
+    gint64 until = g_get_monotonic_time() + within_ms * (gint64)1000;
+    gboolean served = FALSE;
+    for (int i = 0; !served && g_get_monotonic_time() < until; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "soon-%d", i);
+        reply_t *reply = fleet_request(entry, "/once/1", id, "");
+        served = reply->status == 200;
+        reply_free(reply);
+        fleet_sleep(50);
+    }
+    return served;
+}
+
+/* An endpoint that starts again under its id, at another address and with
+ * counts from 1, is heard at once, and still once it had left. */
+static void
+test_endpoint_starts_again(void)
+{
+    enum { HEARD_MS = 2000 };
+    fleet_t *f = fleet_of(1, 1, 1);
+    fleet_process_t *before = fleet_endpoint(f, 0);
+    fleet_sleep(1000); /* its counts go up */
+    for (int left = 0; left < 2; left++) {
+        fleet_process_t *after = fleet_add(f, FLEET_ENDPOINT);
+        after->id = g_strdup_printf("%s.1", fleet_endpoint(f, 0)->name);
+        if (left) {
+            fleet_signal(before, SIGTERM);
+            CU_ASSERT_EQUAL(fleet_wait_exit(before), 0);
+        }
+        else {
+            fleet_kill(before);
+        }
+        fleet_start(f, after);
+        CU_ASSERT(served_soon(fleet_entry(f, 0), HEARD_MS));
+        before = after;
+    }
+    fleet_destroy(f);
+}
+
+/* What another writer says under an endpoint's id, or at its address, is
+ * refused, and the endpoint goes on. */
+static void
+test_other_writers(void)
+{
+    static const char *const BODIES[] = {
+        "{\"Service\":\"a\"}",
+        "not json",
+        "{\"Service\":\"a\",\"Address\":\"%s:%d\",\"Zone\":\"z\","
+        "\"Version\":\"v\",\"Slots\":4,\"State\":\"zombie\","
+        "\"ColdRemainingMs\":0,\"born\":99999999999999,\"Sequence\":99}",
+        "{\"Service\":\"unnamed\",\"Address\":\"%s:%d\",\"Zone\":\"z\","
+        "\"Version\":\"v\",\"Slots\":4,\"State\":\"ready\","
+        "\"ColdRemainingMs\":0,\"born\":99999999999999,\"Sequence\":99}",
+    };
+    fleet_t *f = fleet_of(1, 1, 1);
+    const fleet_process_t *endpoint = fleet_endpoint(f, 0);
+    char *own = g_strdup_printf("/api/instances/%s.1", endpoint->name);
+    const char *const targets[] = {own, "/api/instances/other"};
+    for (guint i = 0; i < G_N_ELEMENTS(BODIES) * G_N_ELEMENTS(targets); i++) {
+        char **pieces = g_strsplit(BODIES[i / 2], "%s:%d", 2);
+        char *address =
+            g_strdup_printf("%s:%d", endpoint->ip, FLEET_ENDPOINT_PORT);
+        char *body = g_strjoinv(address, pieces);
+        reply_t *reply =
+            fleet_call(fleet_control(f, 0)->ip, FLEET_CONTROL_PORT, "PUT",
+                       targets[i % 2], "", body, 1000);
+        CU_ASSERT_EQUAL(reply->status, 400);
+        reply_free(reply);
+        g_free(body);
+        g_free(address);
+        g_strfreev(pieces);
+        fleet_sleep(100);
+        CU_ASSERT(served_soon(fleet_entry(f, 0), 200));
+    }
+    CU_ASSERT_EQUAL(
+        counter_of(fleet_control(f, 0), "heartbeats_refused_total"),
+        G_N_ELEMENTS(BODIES) * G_N_ELEMENTS(targets));
+    g_free(own);
+    fleet_destroy(f);
+}
+
 /* ---- the configuration ---- */
 
 static guint
@@ -301,21 +403,6 @@
     return f->controls;
 }
 
-/* The value of a counter in a control's metrics. */
-static guint64
-counter_of(const fleet_process_t *control, const char *name)
-{
-    reply_t *reply = fleet_call(control->ip, FLEET_METRICS_PORT, "GET",
-                                "/metrics", "", "", 1000);
-    char *line = g_strconcat("\ncarobloom_", name, " ", NULL);
-    const char *at = strstr(reply->body->str, line);
-    guint64 value = at != NULL ? g_ascii_strtoull(at + strlen(line), NULL, 10)
-                               : G_MAXUINT64;
-    g_free(line);
-    reply_free(reply);
-    return value;
-}
-
 /* Entry instances that ask the same get the same bytes: a control instance
  * that does not lead writes far fewer answers than it gives. */
 static void
@@ -561,6 +648,8 @@
     {"endpoints lost amid streams", test_endpoint_lost},
     {"an entry instance drains", test_entry_drains},
     {"an endpoint drains", test_endpoint_drains},
+    {"an endpoint starts again under its id", test_endpoint_starts_again},
+    {"other writers name no endpoint", test_other_writers},
     {"entry instances share answers", test_answers_shared},
     {"acknowledged changes survive", test_config_survives},
     {"a disk that takes no more", test_disk_full},
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -1,5 +1,5 @@
-/* The decisions of the routing gateway, without a socket or a clock: routes,
- * leases, placement, repeats; and the platform's formats. */
+/* The decisions of the routing gateway, without a socket or a clock: routes
+ * and repeats; and the platform's formats. */
 #include <math.h>
 #include <string.h>
 
@@ -9,8 +9,6 @@
 #include "carobloom/gateway/sync_wire.h"
 #include "carobloom/http/reader.h"
 #include "carobloom/policy/directory.h"
-#include "carobloom/policy/placement.h"
-#include "carobloom/policy/registry.h"
 #include "carobloom/policy/repeat_budget.h"
 #include "carobloom/version/route_config.h"
 #include "carobloom/version/text_delta.h"
@@ -343,15 +341,6 @@
     http_reader_clear(&reader);
 }
 
-/* What an endpoint is told when its renewal was taken. */
-static void
-test_heartbeat_answer(void)
-{
-    char *answer = platform_heartbeat_answer("10.0.0.4:8080");
-    CU_ASSERT_STRING_EQUAL(answer, "{\"HeartbeatAddr\":\"10.0.0.4:8080\"}");
-    g_free(answer);
-}
-
 /* ---- events ---- */
 
 typedef struct {
@@ -392,134 +381,6 @@
     }
 }
 
-/* ---- leases ---- */
-
-static void
-test_registry(void)
-{
-    registry_t *r = registry_create(SECOND);
-    endpoint_lease_t ready = lease_of("e", 2, LEASE_READY);
-    endpoint_lease_t late = lease_of("e", 1, LEASE_DRAINING);
-    endpoint_lease_t again = lease_of("e", 3, LEASE_READY);
-    CU_ASSERT_EQUAL(registry_renew(r, &ready, SECOND), REGISTRY_TAKEN);
-    guint64 cursor = registry_cursor(r);
-    CU_ASSERT_EQUAL(registry_renew(r, &late, SECOND), REGISTRY_LATE);
-    CU_ASSERT_EQUAL(registry_renew(r, &again, 2 * SECOND), REGISTRY_TAKEN);
-    /* A renewal alone is no news. */
-    CU_ASSERT_EQUAL(registry_cursor(r), cursor);
-    CU_ASSERT_FALSE(registry_expire(r, 4 * SECOND));
-    CU_ASSERT(registry_expire(r, 8 * SECOND));
-    GPtrArray *news = registry_since(r, cursor);
-    CU_ASSERT_EQUAL_FATAL(news->len, 1);
-    CU_ASSERT_EQUAL(((endpoint_lease_t *)news->pdata[0])->state, LEASE_SILENT);
-    g_ptr_array_unref(news);
-    again.sequence = 4;
-    registry_renew(r, &again, 9 * SECOND);
-    CU_ASSERT(registry_cursor(r) > cursor + 1);
-    registry_leave(r, "e", 10 * SECOND);
-    again.sequence = 5;
-    CU_ASSERT_EQUAL(registry_renew(r, &again, 11 * SECOND), REGISTRY_GONE);
-    registry_leave(r, "never seen", 11 * SECOND);
-    news = registry_since(r, 0);
-    CU_ASSERT_EQUAL(news->len, 2);
-    g_ptr_array_unref(news);
-    registry_destroy(r);
-}
-
-typedef struct {
-    const char *name;
-    struct {
-        guint source;
-        const char *id;
-        guint64 sequence;
-        lease_state_t state;
-    } told[4];
-    guint count;
-    gboolean usable; /* endpoint "e" */
-} merge_case_t;
-
-static const merge_case_t MERGE_CASES[] = {
-    {"heard by one", {{0, "e", 1, LEASE_READY}}, 1, TRUE},
-    {"silent at one, heard by another",
-     {{0, "e", 1, LEASE_READY},
-      {1, "e", 4, LEASE_READY},
-      {0, "e", 1, LEASE_SILENT}},
-     3,
-     TRUE},
-    {"silent at all",
-     {{0, "e", 1, LEASE_READY},
-      {1, "e", 4, LEASE_READY},
-      {0, "e", 1, LEASE_SILENT},
-      {1, "e", 4, LEASE_SILENT}},
-     4,
-     FALSE},
-    {"draining is not taken back by one that missed it",
-     {{0, "e", 5, LEASE_DRAINING}, {1, "e", 4, LEASE_READY}},
-     2,
-     FALSE},
-    {"left is not taken back",
-     {{0, "e", 5, LEASE_LEFT}, {1, "e", 4, LEASE_READY}},
-     2,
-     FALSE},
-    {"left after it was known",
-     {{1, "e", 4, LEASE_READY}, {0, "e", 5, LEASE_LEFT}},
-     2,
-     FALSE},
-};
-
-static void
-test_merge(void)
-{
-    for (gsize i = 0; i < G_N_ELEMENTS(MERGE_CASES); i++) {
-        const merge_case_t *c = &MERGE_CASES[i];
-        directory_t *d = directory_create(drop_nothing);
-        for (guint j = 0; j < c->count; j++) {
-            endpoint_lease_t lease =
-                lease_of(c->told[j].id, c->told[j].sequence, c->told[j].state);
-            directory_update(d, c->told[j].source, &lease, SECOND);
-        }
-        const endpoint_t *e = directory_find(d, "e");
-        gboolean usable = e != NULL && endpoint_usable(e, SECOND);
-        if (usable != c->usable) {
-            printf("%s\n", c->name);
-        }
-        CU_ASSERT_EQUAL(usable, c->usable);
-        directory_destroy(d);
-    }
-}
-
-/* A control instance that starts over is not the end of what only it heard:
- * endpoints are told again within a heartbeat. */
-static void
-test_forget(void)
-{
-    directory_t *d = directory_create(drop_nothing);
-    endpoint_lease_t lease = lease_of("e", 1, LEASE_READY);
-    directory_update(d, 3, &lease, SECOND);
-    directory_forget(d, 3, 2 * SECOND);
-    const endpoint_t *e = directory_find(d, "e");
-    CU_ASSERT(endpoint_usable(e, 3 * SECOND));
-    CU_ASSERT_FALSE(endpoint_usable(e, 20 * SECOND));
-    directory_destroy(d);
-}
-
-/* Two starts at one address: the new one gets the work, and the old one does
- * not take it for good if its renewal came late. */
-static void
-test_address_taken(void)
-{
-    directory_t *d = directory_create(drop_nothing);
-    endpoint_lease_t old = lease_of("old", 9, LEASE_READY);
-    endpoint_lease_t new = lease_of("new", 1, LEASE_READY);
-    directory_update(d, 0, &old, SECOND);
-    directory_update(d, 0, &new, 2 * SECOND);
-    CU_ASSERT_FALSE(endpoint_open(directory_find(d, "old"), 3 * SECOND));
-    CU_ASSERT(endpoint_open(directory_find(d, "new"), 3 * SECOND));
-    endpoint_note(directory_find(d, "old"), ENDPOINT_MISDIRECTED, 9 * SECOND);
-    CU_ASSERT_FALSE(endpoint_open(directory_find(d, "old"), 30 * SECOND));
-    directory_destroy(d);
-}
-
 /* ---- repeats ---- */
 
 /* Any window of the bound's length, over all instances, keeps the bound. */
@@ -750,12 +611,7 @@
     {"faults of settings are named", test_settings},
     {"the sample settings have none", test_sample_settings},
     {"a client sets only what is its own", test_request_fields},
-    {"a renewal names where the next goes", test_heartbeat_answer},
     {"events are told apart however they come", test_events},
-    {"leases by sequence, silence and leaving", test_registry},
-    {"leases of several control instances are merged", test_merge},
-    {"a control instance that starts over", test_forget},
-    {"an address used again", test_address_taken},
     {"repeats stay under the common budget", test_repeat_budget},
     {"differences of configurations", test_delta},
     {"questions are read as written", test_sync_request},
