Take doubled logic out: posts between instances, loads of all, the mix's times

Cause: three places wrote the same POST, four added up what all instances have at an endpoint, and the prompt mix kept the time of the last prompt twice. Ruled out: one module for calls between instances with answers too: the two links watch progress differently.

--- a/carobloomd/control/letters.c
+++ b/carobloomd/control/letters.c
@@ -1,4 +1,5 @@
 #include "carobloom/common/counters.h"
+#include "carobloom/gateway/inner_post.h"
 #include "carobloom/gateway/load_wire.h"
 #include "control_state.h"
 
@@ -137,12 +138,7 @@
                     1);
         return;
     }
-    GString *bytes = g_string_sized_new(message.length + 128);
-    g_string_append_printf(bytes,
-                           "POST %s HTTP/1.1\r\nHost: %s\r\n"
-                           "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
-                           WAYS[kind].path, to->address, message.length);
-    g_string_append_len(bytes, message.data, (gssize)message.length);
+    GString *bytes = inner_post(WAYS[kind].path, to->address, message);
     letter_t *letter = g_new0(letter_t, 1);
     letter->to = to;
     letter->kind = kind;
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -3,6 +3,7 @@
 #include "carobloom/common/clock.h"
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/gateway/inner_post.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/version/text_delta.h"
 #include "entry_state.h"
@@ -402,13 +403,9 @@
     };
     GBytes *body = sync_request_write(&request);
     gsize length;
-    const char *data = g_bytes_get_data(body, &length);
-    GString *bytes = g_string_new(NULL);
-    g_string_append_printf(bytes,
-                           "POST " SYNC_PATH " HTTP/1.1\r\nHost: %s\r\n"
-                           "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
-                           link->address, length);
-    g_string_append_len(bytes, data, (gssize)length);
+    str_t view = {.data = g_bytes_get_data(body, &length)};
+    view.length = length;
+    GString *bytes = inner_post(SYNC_PATH, link->address, view);
     g_bytes_unref(body);
     g_byte_array_set_size(link->body, 0);
     link->asked_us = clock_boot_us();
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -171,9 +171,8 @@
     f->endpoint = endpoint;
     g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
     f->heard = FALSE;
-    f->found_running = endpoint->running + endpoint->others.running;
-    f->found_waiting =
-        endpoint->waiting_tokens + endpoint->others.waiting_tokens;
+    f->found_running = endpoint_running(endpoint);
+    f->found_waiting = endpoint_waiting(endpoint);
     f->waiting_tokens = placement->read_tokens;
     endpoint_join(endpoint, f->info.prompt_tokens, f->waiting_tokens);
     for (guint i = 0; i < request->part_count; i++) {
--- a/carobloomd/gateway/load_link.c
+++ b/carobloomd/gateway/load_link.c
@@ -4,6 +4,7 @@
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/gateway/inner_post.h"
 #include "carobloom/gateway/load_wire.h"
 #include "carobloom/policy/rendezvous.h"
 #include "entry_state.h"
@@ -192,13 +193,9 @@
     link->reported = directory_loads(link->entry->directory);
     report.loads = link->reported;
     GBytes *body = load_report_write(&report);
-    const char *data = g_bytes_get_data(body, &length);
-    GString *bytes = g_string_new(NULL);
-    g_string_append_printf(bytes,
-                           "POST " LOADS_PATH " HTTP/1.1\r\nHost: %s\r\n"
-                           "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
-                           link->address, length);
-    g_string_append_len(bytes, data, (gssize)length);
+    str_t view = {.data = g_bytes_get_data(body, &length)};
+    view.length = length;
+    GString *bytes = inner_post(LOADS_PATH, link->address, view);
     g_bytes_unref(body);
     return bytes;
 }
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -115,6 +115,10 @@
                                 const char *service, gint64 now_us);
 /* Whether it may be sent new work at all. */
 gboolean endpoint_usable(const endpoint_t *endpoint, gint64 now_us);
+/* Requests of all instances there, as far as told; prompt tokens that wait to
+ * be read for them. */
+guint endpoint_running(const endpoint_t *endpoint);
+guint endpoint_waiting(const endpoint_t *endpoint);
 /* One of this instance's requests goes there, `waiting_tokens` of whose prompt
  * have to be read. */
 void endpoint_join(endpoint_t *endpoint, guint prompt_tokens,
--- a/include/carobloom/policy/prompt_mix.h
+++ b/include/carobloom/policy/prompt_mix.h
@@ -15,14 +15,12 @@
     /* that came here, counting the less the longer ago */
     double arrivals;
     double tokens;      /* of their prompts */
-    gint64 at_us;       /* when the last one came */
+    gint64 at_us;       /* when the last one came; 0: never */
     double mean_tokens; /* of a prompt, over the last twenty or so */
 } prompt_kind_t;
 
 typedef struct {
     gint64 first_us; /* when a request first came; 0: never */
-    gint64 long_us;  /* when a long prompt last came; 0: never */
-    gint64 rest_us;  /* when another one last came; 0: never */
     prompt_kind_t of_long;
     prompt_kind_t of_rest;
     /* the shortest objective of pauses among the rest; 0: none */
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -396,8 +396,8 @@
     const GPtrArray *list = directory_service(d, service);
     for (guint i = 0; list != NULL && i < list->len; i++) {
         const endpoint_t *e = list->pdata[i];
-        guint running = e->running + e->others.running;
-        guint waiting = e->waiting_tokens + e->others.waiting_tokens;
+        guint running = endpoint_running(e);
+        guint waiting = endpoint_waiting(e);
         guint long_running = e->long_running + e->others.long_running;
         guint long_waiting = e->long_waiting + e->others.long_waiting;
         demand.engines += endpoint_usable(e, now_us);
@@ -423,6 +423,18 @@
     return now_us >= e->closed_until_us && now_us >= e->full_until_us;
 }
 
+guint
+endpoint_running(const endpoint_t *e)
+{
+    return e->running + e->others.running;
+}
+
+guint
+endpoint_waiting(const endpoint_t *e)
+{
+    return e->waiting_tokens + e->others.waiting_tokens;
+}
+
 void
 endpoint_join(endpoint_t *e, guint prompt_tokens, guint waiting_tokens)
 {
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -187,7 +187,7 @@
 running_at(const endpoint_t *e, const placement_request_t *r)
 {
     if (r->unknown_sharers == 0) {
-        return e->running + e->others.running;
+        return endpoint_running(e);
     }
     return prompt_is_long(r->prompt_tokens) ? e->running * r->unknown_sharers
                                             : e->running;
@@ -206,23 +206,16 @@
 static guint
 rest_at(const endpoint_t *e)
 {
-    guint running = e->running + e->others.running;
+    guint running = endpoint_running(e);
     guint of_long = e->long_running + e->others.long_running;
     return running - MIN(running, of_long);
 }
 
-/* Prompt tokens that wait at an endpoint, of all instances. */
-static double
-waiting_at(const endpoint_t *e)
-{
-    return (double)e->waiting_tokens + e->others.waiting_tokens;
-}
-
 /* Requests of all instances there, in parts of its slots. */
 static double
 fullness(const endpoint_t *e)
 {
-    return (double)(e->running + e->others.running) / MAX(e->slots, 1);
+    return (double)endpoint_running(e) / MAX(e->slots, 1);
 }
 
 /* Whether reading so many tokens in a row makes pauses late for what streams
@@ -282,7 +275,7 @@
     }
     if (prompt_is_long(r->prompt_tokens) &&
         rest_at(e) > (standing.on_side ? REST_SLOTS * e->slots : 0) &&
-        stalls(r, waiting_at(e) + standing.read_tokens)) {
+        stalls(r, endpoint_waiting(e) + standing.read_tokens)) {
         return FALSE;
     }
     return running_at(e, r) < MAX(part * e->slots, 1);
@@ -319,7 +312,7 @@
         ms += rest_at(e) * LONG_AT_REST_PART * (double)r->target_ms;
     }
     else {
-        ms += stalls(r, waiting_at(e)) ? SHORT_STALLED_MS : 0;
+        ms += stalls(r, endpoint_waiting(e)) ? SHORT_STALLED_MS : 0;
         ms += SHORT_FULL_MS * MAX(fullness(e) - SHORT_FULL_FROM, 0);
         if (standing.rank >= KEEPERS_MAX) {
             ms += SHORT_AWAY_PART * REREAD_WEIGHT * shared_tokens(r) /
--- a/policy/prompt_mix.c
+++ b/policy/prompt_mix.c
@@ -35,9 +35,9 @@
 }
 
 static void
-note_kind(prompt_kind_t *kind, prompt_note_t note, gboolean first,
-          gint64 now_us)
+note_kind(prompt_kind_t *kind, prompt_note_t note, gint64 now_us)
 {
+    gboolean first = kind->at_us == 0;
     double kept = first ? 0 : remembered(kind, now_us);
     kind->arrivals = kind->arrivals * kept + 1;
     kind->tokens = kind->tokens * kept + note.prompt_tokens;
@@ -57,12 +57,10 @@
         mix->first_us = now_us;
     }
     if (prompt_is_long(note.prompt_tokens)) {
-        note_kind(&mix->of_long, note, mix->long_us == 0, now_us);
-        mix->long_us = now_us;
+        note_kind(&mix->of_long, note, now_us);
         return;
     }
-    note_kind(&mix->of_rest, note, mix->rest_us == 0, now_us);
-    mix->rest_us = now_us;
+    note_kind(&mix->of_rest, note, now_us);
     if (note.pause_ms > 0 &&
         (mix->rest_pause_ms == 0 || note.pause_ms < mix->rest_pause_ms)) {
         mix->rest_pause_ms = note.pause_ms;
@@ -78,8 +76,8 @@
 gboolean
 prompt_mix_parted(const prompt_mix_t *mix, gint64 now_us)
 {
-    if (mix->long_us != 0) {
-        return now_us - mix->long_us < LONG_REMEMBERED_US;
+    if (mix->of_long.at_us != 0) {
+        return now_us - mix->of_long.at_us < LONG_REMEMBERED_US;
     }
     return now_us - mix->first_us < LONG_UNKNOWN_US;
 }
