--- a/carobloomd/control/endpoint_leases.c
+++ b/carobloomd/control/endpoint_leases.c
@@ -73,8 +73,8 @@
 }
 
 /* Whether some configuration named the service; while there is none, any may
- * be named yet. A configuration is read only when a name is not known, since
- * one of 1,400 routes takes a tenth of a second of a small machine. */
+ * be named yet. A configuration may have 1,400 routes, and hundreds of them
+ * come on a day: it is read only when a name is not known. */
 static gboolean
 is_named(control_t *c, const char *service)
 {
