--- a/tests/test_loads.c
+++ b/tests/test_loads.c
@@ -8,7 +8,7 @@
 #include "carobloom/policy/rendezvous.h"
 #include "check.h"
 
-enum { MS = 1000 };
+enum { MS = 1000, SECOND = 1000 * MS };
 
 static GArray *
 loads_of(guint64 endpoint, guint running)
@@ -229,11 +229,48 @@
     load_sum_destroy(sum);
 }
 
+/* Sums follow the reports: replaced, renewed, and taken out when silent. */
+static void
+test_load_sum(void)
+{
+    load_sum_t *s = load_sum_create();
+    endpoint_load_t loads[] = {{1, 4, 400, 40}, {2, 3, 300, 30}};
+    GArray *mine = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    GArray *theirs = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    g_array_append_vals(mine, loads, 2);
+    g_array_append_vals(theirs, loads, 1);
+    load_sum_report(s, "a", mine, SECOND);
+    load_sum_report(s, "b", theirs, 2 * SECOND);
+    load_sum_report(s, "b", theirs, 3 * SECOND);
+    GArray *all = load_sum_all(s);
+    endpoint_load_t total = {0};
+    for (guint i = 0; i < all->len; i++) {
+        const endpoint_load_t *l = &g_array_index(all, endpoint_load_t, i);
+        total.running += l->running;
+        total.prompt_tokens += l->prompt_tokens;
+        total.waiting_tokens += l->waiting_tokens;
+    }
+    CU_ASSERT_EQUAL(all->len, 2);
+    CU_ASSERT_EQUAL(total.running, 11);
+    CU_ASSERT_EQUAL(total.prompt_tokens, 1100);
+    CU_ASSERT_EQUAL(total.waiting_tokens, 110);
+    g_array_unref(all);
+    load_sum_expire(s, 2 * SECOND);
+    CU_ASSERT_EQUAL(load_sum_reporters(s), 1);
+    all = load_sum_all(s);
+    CU_ASSERT_EQUAL_FATAL(all->len, 1);
+    CU_ASSERT_EQUAL(g_array_index(all, endpoint_load_t, 0).running, 4);
+    g_array_unref(all);
+    g_array_unref(mine);
+    g_array_unref(theirs);
+    load_sum_destroy(s);
+}
+
 /* ---- ages ---- */
 
-/* The sums that instance `n` is told at `now_us` hold of each other instance
- * what was so within the bound. Played with the intervals that the control
- * instances ask for, spread at random. */
+/* What each instance is told holds of each other one what was so within the
+ * bound. Played with the intervals that the control instances ask for, spread
+ * at random. */
 typedef struct {
     guint entries;
     guint controls;
@@ -248,69 +285,103 @@
     {1000, 9, 500, 700},
 };
 
-enum { SUMS_MS = 50 }; /* between control instances */
+enum {
+    SUMS_MS = 50, /* between control instances */
+    STEP_MS = 5,
+    PLAYED_MS = 5000,
+    TRIP_MS = 5, /* between two instances */
+};
+
+typedef struct {
+    const age_case_t *c;
+    guint *home; /* the collector of each entry instance */
+    guint reporters[COLLECTORS];
+    guint calls[COLLECTORS];
+    gint64 *due;   /* the next report of each entry instance */
+    gint64 *known; /* at its collector: when what is known of it was so */
+    gint64 *told;  /* the same at the other control instances */
+    gint64 oldest_ms;
+} ages_t;
+
+static void
+ages_init(ages_t *a, const age_case_t *c)
+{
+    collector_t all[COLLECTORS];
+    GRand *random = g_rand_new_with_seed(3);
+    *a = (ages_t){.c = c,
+                  .home = g_new0(guint, c->entries),
+                  .due = g_new0(gint64, c->entries),
+                  .known = g_new0(gint64, c->entries),
+                  .told = g_new0(gint64, c->entries)};
+    collectors_fill(all, 0, ~0u << c->controls);
+    for (guint n = 0; n < c->entries; n++) {
+        gssize at = collector_pick(all, COLLECTORS, hash_of("entry", n));
+        a->home[n] = (guint)at;
+        a->reporters[at]++;
+    }
+    for (guint n = 0; n < c->entries; n++) {
+        gint interval = (gint)collector_ask_ms(a->reporters[a->home[n]]);
+        a->due[n] = g_rand_int_range(random, 0, interval);
+    }
+    g_rand_free(random);
+}
+
+static void
+ages_clear(ages_t *a)
+{
+    g_free(a->home);
+    g_free(a->due);
+    g_free(a->known);
+    g_free(a->told);
+}
+
+/* Instance `n` reports and is told; what it is told ages until the next time.
+ */
+static void
+ages_report(ages_t *a, guint n, gint64 now_ms)
+{
+    guint at = a->home[n];
+    a->due[n] = now_ms + collector_ask_ms(a->reporters[at]);
+    a->calls[at]++;
+    a->known[n] = now_ms - TRIP_MS;
+    for (guint o = 0; now_ms > PLAYED_MS / 2 && o < a->c->entries; o++) {
+        gint64 was_so = a->home[o] == at ? a->known[o] : a->told[o];
+        a->oldest_ms = MAX(a->oldest_ms, a->due[n] + TRIP_MS - was_so);
+    }
+}
+
+static guint
+ages_busiest(const ages_t *a)
+{
+    guint busiest = 0;
+    for (guint at = 0; at < COLLECTORS; at++) {
+        busiest = MAX(busiest, a->calls[at] * 1000 / PLAYED_MS);
+    }
+    return busiest;
+}
 
 static void
 test_ages(void)
 {
-    enum { STEP_MS = 5, PLAYED_MS = 5000, TRIP_MS = 5 };
     for (gsize i = 0; i < G_N_ELEMENTS(AGE_CASES); i++) {
         const age_case_t *c = &AGE_CASES[i];
-        collector_t all[COLLECTORS];
-        guint reporters[COLLECTORS] = {0};
-        guint calls[COLLECTORS] = {0};
-        guint *home = g_new0(guint, c->entries);
-        gint64 *due = g_new0(gint64, c->entries);
-        /* at each control instance: when what it knows of an entry was so */
-        gint64 *known = g_new0(gint64, c->entries * c->controls);
-        gint64 *spread = g_new0(gint64, c->entries * c->controls);
-        GRand *random = g_rand_new_with_seed(3);
-        gint64 oldest = 0;
-        collectors_fill(all, 0, ~0u << c->controls);
-        for (guint n = 0; n < c->entries; n++) {
-            home[n] =
-                (guint)collector_pick(all, COLLECTORS, hash_of("entry", n));
-            reporters[home[n]]++;
-        }
-        for (guint n = 0; n < c->entries; n++) {
-            due[n] = g_rand_int_range(
-                random, 0, (gint)collector_ask_ms(reporters[home[n]]));
-        }
+        ages_t a;
+        ages_init(&a, c);
         for (gint64 now = 0; now < PLAYED_MS; now += STEP_MS) {
             for (guint n = 0; n < c->entries; n++) {
-                if (now < due[n]) {
-                    continue;
-                }
-                guint at = home[n];
-                due[n] = now + collector_ask_ms(reporters[at]);
-                calls[at]++;
-                known[at * c->entries + n] = now - TRIP_MS;
-                /* what it is told; the age counts until it is told again */
-                for (guint o = 0; now > PLAYED_MS / 2 && o < c->entries; o++) {
-                    gint64 so = home[o] == at
-                                    ? known[at * c->entries + o]
-                                    : spread[home[o] * c->entries + o];
-                    oldest = MAX(oldest, due[n] - so);
+                if (now >= a.due[n]) {
+                    ages_report(&a, n, now);
                 }
             }
-            if (now % SUMS_MS == 0) { /* taken a trip later */
-                memcpy(spread, known,
-                       sizeof(*known) * c->entries * c->controls);
+            if (now % SUMS_MS == 0) {
+                memcpy(a.told, a.known, sizeof(*a.known) * c->entries);
             }
         }
-        guint busiest = 0;
-        for (guint at = 0; at < c->controls; at++) {
-            busiest = MAX(busiest, calls[at] * 1000 / PLAYED_MS);
-        }
         printf("%u instances: oldest %u ms, busiest %u calls/s; ", c->entries,
-               (guint)oldest + TRIP_MS, busiest);
-        CU_ASSERT(oldest + TRIP_MS <= c->bound_ms);
-        CU_ASSERT(busiest <= c->calls_second);
-        g_free(home);
-        g_free(due);
-        g_free(known);
-        g_free(spread);
-        g_rand_free(random);
+               (guint)a.oldest_ms, ages_busiest(&a));
+        CU_ASSERT(a.oldest_ms <= c->bound_ms);
+        CU_ASSERT(ages_busiest(&a) <= c->calls_second);
+        ages_clear(&a);
     }
 }
 
@@ -319,6 +390,7 @@
     {"whom an instance reports to", test_collectors},
     {"instances spread evenly", test_collectors_even},
     {"sums follow reports", test_sums},
+    {"loads are summed", test_load_sum},
     {"what is known is young at any size", test_ages},
 };
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -1,9 +1,8 @@
 /* Placement over the requests of one service: which endpoint takes which
- * prompt, and what the instances learn and tell each other for it. */
+ * prompt. */
 #include <string.h>
 
 #include "carobloom/policy/directory.h"
-#include "carobloom/policy/engine_model.h"
 #include "carobloom/policy/placement.h"
 #include "carobloom/policy/prompt_mix.h"
 #include "check.h"
@@ -346,60 +345,6 @@
     }
 }
 
-/* Engines are parted while long prompts come, and until an instance has seen
- * enough requests to know that none do. */
-static void
-test_prompt_mix(void)
-{
-    static const struct {
-        guint tokens[2]; /* of two requests */
-        gint64 at_s[2];  /* when they come */
-        gint64 asked_s;
-        gboolean parted;
-    } CASES[] = {
-        {{800, 800}, {1, 2}, 2, TRUE},     {{800, 800}, {1, 12}, 12, FALSE},
-        {{800, 9000}, {1, 12}, 12, TRUE},  {{9000, 800}, {1, 30}, 30, TRUE},
-        {{9000, 800}, {1, 62}, 62, FALSE},
-    };
-    for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
-        prompt_mix_t mix = {0};
-        prompt_mix_note(&mix,
-                        (prompt_note_t){.prompt_tokens = CASES[i].tokens[0]},
-                        CASES[i].at_s[0] * SECOND);
-        prompt_mix_note(&mix,
-                        (prompt_note_t){.prompt_tokens = CASES[i].tokens[1]},
-                        CASES[i].at_s[1] * SECOND);
-        CU_ASSERT_EQUAL(prompt_mix_parted(&mix, CASES[i].asked_s * SECOND),
-                        CASES[i].parted);
-    }
-}
-
-/* What arrives is counted over the last seconds, and taken to be the same at
- * every instance. */
-static void
-test_arrivals(void)
-{
-    prompt_mix_t mix = {0};
-    split_demand_t demand = {0};
-    gint64 now_us = SECOND;
-    for (guint i = 0; i < 100; i++) {
-        prompt_note_t note = {.prompt_tokens = i % 2 ? 600 : 1000,
-                              .target_ms = 300,
-                              .pause_ms = 250,
-                              .priority = i % 4};
-        now_us += SECOND / 10;
-        prompt_mix_note(&mix, note, now_us);
-    }
-    prompt_mix_fill(&mix, 4, now_us, &demand);
-    CU_ASSERT_DOUBLE_EQUAL(demand.of_rest.a_second, 40, 2);
-    CU_ASSERT_DOUBLE_EQUAL(demand.of_rest.prompt_tokens, 800, 20);
-    CU_ASSERT_EQUAL(demand.of_rest.priority, 0);
-    CU_ASSERT_EQUAL(demand.of_rest.pause_ms, 250);
-    CU_ASSERT_EQUAL(demand.of_long.a_second, 0);
-    prompt_mix_fill(&mix, 4, now_us + 10 * SECOND, &demand);
-    CU_ASSERT(demand.of_rest.a_second < 1);
-}
-
 /* What the other instances run counts against the places. */
 static void
 test_loads_of_others(void)
@@ -424,43 +369,6 @@
     directory_destroy(d);
 }
 
-/* Sums follow the reports: replaced, renewed, and taken out when silent. */
-static void
-test_load_sum(void)
-{
-    load_sum_t *s = load_sum_create();
-    endpoint_load_t loads[] = {{1, 4, 400, 40}, {2, 3, 300, 30}};
-    GArray *mine = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
-    GArray *theirs = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
-    g_array_append_vals(mine, loads, 2);
-    g_array_append_vals(theirs, loads, 1);
-    load_sum_report(s, "a", mine, SECOND);
-    load_sum_report(s, "b", theirs, 2 * SECOND);
-    load_sum_report(s, "b", theirs, 3 * SECOND);
-    GArray *all = load_sum_all(s);
-    endpoint_load_t total = {0};
-    for (guint i = 0; i < all->len; i++) {
-        const endpoint_load_t *l = &g_array_index(all, endpoint_load_t, i);
-        total.running += l->running;
-        total.prompt_tokens += l->prompt_tokens;
-        total.waiting_tokens += l->waiting_tokens;
-    }
-    CU_ASSERT_EQUAL(all->len, 2);
-    CU_ASSERT_EQUAL(total.running, 11);
-    CU_ASSERT_EQUAL(total.prompt_tokens, 1100);
-    CU_ASSERT_EQUAL(total.waiting_tokens, 110);
-    g_array_unref(all);
-    load_sum_expire(s, 2 * SECOND);
-    CU_ASSERT_EQUAL(load_sum_reporters(s), 1);
-    all = load_sum_all(s);
-    CU_ASSERT_EQUAL_FATAL(all->len, 1);
-    CU_ASSERT_EQUAL(g_array_index(all, endpoint_load_t, 0).running, 4);
-    g_array_unref(all);
-    g_array_unref(mine);
-    g_array_unref(theirs);
-    load_sum_destroy(s);
-}
-
 /* One that refuses all looks idle; it is left for longer each time. */
 static void
 test_refusing(void)
@@ -484,141 +392,6 @@
     directory_destroy(d);
 }
 
-/* Runs `demand` for ten seconds, told each 200 ms. */
-static double
-part_after(split_demand_t demand)
-{
-    engine_split_t split = {0};
-    for (gint64 ms = 0; ms <= 10000; ms += 200) {
-        engine_split_update(&split, &demand, SECOND + ms * 1000);
-    }
-    return engine_split_part(&split);
-}
-
-/* The more urgent kind gets the engines that it needs, whatever the other one
- * has waiting; the rest is shared. */
-static void
-test_split(void)
-{
-    static const struct {
-        const char *name;
-        kind_load_t of_long;
-        kind_load_t of_rest;
-        double least;
-        double most;
-    } SPLITS[] = {
-        {"nothing runs", {0}, {0}, 0.49, 0.6},
-        {"long ones wait, less urgent",
-         {.running = 60,
-          .waiting_tokens = 200000,
-          .target_ms = 500,
-          .priority = 1},
-         {.running = 90, .target_ms = 600},
-         0.75,
-         0.85},
-        {"long ones wait, more urgent",
-         {.running = 60, .waiting_tokens = 200000, .target_ms = 500},
-         {.running = 90, .target_ms = 600, .priority = 1},
-         0.8,
-         0.86},
-        {"many short ones run",
-         {.running = 10,
-          .waiting_tokens = 20000,
-          .target_ms = 500,
-          .priority = 1},
-         {.running = 300, .target_ms = 600},
-         0.25,
-         0.42},
-        {"prompts that would make pauses late",
-         {.running = 60,
-          .waiting_tokens = 200000,
-          .target_ms = 500,
-          .priority = 1},
-         {.running = 20,
-          .target_ms = 600,
-          .pause_ms = 200,
-          .a_second = 42,
-          .prompt_tokens = 2500},
-         0.55,
-         0.68},
-        {"the same, too short to do so",
-         {.running = 60,
-          .waiting_tokens = 200000,
-          .target_ms = 500,
-          .priority = 1},
-         {.running = 20,
-          .target_ms = 600,
-          .pause_ms = 200,
-          .a_second = 42,
-          .prompt_tokens = 250},
-         0.75,
-         0.86},
-        {"a longer objective needs fewer engines",
-         {.running = 20,
-          .waiting_tokens = 20000,
-          .target_ms = 4000,
-          .priority = 1},
-         {.running = 60, .target_ms = 600},
-         0.19,
-         0.4},
-    };
-    for (gsize i = 0; i < G_N_ELEMENTS(SPLITS); i++) {
-        split_demand_t demand = {.engines = 12,
-                                 .slots = 64,
-                                 .tokens_a_ms = 60,
-                                 .of_long = SPLITS[i].of_long,
-                                 .of_rest = SPLITS[i].of_rest};
-        double part = part_after(demand);
-        CU_ASSERT(part >= SPLITS[i].least && part <= SPLITS[i].most);
-    }
-}
-
-/* The border goes by whole engines, not with every request. */
-static void
-test_split_is_steady(void)
-{
-    engine_split_t split = {0};
-    guint moves = 0;
-    CU_ASSERT_EQUAL(engine_split_part(&split), 0.6);
-    for (guint i = 0; i < 100; i++) {
-        split_demand_t demand = {
-            .engines = 12, .slots = 64, .tokens_a_ms = 60};
-        demand.of_long.waiting_tokens = i % 2 ? 17000 : 19000;
-        demand.of_long.target_ms = 500;
-        demand.of_rest.running = 50;
-        double before = engine_split_part(&split);
-        engine_split_update(&split, &demand, SECOND + i * SECOND / 5);
-        moves += engine_split_part(&split) != before;
-    }
-    CU_ASSERT(moves <= 2);
-}
-
-/* What the engines of a service do is learned from a bad guess, and outliers
- * do not spoil it. */
-static void
-test_engine_model(void)
-{
-    static const struct {
-        double first_ms; /* before the first event, without any prompt */
-        double tokens_a_ms;
-    } ENGINE_KINDS[] = {{5, 30}, {60, 60}, {2, 200}};
-    for (gsize i = 0; i < G_N_ELEMENTS(ENGINE_KINDS); i++) {
-        engine_model_t model;
-        engine_model_init(&model);
-        for (guint n = 0; n < 400; n++) {
-            double tokens = 500 + (n * 977) % 20000;
-            double first = ENGINE_KINDS[i].first_ms +
-                           tokens / ENGINE_KINDS[i].tokens_a_ms;
-            engine_model_note_first(&model, tokens,
-                                    n % 50 == 0 ? 10000 : first);
-        }
-        double expected =
-            ENGINE_KINDS[i].first_ms + 10000 / ENGINE_KINDS[i].tokens_a_ms;
-        CU_ASSERT_DOUBLE_EQUAL(engine_model_first_ms(&model, 10000), expected,
-                               0.15 * expected);
-    }
-}
-
 /* A long prompt keeps away from streams that its reading would hold up; off
  * its side it goes only where nothing would be. */
 static void
@@ -708,9 +481,6 @@
 }
 
 static const test_case_t CASES[] = {
-    {"engines divided by need", test_split},
-    {"engines divided by whole ones", test_split_is_steady},
-    {"what engines do is learned", test_engine_model},
     {"pauses guarded from long prompts", test_pauses_guarded},
     {"what a full home leaves to the next keeper", test_next_keeper},
     {"a home on the other side of the border", test_former_home},
@@ -723,10 +493,7 @@
     {"places by an engine's memory", test_places_by_memory},
     {"a queue at a prompt's home", test_queue_at_home},
     {"places without word of the others", test_places_without_loads},
-    {"long prompts are remembered", test_prompt_mix},
-    {"what arrives is counted", test_arrivals},
     {"loads of the other instances", test_loads_of_others},
-    {"loads are summed", test_load_sum},
     {"an endpoint that refuses all", test_refusing},
 };
 
