--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -18,7 +18,7 @@
     MAILBOX_BOUND = 10000,
     /* Between two messages to each other control instance about requests under
      * way, half of what entry instances wait: with eight others 160 a second
-     * of 0.1 ms each way. */
+     * of some 0.05 ms each way. */
     SUMS_US = 50 * MS,
     /* For another leader to be elected before this instance ends. */
     HANDOVER_US = 1500 * MS,
