--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "carobloom/policy/directory.h"
+#include "carobloom/policy/keepers.h"
 #include "carobloom/policy/placement.h"
 #include "carobloom/policy/prompt_mix.h"
 #include "check.h"
@@ -40,6 +41,7 @@
     gint64 memory_tokens;
     double long_part; /* 0: 0.6 */
     gint64 target_ms; /* 0: 2000 */
+    double long_tokens;
 } place_case_t;
 
 static placement_t
@@ -53,6 +55,7 @@
         .prompt_tokens = c.tokens,
         .parted = c.parted,
         .long_part = c.long_part > 0 ? c.long_part : 0.6,
+        .long_tokens = c.long_tokens,
         .target_ms = c.target_ms > 0 ? c.target_ms : 2000,
         .rest_pause_ms = 250,
         .tokens_a_ms = 50,
@@ -480,7 +483,53 @@
     directory_destroy(d);
 }
 
+/* A large prompt finds with the next keeper what typical ones find; reckoned
+ * with its own reading it would find it full at two requests. */
+static void
+test_large_at_next_keeper(void)
+{
+    enum { LARGE = 60000, TYPICAL = 12000, RUNNING = 8 };
+    for (int known = 0; known < 2; known++) {
+        directory_t *d = engines_create();
+        place_case_t c = {.tokens = LARGE,
+                          .shared = 7,
+                          .shared_tokens = 5000,
+                          .parted = TRUE,
+                          .fetch_tokens_a_ms = 800,
+                          .long_tokens = known ? TYPICAL : 0};
+        endpoint_t *home = place_of(d, c).endpoint;
+        home->running = SLOTS;
+        home->long_running = SLOTS;
+        endpoint_t *next = place_of(d, c).endpoint;
+        next->running = RUNNING;
+        next->long_running = RUNNING;
+        endpoint_t *e = place_of(d, c).endpoint;
+        CU_ASSERT_EQUAL(e == next, known);
+        directory_destroy(d);
+    }
+}
+
+/* Short prompts that share a part go to its keepers, whatever is drawn, while
+ * these are no more loaded than others; a crowded one is left. */
+static void
+test_short_at_keepers(void)
+{
+    directory_t *d = engines_create();
+    GHashTable *used = g_hash_table_new(NULL, NULL);
+    for (guint32 draw = 0; draw < 100; draw++) {
+        g_hash_table_add(used, place(d, 800, 77, 400, TRUE, draw));
+    }
+    CU_ASSERT(g_hash_table_size(used) <= KEEPERS_MAX);
+    endpoint_t *home = place(d, 800, 77, 400, TRUE, 1);
+    home->running = SLOTS;
+    CU_ASSERT_NOT_EQUAL(place(d, 800, 77, 400, TRUE, 1), home);
+    g_hash_table_unref(used);
+    directory_destroy(d);
+}
+
 static const test_case_t CASES[] = {
+    {"short prompts at the keepers of their part", test_short_at_keepers},
+    {"a large prompt at the next keeper", test_large_at_next_keeper},
     {"pauses guarded from long prompts", test_pauses_guarded},
     {"what a full home leaves to the next keeper", test_next_keeper},
     {"a home on the other side of the border", test_former_home},
