Say which requests ran on an endpoint that ended

Cause: log lines name a request by the id of one attempt, so nobody can see that two attempts are the same request, nor what ran on an endpoint as it ended.

Failed requests and repeats now carry a fingerprint (caller, method, host, path, body). An endpoint_ended line tells which endpoint ended, by what that is known, and the fingerprints of what ran there; counters endpoints_ended_total and cut_requests_total. An end takes more than a broken connection: a refused one after it, or another start at the address, and no byte after it; one that was announced is none.

Nothing is decided differently yet.

--- /dev/null
+++ b/carobloomd/gateway/crash_watch.c
@@ -0,0 +1,357 @@
+#include "crash_watch.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/http/stream_socket.h"
+#include "carobloom/policy/fingerprint.h"
+
+enum {
+    MS = 1000,
+    /* How often breaks that are not explained yet are looked at. */
+    LOOK_US = 50 * MS,
+    /* A connection is tried by then, unless a request found the address
+     * refused before: so that an endpoint without new requests is found. */
+    PROBE_US = 50 * MS,
+    /* Bytes that come later after a break than this were not on their way
+     * already: the endpoint lives. */
+    ON_THEIR_WAY_US = 50 * MS,
+    /* For other requests there to be heard of before an end is taken for
+     * sure. Three ends are to be known everywhere within 3 s. */
+    SURE_US = 150 * MS,
+    /* An engine is back within seconds; what is not explained by then was no
+     * end, or will not be known as one. */
+    FORGET_US = 6000 * MS,
+    /* One whose caller left so shortly before counts as having run there. */
+    LEFT_US = 1000 * MS,
+    LEFT_MAX = 64,     /* remembered; beyond it the oldest give way */
+    RUNS_MAX = 128,    /* of one end: twice the slots of the largest engine */
+    LOGGED_RUNS = 8,   /* fingerprints in one line */
+    BREAKS_MAX = 1024, /* watched at once: every endpoint of a large site */
+};
+
+/* A break at an endpoint, and what became of it. */
+typedef struct {
+    endpoint_end_t end;
+    char *service;
+    char *address;
+    gint64 broke_us;
+    const char *evidence; /* that it ended; NULL: none yet */
+    gboolean ended;       /* told */
+    gboolean news;        /* runs that were not told yet */
+    gboolean probed;
+    stream_socket_t *probe; /* a connection that is tried; or NULL */
+    crash_watch_t *watch;
+} break_t;
+
+typedef struct {
+    guint64 endpoint;
+    gint64 at_us;
+    watched_run_t run;
+} left_run_t;
+
+struct crash_watch {
+    crash_watch_setup_t setup;
+    GHashTable *breaks; /* hash of the endpoint -> break_t */
+    guint open;         /* of them, those that are not explained */
+    guint64 timer;      /* 0: nothing to look at */
+    left_run_t left[LEFT_MAX];
+    guint left_next;
+};
+
+static void look(void *data);
+
+static gint64
+watch_now(const crash_watch_t *w)
+{
+    return timers_now(w->setup.timers);
+}
+
+static void
+probe_end(break_t *b)
+{
+    g_clear_pointer(&b->probe, stream_socket_destroy);
+}
+
+static void
+break_free(gpointer data)
+{
+    break_t *b = data;
+    probe_end(b);
+    endpoint_end_clear(&b->end);
+    g_free(b->service);
+    g_free(b->address);
+    g_free(b);
+}
+
+crash_watch_t *
+crash_watch_create(const crash_watch_setup_t *setup)
+{
+    crash_watch_t *w = g_new0(crash_watch_t, 1);
+    w->setup = *setup;
+    w->breaks =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, break_free);
+    return w;
+}
+
+void
+crash_watch_destroy(crash_watch_t *w)
+{
+    timers_cancel(w->setup.timers, w->timer);
+    g_hash_table_unref(w->breaks);
+    g_free(w);
+}
+
+/* ---- what ran there ---- */
+
+static void
+add_run(break_t *b, cut_run_t run)
+{
+    if (b->end.runs->len >= RUNS_MAX) {
+        counter_add(counter_get("cut_requests_dropped_total", NULL, FALSE), 1);
+        return;
+    }
+    b->news |= endpoint_end_add(&b->end, run);
+}
+
+/* Those whose callers left shortly before the break ran there as well. */
+static void
+add_left(break_t *b, guint64 endpoint)
+{
+    const crash_watch_t *w = b->watch;
+    for (guint i = 0; i < LEFT_MAX; i++) {
+        const left_run_t *left = &w->left[i];
+        if (left->endpoint == endpoint &&
+            b->broke_us - left->at_us < LEFT_US) {
+            add_run(b, left->run.run);
+        }
+    }
+}
+
+static break_t *
+break_find(const crash_watch_t *w, const endpoint_t *e)
+{
+    return g_hash_table_lookup(w->breaks, &e->hash);
+}
+
+static break_t *
+break_add(crash_watch_t *w, const endpoint_t *e)
+{
+    break_t *b = g_new0(break_t, 1);
+    b->watch = w;
+    b->broke_us = watch_now(w);
+    b->service = g_strdup(e->service);
+    b->address = g_strdup(e->address);
+    endpoint_end_init(&b->end, e->id, e->started_ms);
+    g_hash_table_insert(w->breaks, g_memdup2(&e->hash, sizeof(e->hash)), b);
+    w->open++;
+    add_left(b, e->hash);
+    if (w->timer == 0) {
+        w->timer =
+            timers_subscribe(w->setup.timers, LOOK_US, LOOK_US, look, w);
+    }
+    return b;
+}
+
+void
+crash_watch_broke(crash_watch_t *w, const endpoint_t *e, watched_run_t run)
+{
+    break_t *b = break_find(w, e);
+    if (b == NULL && (e->draining || e->left ||
+                      g_hash_table_size(w->breaks) >= BREAKS_MAX)) {
+        return;
+    }
+    if (b == NULL) {
+        b = break_add(w, e);
+    }
+    /* Sent after the first break, it met an endpoint that had ended. */
+    if (run.sent_us <= b->broke_us) {
+        add_run(b, run.run);
+    }
+}
+
+void
+crash_watch_left(crash_watch_t *w, const endpoint_t *e, watched_run_t run)
+{
+    w->left[w->left_next] =
+        (left_run_t){.endpoint = e->hash, .at_us = watch_now(w), .run = run};
+    w->left_next = (w->left_next + 1) % LEFT_MAX;
+}
+
+/* ---- whether it ended ---- */
+
+static void
+note_evidence(break_t *b, const char *evidence)
+{
+    if (b->evidence == NULL) {
+        b->evidence = evidence;
+    }
+}
+
+void
+crash_watch_refused(crash_watch_t *w, const endpoint_t *e)
+{
+    break_t *b = break_find(w, e);
+    if (b != NULL) {
+        note_evidence(b, "nobody listens there");
+    }
+}
+
+gboolean
+crash_watch_is_open(const crash_watch_t *w)
+{
+    return w->open > 0;
+}
+
+void
+crash_watch_heard(crash_watch_t *w, const endpoint_t *e)
+{
+    break_t *b = break_find(w, e);
+    if (b != NULL && !b->ended &&
+        watch_now(w) - b->broke_us > ON_THEIR_WAY_US) {
+        w->open--;
+        g_hash_table_remove(w->breaks, &e->hash);
+    }
+}
+
+static void
+probe_connected(void *user)
+{
+    probe_end(user); /* it lives, or is back already: its next start tells */
+}
+
+static void
+probe_bytes(void *user, str_t bytes)
+{
+    (void)user;
+    (void)bytes;
+}
+
+static void
+probe_drained(void *user)
+{
+    (void)user;
+}
+
+static void
+probe_closed(void *user, int error)
+{
+    break_t *b = user;
+    if (error == ECONNREFUSED) {
+        note_evidence(b, "nobody listens there");
+    }
+    probe_end(b);
+}
+
+static const stream_socket_ops_t PROBE_OPS = {.connected = probe_connected,
+                                              .bytes = probe_bytes,
+                                              .drained = probe_drained,
+                                              .closed = probe_closed};
+
+static void
+probe_begin(break_t *b)
+{
+    struct sockaddr_in address;
+    b->probed = TRUE;
+    if (socket_address_parse(str_from_cstr(b->address), &address)) {
+        b->probe = stream_socket_connect(b->watch->setup.poller, &address,
+                                         &PROBE_OPS, b);
+    }
+}
+
+/* ---- telling ---- */
+
+static void
+log_end(const break_t *b)
+{
+    const GArray *runs = b->end.runs;
+    if (!event_log_begin(EVENT_STATE, "endpoint_ended")) {
+        return;
+    }
+    GString *list = g_string_new(NULL);
+    for (guint i = 0; i < MIN(runs->len, LOGGED_RUNS); i++) {
+        char text[FINGERPRINT_TEXT];
+        fingerprint_text(g_array_index(runs, cut_run_t, i).fingerprint, text);
+        g_string_append_printf(list, "%s%s", i > 0 ? "," : "", text);
+    }
+    event_log_cstr("endpoint", b->end.endpoint);
+    event_log_number("started_ms", b->end.started_ms);
+    event_log_cstr("service", b->service);
+    event_log_cstr("evidence", b->evidence);
+    event_log_number("since_break_ms",
+                     (watch_now(b->watch) - b->broke_us) / MS);
+    event_log_number("cut_requests", runs->len);
+    event_log_cstr("fingerprints", list->str);
+    event_log_end();
+    g_string_free(list, TRUE);
+}
+
+static void
+tell(break_t *b)
+{
+    if (!b->ended) {
+        b->ended = TRUE;
+        b->watch->open--;
+        log_end(b);
+        counter_add(counter_get("endpoints_ended_total", NULL, FALSE), 1);
+        counter_add(counter_get("cut_requests_total", NULL, FALSE),
+                    b->end.runs->len);
+    }
+    b->news = FALSE;
+    b->watch->setup.ended(b->watch->setup.user, &b->end);
+}
+
+/* TRUE when there is nothing more to learn of it. */
+static gboolean
+look_at(break_t *b, gint64 now_us)
+{
+    const crash_watch_t *w = b->watch;
+    gint64 age_us = now_us - b->broke_us;
+    start_state_t state = directory_start_state(
+        w->setup.directory, b->end.endpoint, b->end.started_ms, b->address);
+    if (b->ended && b->news) {
+        tell(b);
+    }
+    if (age_us > FORGET_US) {
+        return TRUE;
+    }
+    if (b->ended) {
+        return FALSE;
+    }
+    if (state == START_LEAVES) {
+        return TRUE;
+    }
+    if (state == START_REPLACED) {
+        note_evidence(b, "another start has its address");
+    }
+    if (b->evidence == NULL && !b->probed && age_us >= PROBE_US) {
+        probe_begin(b);
+    }
+    if (b->evidence != NULL && age_us >= SURE_US) {
+        tell(b);
+    }
+    return FALSE;
+}
+
+static void
+look(void *data)
+{
+    crash_watch_t *w = data;
+    GHashTableIter iter;
+    gpointer value;
+    gint64 now_us = watch_now(w);
+    g_hash_table_iter_init(&iter, w->breaks);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        break_t *b = value;
+        if (look_at(b, now_us)) {
+            w->open -= !b->ended;
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    if (g_hash_table_size(w->breaks) == 0) {
+        timers_cancel(w->setup.timers, w->timer);
+        w->timer = 0;
+    }
+}
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -246,6 +246,13 @@
 
 /* ---- life ---- */
 
+static void
+handle_ended(void *user, const endpoint_end_t *end)
+{
+    (void)user;
+    (void)end;
+}
+
 static void
 drop_connections(void *connections)
 {
@@ -302,6 +309,12 @@
     e->links = g_ptr_array_new();
     e->entries = 1;
     e->started_us = entry_now(e);
+    crash_watch_setup_t watch = {.poller = e->poller,
+                                 .timers = e->timers,
+                                 .directory = e->directory,
+                                 .ended = handle_ended,
+                                 .user = e};
+    e->crashes = crash_watch_create(&watch);
     if (!entry_listen(e)) {
         entry_destroy(e);
         return NULL;
@@ -319,6 +332,7 @@
     control_links_destroy(e);
     g_clear_pointer(&e->callers, http_server_destroy);
     g_clear_pointer(&e->probe, http_server_destroy);
+    crash_watch_destroy(e->crashes);
     directory_destroy(e->directory);
     g_hash_table_unref(e->services);
     g_clear_pointer(&e->config, route_config_unref);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -3,6 +3,7 @@
  * entry.c        listeners, readiness, draining
  * control_link.c news from the control instances
  * load_link.c    requests under way, reported and told
+ * crash_watch.c  endpoints that ended, and what ran there
  * forward*.c     one request: admitted, placed, sent, repeated, answered
  * event_stream.c events of a stream, told apart in bytes as they come */
 #ifndef CAROBLOOMD_GATEWAY_ENTRY_STATE_H
@@ -20,6 +21,7 @@
 #include "carobloom/policy/prompt_mix.h"
 #include "carobloom/policy/repeat_budget.h"
 #include "carobloom/version/route_config.h"
+#include "crash_watch.h"
 
 typedef struct control_link control_link_t;
 typedef struct load_link load_link_t;
@@ -46,6 +48,7 @@
     GHashTable *services; /* name -> service_use_t */
     GPtrArray *links;     /* control_link_t * */
     load_link_t *load_link;
+    crash_watch_t *crashes;
     /* the configuration in force here */
     route_config_t *config; /* NULL until one came */
     GBytes *text;
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -1,5 +1,6 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/policy/fingerprint.h"
 #include "carobloom/policy/placement.h"
 #include "forward_state.h"
 
@@ -13,6 +14,10 @@
     PATIENCE_TARGETS = 3,
     PATIENCE_LEAST_US = 250 * MS,
     STREAM_SILENCE_US = 1500 * MS,
+    /* A request that crashes its endpoint does so as it begins to run, within
+     * a tenth of a second where it was seen; one that has answered for longer
+     * most likely ran beside the cause. */
+    RUN_LONG_US = 2000 * MS,
 };
 
 /* When a refused caller should come back: spread, so that callers do not
@@ -36,10 +41,47 @@
     return entry_now(f->entry);
 }
 
+guint64
+forward_fingerprint(forward_t *f)
+{
+    if (f->fingerprint == 0) {
+        const http_head_t *head = http_exchange_head(f->exchange);
+        request_identity_t identity = {
+            .caller = str_from_cstr(f->team != NULL ? f->team->name : ""),
+            .method = str_from_cstr(head->method),
+            .host = f->info.host,
+            .target = http_head_target(head),
+            .body = http_exchange_body(f->exchange),
+        };
+        f->fingerprint = request_fingerprint(&identity);
+    }
+    return f->fingerprint;
+}
+
+watched_run_t
+forward_watched_run(forward_t *f)
+{
+    gboolean answered_long =
+        f->heard && forward_now(f) - f->heard_us > RUN_LONG_US;
+    return (watched_run_t){
+        .run = {.fingerprint = forward_fingerprint(f),
+                .stage = answered_long ? RUN_LONG : RUN_BEGINNING},
+        .sent_us = f->sent_us,
+    };
+}
+
 /* ---- the end of a request ---- */
 
+void
+forward_log_fingerprint(forward_t *f)
+{
+    char text[FINGERPRINT_TEXT];
+    fingerprint_text(forward_fingerprint(f), text);
+    event_log_cstr("fingerprint", text);
+}
+
 static void
-log_outcome(const forward_t *f, guint status, const char *reason)
+log_outcome(forward_t *f, guint status, const char *reason)
 {
     gboolean well = status < 400;
     if (!event_log_begin(well ? EVENT_ROUTINE : EVENT_FAILURE, "request")) {
@@ -61,6 +103,9 @@
     event_log_number("runs", f->runs);
     event_log_number("refusals", f->refusals);
     event_log_number("elapsed_ms", (forward_now(f) - f->started_us) / MS);
+    if (!well && f->route != NULL) {
+        forward_log_fingerprint(f);
+    }
     if (f->placed.known > 0) {
         event_log_number("endpoints", f->placed.known);
         event_log_number("unusable", f->placed.unusable);
@@ -229,6 +274,16 @@
     http_exchange_finish(exchange);
 }
 
+/* It is given up while it may run at its endpoint. */
+static void
+forward_note_left(forward_t *f)
+{
+    if (f->call != NULL && f->endpoint != NULL && client_call_sent(f->call)) {
+        crash_watch_left(f->entry->crashes, f->endpoint,
+                         forward_watched_run(f));
+    }
+}
+
 /* ---- time ---- */
 
 /* When a silent endpoint is left for another; G_MAXINT64: never. */
@@ -257,6 +312,7 @@
     if (now >= f->final_us) {
         if (f->call != NULL) {
             f->runs += client_call_sent(f->call);
+            forward_note_left(f);
             client_call_cancel(f->call);
             f->call = NULL;
         }
@@ -365,6 +421,7 @@
     if (f == NULL) {
         return;
     }
+    forward_note_left(f);
     log_outcome(f, 499, "the caller left");
     count_outcome(f, 499);
     forward_free(f);
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -39,6 +39,16 @@
     }
 }
 
+/* Bytes of the endpoint: it lives. */
+static void
+note_heard(forward_t *f)
+{
+    f->progress_us = forward_now(f);
+    if (f->endpoint != NULL && crash_watch_is_open(f->entry->crashes)) {
+        crash_watch_heard(f->entry->crashes, f->endpoint);
+    }
+}
+
 static call_verdict_t
 on_answer_head(client_call_t *call, const http_head_t *head, void *user)
 {
@@ -57,7 +67,7 @@
         return CALL_REFUSE;
     }
     f->not_run = answer.not_run;
-    f->progress_us = forward_now(f);
+    note_heard(f);
     if (f->begun) {
         f->streaming = success;
         f->status = head->status;
@@ -97,6 +107,7 @@
     gint64 now = forward_now(f);
     if (!f->heard) {
         f->heard = TRUE;
+        f->heard_us = now;
         learn_first(f);
     }
     note_first(f);
@@ -144,7 +155,7 @@
 on_answer_body(client_call_t *call, str_t bytes, void *user)
 {
     forward_t *f = user;
-    f->progress_us = forward_now(f);
+    note_heard(f);
     if (!f->streaming) {
         if (f->body->len + bytes.length > ANSWER_MAX) {
             answer_too_long(f, "the endpoint's answer is too long");
@@ -227,11 +238,28 @@
     forward_deliver(f);
 }
 
+/* Whether the endpoint ended under it is found out later. */
+static void
+watch_failure(forward_t *f, call_failure_t failure)
+{
+    crash_watch_t *watch = f->entry->crashes;
+    if (f->endpoint == NULL) {
+        return;
+    }
+    if (failure == CALL_FAILED_REFUSED) {
+        crash_watch_refused(watch, f->endpoint);
+    }
+    if (failure == CALL_FAILED_SENT || failure == CALL_FAILED_CUT) {
+        crash_watch_broke(watch, f->endpoint, forward_watched_run(f));
+    }
+}
+
 static void
 on_answer_failed(client_call_t *call, call_failure_t failure, void *user)
 {
     static const char *const REASONS[] = {
         [CALL_FAILED_UNSENT] = "the endpoint could not be reached",
+        [CALL_FAILED_REFUSED] = "nobody listens at the endpoint's address",
         [CALL_FAILED_SENT] = "the endpoint closed without an answer",
         [CALL_FAILED_CUT] = "the endpoint's answer broke off",
         [CALL_FAILED_SYNTAX] = "the endpoint's answer is not one",
@@ -239,7 +267,9 @@
     (void)call;
     forward_t *f = user;
     f->call = NULL;
-    gboolean arrived = failure != CALL_FAILED_UNSENT;
+    gboolean arrived =
+        failure != CALL_FAILED_UNSENT && failure != CALL_FAILED_REFUSED;
+    watch_failure(f, failure);
     forward_note_endpoint(f, arrived ? ENDPOINT_BROKE : ENDPOINT_UNREACHABLE);
     f->runs += arrived;
     forward_repeat(f, arrived, REASONS[failure]);
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -63,6 +63,7 @@
         event_log_number("sends", f->sends);
         event_log_number("runs", f->runs);
         event_log_number("elapsed_ms", (forward_now(f) - f->started_us) / MS);
+        forward_log_fingerprint(f);
         event_log_end();
     }
     counter_add(counter_get("repeats_total", NULL, FALSE), 1);
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -23,6 +23,7 @@
     const char *service;
     service_use_t *use;
     request_info_t info;
+    guint64 fingerprint; /* 0: not worked out yet */
     gint64 started_us;
     gint64 final_us; /* it is answered by then */
     guint64 timer;
@@ -37,6 +38,7 @@
     guint found_running;
     guint found_waiting; /* tokens */
     gboolean heard;      /* an event came from this endpoint */
+    gint64 heard_us;     /* the first of them */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX];
     guint sends;
     guint runs;                /* sends that may have run */
@@ -61,6 +63,12 @@
 
 /* forward.c */
 gint64 forward_now(const forward_t *f);
+/* Which request it is, whatever its id; worked out when first asked for. */
+guint64 forward_fingerprint(forward_t *f);
+/* How it stands at its endpoint, for whoever looks into that one's end. */
+watched_run_t forward_watched_run(forward_t *f);
+/* A field of the log line that is being written. */
+void forward_log_fingerprint(forward_t *f);
 /* The endpoint's answer, whole, goes to the caller. */
 void forward_deliver(forward_t *f);
 /* The stream that was begun is complete. */
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -233,6 +233,10 @@
         call_fail(call, CALL_FAILED_CUT);
         return;
     }
+    if (call->connecting && error == ECONNREFUSED) {
+        call_fail(call, CALL_FAILED_REFUSED);
+        return;
+    }
     call_fail(call, call->sent ? CALL_FAILED_SENT : CALL_FAILED_UNSENT);
 }
 
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -27,6 +27,7 @@
     GByteArray *out; /* NULL while nothing waits */
     gsize out_at;
     gboolean connecting;
+    int refused; /* errno of a connection that failed at once */
     gboolean reading;
     gboolean sent;
 };
@@ -133,9 +134,11 @@
 static void
 handle_connected(stream_socket_t *s)
 {
-    int error = 0;
+    int error = s->refused;
     socklen_t length = sizeof(error);
-    getsockopt(s->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error == 0) {
+        getsockopt(s->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    }
     if (error != 0) {
         s->ops->closed(s->user, error);
         return;
@@ -214,12 +217,21 @@
         return NULL;
     }
     socket_options(fd);
-    if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 &&
-        errno != EINPROGRESS) {
+    /* Between processes of one machine a port that nobody listens at is known
+     * at once. The owner is told in its turn, as of a machine far away. */
+    int error = 0;
+    if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0) {
+        error = errno;
+    }
+    if (error != 0 && error != EINPROGRESS && error != ECONNREFUSED) {
         close(fd);
         return NULL;
     }
-    return socket_create(poller, fd, TRUE, ops, user);
+    stream_socket_t *s = socket_create(poller, fd, TRUE, ops, user);
+    if (s != NULL && error == ECONNREFUSED) {
+        s->refused = error;
+    }
+    return s;
 }
 
 void
--- a/include/carobloom/http/client.h
+++ b/include/carobloom/http/client.h
@@ -13,10 +13,11 @@
 typedef struct client_call client_call_t;
 
 typedef enum {
-    CALL_FAILED_UNSENT, /* no byte of it left */
-    CALL_FAILED_SENT,   /* no answer; it may have run */
-    CALL_FAILED_CUT,    /* the answer began and broke off */
-    CALL_FAILED_SYNTAX, /* what came is no answer */
+    CALL_FAILED_UNSENT,  /* no byte of it left */
+    CALL_FAILED_REFUSED, /* the same: nobody listens at the address */
+    CALL_FAILED_SENT,    /* no answer; it may have run */
+    CALL_FAILED_CUT,     /* the answer began and broke off */
+    CALL_FAILED_SYNTAX,  /* what came is no answer */
 } call_failure_t;
 
 typedef enum { CALL_TAKE, CALL_SKIP, CALL_REFUSE } call_verdict_t;
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -85,6 +85,13 @@
     void *connections;             /* the owner's */
 } endpoint_t;
 
+/* What is known of one start of an endpoint. */
+typedef enum {
+    START_KNOWN,
+    START_LEAVES,   /* it drains or has left, as it said */
+    START_REPLACED, /* another start has its id or its address */
+} start_state_t;
+
 typedef struct directory directory_t;
 
 /* `drop` frees an endpoint's `connections` as it goes. */
@@ -102,6 +109,10 @@
  * order that all instances agree on. */
 const GPtrArray *directory_service(const directory_t *directory,
                                    const char *service);
+/* `started_ms` and `address` are as the start's lease said. */
+start_state_t directory_start_state(const directory_t *directory,
+                                    const char *id, gint64 started_ms,
+                                    const char *address);
 guint directory_count(const directory_t *directory);
 /* Requests under way here: a new array of endpoint_load_t. */
 GArray *directory_loads(const directory_t *directory);
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -305,6 +305,21 @@
     return g_hash_table_lookup(d->by_service, service);
 }
 
+start_state_t
+directory_start_state(const directory_t *d, const char *id, gint64 started_ms,
+                      const char *address)
+{
+    const endpoint_t *e = g_hash_table_lookup(d->by_id, id);
+    const endpoint_t *there = g_hash_table_lookup(d->by_address, address);
+    if (e != NULL && e->started_ms > started_ms) {
+        return START_REPLACED;
+    }
+    if (e == NULL || e->draining || e->left) {
+        return START_LEAVES;
+    }
+    return there != NULL && there != e ? START_REPLACED : START_KNOWN;
+}
+
 guint
 directory_count(const directory_t *d)
 {
--- /dev/null
+++ b/policy/fingerprint.c
@@ -0,0 +1,22 @@
+#include "carobloom/policy/fingerprint.h"
+
+#include "carobloom/policy/rendezvous.h"
+
+guint64
+request_fingerprint(const request_identity_t *identity)
+{
+    /* Each part is hashed by itself, so that none can run into the next. */
+    guint64 hash = hash_text(identity->caller);
+    hash = hash_pair(hash, hash_text(identity->method));
+    hash = hash_pair(hash, hash_text(identity->host));
+    hash = hash_pair(hash, hash_text(identity->target));
+    hash = hash_pair(hash, hash_text(identity->body));
+    return hash != 0 ? hash : 1;
+}
+
+void
+fingerprint_text(guint64 fingerprint, char text[FINGERPRINT_TEXT])
+{
+    g_snprintf(text, FINGERPRINT_TEXT, "%016" G_GINT64_MODIFIER "x",
+               fingerprint);
+}
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -58,6 +58,9 @@
     GString *body;
 } reply_t;
 
+extern const char FLEET_KEY[];       /* of team "t" */
+extern const char FLEET_OTHER_KEY[]; /* of team "u" */
+
 /* Controls first, then entries, then endpoints of service "a". */
 fleet_t *fleet_create(guint controls, guint entries, guint endpoints);
 /* The same, each listening at another address than the others use, for
@@ -76,6 +79,8 @@
 void fleet_signal(fleet_process_t *process, int signal);
 /* SIGKILL, and waits for the end. */
 void fleet_kill(fleet_process_t *process);
+/* Whether it was started and has not ended. */
+gboolean fleet_is_running(const fleet_process_t *process);
 /* The exit code; -1 when it does not end in time or was killed. */
 int fleet_wait_exit(fleet_process_t *process);
 void fleet_lose_disk(fleet_process_t *process);
@@ -97,8 +102,14 @@
 reply_t *fleet_request(const fleet_process_t *entry, const char *target,
                        const char *id, const char *more);
 
+/* The same as a POST with a body, under a key of its own. */
+reply_t *fleet_post(const fleet_process_t *entry, const char *target,
+                    const char *id, const char *key, const char *more,
+                    const char *body);
+
 /* The sample configuration: /safe/, /once/, /stream/, /fragile/stream/ (not
- * resumable), and /extra-N/ with N the version. `key` is the team's. */
+ * resumable), and /extra-N/ with N the version. `key` is that of team "t";
+ * FLEET_OTHER_KEY that of team "u". */
 char *fleet_config(guint64 version, const char *key);
 /* As the operator does: to one control after the other, with the redirects
  * followed, until acknowledged or refused. 0: no clear answer in time. */
@@ -107,6 +118,9 @@
 guint64 fleet_get(const fleet_process_t *control);
 /* Lines "WHAT ID" in the endpoints' logs. */
 guint fleet_ran(const fleet_t *fleet, const char *what, const char *id);
+/* A counter without a label, of an instance's metrics: 0 until it counts,
+ * G_MAXUINT64 when the instance does not answer. */
+guint64 fleet_counter(const fleet_process_t *process, const char *name);
 void fleet_sleep(int ms);
 
 #endif
--- a/tests/test_endpoints.c
+++ b/tests/test_endpoints.c
@@ -470,6 +470,57 @@
     }
 }
 
+/* ---- what became of a start ---- */
+
+typedef struct {
+    const char *name;
+    lease_state_t last;  /* that the start said of itself */
+    gint64 next_ms;      /* the next start; 0: none came */
+    const char *next_id; /* under which id */
+    const char *next_address;
+    start_state_t state;
+} start_state_case_t;
+
+static const start_state_case_t START_STATE_CASES[] = {
+    {"ready", LEASE_READY, 0, "", "", START_KNOWN},
+    {"silent", LEASE_SILENT, 0, "", "", START_KNOWN},
+    {"drains", LEASE_DRAINING, 0, "", "", START_LEAVES},
+    {"left", LEASE_LEFT, 0, "", "", START_LEAVES},
+    {"started again", LEASE_READY, 200, "e", "10.0.0.2:80", START_REPLACED},
+    {"its address went to a later start", LEASE_READY, 200, "f", "10.0.0.1:80",
+     START_REPLACED},
+    {"another start elsewhere", LEASE_READY, 200, "f", "10.0.0.2:80",
+     START_KNOWN},
+    {"left, and its address was used again", LEASE_LEFT, 200, "f",
+     "10.0.0.1:80", START_LEAVES},
+};
+
+static void
+test_start_state(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(START_STATE_CASES); i++) {
+        const start_state_case_t *c = &START_STATE_CASES[i];
+        directory_t *d = directory_create(drop_nothing);
+        endpoint_lease_t first = lease_of_start(100, 50, LEASE_READY);
+        endpoint_lease_t last = lease_of_start(100, 51, c->last);
+        directory_update(d, 0, &first, SECOND);
+        directory_update(d, 0, &last, SECOND);
+        if (c->next_ms != 0) {
+            endpoint_lease_t next = lease_of_start(c->next_ms, 1, LEASE_READY);
+            next.id = (char *)c->next_id;
+            next.address = (char *)c->next_address;
+            directory_update(d, 1, &next, SECOND);
+        }
+        start_state_t state =
+            directory_start_state(d, "e", 100, "10.0.0.1:80");
+        if (state != c->state) {
+            printf("%s: state %d\n", c->name, state);
+        }
+        CU_ASSERT_EQUAL(state, c->state);
+        directory_destroy(d);
+    }
+}
+
 static const test_case_t CASES[] = {
     {"heartbeats of other writers name no endpoint", test_heartbeats},
     {"a heartbeat is read as written", test_heartbeat_values},
@@ -483,6 +534,7 @@
     {"one never heard here leaves", test_unheard_leaves},
     {"an endpoint that starts again knows nothing", test_directory_starts},
     {"an address goes to the later start", test_address_by_start},
+    {"what became of a start", test_start_state},
 };
 
 CHECK_MAIN("endpoints", CASES)
