--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -489,10 +489,46 @@
     turn(log);
 }
 
+static void
+log_kept_failure(const char *event, char *why)
+{
+    if (event_log_begin(EVENT_STATE, event)) {
+        event_log_cstr("why", why);
+        event_log_end();
+    }
+    g_free(why);
+}
+
+static void
+handle_keep(config_log_t *log, const config_kept_message_t *m)
+{
+    char *why = NULL;
+    if (log->store == NULL) {
+        log_kept_failure("kept_write_failed", g_strdup("no data folder"));
+    }
+    else if (log_store_keep(log->store, m->bytes, &why) != STORE_OK) {
+        log_kept_failure("kept_write_failed", why);
+    }
+}
+
+static void
+tell_kept(config_log_t *log)
+{
+    char *why = NULL;
+    GBytes *bytes;
+    if (log_store_kept(log->store, &bytes, &why) != STORE_OK) {
+        log_kept_failure("kept_read_failed", why);
+    }
+    else if (bytes != NULL) {
+        task_send(log->owner, config_kept_message(CONFIG_LOG_KEPT, bytes));
+    }
+}
+
 void
 config_log_begin(void *state)
 {
     config_log_t *log = state;
+    tell_kept(log);
     config_log_tell(log);
     timers_subscribe(task_timers(log->task), TICK_US, TICK_US, on_tick, log);
     on_tick(log);
@@ -502,6 +538,10 @@
 config_log_handle(void *state, message_t *message)
 {
     config_log_t *log = state;
+    if (message->type == CONFIG_LOG_KEEP) {
+        handle_keep(log, (const config_kept_message_t *)message);
+        return;
+    }
     if (log->failed) {
         if (message->type == CONFIG_LOG_PUT) {
             config_log_result(log, ((config_put_message_t *)message)->call,
--- a/carobloomd/control/config_log_messages.c
+++ b/carobloomd/control/config_log_messages.c
@@ -51,6 +51,22 @@
     return &m->base;
 }
 
+static void
+kept_free(message_t *message)
+{
+    g_bytes_unref(((config_kept_message_t *)message)->bytes);
+    g_free(message);
+}
+
+message_t *
+config_kept_message(config_log_message_t type, GBytes *bytes)
+{
+    config_kept_message_t *m = g_new0(config_kept_message_t, 1);
+    *m = (config_kept_message_t){.base = {(int)type, kept_free},
+                                 .bytes = bytes};
+    return &m->base;
+}
+
 message_t *
 config_hand_over_message(void)
 {
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -5,6 +5,7 @@
 #include "carobloom/common/clock.h"
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/gateway/crash_wire.h"
 #include "carobloom/gateway/load_wire.h"
 #include "control_state.h"
 #include "platform.h"
@@ -81,6 +82,7 @@
         c->quorum_us = control_now(c);
     }
     load_sums_expire(c);
+    crash_reports_judge(c);
     if (registry_expire(c->registry, control_now(c))) {
         spread_news(c);
     }
@@ -131,6 +133,9 @@
     else if (str_equal(target, STR(LOAD_SUMS_PATH))) {
         handle_load_sums(c, exchange);
     }
+    else if (str_equal(target, STR(CRASHES_PATH))) {
+        handle_crashes(c, exchange);
+    }
     else {
         answer_plain(exchange, 404, "{\"error\":\"no such call\"}");
     }
@@ -217,6 +222,9 @@
     case CONFIG_LOG_APPLIED:
         handle_applied(c, (const config_applied_message_t *)message);
         break;
+    case CONFIG_LOG_KEPT:
+        handle_kept(c, (const config_kept_message_t *)message);
+        break;
     case CONFIG_LOG_VIEW:
         handle_view(c, (const config_view_message_t *)message);
         break;
@@ -272,6 +280,8 @@
     c->epoch = (guint64)g_random_int() << 32 | g_random_int() | 1;
     c->registry =
         registry_create((gint64)(settings->heartbeat_ms * (double)MS));
+    c->crashes = crash_ledger_create(
+        (gint64)(settings->crash_memory_s * G_USEC_PER_SEC));
     c->own_loads = load_sum_create();
     c->loads = load_sum_create();
     c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -312,6 +322,7 @@
     }
     g_queue_clear_full(&c->texts, kept_text_free);
     registry_destroy(c->registry);
+    crash_ledger_destroy(c->crashes);
     load_sum_destroy(c->own_loads);
     load_sum_destroy(c->loads);
     g_free(c->self);
@@ -344,10 +355,13 @@
         text,
         "self %s\nleader %s\nleads %d\nterm %" G_GUINT64_FORMAT
         "\nconfig version %" G_GUINT64_FORMAT
-        "\nendpoints %u\nentries %u, %u report here\n",
+        "\nendpoints %u\nentries %u, %u report here\n"
+        "requests held back %u, suspect %u, endpoints that ended %u\n",
         c->self, c->view.leader, c->view.leads, c->view.term,
         control_newest_version(c), registry_count(c->registry),
-        entries_fresh(c), load_sum_reporters(c->own_loads));
+        entries_fresh(c), load_sum_reporters(c->own_loads),
+        crash_ledger_held(c->crashes), crash_ledger_suspects(c->crashes),
+        crash_ledger_ends(c->crashes));
     for (guint i = 0; i < c->view.voters.count; i++) {
         const voter_member_t *m = &c->view.voters.members[i];
         g_string_append_printf(text, "voter %s%s\n", m->name,
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -5,6 +5,7 @@
  * operator_calls.c    the operator's changes and reads
  * entry_news.c        news to entry instances
  * load_exchange.c     requests under way, of entry instances and of all
+ * crash_reports.c     endpoints that ended, and requests held back for it
  * letters.c           messages to other control instances
  * endpoint_leases.c   renewals and departures of endpoints */
 #ifndef CAROBLOOMD_CONTROL_CONTROL_STATE_H
@@ -15,6 +16,7 @@
 #include "carobloom/gateway/sync_wire.h"
 #include "carobloom/http/client.h"
 #include "carobloom/http/server.h"
+#include "carobloom/policy/crash_ledger.h"
 #include "carobloom/policy/registry.h"
 
 /* A configuration that was committed here. */
@@ -36,6 +38,8 @@
 typedef struct {
     guint64 since; /* cursor of the asker; 0: it is told all */
     guint64 published;
+    guint64 held_since; /* the same of orders to hold requests back */
+    guint64 held;
     guint64 asked_version;
     guint64 version;
     guint32 entries;
@@ -65,6 +69,10 @@
     load_sum_t *own_loads; /* of the entry instances that report here */
     load_sum_t *loads;     /* of these and of the other control instances */
     gint64 sums_us;        /* when the others were last told of the former */
+    crash_ledger_t *crashes;
+    guint64 told_orders; /* of the ledger: logged and spread up to here */
+    guint64 kept_orders; /* written to the disk up to here */
+    gint64 kept_us;      /* when that was */
     config_log_t *log;
     task_t *log_task;
     config_view_message_t view;
@@ -129,6 +137,13 @@
 void load_sums_spread(void *control);
 void load_sums_expire(control_t *control);
 
+/* crash_reports.c */
+void handle_crashes(control_t *control, http_exchange_t *exchange);
+/* What was held before the last start. */
+void handle_kept(control_t *control, const config_kept_message_t *m);
+/* To be called several times a second. */
+void crash_reports_judge(control_t *control);
+
 /* letters.c */
 typedef enum { LETTER_VOTER, LETTER_LOADS, LETTER_KINDS } letter_kind_t;
 /* Posts a message to another control instance (IP:PORT of its inner
--- /dev/null
+++ b/carobloomd/control/crash_reports.c
@@ -0,0 +1,138 @@
+/* Endpoints that ended, as entry instances tell, and the requests that are
+ * held back for it. */
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/gateway/crash_wire.h"
+#include "carobloom/policy/fingerprint.h"
+#include "control_state.h"
+
+enum {
+    MS = 1000,
+    /* Between two writes of what is held: two syncs of the disk each, of 5 ms,
+     * in the task that waits for it. */
+    KEEP_US = 1000 * MS,
+    /* Written anew although nothing changed: what is left of the times, and a
+     * write that failed. */
+    KEEP_AGAIN_US = 30000 * MS,
+};
+
+static void
+log_order(const quarantine_order_t *order)
+{
+    char text[FINGERPRINT_TEXT];
+    gboolean held = order->left_us > 0;
+    if (held) {
+        counter_add(counter_get("requests_held_total", NULL, FALSE), 1);
+    }
+    if (!event_log_begin(EVENT_STATE,
+                         held ? "request_held" : "request_released")) {
+        return;
+    }
+    fingerprint_text(order->fingerprint, text);
+    event_log_cstr("fingerprint", text);
+    event_log_cstr("endpoints", order->endpoints);
+    event_log_number("since_ms", order->since_us / MS);
+    event_log_number("left_ms", order->left_us / MS);
+    event_log_end();
+}
+
+/* Logs and spreads orders that are new. */
+static void
+publish(control_t *c)
+{
+    if (c->told_orders == crash_ledger_cursor(c->crashes)) {
+        return;
+    }
+    GArray *orders = crash_ledger_since(c->crashes, &c->told_orders, G_MAXUINT,
+                                        control_now(c));
+    for (guint i = 0; i < orders->len; i++) {
+        log_order(&g_array_index(orders, quarantine_order_t, i));
+    }
+    g_array_unref(orders);
+    spread_news(c);
+}
+
+/* Has what is held written to the disk, so that it is known after the loss of
+ * all processes. */
+static void
+keep(control_t *c)
+{
+    gint64 now = control_now(c);
+    gint64 since_us = now - c->kept_us;
+    guint held = crash_ledger_held(c->crashes);
+    gboolean changed = c->kept_orders != crash_ledger_cursor(c->crashes);
+    if (since_us < KEEP_US ||
+        (!changed && (held == 0 || since_us < KEEP_AGAIN_US))) {
+        return;
+    }
+    guint64 cursor = 0;
+    GArray *orders =
+        crash_ledger_since(c->crashes, &cursor, QUARANTINE_ORDERS_MAX, now);
+    c->kept_us = now;
+    c->kept_orders = crash_ledger_cursor(c->crashes);
+    task_send(
+        c->log_task,
+        config_kept_message(CONFIG_LOG_KEEP,
+                            quarantine_file_write(orders, g_get_real_time())));
+    g_array_unref(orders);
+}
+
+void
+crash_reports_judge(control_t *c)
+{
+    crash_ledger_judge(c->crashes, control_now(c));
+    publish(c);
+    keep(c);
+    counter_set(counter_get("requests_held", NULL, TRUE),
+                crash_ledger_held(c->crashes));
+    counter_set(counter_get("requests_suspect", NULL, TRUE),
+                crash_ledger_suspects(c->crashes));
+}
+
+void
+handle_crashes(control_t *c, http_exchange_t *exchange)
+{
+    str_t body = http_exchange_body(exchange);
+    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    crash_report_t report;
+    gint64 now = control_now(c);
+    gboolean sound = crash_report_read(bytes, &report);
+    g_bytes_unref(bytes);
+    if (!sound) {
+        counter_add(counter_get("crash_reports_refused_total", NULL, FALSE),
+                    1);
+        answer_plain(exchange, 400, "{\"error\":\"malformed\"}");
+        return;
+    }
+    for (guint i = 0; i < report.ends->len; i++) {
+        crash_ledger_note_end(
+            c->crashes, &g_array_index(report.ends, endpoint_end_t, i), now);
+    }
+    for (guint i = 0; i < report.answered->len; i++) {
+        crash_ledger_note_answered(
+            c->crashes, g_array_index(report.answered, guint64, i), now);
+    }
+    crash_report_clear(&report);
+    counter_add(counter_get("crash_reports_total", NULL, FALSE), 1);
+    http_exchange_answer(exchange, 204, STR(""), STR(""));
+    crash_reports_judge(c);
+}
+
+void
+handle_kept(control_t *c, const config_kept_message_t *m)
+{
+    GArray *orders = quarantine_file_read(m->bytes, g_get_real_time());
+    if (orders == NULL) {
+        if (event_log_begin(EVENT_STATE, "held_requests_unreadable")) {
+            event_log_end();
+        }
+        return;
+    }
+    for (guint i = 0; i < orders->len; i++) {
+        crash_ledger_restore(c->crashes,
+                             &g_array_index(orders, quarantine_order_t, i),
+                             control_now(c));
+    }
+    g_array_unref(orders);
+    publish(c);
+}
--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -9,6 +9,9 @@
     MS = 1000,
     /* An entry instance that asked within this time counts as one. */
     ENTRY_FRESH_US = 3000 * MS,
+    /* Orders to hold requests back in one answer, some 7 KB of it: thousands
+     * go out in batches, at half a second at most between two. */
+    ORDERS_MOST = 128,
     WAIT_MOST_MS = 10000, /* that an entry instance may be held for */
     /* Between two answers to all that are held: each costs 0.1 ms, so 7% of a
      * core at most. Thousands of endpoints that start together are told in
@@ -101,6 +104,8 @@
     return (answer_key_t){
         .since = full ? 0 : request->cursor,
         .published = c->published,
+        .held_since = full ? 0 : request->held_cursor,
+        .held = crash_ledger_cursor(c->crashes),
         .asked_version = request->version,
         .version = control_newest_version(c),
         .entries = entries_fresh(c),
@@ -129,6 +134,9 @@
                         (gpointer)c->view.voters.members[i].name);
     }
     fill_config(c, request, &answer);
+    answer.held_cursor = full ? 0 : request->held_cursor;
+    answer.held = crash_ledger_since(c->crashes, &answer.held_cursor,
+                                     ORDERS_MOST, control_now(c));
     GBytes *bytes = sync_answer_write(&answer);
     sync_answer_clear(&answer);
     counter_add(counter_get("entry_answers_written_total", NULL, FALSE), 1);
@@ -169,6 +177,7 @@
 has_news(const control_t *c, const sync_request_t *request)
 {
     return request->epoch != c->epoch || request->cursor != c->published ||
+           request->held_cursor != crash_ledger_cursor(c->crashes) ||
            has_config_news(c, request);
 }
 
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -63,6 +63,7 @@
     gboolean progress; /* bytes of the answer came since the timer was set */
     guint64 epoch;
     guint64 cursor;
+    guint64 held_cursor;
     gboolean leads; /* it confirmed the configuration */
 };
 
@@ -219,6 +220,7 @@
         client_call_cancel(link->call);
     }
     http_peer_destroy(link->peer);
+    crash_link_forget(e->crash_link, link->address);
     directory_forget(e->directory, link->source, entry_now(e));
     g_byte_array_unref(link->body);
     g_free(link->address);
@@ -265,6 +267,9 @@
     }
     link->epoch = answer->epoch;
     link->cursor = answer->cursor;
+    link->held_cursor = answer->held_cursor;
+    crash_link_control(e->crash_link, link->address, answer->epoch);
+    crash_link_take_orders(e->crash_link, answer->held, link->address);
     link->leads = answer->confirmed;
     g_free(link->data_centre);
     link->data_centre = g_strdup(answer->data_centre);
@@ -395,6 +400,7 @@
         .version = e->config != NULL ? e->config->version : 0,
         .epoch = link->epoch,
         .cursor = link->cursor,
+        .held_cursor = link->held_cursor,
         .wait_ms = wait_ms_of(link),
         .takes_config = takes_config(link),
     };
--- /dev/null
+++ b/carobloomd/gateway/crash_link.c
@@ -0,0 +1,377 @@
+/* Endpoints that ended, told to every control instance, and what those order
+ * to be held back. */
+#include <string.h>
+
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/gateway/crash_wire.h"
+#include "carobloom/gateway/inner_post.h"
+#include "carobloom/policy/fingerprint.h"
+#include "entry_state.h"
+
+enum {
+    MS = 1000,
+    /* Reports that are remembered, for control instances that start again
+     * without what they were told: 128 requests each at most, 0.5 MB. Beyond
+     * it the oldest give way. */
+    NOTES_MAX = 256,
+    /* Between two reports to one control instance: with 300 entry instances
+     * that all lose requests at once 3,000 reports a second among nine. */
+    PAUSE_US = 100 * MS,
+    /* An answer that takes longer is not waited for; the report goes again. */
+    ANSWER_US = 700 * MS,
+    RETRY_FIRST_US = 100 * MS,
+    RETRY_MOST_US = 800 * MS,
+};
+
+static const http_peer_limits_t SENDER_LIMITS = {
+    .connect_us = 600 * MS,
+    .idle_us = 2 * G_USEC_PER_SEC,
+    .idle_max = 1,
+    .head_max = 4096,
+};
+
+/* What is to be told: an end, or a request that was answered. */
+typedef struct {
+    guint64 number; /* in the order of telling, from 1 */
+    gint64 at_us;
+    endpoint_end_t end; /* `endpoint` is NULL in the other case */
+    guint64 answered;
+} crash_note_t;
+
+/* What one control instance was told. */
+typedef struct {
+    crash_link_t *link;
+    char *address;
+    guint64 epoch; /* of its start */
+    http_peer_t *peer;
+    client_call_t *call;
+    guint64 timer;
+    guint status;
+    guint64 told;    /* it has the notes up to here */
+    guint64 telling; /* those of the call under way */
+    gint64 retry_us;
+} crash_sender_t;
+
+struct crash_link {
+    entry_t *entry;
+    GQueue notes; /* crash_note_t, the newest at the tail */
+    guint64 last; /* number of the newest */
+    GHashTable *senders;
+};
+
+/* ---- notes ---- */
+
+static void
+note_free(gpointer data)
+{
+    crash_note_t *note = data;
+    endpoint_end_clear(&note->end);
+    g_free(note);
+}
+
+static void
+drop_old_notes(crash_link_t *link)
+{
+    entry_t *e = link->entry;
+    gint64 oldest_us =
+        entry_now(e) - (gint64)(e->settings->crash_memory_s * G_USEC_PER_SEC);
+    crash_note_t *note;
+    while ((note = g_queue_peek_head(&link->notes)) != NULL &&
+           (note->at_us < oldest_us || link->notes.length > NOTES_MAX)) {
+        note_free(g_queue_pop_head(&link->notes));
+    }
+}
+
+static void
+fill_report(const crash_link_t *link, guint64 after, crash_report_t *report,
+            guint64 *upto)
+{
+    for (GList *i = link->notes.head; i != NULL; i = i->next) {
+        const crash_note_t *note = i->data;
+        if (note->number <= after) {
+            continue;
+        }
+        if (report->ends->len == CRASH_REPORT_ENDS ||
+            report->answered->len == CRASH_REPORT_ANSWERED) {
+            return;
+        }
+        *upto = note->number;
+        if (note->end.endpoint == NULL) {
+            g_array_append_val(report->answered, note->answered);
+            continue;
+        }
+        endpoint_end_t end;
+        endpoint_end_init(&end, note->end.endpoint, note->end.started_ms);
+        g_array_append_vals(end.runs, note->end.runs->data,
+                            note->end.runs->len);
+        g_array_append_val(report->ends, end);
+    }
+}
+
+/* ---- one control instance ---- */
+
+static void sender_due(void *data);
+
+static void
+sender_wait(crash_sender_t *s, gint64 us)
+{
+    timers_t *timers = s->link->entry->timers;
+    timers_cancel(timers, s->timer);
+    s->timer = timers_subscribe(timers, us, 0, sender_due, s);
+}
+
+static void
+sender_failed(crash_sender_t *s)
+{
+    s->call = NULL;
+    s->retry_us = CLAMP(s->retry_us * 2, RETRY_FIRST_US, RETRY_MOST_US);
+    counter_add(counter_get("crash_reports_failed_total", NULL, FALSE), 1);
+    sender_wait(s, s->retry_us);
+}
+
+static call_verdict_t
+on_head(client_call_t *call, const http_head_t *head, void *user)
+{
+    (void)call;
+    ((crash_sender_t *)user)->status = head->status;
+    return CALL_TAKE;
+}
+
+static void
+on_body(client_call_t *call, str_t bytes, void *user)
+{
+    (void)call;
+    (void)bytes; /* the status says it all */
+    (void)user;
+}
+
+static void
+on_done(client_call_t *call, void *user)
+{
+    (void)call;
+    crash_sender_t *s = user;
+    if (s->status != 204) {
+        sender_failed(s);
+        return;
+    }
+    s->call = NULL;
+    s->retry_us = 0;
+    s->told = MAX(s->told, s->telling);
+    sender_wait(s, PAUSE_US);
+}
+
+static void
+on_failed(client_call_t *call, call_failure_t failure, void *user)
+{
+    (void)call;
+    (void)failure; /* the report goes again */
+    sender_failed(user);
+}
+
+static const client_call_ops_t SENDER_OPS = {
+    .head = on_head, .body = on_body, .done = on_done, .failed = on_failed};
+
+static void
+sender_tell(crash_sender_t *s)
+{
+    crash_report_t report;
+    crash_report_init(&report);
+    s->telling = s->told;
+    fill_report(s->link, s->told, &report, &s->telling);
+    if (s->telling == s->told) {
+        crash_report_clear(&report);
+        return;
+    }
+    GBytes *body = crash_report_write(&report);
+    crash_report_clear(&report);
+    s->call = inner_post(s->peer, CRASHES_PATH, s->address,
+                         str_from_bytes(body), &SENDER_OPS, s);
+    g_bytes_unref(body);
+    if (s->call == NULL) {
+        sender_failed(s);
+        return;
+    }
+    counter_add(counter_get("crash_reports_total", NULL, FALSE), 1);
+    sender_wait(s, ANSWER_US);
+}
+
+static void
+sender_due(void *data)
+{
+    crash_sender_t *s = data;
+    s->timer = 0;
+    if (s->call != NULL) { /* no answer in time */
+        client_call_cancel(s->call);
+        sender_failed(s);
+        return;
+    }
+    drop_old_notes(s->link);
+    sender_tell(s);
+}
+
+/* A sender that waits for nothing tells at once; one that pauses, retries or
+ * waits for an answer goes on by its timer. */
+static void
+sender_wake(crash_sender_t *s)
+{
+    if (s->timer == 0) {
+        sender_wait(s, 0);
+    }
+}
+
+static void
+sender_free(gpointer data)
+{
+    crash_sender_t *s = data;
+    timers_cancel(s->link->entry->timers, s->timer);
+    if (s->call != NULL) {
+        client_call_cancel(s->call);
+    }
+    http_peer_destroy(s->peer);
+    g_free(s->address);
+    g_free(s);
+}
+
+static crash_sender_t *
+sender_add(crash_link_t *link, const char *address)
+{
+    entry_t *e = link->entry;
+    http_peer_t *peer = http_peer_create(
+        e->poller, e->timers, str_from_cstr(address), &SENDER_LIMITS);
+    if (peer == NULL) {
+        return NULL; /* its link could not be made either, which is logged */
+    }
+    crash_sender_t *s = g_new0(crash_sender_t, 1);
+    s->link = link;
+    s->address = g_strdup(address);
+    s->peer = peer;
+    g_hash_table_insert(link->senders, s->address, s);
+    return s;
+}
+
+/* ---- all of them ---- */
+
+static crash_note_t *
+note_add(crash_link_t *link)
+{
+    crash_note_t *note = g_new0(crash_note_t, 1);
+    note->number = ++link->last;
+    note->at_us = entry_now(link->entry);
+    g_queue_push_tail(&link->notes, note);
+    drop_old_notes(link);
+    return note;
+}
+
+static void
+wake_all(crash_link_t *link)
+{
+    GHashTableIter iter;
+    gpointer sender;
+    g_hash_table_iter_init(&iter, link->senders);
+    while (g_hash_table_iter_next(&iter, NULL, &sender)) {
+        sender_wake(sender);
+    }
+}
+
+void
+crash_link_ended(crash_link_t *link, const endpoint_end_t *end)
+{
+    crash_note_t *note = note_add(link);
+    endpoint_end_init(&note->end, end->endpoint, end->started_ms);
+    for (guint i = 0; i < end->runs->len; i++) {
+        cut_run_t run = g_array_index(end->runs, cut_run_t, i);
+        endpoint_end_add(&note->end, run);
+        run_history_note_cut(&link->entry->history, run.fingerprint,
+                             note->at_us);
+    }
+    wake_all(link);
+}
+
+void
+crash_link_answered(crash_link_t *link, guint64 fingerprint)
+{
+    note_add(link)->answered = fingerprint;
+    wake_all(link);
+}
+
+void
+crash_link_control(crash_link_t *link, const char *address, guint64 epoch)
+{
+    crash_sender_t *s = g_hash_table_lookup(link->senders, address);
+    if (s == NULL) {
+        s = sender_add(link, address);
+    }
+    if (s == NULL || s->epoch == epoch) {
+        return;
+    }
+    s->epoch = epoch; /* it has started: all that matters is told again */
+    s->told = 0;
+    s->telling = 0;
+    sender_wake(s);
+}
+
+void
+crash_link_forget(crash_link_t *link, const char *address)
+{
+    g_hash_table_remove(link->senders, address);
+}
+
+crash_link_t *
+crash_link_create(entry_t *e)
+{
+    crash_link_t *link = g_new0(crash_link_t, 1);
+    link->entry = e;
+    link->senders =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, sender_free);
+    return link;
+}
+
+void
+crash_link_destroy(crash_link_t *link)
+{
+    g_hash_table_unref(link->senders);
+    g_queue_clear_full(&link->notes, note_free);
+    g_free(link);
+}
+
+/* ---- what is ordered ---- */
+
+static void
+log_order(const quarantine_order_t *order, const char *control)
+{
+    char text[FINGERPRINT_TEXT];
+    gboolean held = order->left_us > 0;
+    if (!event_log_begin(EVENT_STATE,
+                         held ? "request_held" : "request_released")) {
+        return;
+    }
+    fingerprint_text(order->fingerprint, text);
+    event_log_cstr("fingerprint", text);
+    event_log_cstr("endpoints", order->endpoints);
+    event_log_number("since_ms", order->since_us / MS);
+    event_log_number("left_ms", order->left_us / MS);
+    event_log_cstr("control", control);
+    event_log_end();
+}
+
+void
+crash_link_take_orders(crash_link_t *link, const GArray *orders,
+                       const char *control)
+{
+    entry_t *e = link->entry;
+    gint64 now = entry_now(e);
+    for (guint i = 0; i < orders->len; i++) {
+        const quarantine_order_t *order =
+            &g_array_index(orders, quarantine_order_t, i);
+        if (quarantine_take(e->quarantine, order, now)) {
+            log_order(order, control);
+        }
+        if (order->left_us > 0 &&
+            run_history_is_answered(&e->history, order->fingerprint, now)) {
+            crash_link_answered(link, order->fingerprint);
+        }
+    }
+    counter_set(counter_get("requests_held", NULL, TRUE),
+                quarantine_count(e->quarantine));
+}
--- a/carobloomd/gateway/crash_watch.c
+++ b/carobloomd/gateway/crash_watch.c
@@ -27,7 +27,6 @@
     /* One whose caller left so shortly before counts as having run there. */
     LEFT_US = 1000 * MS,
     LEFT_MAX = 64,     /* remembered; beyond it the oldest give way */
-    RUNS_MAX = 128,    /* of one end: twice the slots of the largest engine */
     LOGGED_RUNS = 8,   /* fingerprints in one line */
     BREAKS_MAX = 1024, /* watched at once: every endpoint of a large site */
 };
@@ -109,7 +108,7 @@
 static void
 add_run(break_t *b, cut_run_t run)
 {
-    if (b->end.runs->len >= RUNS_MAX) {
+    if (b->end.runs->len >= ENDPOINT_RUNS_MAX) {
         counter_add(counter_get("cut_requests_dropped_total", NULL, FALSE), 1);
         return;
     }
--- /dev/null
+++ b/carobloomd/gateway/crash_wire.c
@@ -0,0 +1,190 @@
+#include "carobloom/gateway/crash_wire.h"
+
+#include "carobloom/common/codec.h"
+
+#define ENDS_TYPE "a(sxa(ty))"
+#define REPORT_TYPE "(" ENDS_TYPE "at)"
+#define FILE_TYPE "(x" QUARANTINE_ORDERS_TYPE ")"
+
+static void
+end_clear(gpointer end)
+{
+    endpoint_end_clear(end);
+}
+
+void
+crash_report_init(crash_report_t *r)
+{
+    r->ends = g_array_new(FALSE, FALSE, sizeof(endpoint_end_t));
+    g_array_set_clear_func(r->ends, end_clear);
+    r->answered = g_array_new(FALSE, FALSE, sizeof(guint64));
+}
+
+void
+crash_report_clear(crash_report_t *r)
+{
+    g_clear_pointer(&r->ends, g_array_unref);
+    g_clear_pointer(&r->answered, g_array_unref);
+}
+
+static GVariant *
+runs_variant(const GArray *runs)
+{
+    GVariantBuilder b;
+    g_variant_builder_init(&b, G_VARIANT_TYPE("a(ty)"));
+    for (guint i = 0; i < runs->len; i++) {
+        const cut_run_t *run = &g_array_index(runs, cut_run_t, i);
+        g_variant_builder_add(&b, "(ty)", run->fingerprint,
+                              (guchar)run->stage);
+    }
+    return g_variant_builder_end(&b);
+}
+
+GBytes *
+crash_report_write(const crash_report_t *r)
+{
+    GVariantBuilder ends;
+    g_variant_builder_init(&ends, G_VARIANT_TYPE(ENDS_TYPE));
+    for (guint i = 0; i < r->ends->len; i++) {
+        const endpoint_end_t *end = &g_array_index(r->ends, endpoint_end_t, i);
+        g_variant_builder_add(&ends, "(sx@a(ty))", end->endpoint,
+                              end->started_ms, runs_variant(end->runs));
+    }
+    GVariant *answered =
+        g_variant_new_fixed_array(G_VARIANT_TYPE_UINT64, r->answered->data,
+                                  r->answered->len, sizeof(guint64));
+    return codec_write(g_variant_new("(@" ENDS_TYPE "@at)",
+                                     g_variant_builder_end(&ends), answered));
+}
+
+/* FALSE when a stage is none, or there are too many runs. */
+static gboolean
+runs_take(GVariant *list, endpoint_end_t *end)
+{
+    GVariantIter iter;
+    guint64 fingerprint;
+    guchar stage;
+    gboolean sound = g_variant_iter_init(&iter, list) <= ENDPOINT_RUNS_MAX;
+    while (sound && g_variant_iter_next(&iter, "(ty)", &fingerprint, &stage)) {
+        sound = stage < RUN_STAGES;
+        endpoint_end_add(end, (cut_run_t){.fingerprint = fingerprint,
+                                          .stage = (run_stage_t)stage});
+    }
+    g_variant_unref(list);
+    return sound;
+}
+
+static gboolean
+ends_take(GVariant *list, crash_report_t *r)
+{
+    GVariantIter iter;
+    const char *endpoint;
+    gint64 started_ms;
+    GVariant *runs;
+    gboolean sound = g_variant_iter_init(&iter, list) <= CRASH_REPORT_ENDS;
+    while (sound && g_variant_iter_next(&iter, "(&sx@a(ty))", &endpoint,
+                                        &started_ms, &runs)) {
+        endpoint_end_t end;
+        endpoint_end_init(&end, endpoint, started_ms);
+        sound = runs_take(runs, &end);
+        g_array_append_val(r->ends, end);
+    }
+    g_variant_unref(list);
+    return sound;
+}
+
+static gboolean
+answered_take(GVariant *list, crash_report_t *r)
+{
+    gsize count;
+    const guint64 *fingerprints =
+        g_variant_get_fixed_array(list, &count, sizeof(guint64));
+    gboolean sound = count <= CRASH_REPORT_ANSWERED;
+    if (sound) {
+        g_array_append_vals(r->answered, fingerprints, (guint)count);
+    }
+    g_variant_unref(list);
+    return sound;
+}
+
+gboolean
+crash_report_read(GBytes *bytes, crash_report_t *r)
+{
+    *r = (crash_report_t){0};
+    GVariant *v = codec_read(bytes, REPORT_TYPE);
+    if (v == NULL) {
+        return FALSE;
+    }
+    GVariant *ends;
+    GVariant *answered;
+    crash_report_init(r);
+    g_variant_get(v, "(@" ENDS_TYPE "@at)", &ends, &answered);
+    gboolean sound = ends_take(ends, r);
+    sound = answered_take(answered, r) && sound;
+    g_variant_unref(v);
+    if (!sound) {
+        crash_report_clear(r);
+    }
+    return sound;
+}
+
+GVariant *
+quarantine_orders_variant(const GArray *orders)
+{
+    GVariantBuilder b;
+    g_variant_builder_init(&b, G_VARIANT_TYPE(QUARANTINE_ORDERS_TYPE));
+    for (guint i = 0; orders != NULL && i < orders->len; i++) {
+        const quarantine_order_t *o =
+            &g_array_index(orders, quarantine_order_t, i);
+        g_variant_builder_add(&b, "(txxs)", o->fingerprint, o->left_us,
+                              o->since_us, o->endpoints);
+    }
+    return g_variant_builder_end(&b);
+}
+
+GArray *
+quarantine_orders_take(GVariant *list)
+{
+    GVariantIter iter;
+    quarantine_order_t o;
+    GArray *orders = quarantine_orders_new();
+    gboolean sound = g_variant_iter_init(&iter, list) <= QUARANTINE_ORDERS_MAX;
+    while (sound &&
+           g_variant_iter_next(&iter, "(txxs)", &o.fingerprint, &o.left_us,
+                               &o.since_us, &o.endpoints)) {
+        g_array_append_val(orders, o);
+    }
+    if (!sound) {
+        g_clear_pointer(&orders, g_array_unref);
+    }
+    g_variant_unref(list);
+    return orders;
+}
+
+GBytes *
+quarantine_file_write(const GArray *orders, gint64 wall_us)
+{
+    return codec_write(g_variant_new("(x@" QUARANTINE_ORDERS_TYPE ")", wall_us,
+                                     quarantine_orders_variant(orders)));
+}
+
+GArray *
+quarantine_file_read(GBytes *bytes, gint64 wall_us)
+{
+    GVariant *v = codec_read(bytes, FILE_TYPE);
+    if (v == NULL) {
+        return NULL;
+    }
+    GVariant *list;
+    gint64 written_us;
+    g_variant_get(v, "(x@" QUARANTINE_ORDERS_TYPE ")", &written_us, &list);
+    GArray *orders = quarantine_orders_take(list);
+    gint64 passed_us = MAX(wall_us - written_us, 0);
+    for (guint i = 0; orders != NULL && i < orders->len; i++) {
+        quarantine_order_t *o = &g_array_index(orders, quarantine_order_t, i);
+        o->left_us = MAX(o->left_us - passed_us, 0);
+        o->since_us += passed_us;
+    }
+    g_variant_unref(v);
+    return orders;
+}
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -249,8 +249,7 @@
 static void
 handle_ended(void *user, const endpoint_end_t *end)
 {
-    (void)user;
-    (void)end;
+    crash_link_ended(((entry_t *)user)->crash_link, end);
 }
 
 static void
@@ -264,6 +263,9 @@
 {
     entry_t *e = data;
     directory_sweep(e->directory, entry_now(e));
+    quarantine_sweep(e->quarantine, entry_now(e));
+    counter_set(counter_get("requests_held", NULL, TRUE),
+                quarantine_count(e->quarantine));
     counter_set(counter_get("endpoints", NULL, TRUE),
                 directory_count(e->directory));
     counter_set(counter_get("requests_in_flight", NULL, TRUE), e->forwards);
@@ -315,6 +317,8 @@
                                  .ended = handle_ended,
                                  .user = e};
     e->crashes = crash_watch_create(&watch);
+    e->crash_link = crash_link_create(e);
+    e->quarantine = quarantine_create();
     if (!entry_listen(e)) {
         entry_destroy(e);
         return NULL;
@@ -333,6 +337,8 @@
     g_clear_pointer(&e->callers, http_server_destroy);
     g_clear_pointer(&e->probe, http_server_destroy);
     crash_watch_destroy(e->crashes);
+    crash_link_destroy(e->crash_link);
+    quarantine_destroy(e->quarantine);
     directory_destroy(e->directory);
     g_hash_table_unref(e->services);
     g_clear_pointer(&e->config, route_config_unref);
@@ -401,11 +407,12 @@
     g_string_append_printf(
         text,
         "config version %lu, confirmed %ld ms ago\nready %d\n"
-        "requests %u, connections %u, endpoints %u, entries %u\n",
+        "requests %u, connections %u, endpoints %u, entries %u\n"
+        "requests held back %u\n",
         e->config ? (unsigned long)e->config->version : 0,
         (long)entry_config_age_ms(e), is_ready(e), e->forwards,
         http_server_connections(e->callers), directory_count(e->directory),
-        e->entries);
+        e->entries, quarantine_count(e->quarantine));
     dump_services(e, text);
     control_links_dump(e, text);
     load_link_dump(e->load_link, text);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -4,6 +4,7 @@
  * control_link.c news from the control instances
  * load_link.c    requests under way, reported and told
  * crash_watch.c  endpoints that ended, and what ran there
+ * crash_link.c   these told to control instances, and what they order for it
  * forward*.c     one request: admitted, placed, sent, repeated, answered
  * event_stream.c events of a stream, told apart in bytes as they come */
 #ifndef CAROBLOOMD_GATEWAY_ENTRY_STATE_H
@@ -19,12 +20,15 @@
 #include "carobloom/policy/engine_model.h"
 #include "carobloom/policy/placement.h"
 #include "carobloom/policy/prompt_mix.h"
+#include "carobloom/policy/quarantine.h"
 #include "carobloom/policy/repeat_budget.h"
+#include "carobloom/policy/run_history.h"
 #include "carobloom/version/route_config.h"
 #include "crash_watch.h"
 
 typedef struct control_link control_link_t;
 typedef struct load_link load_link_t;
+typedef struct crash_link crash_link_t;
 
 /* What this instance remembers of a service. */
 typedef struct {
@@ -49,6 +53,9 @@
     GPtrArray *links;     /* control_link_t * */
     load_link_t *load_link;
     crash_watch_t *crashes;
+    crash_link_t *crash_link;
+    quarantine_t *quarantine;
+    run_history_t history;
     /* the configuration in force here */
     route_config_t *config; /* NULL until one came */
     GBytes *text;
@@ -92,6 +99,20 @@
 void load_link_destroy(load_link_t *link);
 void load_link_dump(const load_link_t *link, GString *text);
 
+/* crash_link.c */
+crash_link_t *crash_link_create(entry_t *entry);
+void crash_link_destroy(crash_link_t *link);
+void crash_link_ended(crash_link_t *link, const endpoint_end_t *end);
+/* A request that an end cut, or that is held back, was answered whole. */
+void crash_link_answered(crash_link_t *link, guint64 fingerprint);
+/* A control instance answers; `epoch` is of its start. */
+void crash_link_control(crash_link_t *link, const char *address,
+                        guint64 epoch);
+void crash_link_forget(crash_link_t *link, const char *address);
+/* Takes orders (quarantine_order_t) of the control instance at an address. */
+void crash_link_take_orders(crash_link_t *link, const GArray *orders,
+                            const char *control);
+
 /* forward.c */
 void forward_create(entry_t *entry, http_exchange_t *exchange);
 void forward_gone(http_exchange_t *exchange);
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -18,6 +18,8 @@
      * a tenth of a second where it was seen; one that has answered for longer
      * most likely ran beside the cause. */
     RUN_LONG_US = 2000 * MS,
+    /* Over which held requests come back once they may: each is a trial. */
+    AFTER_HELD_SPREAD_MS = 10000,
 };
 
 /* When a refused caller should come back: spread, so that callers do not
@@ -61,15 +63,45 @@
 watched_run_t
 forward_watched_run(forward_t *f)
 {
+    guint64 fingerprint = forward_fingerprint(f);
     gboolean answered_long =
         f->heard && forward_now(f) - f->heard_us > RUN_LONG_US;
     return (watched_run_t){
-        .run = {.fingerprint = forward_fingerprint(f),
-                .stage = answered_long ? RUN_LONG : RUN_BEGINNING},
+        .run = {.fingerprint = fingerprint,
+                .stage = run_history_is_answered(&f->entry->history,
+                                                 fingerprint, forward_now(f))
+                             ? RUN_ANSWERED
+                         : answered_long ? RUN_LONG
+                                         : RUN_BEGINNING},
         .sent_us = f->sent_us,
     };
 }
 
+gboolean
+forward_is_held(forward_t *f)
+{
+    const quarantine_t *quarantine = f->entry->quarantine;
+    f->held = quarantine_is_empty(quarantine)
+                  ? NULL
+                  : quarantine_find(quarantine, forward_fingerprint(f),
+                                    forward_now(f));
+    return f->held != NULL;
+}
+
+/* A request that its endpoint answers does not crash it. Costs 0.1 us for each
+ * KB of the body, once a request; without it what all ask for would be held
+ * for being at every end. */
+static void
+note_answered(forward_t *f)
+{
+    entry_t *e = f->entry;
+    guint64 fingerprint = forward_fingerprint(f);
+    run_history_note_answered(&e->history, fingerprint, forward_now(f));
+    if (run_history_take_cut(&e->history, fingerprint)) {
+        crash_link_answered(e->crash_link, fingerprint);
+    }
+}
+
 /* ---- the end of a request ---- */
 
 void
@@ -106,6 +138,12 @@
     if (!well && f->route != NULL) {
         forward_log_fingerprint(f);
     }
+    if (f->held != NULL) {
+        gint64 now = forward_now(f);
+        event_log_cstr("endpoints_ended", f->held->endpoints);
+        event_log_number("held_since_ms", (now - f->held->since_us) / MS);
+        event_log_number("held_for_ms", (f->held->until_us - now) / MS);
+    }
     if (f->placed.known > 0) {
         event_log_number("endpoints", f->placed.known);
         event_log_number("unusable", f->placed.unusable);
@@ -196,6 +234,11 @@
 static retry_after_t
 retry_after_of(const forward_t *f)
 {
+    if (f->held != NULL) { /* sooner it would only be refused again */
+        gint64 left_us = f->held->until_us - forward_now(f);
+        return (retry_after_t){.least_ms = (gint)(left_us / MS),
+                               .spread_ms = AFTER_HELD_SPREAD_MS};
+    }
     if (!entry_is_confirmed(f->entry)) {
         return AFTER_START;
     }
@@ -252,6 +295,9 @@
     GString *fields = g_steal_pointer(&f->fields);
     GByteArray *body = g_byte_array_ref(f->body);
     guint status = f->status;
+    if (status < 500 && !f->not_run) {
+        note_answered(f);
+    }
     log_outcome(f, status, "answered");
     count_outcome(f, status);
     http_exchange_set_data(exchange, NULL);
@@ -267,6 +313,7 @@
 forward_finish(forward_t *f)
 {
     http_exchange_t *exchange = f->exchange;
+    note_answered(f);
     log_outcome(f, f->status, "answered");
     count_outcome(f, f->status);
     http_exchange_set_data(exchange, NULL);
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -213,6 +213,12 @@
 void
 forward_send(forward_t *f)
 {
+    if (forward_is_held(f)) {
+        counter_add(counter_get("requests_refused_held_total", NULL, FALSE),
+                    1);
+        forward_give_up(f, "endpoints end under this request");
+        return;
+    }
     placement_request_t request;
     placement_t placement = place(f, &request);
     endpoint_t *endpoint = placement.endpoint;
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -23,7 +23,8 @@
     const char *service;
     service_use_t *use;
     request_info_t info;
-    guint64 fingerprint; /* 0: not worked out yet */
+    guint64 fingerprint;        /* 0: not worked out yet */
+    const held_request_t *held; /* as it is refused: it is held back */
     gint64 started_us;
     gint64 final_us; /* it is answered by then */
     guint64 timer;
@@ -67,6 +68,8 @@
 guint64 forward_fingerprint(forward_t *f);
 /* How it stands at its endpoint, for whoever looks into that one's end. */
 watched_run_t forward_watched_run(forward_t *f);
+/* Whether it is held back, since endpoints end under it. */
+gboolean forward_is_held(forward_t *f);
 /* A field of the log line that is being written. */
 void forward_log_fingerprint(forward_t *f);
 /* The endpoint's answer, whole, goes to the caller. */
--- a/carobloomd/gateway/settings.c
+++ b/carobloomd/gateway/settings.c
@@ -53,6 +53,8 @@
     PART(retry_window_s, FIELD_NUMBER, .min = 0.1, .max = 3600,
          .fallback = "10"),
     PART(retry_slack, FIELD_NUMBER, .min = 0, .max = 100000, .fallback = "10"),
+    PART(crash_memory_s, FIELD_NUMBER, .min = 10, .max = 86400,
+         .fallback = "600"),
 };
 
 gboolean
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -1,10 +1,13 @@
 #include "carobloom/gateway/sync_wire.h"
 
 #include "carobloom/common/codec.h"
+#include "carobloom/gateway/crash_wire.h"
 
-#define REQUEST_TYPE "(stttub)"
+#define REQUEST_TYPE "(sttttub)"
 #define LEASES_TYPE "a(ssssxtuyx)"
-#define ANSWER_TYPE "(ttbbttbay" LEASES_TYPE "assu)"
+#define ANSWER_TYPE "(ttbbttbay" LEASES_TYPE "assut" QUARANTINE_ORDERS_TYPE ")"
+#define ANSWER_FORMAT                                                         \
+    "(ttbbttb@ay@" LEASES_TYPE "@assut@" QUARANTINE_ORDERS_TYPE ")"
 #define LETTER_TYPE "(stay)"
 
 static GVariant *
@@ -29,8 +32,8 @@
 sync_request_write(const sync_request_t *r)
 {
     return codec_write(g_variant_new(REQUEST_TYPE, r->instance, r->version,
-                                     r->epoch, r->cursor, r->wait_ms,
-                                     r->takes_config));
+                                     r->epoch, r->cursor, r->held_cursor,
+                                     r->wait_ms, r->takes_config));
 }
 
 gboolean
@@ -42,7 +45,7 @@
         return FALSE;
     }
     g_variant_get(v, REQUEST_TYPE, &r->instance, &r->version, &r->epoch,
-                  &r->cursor, &r->wait_ms, &r->takes_config);
+                  &r->cursor, &r->held_cursor, &r->wait_ms, &r->takes_config);
     g_variant_unref(v);
     return TRUE;
 }
@@ -90,10 +93,10 @@
 sync_answer_write(const sync_answer_t *a)
 {
     return codec_write(g_variant_new(
-        "(ttbbttb@ay@" LEASES_TYPE "@assu)", a->epoch, a->cursor, a->full,
-        a->confirmed, a->version, a->base, a->delta != NULL,
-        bytes_variant(a->delta), leases_variant(a->leases),
-        names_variant(a->controls), a->data_centre, a->entries));
+        ANSWER_FORMAT, a->epoch, a->cursor, a->full, a->confirmed, a->version,
+        a->base, a->delta != NULL, bytes_variant(a->delta),
+        leases_variant(a->leases), names_variant(a->controls), a->data_centre,
+        a->entries, a->held_cursor, quarantine_orders_variant(a->held)));
 }
 
 static gboolean
@@ -142,17 +145,19 @@
     GVariant *delta;
     GVariant *leases;
     GVariant *controls;
+    GVariant *held;
     gboolean news;
-    g_variant_get(v, "(ttbbttb@ay@" LEASES_TYPE "@assu)", &a->epoch,
-                  &a->cursor, &a->full, &a->confirmed, &a->version, &a->base,
-                  &news, &delta, &leases, &controls, &a->data_centre,
-                  &a->entries);
+    g_variant_get(v, ANSWER_FORMAT, &a->epoch, &a->cursor, &a->full,
+                  &a->confirmed, &a->version, &a->base, &news, &delta, &leases,
+                  &controls, &a->data_centre, &a->entries, &a->held_cursor,
+                  &held);
+    a->held = quarantine_orders_take(held);
     a->delta = variant_bytes(delta);
     if (!news) {
         g_clear_pointer(&a->delta, g_bytes_unref);
     }
     gboolean sound = leases_take(leases, a);
-    sound = names_take(controls, a) && sound;
+    sound = names_take(controls, a) && sound && a->held != NULL;
     g_variant_unref(v);
     if (!sound) {
         sync_answer_clear(a);
@@ -165,6 +170,7 @@
 {
     g_clear_pointer(&a->delta, g_bytes_unref);
     g_clear_pointer(&a->leases, g_ptr_array_unref);
+    g_clear_pointer(&a->held, g_array_unref);
     g_clear_pointer(&a->controls, g_ptr_array_unref);
     g_clear_pointer(&a->data_centre, g_free);
 }
--- a/carobloomd/process/log_store.c
+++ b/carobloomd/process/log_store.c
@@ -130,6 +130,22 @@
     return result;
 }
 
+/* ---- the owner's file ---- */
+
+static const char KEPT_FILE[] = "kept";
+
+int
+log_store_keep(log_store_t *s, GBytes *body, char **why)
+{
+    return file_replace(s, KEPT_FILE, body, why);
+}
+
+int
+log_store_kept(log_store_t *s, GBytes **body, char **why)
+{
+    return file_read(s, KEPT_FILE, body, why);
+}
+
 /* ---- identity and hard state ---- */
 
 int
--- a/include/carobloom/control/config_log.h
+++ b/include/carobloom/control/config_log.h
@@ -15,11 +15,13 @@
     CONFIG_LOG_PUT,
     CONFIG_LOG_LETTER,
     CONFIG_LOG_HAND_OVER,
+    CONFIG_LOG_KEEP,
     /* to its owner */
     CONFIG_LOG_SEND,
     CONFIG_LOG_RESULT,
     CONFIG_LOG_APPLIED,
     CONFIG_LOG_VIEW,
+    CONFIG_LOG_KEPT,
 } config_log_message_t;
 
 /* CONFIG_LOG_PUT: a checked configuration to append. */
@@ -63,6 +65,14 @@
     voter_config_t voters;
 } config_view_message_t;
 
+/* CONFIG_LOG_KEEP: bytes of the owner's to keep beside the log, in place of
+ * those before; CONFIG_LOG_KEPT: those found at the start. They are this
+ * instance's alone and not agreed with the other voters. */
+typedef struct {
+    message_t base;
+    GBytes *bytes;
+} config_kept_message_t;
+
 typedef struct config_log config_log_t;
 
 /* NULL when the data folder can not be used; that is logged. */
@@ -79,5 +89,6 @@
 message_t *config_letter_message(config_log_message_t type, const char *to,
                                  GBytes *letter);
 message_t *config_hand_over_message(void);
+message_t *config_kept_message(config_log_message_t type, GBytes *bytes);
 
 #endif
--- a/include/carobloom/gateway/settings.h
+++ b/include/carobloom/gateway/settings.h
@@ -38,7 +38,9 @@
                             bound */
     double retry_ratio;  /* repeats for each request, of all instances */
     double retry_window_s;
-    double retry_slack; /* repeats beyond */
+    double retry_slack;    /* repeats beyond */
+    double crash_memory_s; /* a request that crashes endpoints is held back
+                              for so long */
 } gateway_settings_t;
 
 /* Whether the text is of this kind of settings. */
--- a/include/carobloom/gateway/sync_wire.h
+++ b/include/carobloom/gateway/sync_wire.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "carobloom/policy/crash_ledger.h"
 #include "carobloom/policy/directory.h"
 
 #define SYNC_PATH "/sync"   /* entry to control */
@@ -20,13 +21,16 @@
     guint64 version; /* of the configuration here; 0 for none */
     guint64 epoch;   /* of the control instance's start that `cursor` is of */
     guint64 cursor;  /* leases changed up to here are known */
-    guint32 wait_ms; /* to be held for, at most, when there is no news */
+    guint64 held_cursor;   /* orders to hold requests back, up to here, too */
+    guint32 wait_ms;       /* to be held for, at most, when there is no news */
     gboolean takes_config; /* news of the configuration are to be sent here */
 } sync_request_t;
 
 typedef struct {
     guint64 epoch;
     guint64 cursor;
+    guint64 held_cursor;
+    GArray *held;       /* quarantine_order_t, changed since */
     gboolean full;      /* `leases` are all, not the changes */
     gboolean confirmed; /* no newer configuration was acknowledged by the time
                            this was written */
--- a/include/carobloom/policy/endpoint_end.h
+++ b/include/carobloom/policy/endpoint_end.h
@@ -5,10 +5,15 @@
 
 #include <glib.h>
 
+/* Requests of one end that are remembered: twice the slots of the largest
+ * engine. */
+enum { ENDPOINT_RUNS_MAX = 128 };
+
 /* How far a request was when its endpoint ended. */
 typedef enum {
     RUN_BEGINNING, /* just begun, waiting, or not known */
     RUN_LONG,      /* answered for a while by then */
+    RUN_ANSWERED,  /* the same request was answered whole shortly before */
     RUN_STAGES,
 } run_stage_t;
 
--- /dev/null
+++ b/include/carobloom/policy/quarantine.h
@@ -0,0 +1,34 @@
+/* The requests that an entry instance holds back, as the control instances
+ * order it. Pure. */
+#ifndef CAROBLOOM_POLICY_QUARANTINE_H
+#define CAROBLOOM_POLICY_QUARANTINE_H
+
+#include <glib.h>
+
+#include "carobloom/policy/crash_ledger.h"
+
+typedef struct quarantine quarantine_t;
+
+/* A request that is held back. */
+typedef struct {
+    gint64 until_us;
+    gint64 since_us; /* when the first endpoint ended under it */
+    char *endpoints; /* ids of those that ended under it, by commas */
+} held_request_t;
+
+quarantine_t *quarantine_create(void);
+void quarantine_destroy(quarantine_t *quarantine);
+/* TRUE when it changes what is held. */
+gboolean quarantine_take(quarantine_t *quarantine,
+                         const quarantine_order_t *order, gint64 now_us);
+/* Whether any is held: else none need be looked up, nor its fingerprint
+ * worked out. */
+gboolean quarantine_is_empty(const quarantine_t *quarantine);
+/* NULL when it is not held; valid until the next change. */
+const held_request_t *quarantine_find(const quarantine_t *quarantine,
+                                      guint64 fingerprint, gint64 now_us);
+/* Frees what is held no longer. */
+void quarantine_sweep(quarantine_t *quarantine, gint64 now_us);
+guint quarantine_count(const quarantine_t *quarantine);
+
+#endif
--- a/include/carobloom/process/log_store.h
+++ b/include/carobloom/process/log_store.h
@@ -45,6 +45,10 @@
 /* Makes a snapshot durable and rewrites the log after it. */
 int log_store_snapshot(log_store_t *store, const voter_snapshot_t *snapshot,
                        const replica_log_t *log, char **why);
+/* A small file beside the log, of the owner's own: replaced whole, and read;
+ * NULL in `body` when there is none. */
+int log_store_keep(log_store_t *store, GBytes *body, char **why);
+int log_store_kept(log_store_t *store, GBytes **body, char **why);
 /* Bytes of the log file, for the decision to compact. */
 guint64 log_store_bytes(const log_store_t *store);
 
--- a/tests/test_crash_ledger.c
+++ b/tests/test_crash_ledger.c
@@ -2,10 +2,16 @@
  * made of the ends of endpoints. Without a socket. */
 #include <string.h>
 
-#include "carobloom/policy/endpoint_end.h"
+#include "carobloom/gateway/crash_wire.h"
+#include "carobloom/policy/crash_ledger.h"
 #include "carobloom/policy/fingerprint.h"
+#include "carobloom/policy/quarantine.h"
+#include "carobloom/policy/run_history.h"
 #include "check.h"
 
+enum { MS = 1000, SECOND = 1000 * MS };
+static const gint64 MEMORY_US = 600 * (gint64)SECOND;
+
 /* ---- which request is the same ---- */
 
 typedef struct {
@@ -63,9 +69,447 @@
     endpoint_end_clear(&end);
 }
 
+/* ---- what is held ---- */
+
+typedef enum {
+    STEP_NONE,
+    STEP_END,      /* an endpoint ended, `what` ran there */
+    STEP_ANSWERED, /* one was answered whole */
+    STEP_WAIT,     /* time passes and all is judged */
+} step_kind_t;
+
+/* Requests go by a letter: large where it was beginning, small where it had
+ * answered for long, with a mark where it was answered shortly before. */
+typedef struct {
+    step_kind_t kind;
+    const char *endpoint;
+    const char *what;
+    gint64 ms;
+} step_t;
+
+enum { STEPS_MAX = 32 };
+
+typedef struct {
+    const char *name;
+    const char *held; /* letters, in order */
+    step_t steps[STEPS_MAX];
+} ledger_case_t;
+
+#define END(e, runs)                                                          \
+    {                                                                         \
+        .kind = STEP_END, .endpoint = (e), .what = (runs)                     \
+    }
+#define ANSWERED(letter)                                                      \
+    {                                                                         \
+        .kind = STEP_ANSWERED, .what = (letter)                               \
+    }
+#define WAIT(time)                                                            \
+    {                                                                         \
+        .kind = STEP_WAIT, .ms = (time)                                       \
+    }
+
+static const ledger_case_t LEDGER_CASES[] = {
+    {"two ends may be chance", "", {END("1", "X"), END("2", "X"), WAIT(900)}},
+    {"three are none",
+     "X",
+     {END("1", "X"), END("2", "X"), END("3", "X"), WAIT(900)}},
+    {"the same end, told by others or again, is one",
+     "",
+     {END("1", "X"), END("1", "X"), END("1", "XA"), WAIT(900)}},
+    {"others have time to say what ran there too",
+     "",
+     {END("1", "X"), END("2", "X"), END("3", "X"), WAIT(100)}},
+    {"what ran beside it once or twice is not held",
+     "X",
+     {END("1", "XAB"), END("2", "BXC"), END("3", "CX"), WAIT(900)}},
+    {"what was at the same ends waits for the next to tell",
+     "",
+     {END("1", "XA"), END("2", "XA"), END("3", "XA"), WAIT(900)}},
+    {"the next end tells which",
+     "X",
+     {END("1", "XA"), END("2", "XA"), END("3", "XA"), WAIT(900), END("4", "X"),
+      WAIT(900)}},
+    {"an answer tells which",
+     "X",
+     {END("1", "XA"), END("2", "XA"), END("3", "XA"), WAIT(900), ANSWERED("A"),
+      WAIT(900)}},
+    {"what is answered between is never held",
+     "X",
+     {END("1", "XP"), ANSWERED("P"), END("2", "XP"), ANSWERED("P"),
+      END("3", "XP"), WAIT(900)}},
+    {"what was answered shortly before, where it ran, neither",
+     "X",
+     {END("1", "XP'"), END("2", "XP'"), END("3", "XP'"), WAIT(900)}},
+    {"not for ever: two that never part are both held",
+     "AX",
+     {END("1", "XA"), END("2", "XA"), END("3", "XA"), WAIT(900),
+      END("4", "XA"), WAIT(900), END("5", "XA"), WAIT(900)}},
+    {"an end has one cause: no more are held for it",
+     "X",
+     {END("1", "XA"), END("2", "XA"), END("3", "X"), WAIT(900), END("4", "XA"),
+      WAIT(900)}},
+    {"two that crash endpoints by turns are both held",
+     "XY",
+     {END("1", "X"), END("2", "Y"), END("3", "X"), END("4", "Y"),
+      END("5", "X"), END("6", "Y"), WAIT(900)}},
+    {"an innocent one met by two of them waits",
+     "XY",
+     {END("1", "XA"), END("2", "YA"), END("3", "XB"), END("4", "YB"),
+      END("5", "X"), END("6", "Y"), WAIT(900)}},
+    {"one that had answered for long counts half",
+     "",
+     {END("1", "x"), END("2", "x"), END("3", "x"), END("4", "x"),
+      END("5", "x"), WAIT(900)}},
+    {"but counts",
+     "X",
+     {END("1", "x"), END("2", "x"), END("3", "x"), END("4", "x"),
+      END("5", "x"), END("6", "x"), WAIT(900)}},
+    {"beside one that had just begun it is not the cause",
+     "X",
+     {END("1", "Xa"), END("2", "Xa"), END("3", "Xa"), WAIT(900)}},
+    {"an answer takes back what was ordered",
+     "",
+     {END("1", "X"), END("2", "X"), END("3", "X"), WAIT(900), ANSWERED("X"),
+      WAIT(900)}},
+    {"and has the ends judged anew",
+     "Y",
+     {END("1", "XYA"), END("2", "XYB"), END("3", "XYC"), END("4", "X"),
+      WAIT(900), ANSWERED("X"), WAIT(900)}},
+    {"not held for longer than it is remembered",
+     "",
+     {END("1", "X"), END("2", "X"), END("3", "X"), WAIT(900), WAIT(600000)}},
+    {"then one end is enough",
+     "X",
+     {END("1", "X"), END("2", "X"), END("3", "X"), WAIT(900), WAIT(600000),
+      END("4", "XAB"), WAIT(900)}},
+    {"unless it was answered meanwhile",
+     "",
+     {END("1", "X"), END("2", "X"), END("3", "X"), WAIT(900), WAIT(600000),
+      ANSWERED("X"), END("4", "XAB"), WAIT(900)}},
+    {"ends that are long past do not add up",
+     "",
+     {END("1", "X"), END("2", "X"), WAIT(600001), END("3", "X"), WAIT(900)}},
+};
+
+static guint64
+letter_fingerprint(char letter)
+{
+    return (guint64)g_ascii_toupper(letter);
+}
+
+static void
+note_end(crash_ledger_t *l, const char *endpoint, const char *what,
+         gint64 now_us)
+{
+    endpoint_end_t end;
+    endpoint_end_init(&end, endpoint, 0);
+    for (const char *c = what; *c != '\0'; c++) {
+        cut_run_t run = {.fingerprint = letter_fingerprint(*c),
+                         .stage = c[1] == '\''          ? RUN_ANSWERED
+                                  : g_ascii_islower(*c) ? RUN_LONG
+                                                        : RUN_BEGINNING};
+        if (g_ascii_isalpha(*c)) {
+            endpoint_end_add(&end, run);
+        }
+    }
+    crash_ledger_note_end(l, &end, now_us);
+    endpoint_end_clear(&end);
+}
+
+static gint
+by_letter(gconstpointer a, gconstpointer b)
+{
+    return *(const char *)a - *(const char *)b;
+}
+
+/* The letters of what is held, as an entry instance takes the orders. */
+static char *
+held_letters(const crash_ledger_t *l, gint64 now_us)
+{
+    guint64 cursor = 0;
+    GArray *letters = g_array_new(TRUE, FALSE, 1);
+    GArray *orders = crash_ledger_since(l, &cursor, G_MAXUINT, now_us);
+    for (guint i = 0; i < orders->len; i++) {
+        const quarantine_order_t *o =
+            &g_array_index(orders, quarantine_order_t, i);
+        char letter = (char)o->fingerprint;
+        if (o->left_us > 0) {
+            g_array_append_val(letters, letter);
+        }
+    }
+    CU_ASSERT_EQUAL(cursor, crash_ledger_cursor(l));
+    CU_ASSERT_EQUAL(letters->len, crash_ledger_held(l));
+    g_array_sort(letters, by_letter);
+    g_array_unref(orders);
+    return g_array_free(letters, FALSE);
+}
+
+static void
+ledger_case(const ledger_case_t *c)
+{
+    crash_ledger_t *l = crash_ledger_create(MEMORY_US);
+    gint64 now_us = SECOND;
+    for (const step_t *s = c->steps; s->kind != STEP_NONE; s++) {
+        if (s->kind == STEP_END) {
+            note_end(l, s->endpoint, s->what, now_us);
+        }
+        if (s->kind == STEP_ANSWERED) {
+            crash_ledger_note_answered(l, letter_fingerprint(s->what[0]),
+                                       now_us);
+        }
+        now_us += s->ms * MS;
+        crash_ledger_judge(l, now_us);
+    }
+    char *held = held_letters(l, now_us);
+    if (strcmp(held, c->held) != 0) {
+        printf("%s: held %s\n", c->name, held);
+    }
+    CU_ASSERT_STRING_EQUAL(held, c->held);
+    g_free(held);
+    crash_ledger_destroy(l);
+}
+
+static void
+test_ledger(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(LEDGER_CASES); i++) {
+        ledger_case(&LEDGER_CASES[i]);
+    }
+}
+
+/* Thousands of suspects at once: memory is bounded, and the cause is found
+ * among them. */
+static void
+test_many(void)
+{
+    enum { ENDS = 3000, RUNS = 100, MOST = 40000 };
+    const guint64 cause = 7;
+    guint64 next = 100;
+    gint64 now_us = SECOND;
+    crash_ledger_t *l = crash_ledger_create(MEMORY_US);
+    for (guint i = 0; i < ENDS; i++) {
+        char name[32];
+        endpoint_end_t end;
+        g_snprintf(name, sizeof(name), "e%u", i);
+        endpoint_end_init(&end, name, 5);
+        for (guint j = 0; j < RUNS; j++) {
+            endpoint_end_add(&end, (cut_run_t){next++, RUN_BEGINNING});
+        }
+        if (i % 500 < 4) {
+            endpoint_end_add(&end, (cut_run_t){cause, RUN_BEGINNING});
+        }
+        crash_ledger_note_end(l, &end, now_us);
+        endpoint_end_clear(&end);
+        now_us += 100 * MS;
+        crash_ledger_judge(l, now_us);
+        CU_ASSERT(crash_ledger_suspects(l) < MOST);
+    }
+    CU_ASSERT_EQUAL(crash_ledger_held(l), 1);
+    now_us += 2 * MEMORY_US;
+    crash_ledger_judge(l, now_us);
+    crash_ledger_judge(l, now_us + 2 * MEMORY_US);
+    CU_ASSERT_EQUAL(crash_ledger_held(l), 0);
+    CU_ASSERT_EQUAL(crash_ledger_suspects(l), 0);
+    CU_ASSERT_EQUAL(crash_ledger_ends(l), 0);
+    crash_ledger_destroy(l);
+}
+
+/* Thousands that are held: told in parts, the oldest give way. */
+static void
+test_many_held(void)
+{
+    enum { HELD = 6000, PART = 128, MOST = 4096 };
+    gint64 now_us = SECOND;
+    crash_ledger_t *l = crash_ledger_create(MEMORY_US);
+    for (guint i = 0; i < HELD; i++) {
+        for (guint j = 0; j < 3; j++) {
+            char name[32];
+            endpoint_end_t end;
+            g_snprintf(name, sizeof(name), "e%u.%u", i, j);
+            endpoint_end_init(&end, name, 0);
+            endpoint_end_add(&end, (cut_run_t){i + 1, RUN_BEGINNING});
+            crash_ledger_note_end(l, &end, now_us);
+            endpoint_end_clear(&end);
+        }
+        now_us += SECOND / 20;
+        crash_ledger_judge(l, now_us);
+    }
+    crash_ledger_judge(l, now_us + SECOND);
+    CU_ASSERT_EQUAL(crash_ledger_held(l), MOST);
+    guint64 cursor = 0;
+    quarantine_t *q = quarantine_create();
+    for (guint i = 0; i < HELD && cursor != crash_ledger_cursor(l); i++) {
+        GArray *orders = crash_ledger_since(l, &cursor, PART, now_us);
+        CU_ASSERT(orders->len <= PART);
+        for (guint j = 0; j < orders->len; j++) {
+            quarantine_take(q, &g_array_index(orders, quarantine_order_t, j),
+                            now_us);
+        }
+        g_array_unref(orders);
+    }
+    CU_ASSERT_EQUAL(cursor, crash_ledger_cursor(l));
+    CU_ASSERT_EQUAL(quarantine_count(q), MOST);
+    quarantine_sweep(q, now_us + MEMORY_US + SECOND);
+    CU_ASSERT(quarantine_is_empty(q));
+    quarantine_destroy(q);
+    crash_ledger_destroy(l);
+}
+
+/* ---- what an entry instance holds and remembers ---- */
+
+static void
+test_quarantine(void)
+{
+    quarantine_t *q = quarantine_create();
+    quarantine_order_t order = {
+        .fingerprint = 7, .left_us = SECOND, .endpoints = (char *)"a,b"};
+    CU_ASSERT(quarantine_is_empty(q));
+    CU_ASSERT(quarantine_take(q, &order, SECOND));
+    CU_ASSERT_FALSE(quarantine_take(q, &order, SECOND)); /* of another */
+    CU_ASSERT_PTR_NULL(quarantine_find(q, 8, SECOND));
+    const held_request_t *held = quarantine_find(q, 7, SECOND);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(held);
+    CU_ASSERT_STRING_EQUAL(held->endpoints, "a,b");
+    CU_ASSERT_PTR_NULL(quarantine_find(q, 7, 2 * SECOND));
+    order.left_us = 0;
+    CU_ASSERT(quarantine_take(q, &order, SECOND));
+    CU_ASSERT(quarantine_is_empty(q));
+    quarantine_destroy(q);
+}
+
+static void
+test_history(void)
+{
+    run_history_t *h = g_new0(run_history_t, 1);
+    CU_ASSERT_FALSE(run_history_is_answered(h, 7, SECOND));
+    run_history_note_answered(h, 7, SECOND);
+    CU_ASSERT(run_history_is_answered(h, 7, 5 * SECOND));
+    CU_ASSERT_FALSE(run_history_is_answered(h, 7, 30 * (gint64)SECOND));
+    run_history_note_answered(h, 7 + RUN_HISTORY_SLOTS, SECOND);
+    CU_ASSERT_FALSE(run_history_is_answered(h, 7, SECOND));
+    CU_ASSERT_FALSE(run_history_take_cut(h, 9));
+    run_history_note_cut(h, 9, SECOND);
+    CU_ASSERT(run_history_take_cut(h, 9));
+    CU_ASSERT_FALSE(run_history_take_cut(h, 9));
+    g_free(h);
+}
+
+/* ---- messages and the file ---- */
+
+static void
+fill_report(crash_report_t *report)
+{
+    endpoint_end_t end;
+    guint64 answered = 77;
+    crash_report_init(report);
+    endpoint_end_init(&end, "e1", 1234);
+    endpoint_end_add(&end, (cut_run_t){5, RUN_BEGINNING});
+    endpoint_end_add(&end, (cut_run_t){6, RUN_LONG});
+    g_array_append_val(report->ends, end);
+    g_array_append_val(report->answered, answered);
+}
+
+static void
+test_report(void)
+{
+    crash_report_t report;
+    crash_report_t back;
+    fill_report(&report);
+    GBytes *bytes = crash_report_write(&report);
+    CU_ASSERT_FATAL(crash_report_read(bytes, &back));
+    CU_ASSERT_EQUAL_FATAL(back.ends->len, 1);
+    const endpoint_end_t *end = &g_array_index(back.ends, endpoint_end_t, 0);
+    CU_ASSERT_STRING_EQUAL(end->endpoint, "e1");
+    CU_ASSERT_EQUAL(end->started_ms, 1234);
+    CU_ASSERT_EQUAL_FATAL(end->runs->len, 2);
+    CU_ASSERT_EQUAL(g_array_index(end->runs, cut_run_t, 1).stage, RUN_LONG);
+    CU_ASSERT_EQUAL(g_array_index(back.answered, guint64, 0), 77);
+    crash_report_clear(&back);
+    crash_report_clear(&report);
+    g_bytes_unref(bytes);
+}
+
+/* Cut or changed bytes are refused or read to some report, no more. */
+static void
+test_damaged_report(void)
+{
+    enum { TIMES = 3000 };
+    crash_report_t report;
+    fill_report(&report);
+    GBytes *bytes = crash_report_write(&report);
+    GRand *random = g_rand_new_with_seed(11);
+    gsize length;
+    const char *data = g_bytes_get_data(bytes, &length);
+    for (int i = 0; i < TIMES; i++) {
+        crash_report_t back;
+        char *copy = g_memdup2(data, length);
+        copy[g_rand_int_range(random, 0, (gint)length)] ^=
+            (char)(1 << g_rand_int_range(random, 0, 8));
+        GBytes *changed = g_bytes_new_take(
+            copy, (gsize)g_rand_int_range(random, 0, (gint)length + 1));
+        if (crash_report_read(changed, &back)) {
+            crash_report_clear(&back);
+        }
+        g_bytes_unref(changed);
+    }
+    g_rand_free(random);
+    g_bytes_unref(bytes);
+    crash_report_clear(&report);
+}
+
+typedef struct {
+    const char *name;
+    gint64 passed_us; /* by the time of day, between writing and reading */
+    gint64 left_us;
+} file_case_t;
+
+static const file_case_t FILE_CASES[] = {
+    {"at once", 0, 100 * (gint64)SECOND},
+    {"later", 30 * (gint64)SECOND, 70 * (gint64)SECOND},
+    {"too late", 200 * (gint64)SECOND, 0},
+    {"the clock was set back", -50 * (gint64)SECOND, 100 * (gint64)SECOND},
+};
+
+static void
+test_file(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(FILE_CASES); i++) {
+        const file_case_t *c = &FILE_CASES[i];
+        GArray *orders = quarantine_orders_new();
+        quarantine_order_t order = {.fingerprint = 7,
+                                    .left_us = 100 * (gint64)SECOND,
+                                    .endpoints = g_strdup("a")};
+        g_array_append_val(orders, order);
+        GBytes *bytes = quarantine_file_write(orders, 5000 * (gint64)SECOND);
+        GArray *back =
+            quarantine_file_read(bytes, 5000 * (gint64)SECOND + c->passed_us);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(back);
+        quarantine_order_t *o = &g_array_index(back, quarantine_order_t, 0);
+        CU_ASSERT_EQUAL(o->left_us, c->left_us);
+        crash_ledger_t *l = crash_ledger_create(MEMORY_US);
+        crash_ledger_restore(l, o, SECOND);
+        CU_ASSERT_EQUAL(crash_ledger_held(l), c->left_us > 0);
+        crash_ledger_destroy(l);
+        g_array_unref(back);
+        g_bytes_unref(bytes);
+        g_array_unref(orders);
+    }
+    GBytes *none = g_bytes_new_static("x", 1);
+    CU_ASSERT_PTR_NULL(quarantine_file_read(none, 0));
+    g_bytes_unref(none);
+}
+
 static const test_case_t CASES[] = {
     {"which request is the same", test_identity},
     {"a request ran on an endpoint once", test_end},
+    {"what is held for the ends of endpoints", test_ledger},
+    {"thousands of suspects", test_many},
+    {"thousands that are held", test_many_held},
+    {"what an entry instance holds", test_quarantine},
+    {"what it remembers of requests", test_history},
+    {"reports of ends", test_report},
+    {"bytes that are no report", test_damaged_report},
+    {"what is held, over a restart", test_file},
 };
 
 CHECK_MAIN("crash ledger", CASES)
