--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -15,9 +15,9 @@
     PATIENCE_LEAST_US = 250 * MS,
     STREAM_SILENCE_US = 1500 * MS,
     /* A request that crashes its endpoint does so as it begins to run, within
-     * a tenth of a second where it was seen; one that has answered for longer
-     * most likely ran beside the cause. */
-    RUN_LONG_US = 2000 * MS,
+     * a tenth of a second where it was seen; one that has answered for five
+     * times as long most likely ran beside the cause. */
+    RUN_LONG_US = 500 * MS,
     /* Over which held requests come back once they may: each is a trial. */
     AFTER_HELD_SPREAD_MS = 10000,
 };
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -46,7 +46,8 @@
     guint controls;
     guint entries;
     gboolean proxied;
-    guint slots; /* of each endpoint started from now on */
+    guint slots;          /* of each endpoint started from now on */
+    guint crash_memory_s; /* of the instances' settings */
 } fleet_t;
 
 /* What came back. */
