--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -233,6 +233,18 @@
     }
 }
 
+static gint64
+crash_memory_us(const gateway_settings_t *settings)
+{
+    return (gint64)(settings->crash_memory_s * G_USEC_PER_SEC);
+}
+
+void
+control_reload(control_t *c, const gateway_settings_t *settings)
+{
+    crash_ledger_set_memory(c->crashes, crash_memory_us(settings));
+}
+
 static const task_ops_t LOG_OPS = {.name = "config-log",
                                    .mailbox_bound = MAILBOX_BOUND,
                                    .handle = config_log_handle};
@@ -280,8 +292,7 @@
     c->epoch = (guint64)g_random_int() << 32 | g_random_int() | 1;
     c->registry =
         registry_create((gint64)(settings->heartbeat_ms * (double)MS));
-    c->crashes = crash_ledger_create(
-        (gint64)(settings->crash_memory_s * G_USEC_PER_SEC));
+    c->crashes = crash_ledger_create(crash_memory_us(settings));
     c->own_loads = load_sum_create();
     c->loads = load_sum_create();
     c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
--- a/carobloomd/control/crash_reports.c
+++ b/carobloomd/control/crash_reports.c
@@ -115,7 +115,6 @@
     crash_report_clear(&report);
     counter_add(counter_get("crash_reports_total", NULL, FALSE), 1);
     http_exchange_answer(exchange, 204, STR(""), STR(""));
-    crash_reports_judge(c);
 }
 
 void
--- a/carobloomd/gateway/crash_link.c
+++ b/carobloomd/gateway/crash_link.c
@@ -15,9 +15,10 @@
      * without what they were told: 128 requests each at most, 0.5 MB. Beyond
      * it the oldest give way. */
     NOTES_MAX = 256,
-    /* Between two reports to one control instance: with 300 entry instances
-     * that all lose requests at once 3,000 reports a second among nine. */
-    PAUSE_US = 100 * MS,
+    /* Between two reports to one control instance, of 8 KB at most: 40 KB a
+     * second to each while endpoints end all the time. A report that comes
+     * alone goes at once. */
+    PAUSE_US = 200 * MS,
     /* An answer that takes longer is not waited for; the report goes again. */
     ANSWER_US = 700 * MS,
     RETRY_FIRST_US = 100 * MS,
@@ -87,13 +88,16 @@
 fill_report(const crash_link_t *link, guint64 after, crash_report_t *report,
             guint64 *upto)
 {
+    guint runs = 0;
     for (GList *i = link->notes.head; i != NULL; i = i->next) {
         const crash_note_t *note = i->data;
         if (note->number <= after) {
             continue;
         }
+        runs += note->end.runs != NULL ? note->end.runs->len : 0;
         if (report->ends->len == CRASH_REPORT_ENDS ||
-            report->answered->len == CRASH_REPORT_ANSWERED) {
+            report->answered->len == CRASH_REPORT_ANSWERED ||
+            (report->ends->len > 0 && runs > CRASH_REPORT_RUNS)) {
             return;
         }
         *upto = note->number;
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -1,6 +1,5 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
-#include "carobloom/policy/fingerprint.h"
 #include "carobloom/policy/placement.h"
 #include "forward_state.h"
 
@@ -14,10 +13,6 @@
     PATIENCE_TARGETS = 3,
     PATIENCE_LEAST_US = 250 * MS,
     STREAM_SILENCE_US = 1500 * MS,
-    /* A request that crashes its endpoint does so as it begins to run, within
-     * a tenth of a second where it was seen; one that has answered for five
-     * times as long most likely ran beside the cause. */
-    RUN_LONG_US = 500 * MS,
     /* Over which held requests come back once they may: each is a trial. */
     AFTER_HELD_SPREAD_MS = 10000,
 };
@@ -43,75 +38,8 @@
     return entry_now(f->entry);
 }
 
-guint64
-forward_fingerprint(forward_t *f)
-{
-    if (f->fingerprint == 0) {
-        const http_head_t *head = http_exchange_head(f->exchange);
-        request_identity_t identity = {
-            .caller = str_from_cstr(f->team != NULL ? f->team->name : ""),
-            .method = str_from_cstr(head->method),
-            .host = f->info.host,
-            .target = http_head_target(head),
-            .body = http_exchange_body(f->exchange),
-        };
-        f->fingerprint = request_fingerprint(&identity);
-    }
-    return f->fingerprint;
-}
-
-watched_run_t
-forward_watched_run(forward_t *f)
-{
-    guint64 fingerprint = forward_fingerprint(f);
-    gboolean answered_long =
-        f->heard && forward_now(f) - f->heard_us > RUN_LONG_US;
-    return (watched_run_t){
-        .run = {.fingerprint = fingerprint,
-                .stage = run_history_is_answered(&f->entry->history,
-                                                 fingerprint, forward_now(f))
-                             ? RUN_ANSWERED
-                         : answered_long ? RUN_LONG
-                                         : RUN_BEGINNING},
-        .sent_us = f->sent_us,
-    };
-}
-
-gboolean
-forward_is_held(forward_t *f)
-{
-    const quarantine_t *quarantine = f->entry->quarantine;
-    f->held = quarantine_is_empty(quarantine)
-                  ? NULL
-                  : quarantine_find(quarantine, forward_fingerprint(f),
-                                    forward_now(f));
-    return f->held != NULL;
-}
-
-/* A request that its endpoint answers does not crash it. Costs 0.1 us for each
- * KB of the body, once a request; without it what all ask for would be held
- * for being at every end. */
-static void
-note_answered(forward_t *f)
-{
-    entry_t *e = f->entry;
-    guint64 fingerprint = forward_fingerprint(f);
-    run_history_note_answered(&e->history, fingerprint, forward_now(f));
-    if (run_history_take_cut(&e->history, fingerprint)) {
-        crash_link_answered(e->crash_link, fingerprint);
-    }
-}
-
 /* ---- the end of a request ---- */
 
-void
-forward_log_fingerprint(forward_t *f)
-{
-    char text[FINGERPRINT_TEXT];
-    fingerprint_text(forward_fingerprint(f), text);
-    event_log_cstr("fingerprint", text);
-}
-
 static void
 log_outcome(forward_t *f, guint status, const char *reason)
 {
@@ -296,7 +224,7 @@
     GByteArray *body = g_byte_array_ref(f->body);
     guint status = f->status;
     if (status < 500 && !f->not_run) {
-        note_answered(f);
+        forward_note_answered(f);
     }
     log_outcome(f, status, "answered");
     count_outcome(f, status);
@@ -313,7 +241,7 @@
 forward_finish(forward_t *f)
 {
     http_exchange_t *exchange = f->exchange;
-    note_answered(f);
+    forward_note_answered(f);
     log_outcome(f, f->status, "answered");
     count_outcome(f, f->status);
     http_exchange_set_data(exchange, NULL);
@@ -321,16 +249,6 @@
     http_exchange_finish(exchange);
 }
 
-/* It is given up while it may run at its endpoint. */
-static void
-forward_note_left(forward_t *f)
-{
-    if (f->call != NULL && f->endpoint != NULL && client_call_sent(f->call)) {
-        crash_watch_left(f->entry->crashes, f->endpoint,
-                         forward_watched_run(f));
-    }
-}
-
 /* ---- time ---- */
 
 /* When a silent endpoint is left for another; G_MAXINT64: never. */
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -39,16 +39,6 @@
     }
 }
 
-/* Bytes of the endpoint: it lives. */
-static void
-note_heard(forward_t *f)
-{
-    f->progress_us = forward_now(f);
-    if (f->endpoint != NULL && crash_watch_is_open(f->entry->crashes)) {
-        crash_watch_heard(f->entry->crashes, f->endpoint);
-    }
-}
-
 static call_verdict_t
 on_answer_head(client_call_t *call, const http_head_t *head, void *user)
 {
@@ -67,7 +57,7 @@
         return CALL_REFUSE;
     }
     f->not_run = answer.not_run;
-    note_heard(f);
+    forward_note_heard(f);
     if (f->begun) {
         f->streaming = success;
         f->status = head->status;
@@ -155,7 +145,7 @@
 on_answer_body(client_call_t *call, str_t bytes, void *user)
 {
     forward_t *f = user;
-    note_heard(f);
+    forward_note_heard(f);
     if (!f->streaming) {
         if (f->body->len + bytes.length > ANSWER_MAX) {
             answer_too_long(f, "the endpoint's answer is too long");
@@ -238,22 +228,6 @@
     forward_deliver(f);
 }
 
-/* Whether the endpoint ended under it is found out later. */
-static void
-watch_failure(forward_t *f, call_failure_t failure)
-{
-    crash_watch_t *watch = f->entry->crashes;
-    if (f->endpoint == NULL) {
-        return;
-    }
-    if (failure == CALL_FAILED_REFUSED) {
-        crash_watch_refused(watch, f->endpoint);
-    }
-    if (failure == CALL_FAILED_SENT || failure == CALL_FAILED_CUT) {
-        crash_watch_broke(watch, f->endpoint, forward_watched_run(f));
-    }
-}
-
 static void
 on_answer_failed(client_call_t *call, call_failure_t failure, void *user)
 {
@@ -269,7 +243,7 @@
     f->call = NULL;
     gboolean arrived =
         failure != CALL_FAILED_UNSENT && failure != CALL_FAILED_REFUSED;
-    watch_failure(f, failure);
+    forward_note_failure(f, failure);
     forward_note_endpoint(f, arrived ? ENDPOINT_BROKE : ENDPOINT_UNREACHABLE);
     f->runs += arrived;
     forward_repeat(f, arrived, REASONS[failure]);
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -3,7 +3,8 @@
  *
  * forward.c         admission, time, the final answer
  * forward_send.c    placement, sending, repeating
- * forward_answer.c  what the endpoint answers */
+ * forward_answer.c  what the endpoint answers
+ * forward_runs.c    which request it is, and what its runs tell */
 #ifndef CAROBLOOMD_GATEWAY_FORWARD_STATE_H
 #define CAROBLOOMD_GATEWAY_FORWARD_STATE_H
 
@@ -64,14 +65,6 @@
 
 /* forward.c */
 gint64 forward_now(const forward_t *f);
-/* Which request it is, whatever its id; worked out when first asked for. */
-guint64 forward_fingerprint(forward_t *f);
-/* How it stands at its endpoint, for whoever looks into that one's end. */
-watched_run_t forward_watched_run(forward_t *f);
-/* Whether it is held back, since endpoints end under it. */
-gboolean forward_is_held(forward_t *f);
-/* A field of the log line that is being written. */
-void forward_log_fingerprint(forward_t *f);
 /* The endpoint's answer, whole, goes to the caller. */
 void forward_deliver(forward_t *f);
 /* The stream that was begun is complete. */
@@ -85,6 +78,22 @@
 /* Takes it off its endpoint; the call is over or cancelled. */
 void forward_leave_endpoint(forward_t *f);
 
+/* forward_runs.c */
+/* Which request it is, whatever its id; worked out when first asked for. */
+guint64 forward_fingerprint(forward_t *f);
+/* A field of the log line that is being written. */
+void forward_log_fingerprint(forward_t *f);
+/* Whether it is held back, since endpoints end under it. */
+gboolean forward_is_held(forward_t *f);
+/* Bytes of its endpoint came. */
+void forward_note_heard(forward_t *f);
+/* Its endpoint answered it whole. */
+void forward_note_answered(forward_t *f);
+/* The call failed: whether the endpoint ended is found out later. */
+void forward_note_failure(forward_t *f, call_failure_t failure);
+/* It is given up while it may run at its endpoint. */
+void forward_note_left(forward_t *f);
+
 /* forward_send.c */
 void forward_send(forward_t *f);
 /* Sends it to another endpoint if that is allowed. `arrived` tells whether the
--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -130,6 +130,9 @@
     if (g->entry != NULL) {
         entry_reload(g->entry, settings);
     }
+    if (g->control != NULL) {
+        control_reload(g->control, settings);
+    }
 }
 
 static gboolean
--- a/include/carobloom/control/control.h
+++ b/include/carobloom/control/control.h
@@ -13,6 +13,8 @@
 control_t *control_create(const gateway_settings_t *settings, task_t *task,
                           poller_t *poller);
 void control_destroy(control_t *control);
+/* Takes changed settings: for how long requests are held back. */
+void control_reload(control_t *control, const gateway_settings_t *settings);
 /* Messages of the log. */
 void control_handle(control_t *control, message_t *message);
 /* SIGTERM: hands leadership over and serves on until control_idle. */
--- a/include/carobloom/gateway/crash_wire.h
+++ b/include/carobloom/gateway/crash_wire.h
@@ -10,8 +10,10 @@
 #define CRASHES_PATH "/crashes" /* entry to control */
 
 enum {
-    CRASH_REPORT_ENDS = 16,      /* of one report: at most some 20 KB */
-    CRASH_REPORT_ANSWERED = 256, /* of one report: 2 KB */
+    /* Of one report: at most 8 KB. */
+    CRASH_REPORT_ENDS = 16,
+    CRASH_REPORT_RUNS = 256, /* of all these ends; or of one, if it has more */
+    CRASH_REPORT_ANSWERED = 256,
     QUARANTINE_ORDERS_MAX = 4096,
 };
 
--- a/policy/crash_ledger.c
+++ b/policy/crash_ledger.c
@@ -441,17 +441,20 @@
     return TRUE;
 }
 
-/* The requests that the ends do not tell apart from this one; freed without
- * them. */
+/* The requests that the ends do not tell apart from this one, at most `most`
+ * of them; freed without them. */
 static GPtrArray *
-rivals_of(const crash_ledger_t *l, const suspect_t *s, gint64 now_us)
+rivals_of(const crash_ledger_t *l, const suspect_t *s, guint most,
+          gint64 now_us)
 {
     GPtrArray *rivals = g_ptr_array_new();
     const end_record_t *end = NULL;
     for (guint i = 0; i < s->count && end == NULL; i++) {
         end = s->ends[i].end->cause == 0 ? s->ends[i].end : NULL;
     }
-    for (guint i = 0; end != NULL && i < end->fingerprints->len; i++) {
+    for (guint i = 0;
+         end != NULL && i < end->fingerprints->len && rivals->len < most;
+         i++) {
         suspect_t *other =
             suspect_find(l, g_array_index(end->fingerprints, guint64, i));
         if (is_rival(s, other, now_us)) {
@@ -475,7 +478,9 @@
     if (now_us < s->ripe_us && !tied_long) {
         return FALSE;
     }
-    GPtrArray *rivals = rivals_of(l, s, now_us);
+    /* While it waits, one rival is reason enough: thousands may be tied. */
+    GPtrArray *rivals =
+        rivals_of(l, s, tied_long ? END_REQUESTS_MAX : 1, now_us);
     gboolean held = rivals->len == 0 || tied_long;
     if (held) {
         for (guint i = 0; i < rivals->len; i++) {
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -251,6 +251,15 @@
            g_subprocess_get_identifier(p->process) != NULL;
 }
 
+gboolean
+fleet_has_crashed(const fleet_process_t *p)
+{
+    enum { CRASH_EXIT = 70 }; /* of the stand-in endpoint */
+    return p->process != NULL && !fleet_is_running(p) &&
+           g_subprocess_get_if_exited(p->process) &&
+           g_subprocess_get_exit_status(p->process) == CRASH_EXIT;
+}
+
 static void
 on_process_end(GObject *source, GAsyncResult *result, gpointer data)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -82,6 +82,9 @@
 void fleet_kill(fleet_process_t *process);
 /* Whether it was started and has not ended. */
 gboolean fleet_is_running(const fleet_process_t *process);
+/* Whether it ended by itself, as the stand-in endpoint does when a request
+ * asks it to crash. */
+gboolean fleet_has_crashed(const fleet_process_t *process);
 /* The exit code; -1 when it does not end in time or was killed. */
 int fleet_wait_exit(fleet_process_t *process);
 void fleet_lose_disk(fleet_process_t *process);
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -15,6 +15,11 @@
     ATTEMPTS_MOST = 3,    /* of the sample's routes */
     DISK_PAUSE_MS = 9000, /* between two lost disks: to catch up */
     SERVED_LEAST = 20,    /* in a hundred, with all faults */
+    CRASH_EVERY_MS = 250, /* a request that crashes endpoints comes again */
+    CRASH_BACK_MS = 1000, /* such an endpoint is up again */
+    KNOWN_MS = 4000,      /* without faults, until all know to hold it back */
+    LATE_MS = 3000,       /* and then, for so long, */
+    LATE_SENDS = 3,       /* so often it may be sent */
 };
 
 typedef enum { KIND_SAFE, KIND_ONCE, KIND_STREAM, KIND_FRAGILE } kind_t;
@@ -26,6 +31,8 @@
     [KIND_FRAGILE] = "/fragile/stream/1",
 };
 
+static const char CRASH_TARGET[] = "/safe/crash";
+
 /* What a client was told. */
 typedef struct {
     char *id;
@@ -47,6 +54,7 @@
     GPtrArray *told; /* told_t * */
     gint64 disk_us;  /* when a disk was last lost */
     gint64 started_us;
+    gint64 back_us[FLEET_PROCESSES_MAX]; /* of endpoints that crashed */
 } soak_t;
 
 static int
@@ -139,6 +147,21 @@
     return NULL;
 }
 
+/* Asks for what crashes every endpoint, through any entry instance. */
+static gpointer
+crasher_run(gpointer data)
+{
+    soak_t *s = data;
+    for (guint i = 0; !g_atomic_int_get(&s->stop); i++) {
+        char *id = g_strdup_printf("s%u-crash-%u", s->seed, i);
+        reply_free(fleet_request(fleet_entry(s->fleet, i % s->fleet->entries),
+                                 CRASH_TARGET, id, "Fault: crash\r\n"));
+        g_free(id);
+        fleet_sleep(CRASH_EVERY_MS);
+    }
+    return NULL;
+}
+
 /* ---- the operator ---- */
 
 static void
@@ -351,6 +374,35 @@
     }
 }
 
+/* Starts again what crashed by itself, a second later. */
+static void
+tend_endpoints(soak_t *s)
+{
+    gint64 now = g_get_monotonic_time();
+    for (guint i = 0; i < s->fleet->count; i++) {
+        fleet_process_t *p = &s->fleet->processes[i];
+        if (s->back_us[i] == 0 && fleet_has_crashed(p)) {
+            say(s, "crashed", p->name);
+            s->back_us[i] = now + (gint64)CRASH_BACK_MS * 1000;
+        }
+        else if (s->back_us[i] != 0 && now >= s->back_us[i]) {
+            s->back_us[i] = 0;
+            fleet_kill(p);
+            fleet_start(s->fleet, p);
+        }
+    }
+}
+
+static void
+wait_calm(soak_t *s, int ms)
+{
+    gint64 until_us = g_get_monotonic_time() + (gint64)ms * 1000;
+    while (g_get_monotonic_time() < until_us) {
+        tend_endpoints(s);
+        fleet_sleep(10);
+    }
+}
+
 static void
 run_schedule(soak_t *s, int seconds)
 {
@@ -358,6 +410,7 @@
     int next = 500;
     while (since_ms(s) < seconds * 1000) {
         undo_due(s, undos, FALSE);
+        tend_endpoints(s);
         if (since_ms(s) >= next) {
             fault_fn_t fault = FAULTS[g_rand_int_range(
                 s->random, 0, (gint)G_N_ELEMENTS(FAULTS))];
@@ -444,6 +497,50 @@
     g_free(target);
 }
 
+/* How often the request that crashes endpoints began to run. */
+static guint
+crashing_runs(const soak_t *s)
+{
+    GHashTable *runs = runs_by_id(s->fleet);
+    GHashTableIter iter;
+    gpointer id;
+    gpointer count;
+    guint sum = 0;
+    char *start = g_strdup_printf("s%u-crash-", s->seed);
+    g_hash_table_iter_init(&iter, runs);
+    while (g_hash_table_iter_next(&iter, &id, &count)) {
+        sum += g_str_has_prefix(id, start) ? GPOINTER_TO_UINT(count) : 0;
+    }
+    g_free(start);
+    g_hash_table_unref(runs);
+    return sum;
+}
+
+/* Without faults only the request that crashes endpoints is held back. */
+static void
+check_held(soak_t *s)
+{
+    wait_calm(s, KNOWN_MS);
+    guint before = crashing_runs(s);
+    wait_calm(s, LATE_MS);
+    guint late = crashing_runs(s) - before;
+    if (late > LATE_SENDS) {
+        char *text = g_strdup_printf("%u times more", late);
+        broke(s, "not sent again once endpoints crashed under it", text);
+        g_free(text);
+    }
+    for (guint i = 0; i < s->fleet->entries * G_N_ELEMENTS(TARGETS); i++) {
+        const char *target = TARGETS[i % G_N_ELEMENTS(TARGETS)];
+        reply_t *reply =
+            fleet_request(fleet_entry(s->fleet, i / G_N_ELEMENTS(TARGETS)),
+                          target, "calm", "");
+        if (strstr(reply->body->str, "endpoints end under") != NULL) {
+            broke(s, "what merely ran there is not held back", target);
+        }
+        reply_free(reply);
+    }
+}
+
 /* ---- life ---- */
 
 static void
@@ -504,14 +601,17 @@
         threads[i] = g_thread_new("client", client_run, &all[i]);
     }
     GThread *operator= g_thread_new("operator", operator_run, &s);
+    GThread *crasher = g_thread_new("crasher", crasher_run, &s);
     run_schedule(&s, seconds);
     check_recovered(&s);
+    check_held(&s);
     g_atomic_int_set(&s.stop, 1);
     for (guint i = 0; i < clients; i++) {
         g_thread_join(threads[i]);
         g_rand_free(all[i].random);
     }
     g_thread_join(operator);
+    g_thread_join(crasher);
     check_runs(&s);
     if (s.served * 100 < s.asked * SERVED_LEAST) {
         broke(&s, "serves on", "too few were served");
