--- a/carobloomd/gateway/crash_link.c
+++ b/carobloomd/gateway/crash_link.c
@@ -94,7 +94,7 @@
         if (note->number <= after) {
             continue;
         }
-        runs += note->end.runs != NULL ? note->end.runs->len : 0;
+        runs += note->end.endpoint != NULL ? note->end.runs->len : 0;
         if (report->ends->len == CRASH_REPORT_ENDS ||
             report->answered->len == CRASH_REPORT_ANSWERED ||
             (report->ends->len > 0 && runs > CRASH_REPORT_RUNS)) {
