One line between instances for calls that are made one at a time

The log line of an order to hold a request back stands once, too.

Behaviour as before but for two counters: an answer over its bound counts in inner_answers_too_long_total whatever it was to.

--- a/carobloomd/control/crash_reports.c
+++ b/carobloomd/control/crash_reports.c
@@ -3,7 +3,7 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
 #include "carobloom/gateway/crash_wire.h"
-#include "carobloom/policy/fingerprint.h"
+#include "carobloom/gateway/order_log.h"
 #include "control_state.h"
 
 enum {
@@ -16,26 +16,6 @@
     KEEP_AGAIN_US = 30000 * MS,
 };
 
-static void
-log_order(const quarantine_order_t *order)
-{
-    char text[FINGERPRINT_TEXT];
-    gboolean held = order->left_us > 0;
-    if (held) {
-        counter_add(counter_get("requests_held_total", NULL, FALSE), 1);
-    }
-    if (!event_log_begin(EVENT_STATE,
-                         held ? "request_held" : "request_released")) {
-        return;
-    }
-    fingerprint_text(order->fingerprint, text);
-    event_log_cstr("fingerprint", text);
-    event_log_cstr("endpoints", order->endpoints);
-    event_log_number("since_ms", order->since_us / MS);
-    event_log_number("left_ms", order->left_us / MS);
-    event_log_end();
-}
-
 /* Logs and spreads orders that are new. */
 static void
 publish(control_t *c)
@@ -46,7 +26,12 @@
     GArray *orders = crash_ledger_since(c->crashes, &c->told_orders, G_MAXUINT,
                                         control_now(c));
     for (guint i = 0; i < orders->len; i++) {
-        log_order(&g_array_index(orders, quarantine_order_t, i));
+        const quarantine_order_t *order =
+            &g_array_index(orders, quarantine_order_t, i);
+        if (order->left_us > 0) {
+            counter_add(counter_get("requests_held_total", NULL, FALSE), 1);
+        }
+        quarantine_order_log(order, "");
     }
     g_array_unref(orders);
     spread_news(c);
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -3,7 +3,7 @@
 #include "carobloom/common/clock.h"
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
-#include "carobloom/gateway/inner_post.h"
+#include "carobloom/gateway/inner_line.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/version/text_delta.h"
 #include "entry_state.h"
@@ -50,23 +50,20 @@
     char *address;
     char *data_centre; /* as it says; NULL until then */
     guint source;      /* bit in the directory */
-    http_peer_t *peer;
-    client_call_t *call;
-    guint64 timer;
-    GByteArray *body;
-    guint status;
+    inner_line_t *line;
+    guint64 timer;   /* of the next question */
     gint64 asked_us; /* clock_boot_us of the question under way */
     gint64 retry_us;
     gint64 answered_us; /* timers' clock; 0: never */
     gint64 named_us;    /* last named as a control instance */
     gboolean lost;
-    gboolean progress; /* bytes of the answer came since the timer was set */
     guint64 epoch;
     guint64 cursor;
     guint64 held_cursor;
     gboolean leads; /* it confirmed the configuration */
 };
 
+static const inner_line_ops_t LINK_OPS;
 static void link_ask(control_link_t *link);
 
 static void
@@ -94,7 +91,6 @@
 {
     entry_t *e = link->entry;
     timers_cancel(e->timers, link->timer);
-    link->call = NULL;
     link->leads = FALSE;
     if (!link->lost) {
         link->lost = TRUE;
@@ -111,22 +107,6 @@
     return ANSWER_US + e->entries * (gint64)ANSWER_US_AN_ENTRY;
 }
 
-static void
-link_expired(void *data)
-{
-    control_link_t *link = data;
-    link->timer = 0;
-    if (link->progress) { /* a long answer over a narrow link */
-        link->progress = FALSE;
-        link->timer =
-            timers_subscribe(link->entry->timers, answer_us(link->entry), 0,
-                             link_expired, link);
-        return;
-    }
-    client_call_cancel(link->call);
-    link_failed(link);
-}
-
 /* ---- an answer ---- */
 
 static GBytes *
@@ -185,23 +165,39 @@
     return -1;
 }
 
+/* NULL when the address is none. */
+static control_link_t *
+link_create(entry_t *e, const char *address, guint source)
+{
+    control_link_t *link = g_new0(control_link_t, 1);
+    inner_line_setup_t setup = {.poller = e->poller,
+                                .timers = e->timers,
+                                .peer = LINK_LIMITS,
+                                .answer_max = ANSWER_MAX,
+                                .ops = &LINK_OPS,
+                                .user = link};
+    inner_line_t *line = inner_line_create(&setup, address);
+    if (line == NULL) {
+        g_free(link);
+        return NULL;
+    }
+    *link = (control_link_t){.entry = e,
+                             .address = g_strdup(address),
+                             .source = source,
+                             .line = line};
+    return link;
+}
+
 static void
 link_add(entry_t *e, const char *address)
 {
     control_link_t *link = link_find(e, address);
     gint source = free_source(e);
     if (link == NULL && source >= 0) {
-        http_peer_t *peer = http_peer_create(
-            e->poller, e->timers, str_from_cstr(address), &LINK_LIMITS);
-        if (peer == NULL) {
+        link = link_create(e, address, (guint)source);
+        if (link == NULL) {
             return;
         }
-        link = g_new0(control_link_t, 1);
-        *link = (control_link_t){.entry = e,
-                                 .address = g_strdup(address),
-                                 .source = (guint)source,
-                                 .peer = peer,
-                                 .body = g_byte_array_new()};
         g_ptr_array_add(e->links, link);
         link->named_us = entry_now(e);
         link_ask(link);
@@ -216,13 +212,9 @@
 {
     entry_t *e = link->entry;
     timers_cancel(e->timers, link->timer);
-    if (link->call != NULL) {
-        client_call_cancel(link->call);
-    }
-    http_peer_destroy(link->peer);
+    inner_line_destroy(link->line);
     crash_link_forget(e->crash_link, link->address);
     directory_forget(e->directory, link->source, entry_now(e));
-    g_byte_array_unref(link->body);
     g_free(link->address);
     g_free(link->data_centre);
     g_free(link);
@@ -285,47 +277,17 @@
     forget_silent(e);
 }
 
-static call_verdict_t
-on_head(client_call_t *call, const http_head_t *head, void *user)
-{
-    (void)call;
-    control_link_t *link = user;
-    link->status = head->status;
-    return CALL_TAKE;
-}
-
-static void
-on_body(client_call_t *call, str_t bytes, void *user)
-{
-    control_link_t *link = user;
-    link->progress = TRUE;
-    if (link->body->len + bytes.length > ANSWER_MAX) {
-        counter_add(counter_get("control_too_long_total", NULL, FALSE), 1);
-        client_call_cancel(call);
-        link_failed(link);
-        return;
-    }
-    g_byte_array_append(link->body, (const guint8 *)bytes.data,
-                        (guint)bytes.length);
-}
-
 static void
-on_done(client_call_t *call, void *user)
+on_answered(void *user, guint status, GBytes *body)
 {
-    (void)call;
     control_link_t *link = user;
     entry_t *e = link->entry;
-    link->call = NULL;
-    GBytes *bytes = g_bytes_new_static(link->body->data, link->body->len);
     sync_answer_t answer;
-    gboolean sound = link->status == 200 && sync_answer_read(bytes, &answer);
-    g_bytes_unref(bytes);
-    if (!sound) {
+    if (status != 200 || !sync_answer_read(body, &answer)) {
         counter_add(counter_get("control_malformed_total", NULL, FALSE), 1);
         link_failed(link);
         return;
     }
-    timers_cancel(e->timers, link->timer);
     if (link->lost || link->answered_us == 0) {
         log_link(link, "control_found");
     }
@@ -339,15 +301,13 @@
 }
 
 static void
-on_failed(client_call_t *call, call_failure_t failure, void *user)
+on_failed(void *user)
 {
-    (void)call;
-    (void)failure; /* asking again is always right */
-    link_failed(user);
+    link_failed(user); /* asking again is always right */
 }
 
-static const client_call_ops_t LINK_OPS = {
-    .head = on_head, .body = on_body, .done = on_done, .failed = on_failed};
+static const inner_line_ops_t LINK_OPS = {.answered = on_answered,
+                                          .failed = on_failed};
 
 static gboolean
 any_leads(const entry_t *e)
@@ -405,18 +365,15 @@
         .takes_config = takes_config(link),
     };
     GBytes *body = sync_request_write(&request);
-    g_byte_array_set_size(link->body, 0);
     link->asked_us = clock_boot_us();
-    link->progress = FALSE;
-    link->call = inner_post(link->peer, SYNC_PATH, link->address,
-                            str_from_bytes(body), &LINK_OPS, link);
+    /* A long answer over a narrow link may take several times as long. */
+    inner_line_set_progress(link->line, answer_us(e));
+    gboolean posted = inner_line_post(link->line, SYNC_PATH, body,
+                                      request.wait_ms * MS + answer_us(e));
     g_bytes_unref(body);
-    if (link->call == NULL) {
+    if (!posted) {
         link_failed(link);
-        return;
     }
-    link->timer = timers_subscribe(
-        e->timers, request.wait_ms * MS + answer_us(e), 0, link_expired, link);
 }
 
 /* ---- all links ---- */
--- a/carobloomd/gateway/crash_link.c
+++ b/carobloomd/gateway/crash_link.c
@@ -3,10 +3,9 @@
 #include <string.h>
 
 #include "carobloom/common/counters.h"
-#include "carobloom/common/event_log.h"
 #include "carobloom/gateway/crash_wire.h"
-#include "carobloom/gateway/inner_post.h"
-#include "carobloom/policy/fingerprint.h"
+#include "carobloom/gateway/inner_line.h"
+#include "carobloom/gateway/order_log.h"
 #include "entry_state.h"
 
 enum {
@@ -21,6 +20,7 @@
     PAUSE_US = 200 * MS,
     /* An answer that takes longer is not waited for; the report goes again. */
     ANSWER_US = 700 * MS,
+    ANSWER_MAX = 1024, /* bytes; it has no body */
     RETRY_FIRST_US = 100 * MS,
     RETRY_MOST_US = 800 * MS,
 };
@@ -45,10 +45,8 @@
     crash_link_t *link;
     char *address;
     guint64 epoch; /* of its start */
-    http_peer_t *peer;
-    client_call_t *call;
-    guint64 timer;
-    guint status;
+    inner_line_t *line;
+    guint64 timer;   /* of the next report; 0: none waits */
     guint64 told;    /* it has the notes up to here */
     guint64 telling; /* those of the call under way */
     gint64 retry_us;
@@ -128,53 +126,33 @@
 static void
 sender_failed(crash_sender_t *s)
 {
-    s->call = NULL;
     s->retry_us = CLAMP(s->retry_us * 2, RETRY_FIRST_US, RETRY_MOST_US);
     counter_add(counter_get("crash_reports_failed_total", NULL, FALSE), 1);
     sender_wait(s, s->retry_us);
 }
 
-static call_verdict_t
-on_head(client_call_t *call, const http_head_t *head, void *user)
-{
-    (void)call;
-    ((crash_sender_t *)user)->status = head->status;
-    return CALL_TAKE;
-}
-
-static void
-on_body(client_call_t *call, str_t bytes, void *user)
-{
-    (void)call;
-    (void)bytes; /* the status says it all */
-    (void)user;
-}
-
 static void
-on_done(client_call_t *call, void *user)
+on_answered(void *user, guint status, GBytes *body)
 {
-    (void)call;
+    (void)body; /* the status says it all */
     crash_sender_t *s = user;
-    if (s->status != 204) {
+    if (status != 204) {
         sender_failed(s);
         return;
     }
-    s->call = NULL;
     s->retry_us = 0;
     s->told = MAX(s->told, s->telling);
     sender_wait(s, PAUSE_US);
 }
 
 static void
-on_failed(client_call_t *call, call_failure_t failure, void *user)
+on_failed(void *user)
 {
-    (void)call;
-    (void)failure; /* the report goes again */
     sender_failed(user);
 }
 
-static const client_call_ops_t SENDER_OPS = {
-    .head = on_head, .body = on_body, .done = on_done, .failed = on_failed};
+static const inner_line_ops_t SENDER_OPS = {.answered = on_answered,
+                                            .failed = on_failed};
 
 static void
 sender_tell(crash_sender_t *s)
@@ -189,15 +167,13 @@
     }
     GBytes *body = crash_report_write(&report);
     crash_report_clear(&report);
-    s->call = inner_post(s->peer, CRASHES_PATH, s->address,
-                         str_from_bytes(body), &SENDER_OPS, s);
+    gboolean posted = inner_line_post(s->line, CRASHES_PATH, body, ANSWER_US);
     g_bytes_unref(body);
-    if (s->call == NULL) {
+    if (!posted) {
         sender_failed(s);
         return;
     }
     counter_add(counter_get("crash_reports_total", NULL, FALSE), 1);
-    sender_wait(s, ANSWER_US);
 }
 
 static void
@@ -205,11 +181,6 @@
 {
     crash_sender_t *s = data;
     s->timer = 0;
-    if (s->call != NULL) { /* no answer in time */
-        client_call_cancel(s->call);
-        sender_failed(s);
-        return;
-    }
     drop_old_notes(s->link);
     sender_tell(s);
 }
@@ -219,7 +190,7 @@
 static void
 sender_wake(crash_sender_t *s)
 {
-    if (s->timer == 0) {
+    if (s->timer == 0 && !inner_line_is_busy(s->line)) {
         sender_wait(s, 0);
     }
 }
@@ -229,10 +200,7 @@
 {
     crash_sender_t *s = data;
     timers_cancel(s->link->entry->timers, s->timer);
-    if (s->call != NULL) {
-        client_call_cancel(s->call);
-    }
-    http_peer_destroy(s->peer);
+    inner_line_destroy(s->line);
     g_free(s->address);
     g_free(s);
 }
@@ -241,15 +209,20 @@
 sender_add(crash_link_t *link, const char *address)
 {
     entry_t *e = link->entry;
-    http_peer_t *peer = http_peer_create(
-        e->poller, e->timers, str_from_cstr(address), &SENDER_LIMITS);
-    if (peer == NULL) {
-        return NULL; /* its link could not be made either, which is logged */
-    }
     crash_sender_t *s = g_new0(crash_sender_t, 1);
+    inner_line_setup_t setup = {.poller = e->poller,
+                                .timers = e->timers,
+                                .peer = SENDER_LIMITS,
+                                .answer_max = ANSWER_MAX,
+                                .ops = &SENDER_OPS,
+                                .user = s};
     s->link = link;
+    s->line = inner_line_create(&setup, address);
+    if (s->line == NULL) { /* so the link to it could not be made either */
+        g_free(s);
+        return NULL;
+    }
     s->address = g_strdup(address);
-    s->peer = peer;
     g_hash_table_insert(link->senders, s->address, s);
     return s;
 }
@@ -341,24 +314,6 @@
 
 /* ---- what is ordered ---- */
 
-static void
-log_order(const quarantine_order_t *order, const char *control)
-{
-    char text[FINGERPRINT_TEXT];
-    gboolean held = order->left_us > 0;
-    if (!event_log_begin(EVENT_STATE,
-                         held ? "request_held" : "request_released")) {
-        return;
-    }
-    fingerprint_text(order->fingerprint, text);
-    event_log_cstr("fingerprint", text);
-    event_log_cstr("endpoints", order->endpoints);
-    event_log_number("since_ms", order->since_us / MS);
-    event_log_number("left_ms", order->left_us / MS);
-    event_log_cstr("control", control);
-    event_log_end();
-}
-
 void
 crash_link_take_orders(crash_link_t *link, const GArray *orders,
                        const char *control)
@@ -369,7 +324,7 @@
         const quarantine_order_t *order =
             &g_array_index(orders, quarantine_order_t, i);
         if (quarantine_take(e->quarantine, order, now)) {
-            log_order(order, control);
+            quarantine_order_log(order, control);
         }
         if (order->left_us > 0 &&
             run_history_is_answered(&e->history, order->fingerprint, now)) {
--- /dev/null
+++ b/carobloomd/gateway/inner_line.c
@@ -0,0 +1,151 @@
+#include "carobloom/gateway/inner_line.h"
+
+#include "carobloom/common/counters.h"
+#include "carobloom/gateway/inner_post.h"
+
+struct inner_line {
+    inner_line_setup_t setup;
+    char *address;
+    http_peer_t *peer;
+    client_call_t *call;
+    guint64 timer; /* 0: no call is under way */
+    guint status;
+    GByteArray *body;
+    gboolean progress; /* bytes came since the timer was set */
+};
+
+/* The call is over; `body` is empty for the next. */
+static void
+line_end(inner_line_t *line)
+{
+    timers_cancel(line->setup.timers, line->timer);
+    line->timer = 0;
+    line->call = NULL;
+}
+
+static void
+line_fail(inner_line_t *line)
+{
+    line_end(line);
+    line->setup.ops->failed(line->setup.user);
+}
+
+static void
+on_expired(void *data)
+{
+    inner_line_t *line = data;
+    line->timer = 0;
+    if (line->progress && line->setup.progress_us > 0) {
+        line->progress = FALSE;
+        line->timer = timers_subscribe(
+            line->setup.timers, line->setup.progress_us, 0, on_expired, line);
+        return;
+    }
+    client_call_cancel(line->call);
+    line_fail(line);
+}
+
+static call_verdict_t
+on_head(client_call_t *call, const http_head_t *head, void *user)
+{
+    (void)call;
+    inner_line_t *line = user;
+    line->status = head->status;
+    return CALL_TAKE;
+}
+
+static void
+on_body(client_call_t *call, str_t bytes, void *user)
+{
+    inner_line_t *line = user;
+    line->progress = TRUE;
+    if (line->body->len + bytes.length > line->setup.answer_max) {
+        counter_add(counter_get("inner_answers_too_long_total", NULL, FALSE),
+                    1);
+        client_call_cancel(call);
+        line_fail(line);
+        return;
+    }
+    g_byte_array_append(line->body, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
+}
+
+static void
+on_done(client_call_t *call, void *user)
+{
+    (void)call;
+    inner_line_t *line = user;
+    line_end(line);
+    GBytes *body = g_byte_array_free_to_bytes(line->body);
+    line->body = g_byte_array_new();
+    line->setup.ops->answered(line->setup.user, line->status, body);
+    g_bytes_unref(body);
+}
+
+static void
+on_failed(client_call_t *call, call_failure_t failure, void *user)
+{
+    (void)call;
+    (void)failure; /* however it failed, the owner asks again */
+    line_fail(user);
+}
+
+static const client_call_ops_t LINE_OPS = {
+    .head = on_head, .body = on_body, .done = on_done, .failed = on_failed};
+
+inner_line_t *
+inner_line_create(const inner_line_setup_t *setup, const char *address)
+{
+    http_peer_t *peer = http_peer_create(setup->poller, setup->timers,
+                                         str_from_cstr(address), &setup->peer);
+    if (peer == NULL) {
+        return NULL;
+    }
+    inner_line_t *line = g_new0(inner_line_t, 1);
+    line->setup = *setup;
+    line->address = g_strdup(address);
+    line->peer = peer;
+    line->body = g_byte_array_new();
+    return line;
+}
+
+void
+inner_line_destroy(inner_line_t *line)
+{
+    timers_cancel(line->setup.timers, line->timer);
+    if (line->call != NULL) {
+        client_call_cancel(line->call);
+    }
+    http_peer_destroy(line->peer);
+    g_byte_array_unref(line->body);
+    g_free(line->address);
+    g_free(line);
+}
+
+void
+inner_line_set_progress(inner_line_t *line, gint64 progress_us)
+{
+    line->setup.progress_us = progress_us;
+}
+
+gboolean
+inner_line_is_busy(const inner_line_t *line)
+{
+    return line->call != NULL;
+}
+
+gboolean
+inner_line_post(inner_line_t *line, const char *path, GBytes *body,
+                gint64 wait_us)
+{
+    g_byte_array_set_size(line->body, 0);
+    line->progress = FALSE;
+    line->call = inner_post(line->peer, path, line->address,
+                            str_from_bytes(body), &LINE_OPS, line);
+    if (line->call == NULL) {
+        return FALSE;
+    }
+    line->timer =
+        timers_subscribe(line->setup.timers, wait_us, 0, on_expired, line);
+    return TRUE;
+}
--- a/carobloomd/gateway/load_link.c
+++ b/carobloomd/gateway/load_link.c
@@ -4,7 +4,7 @@
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
-#include "carobloom/gateway/inner_post.h"
+#include "carobloom/gateway/inner_line.h"
 #include "carobloom/gateway/load_wire.h"
 #include "carobloom/policy/rendezvous.h"
 #include "entry_state.h"
@@ -35,11 +35,8 @@
 struct load_link {
     entry_t *entry;
     char *address; /* of the control instance; NULL: none yet */
-    http_peer_t *peer;
-    client_call_t *call;
-    guint64 timer;
-    GByteArray *body;
-    guint status;
+    inner_line_t *line;
+    guint64 timer; /* of the next report */
     gint64 asked_us;
     GArray *reported;   /* loads in the report under way, or NULL */
     GHashTable *silent; /* address -> gint64, not asked until then */
@@ -71,7 +68,6 @@
 link_failed(load_link_t *link)
 {
     gint64 until = entry_now(link->entry) + SILENT_US;
-    link->call = NULL;
     g_hash_table_replace(link->silent, g_strdup(link->address),
                          g_memdup2(&until, sizeof(until)));
     log_collector(link, "loads_lost");
@@ -106,32 +102,13 @@
     return address;
 }
 
-/* Turns to a control instance; FALSE when its address is none. */
-static gboolean
-turn_to(load_link_t *link, char *address)
-{
-    if (g_strcmp0(link->address, address) == 0) {
-        g_free(address);
-        return link->peer != NULL;
-    }
-    g_clear_pointer(&link->peer, http_peer_destroy);
-    g_free(link->address);
-    link->address = address;
-    link->peer = http_peer_create(link->entry->poller, link->entry->timers,
-                                  str_from_cstr(address), &LOAD_LIMITS);
-    log_collector(link, "loads_reported_to");
-    return link->peer != NULL;
-}
-
 static void
-take_answer(load_link_t *link)
+on_answered(void *user, guint status, GBytes *body)
 {
+    load_link_t *link = user;
     entry_t *e = link->entry;
-    GBytes *bytes = g_bytes_new_static(link->body->data, link->body->len);
     load_answer_t answer;
-    gboolean sound = link->status == 200 && load_answer_read(bytes, &answer);
-    g_bytes_unref(bytes);
-    if (!sound) {
+    if (status != 200 || !load_answer_read(body, &answer)) {
         link_failed(link);
         return;
     }
@@ -142,48 +119,38 @@
     load_answer_clear(&answer);
 }
 
-static call_verdict_t
-on_head(client_call_t *call, const http_head_t *head, void *user)
-{
-    (void)call;
-    load_link_t *link = user;
-    link->status = head->status;
-    return CALL_TAKE;
-}
-
 static void
-on_body(client_call_t *call, str_t bytes, void *user)
+on_failed(void *user)
 {
-    load_link_t *link = user;
-    if (link->body->len + bytes.length > ANSWER_MAX) {
-        client_call_cancel(call);
-        link_failed(link);
-        return;
-    }
-    g_byte_array_append(link->body, (const guint8 *)bytes.data,
-                        (guint)bytes.length);
+    link_failed(user); /* the next report says it all again */
 }
 
-static void
-on_done(client_call_t *call, void *user)
-{
-    (void)call;
-    load_link_t *link = user;
-    link->call = NULL;
-    take_answer(link);
-}
+static const inner_line_ops_t LOAD_OPS = {.answered = on_answered,
+                                          .failed = on_failed};
 
-static void
-on_failed(client_call_t *call, call_failure_t failure, void *user)
+/* Turns to a control instance; FALSE when its address is none. */
+static gboolean
+turn_to(load_link_t *link, char *address)
 {
-    (void)call;
-    (void)failure; /* the next report says it all again */
-    link_failed(user);
+    if (g_strcmp0(link->address, address) == 0) {
+        g_free(address);
+        return link->line != NULL;
+    }
+    entry_t *e = link->entry;
+    inner_line_setup_t setup = {.poller = e->poller,
+                                .timers = e->timers,
+                                .peer = LOAD_LIMITS,
+                                .answer_max = ANSWER_MAX,
+                                .ops = &LOAD_OPS,
+                                .user = link};
+    g_clear_pointer(&link->line, inner_line_destroy);
+    g_free(link->address);
+    link->address = address;
+    link->line = inner_line_create(&setup, address);
+    log_collector(link, "loads_reported_to");
+    return link->line != NULL;
 }
 
-static const client_call_ops_t LOAD_OPS = {
-    .head = on_head, .body = on_body, .done = on_done, .failed = on_failed};
-
 static void
 report(load_link_t *link)
 {
@@ -192,16 +159,12 @@
     load_report_t report = {.from = link->entry->settings->instance,
                             .loads = link->reported};
     GBytes *body = load_report_write(&report);
-    g_byte_array_set_size(link->body, 0);
     link->asked_us = entry_now(link->entry);
-    link->call = inner_post(link->peer, LOADS_PATH, link->address,
-                            str_from_bytes(body), &LOAD_OPS, link);
+    gboolean posted = inner_line_post(link->line, LOADS_PATH, body, ANSWER_US);
     g_bytes_unref(body);
-    if (link->call == NULL) {
+    if (!posted) {
         link_failed(link);
-        return;
     }
-    link_wait(link, ANSWER_US);
 }
 
 static void
@@ -209,11 +172,6 @@
 {
     load_link_t *link = data;
     link->timer = 0;
-    if (link->call != NULL) { /* no answer in time */
-        client_call_cancel(link->call);
-        link_failed(link);
-        return;
-    }
     char *address = link->entry->config != NULL ? choose(link) : NULL;
     if (address == NULL || !turn_to(link, address)) {
         link_wait(link, IDLE_US);
@@ -227,7 +185,6 @@
 {
     load_link_t *link = g_new0(load_link_t, 1);
     link->entry = e;
-    link->body = g_byte_array_new();
     link->silent =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     link_wait(link, IDLE_US);
@@ -238,13 +195,9 @@
 load_link_destroy(load_link_t *link)
 {
     timers_cancel(link->entry->timers, link->timer);
-    if (link->call != NULL) {
-        client_call_cancel(link->call);
-    }
-    g_clear_pointer(&link->peer, http_peer_destroy);
+    g_clear_pointer(&link->line, inner_line_destroy);
     g_clear_pointer(&link->reported, g_array_unref);
     g_hash_table_unref(link->silent);
-    g_byte_array_unref(link->body);
     g_free(link->address);
     g_free(link);
 }
