HTTP client: ask before the first byte, end with a reset

Cause: a call that may be made only under a lease can wait for its connection longer than the lease lasts, and what was written may still arrive once a cut heals. Ruled out: a check when the call is created alone; a connection takes up to 1.5 s to stand, the lease 0.7 s. Conclusion: an optional question before sending, and client_call_reset.

--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -246,6 +246,13 @@
     note_sent(user);
 }
 
+static gboolean
+may_send(client_call_t *call)
+{
+    return call->ops->may_send == NULL ||
+           call->ops->may_send(call, call->user);
+}
+
 static void
 on_connected(void *user)
 {
@@ -253,6 +260,10 @@
     timers_cancel(call->peer->timers, call->timer);
     call->timer = 0;
     call->connecting = FALSE;
+    if (!may_send(call)) {
+        call_fail(call, CALL_FAILED_UNSENT);
+        return;
+    }
     gboolean sound = stream_socket_flush(call->socket);
     note_sent(call);
     if (!sound) {
@@ -403,6 +414,13 @@
     call_free(call);
 }
 
+void
+client_call_reset(client_call_t *call)
+{
+    stream_socket_reset_on_close(call->socket);
+    client_call_cancel(call);
+}
+
 gboolean
 client_call_sent(const client_call_t *call)
 {
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -246,10 +246,16 @@
 }
 
 void
-stream_socket_reset(stream_socket_t *s)
+stream_socket_reset_on_close(stream_socket_t *s)
 {
     struct linger linger = {.l_onoff = 1, .l_linger = 0};
     setsockopt(s->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+void
+stream_socket_reset(stream_socket_t *s)
+{
+    stream_socket_reset_on_close(s);
     stream_socket_destroy(s);
 }
 
--- a/include/carobloom/http/client.h
+++ b/include/carobloom/http/client.h
@@ -24,6 +24,9 @@
 
 /* What the owner is told. The call is gone after `done` and `failed`. */
 typedef struct {
+    /* Asked right before its first byte is written, however long the
+     * connection took; FALSE fails the call as unsent. NULL: always. */
+    gboolean (*may_send)(client_call_t *call, void *user);
     /* A head came. CALL_SKIP passes over an answer to another request that
      * came late on this connection. */
     call_verdict_t (*head)(client_call_t *call, const http_head_t *head,
@@ -55,6 +58,9 @@
                                   const client_call_ops_t *ops, void *user);
 /* Ends a call and its connection without a word to the owner. */
 void client_call_cancel(client_call_t *call);
+/* The same, and what was written but has not arrived is not sent again: a
+ * connection that is cut and heals later delivers none of it. */
+void client_call_reset(client_call_t *call);
 /* Whether a byte of it may have left. */
 gboolean client_call_sent(const client_call_t *call);
 /* Stops and resumes reading the answer. */
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -42,6 +42,8 @@
                                        void *user);
 /* Closes it; unsent bytes are lost. */
 void stream_socket_destroy(stream_socket_t *socket);
+/* Its end, whenever it comes, will be a reset. */
+void stream_socket_reset_on_close(stream_socket_t *socket);
 /* Closes with a reset, so that the peer can not take what it has for all. */
 void stream_socket_reset(stream_socket_t *socket);
 /* Puts bytes in line; `stream_socket_flush` sends them. */
