--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -23,49 +23,18 @@
     COMPACT_BYTES = 8 * 1024 * 1024, /* of a disk of 128 MB */
 };
 
-#define COMMAND_TYPE "(tay)"
-
 /* ---- starting ---- */
 
-static void
-state_set(config_log_t *log, guint64 version, GBytes *text)
-{
-    g_clear_pointer(&log->text, g_bytes_unref);
-    log->version = version;
-    log->text = g_bytes_ref(text);
-    config_log_tell(log);
-}
-
-/* A command and a snapshot have one form: version and text. */
-static GBytes *
-command_write(guint64 version, GBytes *text)
-{
-    gsize length;
-    gconstpointer data = g_bytes_get_data(text, &length);
-    return codec_write(g_variant_new(
-        "(t@ay)", version,
-        g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, data, length, 1)));
-}
-
 static void
 command_apply(config_log_t *log, GBytes *command)
 {
-    GVariant *v = codec_read(command, COMMAND_TYPE);
-    if (v == NULL) {
-        return; /* the empty snapshot of the founding */
-    }
-    guint64 version;
-    GVariant *bytes;
-    gsize length;
-    g_variant_get(v, "(t@ay)", &version, &bytes);
-    gconstpointer data = g_variant_get_fixed_array(bytes, &length, 1);
-    if (version > log->version || log->text == NULL) {
-        GBytes *text = g_bytes_new(data, length);
-        state_set(log, version, text);
-        g_bytes_unref(text);
-    }
-    g_variant_unref(bytes);
-    g_variant_unref(v);
+    guint changed = log_state_apply(&log->state, command);
+    if (changed & LOG_STATE_CONFIG) {
+        config_log_tell(log);
+    }
+    if (changed & LOG_STATE_USAGE) {
+        config_log_tell_usage(log);
+    }
 }
 
 static void
@@ -115,6 +84,7 @@
     char *why = NULL;
     voter_config_t config;
     gboolean founds = founding_config(log, &config);
+    log->founds = founds;
     log->id = founds ? founder_id(log->self)
                      : (guint64)g_random_int() << 32 | g_random_int();
     if (!founds) {
@@ -163,7 +133,7 @@
     else {
         core_start(log, &state);
         if (event_log_begin(EVENT_STATE, "voter_start")) {
-            event_log_number("config_version", (gint64)log->version);
+            event_log_number("config_version", (gint64)log->state.version);
             event_log_number("last_index",
                              (gint64)replica_log_last(voter_log(log->core)));
             event_log_number("cut_bytes", (gint64)state.cut_bytes);
@@ -190,6 +160,7 @@
     log->settings = settings;
     log->self = g_strdup(self);
     log->owner = owner;
+    log_state_init(&log->state);
     log->owed = g_array_new(FALSE, FALSE, sizeof(owed_t));
     log->heard =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, voter_peer_free);
@@ -213,7 +184,7 @@
 {
     g_clear_pointer(&log->core, voter_destroy);
     g_clear_pointer(&log->store, log_store_close);
-    g_clear_pointer(&log->text, g_bytes_unref);
+    log_state_clear(&log->state);
     g_array_unref(log->owed);
     g_hash_table_unref(log->heard);
     g_ptr_array_unref(log->seeds);
@@ -308,7 +279,7 @@
 {
     for (guint i = log->owed->len; i > 0; i--) {
         owed_t owed = g_array_index(log->owed, owed_t, i - 1);
-        if (owed.version <= log->version) {
+        if (owed.version <= log->state.version) {
             config_log_result(log, owed.call, TRUE);
             g_array_remove_index_fast(log->owed, i - 1);
         }
@@ -327,8 +298,7 @@
         return;
     }
     char *why = NULL;
-    GBytes *data = log->text != NULL ? command_write(log->version, log->text)
-                                     : g_bytes_new(NULL, 0);
+    GBytes *data = log_state_snapshot(&log->state);
     voter_snapshot_t snapshot =
         voter_compact(log->core, voter_applied(log->core), data);
     int result =
@@ -373,6 +343,7 @@
         .leads = voter_role(log->core) == ROLE_LEADER,
         .term = voter_term(log->core),
         .voters = *voter_config(log->core),
+        .first_start = log->founds,
     };
     view.read_until_us =
         voter_may_read(log->core, now) ? voter_lease(log->core) : 0;
@@ -395,7 +366,7 @@
     if (event_log_begin(EVENT_STATE, "voter_role")) {
         event_log_cstr("role", NAMES[role]);
         event_log_number("term", (gint64)voter_term(log->core));
-        event_log_number("config_version", (gint64)log->version);
+        event_log_number("config_version", (gint64)log->state.version);
         event_log_end();
     }
     counter_set(counter_get("voter_leads", NULL, TRUE), role == ROLE_LEADER);
@@ -444,7 +415,7 @@
         return;
     }
     guint64 index;
-    GBytes *command = command_write(m->version, m->text);
+    GBytes *command = log_config_command(m->version, m->text);
     int result = voter_propose(log->core, command, &index, now);
     g_bytes_unref(command);
     if (result != VOTER_OK) {
@@ -456,6 +427,19 @@
     g_array_append_val(log->owed, owed);
 }
 
+/* What is lost on the way is proposed again by the owner. */
+static void
+handle_usage(config_log_t *log, const config_bytes_message_t *m)
+{
+    guint64 index;
+    GBytes *command = log_usage_command(m->bytes);
+    if (voter_propose(log->core, command, &index, clock_boot_us()) !=
+        VOTER_OK) {
+        counter_add(counter_get("usage_not_proposed_total", NULL, FALSE), 1);
+    }
+    g_bytes_unref(command);
+}
+
 /* After a failed write what is durable is known only from the disk itself:
  * the voter starts from it as after a crash. */
 static void
@@ -500,7 +484,7 @@
 }
 
 static void
-handle_keep(config_log_t *log, const config_kept_message_t *m)
+handle_keep(config_log_t *log, const config_bytes_message_t *m)
 {
     char *why = NULL;
     if (log->store == NULL) {
@@ -520,7 +504,7 @@
         log_kept_failure("kept_read_failed", why);
     }
     else if (bytes != NULL) {
-        task_send(log->owner, config_kept_message(CONFIG_LOG_KEPT, bytes));
+        task_send(log->owner, config_bytes_message(CONFIG_LOG_KEPT, bytes));
     }
 }
 
@@ -530,6 +514,7 @@
     config_log_t *log = state;
     tell_kept(log);
     config_log_tell(log);
+    config_log_tell_usage(log);
     timers_subscribe(task_timers(log->task), TICK_US, TICK_US, on_tick, log);
     on_tick(log);
 }
@@ -539,7 +524,7 @@
 {
     config_log_t *log = state;
     if (message->type == CONFIG_LOG_KEEP) {
-        handle_keep(log, (const config_kept_message_t *)message);
+        handle_keep(log, (const config_bytes_message_t *)message);
         return;
     }
     if (log->failed) {
@@ -553,6 +538,9 @@
     case CONFIG_LOG_PUT:
         handle_put(log, (const config_put_message_t *)message);
         break;
+    case CONFIG_LOG_USAGE:
+        handle_usage(log, (const config_bytes_message_t *)message);
+        break;
     case CONFIG_LOG_LETTER:
         members_handle_letter(log, (const config_letter_message_t *)message);
         break;
--- a/carobloomd/control/config_log_messages.c
+++ b/carobloomd/control/config_log_messages.c
@@ -1,3 +1,4 @@
+#include "carobloom/gateway/usage_wire.h"
 #include "config_log_state.h"
 
 static void
@@ -54,16 +55,16 @@
 static void
 kept_free(message_t *message)
 {
-    g_bytes_unref(((config_kept_message_t *)message)->bytes);
+    g_bytes_unref(((config_bytes_message_t *)message)->bytes);
     g_free(message);
 }
 
 message_t *
-config_kept_message(config_log_message_t type, GBytes *bytes)
+config_bytes_message(config_log_message_t type, GBytes *bytes)
 {
-    config_kept_message_t *m = g_new0(config_kept_message_t, 1);
-    *m = (config_kept_message_t){.base = {(int)type, kept_free},
-                                 .bytes = bytes};
+    config_bytes_message_t *m = g_new0(config_bytes_message_t, 1);
+    *m = (config_bytes_message_t){.base = {(int)type, kept_free},
+                                  .bytes = bytes};
     return &m->base;
 }
 
@@ -98,12 +99,19 @@
 void
 config_log_tell(config_log_t *log)
 {
-    if (log->text == NULL) {
+    if (log->state.text == NULL) {
         return;
     }
     config_applied_message_t *m = g_new0(config_applied_message_t, 1);
     *m = (config_applied_message_t){.base = {CONFIG_LOG_APPLIED, applied_free},
-                                    .version = log->version,
-                                    .text = g_bytes_ref(log->text)};
+                                    .version = log->state.version,
+                                    .text = g_bytes_ref(log->state.text)};
     task_send(log->owner, &m->base);
 }
+
+void
+config_log_tell_usage(config_log_t *log)
+{
+    GBytes *ledger = usage_ledger_write(log->state.usage);
+    task_send(log->owner, config_bytes_message(CONFIG_LOG_USAGE, ledger));
+}
--- a/carobloomd/control/config_log_state.h
+++ b/carobloomd/control/config_log_state.h
@@ -1,6 +1,7 @@
 /* Private to the configuration's log: its state, shared by the files that make
  * it up.
  *
+ * log_state.c            what its commands say
  * config_log.c           starting, driving the core with its disk, the task
  * config_log_messages.c  messages to and from its owner
  * config_log_members.c   who votes: newcomers, the lost, the dead */
@@ -9,6 +10,7 @@
 
 #include "carobloom/control/config_log.h"
 #include "carobloom/process/log_store.h"
+#include "log_state.h"
 
 /* A put that is to be answered once its version is committed. */
 typedef struct {
@@ -33,14 +35,14 @@
     log_store_t *store;
     guint64 id;
     voter_t *core;
-    guint64 version; /* applied */
-    GBytes *text;
+    log_state_t state; /* applied */
     GArray *owed;      /* owed_t */
     GHashTable *heard; /* name -> voter_peer_t */
     GPtrArray *seeds;  /* names */
     gint64 hello_us;
     guint hellos; /* since it was last a member that knew its leader */
     voter_role_t role;
+    gboolean founds; /* it started with an empty disk, the site being new */
     gboolean failed; /* the disk refused; started anew from it later */
     gint64 retry_us;
     config_view_message_t view; /* last sent */
@@ -53,6 +55,8 @@
 void config_log_result(config_log_t *log, guint64 call, gboolean durable);
 /* Tells the owner of the version committed here, if there is one. */
 void config_log_tell(config_log_t *log);
+/* Tells it of the usage windows that are fixed. */
+void config_log_tell_usage(config_log_t *log);
 
 /* config_log_members.c */
 /* Whoever is not a voting member, or hears of no leader and may have been
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -7,6 +7,7 @@
 #include "carobloom/common/event_log.h"
 #include "carobloom/gateway/crash_wire.h"
 #include "carobloom/gateway/load_wire.h"
+#include "carobloom/gateway/usage_wire.h"
 #include "control_state.h"
 #include "platform.h"
 
@@ -136,6 +137,12 @@
     else if (str_equal(target, STR(CRASHES_PATH))) {
         handle_crashes(c, exchange);
     }
+    else if (str_equal(target, STR(USAGE_PATH))) {
+        handle_usage_report(c, exchange);
+    }
+    else if (str_equal(target, STR(CLOCK_PATH))) {
+        handle_clock(c, exchange);
+    }
     else {
         answer_plain(exchange, 404, "{\"error\":\"no such call\"}");
     }
@@ -204,6 +211,9 @@
     if (view->in_quorum) {
         c->quorum_us = control_now(c);
     }
+    if (c->duties != NULL) {
+        duties_take_view(c->duties);
+    }
     if (may_read_now) { /* entry instances may wait for the confirmation */
         held_answer_all(c);
     }
@@ -223,11 +233,17 @@
         handle_applied(c, (const config_applied_message_t *)message);
         break;
     case CONFIG_LOG_KEPT:
-        handle_kept(c, (const config_kept_message_t *)message);
+        handle_kept(c, (const config_bytes_message_t *)message);
         break;
     case CONFIG_LOG_VIEW:
         handle_view(c, (const config_view_message_t *)message);
         break;
+    case CONFIG_LOG_USAGE:
+        if (c->duties != NULL) {
+            duties_take_ledger(
+                c->duties, ((const config_bytes_message_t *)message)->bytes);
+        }
+        break;
     default:
         break;
     }
@@ -307,6 +323,7 @@
         control_destroy(c);
         return NULL;
     }
+    c->duties = duties_create(c);
     return c;
 }
 
@@ -318,6 +335,7 @@
         task_destroy(c->log_task);
     }
     g_clear_pointer(&c->log, config_log_destroy);
+    g_clear_pointer(&c->duties, duties_destroy);
     held_drop_all(c);
     timers_cancel(c->timers, c->spread);
     timers_cancel(c->timers, c->commits);
@@ -373,6 +391,9 @@
         entries_fresh(c), load_sum_reporters(c->own_loads),
         crash_ledger_held(c->crashes), crash_ledger_suspects(c->crashes),
         crash_ledger_ends(c->crashes));
+    if (c->duties != NULL) {
+        duties_dump(c->duties, text);
+    }
     for (guint i = 0; i < c->view.voters.count; i++) {
         const voter_member_t *m = &c->view.voters.members[i];
         g_string_append_printf(text, "voter %s%s\n", m->name,
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -7,7 +7,8 @@
  * load_exchange.c     requests under way, of entry instances and of all
  * crash_reports.c     endpoints that ended, and requests held back for it
  * letters.c           messages to other control instances
- * endpoint_leases.c   renewals and departures of endpoints */
+ * endpoint_leases.c   renewals and departures of endpoints
+ * duties.h            calls to the platform that one instance makes */
 #ifndef CAROBLOOMD_CONTROL_CONTROL_STATE_H
 #define CAROBLOOMD_CONTROL_CONTROL_STATE_H
 
@@ -56,6 +57,8 @@
 
 enum { CONTROL_ANSWERS = 8 }; /* of the last few batches */
 
+typedef struct duties duties_t;
+
 struct control {
     const gateway_settings_t *settings;
     task_t *task;
@@ -76,6 +79,7 @@
     config_log_t *log;
     task_t *log_task;
     config_view_message_t view;
+    duties_t *duties; /* NULL: the platform asks for none */
     kept_delta_t deltas[CONTROL_DELTAS];
     GQueue texts;      /* kept_text_t, the newest at the tail */
     GHashTable *peers; /* address -> correspondent_t */
@@ -140,12 +144,17 @@
 /* crash_reports.c */
 void handle_crashes(control_t *control, http_exchange_t *exchange);
 /* What was held before the last start. */
-void handle_kept(control_t *control, const config_kept_message_t *m);
+void handle_kept(control_t *control, const config_bytes_message_t *m);
 /* To be called several times a second. */
 void crash_reports_judge(control_t *control);
 
 /* letters.c */
-typedef enum { LETTER_VOTER, LETTER_LOADS, LETTER_KINDS } letter_kind_t;
+typedef enum {
+    LETTER_VOTER,
+    LETTER_LOADS,
+    LETTER_CLOCK,
+    LETTER_KINDS,
+} letter_kind_t;
 /* Posts a message to another control instance (IP:PORT of its inner
  * listener). It may be lost; too many under way are dropped. */
 void letter_post(control_t *control, const char *to, letter_kind_t kind,
@@ -155,6 +164,21 @@
 /* For the table of correspondents. */
 void correspondent_free(gpointer data);
 
+/* duties.c */
+/* NULL where there are none. */
+duties_t *duties_create(control_t *control);
+void duties_destroy(duties_t *duties);
+/* The control's view of the log changed. */
+void duties_take_view(duties_t *duties);
+/* Usage as the log has it. */
+void duties_take_ledger(duties_t *duties, GBytes *bytes);
+void handle_usage_report(control_t *control, http_exchange_t *exchange);
+void handle_clock(control_t *control, http_exchange_t *exchange);
+void duties_dump(const duties_t *duties, GString *text);
+/* JSON for operators, or empty; freed with g_free. */
+char *duties_usage_text(const duties_t *duties);
+char *duties_capacity_text(const duties_t *duties);
+
 /* endpoint_leases.c */
 void handle_heartbeat(control_t *control, http_exchange_t *exchange, str_t id);
 void handle_leave(control_t *control, http_exchange_t *exchange, str_t id);
--- a/carobloomd/control/crash_reports.c
+++ b/carobloomd/control/crash_reports.c
@@ -55,10 +55,10 @@
         crash_ledger_since(c->crashes, &cursor, QUARANTINE_ORDERS_MAX, now);
     c->kept_us = now;
     c->kept_orders = crash_ledger_cursor(c->crashes);
-    task_send(
-        c->log_task,
-        config_kept_message(CONFIG_LOG_KEEP,
-                            quarantine_file_write(orders, g_get_real_time())));
+    task_send(c->log_task,
+              config_bytes_message(
+                  CONFIG_LOG_KEEP,
+                  quarantine_file_write(orders, g_get_real_time())));
     g_array_unref(orders);
 }
 
@@ -103,7 +103,7 @@
 }
 
 void
-handle_kept(control_t *c, const config_kept_message_t *m)
+handle_kept(control_t *c, const config_bytes_message_t *m)
 {
     GArray *orders = quarantine_file_read(m->bytes, g_get_real_time());
     if (orders == NULL) {
--- /dev/null
+++ b/carobloomd/control/duties.c
@@ -0,0 +1,305 @@
+#include "duties.h"
+
+#include "carobloom/common/clock.h"
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+
+enum {
+    MS = 1000,
+    /* Between two looks at what is due. */
+    STEP_US = 100 * MS,
+    /* Between two words about the time of day to each other control instance:
+     * clocks drift by microseconds in that time, and one that was set is
+     * known as such a second later. */
+    CLOCK_US = 500 * MS,
+    /* Between two reports of an entry instance: what it counted in that time
+     * is lost with it, a sixteenth of its part of a window of 4 s. */
+    ASK_LEAST_MS = 250,
+    /* A report takes some 0.06 ms, so that all take 1.5% of a core at most. */
+    ASK_MS_AN_ENTRY = 4,
+};
+
+/* ---- the lease ---- */
+
+static void
+log_lease(const duties_t *d, gint64 now_us)
+{
+    gboolean held = d->lease.token != 0;
+    counter_set(counter_get("duties_held", NULL, TRUE), held);
+    if (!event_log_begin(EVENT_STATE,
+                         held ? "duties_acquired" : "duties_lost")) {
+        return;
+    }
+    event_log_number("token", (gint64)d->control->view.term);
+    if (held) {
+        event_log_number("acts_in_ms", (d->lease.from_us - now_us) / MS);
+    }
+    else {
+        event_log_number("held_for_ms", (now_us - d->since_us) / MS);
+    }
+    event_log_end();
+}
+
+static void
+lease_acquired(duties_t *d, gint64 now_us)
+{
+    d->since_us = now_us;
+    if (d->usage != NULL) {
+        usage_duty_begin(d->usage);
+    }
+    if (d->capacity != NULL) {
+        capacity_duty_begin(d->capacity);
+    }
+}
+
+static void
+lease_update(duties_t *d)
+{
+    const config_view_message_t *view = &d->control->view;
+    gint64 now = clock_boot_us();
+    /* An instance that ends leaves the duties to the next leader. */
+    gboolean leads = view->leads && !d->control->draining;
+    if (!duty_lease_update(&d->lease, leads, view->term, view->read_until_us,
+                           now)) {
+        return;
+    }
+    duty_calls_check(d->calls); /* those of the lease before end */
+    if (d->lease.token != 0) {
+        lease_acquired(d, now);
+    }
+    log_lease(d, now);
+}
+
+void
+duties_take_view(duties_t *d)
+{
+    const config_view_message_t *view = &d->control->view;
+    if (!d->began && (view->term > 0 || view->first_start)) {
+        d->began = TRUE;
+        duty_lease_init(&d->lease,
+                        (gint64)(d->control->settings->duty_lease_ms * MS),
+                        view->first_start, clock_boot_us());
+    }
+    if (d->began) {
+        lease_update(d);
+    }
+}
+
+/* ---- the time of day ---- */
+
+gint64
+duties_wall_us(const duties_t *d)
+{
+    return site_clock_wall_us(d->clock, g_get_real_time(), clock_boot_us());
+}
+
+static void
+tell_clock(duties_t *d)
+{
+    control_t *c = d->control;
+    gint64 now = control_now(c);
+    if (now - d->clock_told_us < CLOCK_US) {
+        return;
+    }
+    d->clock_told_us = now;
+    clock_word_t word = {.from = c->self, .wall_us = g_get_real_time()};
+    GBytes *bytes = clock_word_write(&word);
+    for (guint i = 0; i < c->view.voters.count; i++) {
+        const char *name = c->view.voters.members[i].name;
+        if (g_strcmp0(name, c->self) != 0) {
+            letter_post(c, name, LETTER_CLOCK, str_from_bytes(bytes));
+        }
+    }
+    g_bytes_unref(bytes);
+}
+
+void
+handle_clock(control_t *c, http_exchange_t *exchange)
+{
+    clock_word_t word;
+    str_t body = http_exchange_body(exchange);
+    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    gboolean sound = clock_word_read(bytes, &word);
+    g_bytes_unref(bytes);
+    if (!sound) {
+        answer_plain(exchange, 400, "{\"error\":\"malformed\"}");
+        return;
+    }
+    if (c->duties != NULL) {
+        site_clock_note(c->duties->clock, word.from, word.wall_us,
+                        clock_boot_us());
+    }
+    clock_word_clear(&word);
+    http_exchange_answer(exchange, 204, STR(""), STR(""));
+}
+
+/* ---- reports of entry instances ---- */
+
+static void
+answer_report(const duties_t *d, http_exchange_t *exchange)
+{
+    usage_answer_t answer = {
+        .wall_us = duties_wall_us(d),
+        .fixed_through =
+            d->usage != NULL ? usage_duty_fixed_through(d->usage) : 0,
+        .ask_ms =
+            MAX(ASK_LEAST_MS, entries_fresh(d->control) * ASK_MS_AN_ENTRY),
+    };
+    GBytes *bytes = usage_answer_write(&answer);
+    http_exchange_answer(exchange, 200, STR(""), str_from_bytes(bytes));
+    g_bytes_unref(bytes);
+}
+
+void
+handle_usage_report(control_t *c, http_exchange_t *exchange)
+{
+    duties_t *d = c->duties;
+    if (d == NULL || d->lease.token == 0) {
+        answer_plain(exchange, 503, "{\"error\":\"not the holder\"}");
+        return;
+    }
+    usage_report_t report;
+    str_t body = http_exchange_body(exchange);
+    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    gboolean sound = usage_report_read(bytes, &report);
+    g_bytes_unref(bytes);
+    if (!sound) {
+        answer_plain(exchange, 400, "{\"error\":\"malformed\"}");
+        return;
+    }
+    if (d->usage != NULL) {
+        usage_duty_report(d->usage, &report);
+    }
+    if (d->capacity != NULL) {
+        capacity_duty_report(d->capacity, &report);
+    }
+    usage_report_clear(&report);
+    counter_add(counter_get("usage_reports_total", NULL, FALSE), 1);
+    answer_report(d, exchange);
+}
+
+/* ---- calls ---- */
+
+gboolean
+duties_send(duties_t *d, duty_encode_t encode, gconstpointer what,
+            duty_answered_t answered, void *user)
+{
+    const gateway_settings_t *s = d->control->settings;
+    duty_stamp_t stamp = {
+        .host = s->platform,
+        .holder = s->instance,
+        .token = duty_lease_holds(&d->lease, clock_boot_us()),
+    };
+    if (stamp.token == 0) {
+        return FALSE;
+    }
+    GString *bytes = encode(&stamp, what);
+    gboolean sent = duty_calls_send(
+        d->calls, stamp.token,
+        (str_t){.data = bytes->str, .length = bytes->len}, answered, user);
+    g_string_free(bytes, TRUE);
+    return sent;
+}
+
+/* ---- life ---- */
+
+static void
+on_step(void *data)
+{
+    duties_t *d = data;
+    tell_clock(d);
+    if (!d->began) {
+        return;
+    }
+    lease_update(d);
+    duty_calls_check(d->calls);
+    if (duty_lease_holds(&d->lease, clock_boot_us()) == 0) {
+        return;
+    }
+    if (d->usage != NULL) {
+        usage_duty_step(d->usage);
+    }
+    if (d->capacity != NULL) {
+        capacity_duty_step(d->capacity);
+    }
+}
+
+duties_t *
+duties_create(control_t *c)
+{
+    duty_set_t set;
+    if (platform_duties_decode(c->settings->duties, &set) != PLATFORM_OK ||
+        !set.any) {
+        return NULL; /* the settings were checked: there are none */
+    }
+    duties_t *d = g_new0(duties_t, 1);
+    d->control = c;
+    d->set = set;
+    d->calls = duty_calls_create(c->poller, c->timers, c->settings->platform,
+                                 &d->lease);
+    if (d->calls == NULL) {
+        if (event_log_begin(EVENT_STATE, "no_duties")) {
+            event_log_cstr("platform", c->settings->platform);
+            event_log_end();
+        }
+        g_free(d);
+        return NULL;
+    }
+    d->clock = site_clock_create();
+    d->usage = set.usage ? usage_duty_create(d) : NULL;
+    d->capacity = set.capacity ? capacity_duty_create(d) : NULL;
+    d->timer = timers_subscribe(c->timers, STEP_US, STEP_US, on_step, d);
+    return d;
+}
+
+void
+duties_destroy(duties_t *d)
+{
+    timers_cancel(d->control->timers, d->timer);
+    duty_calls_destroy(d->calls);
+    g_clear_pointer(&d->usage, usage_duty_destroy);
+    g_clear_pointer(&d->capacity, capacity_duty_destroy);
+    site_clock_destroy(d->clock);
+    g_free(d);
+}
+
+void
+duties_take_ledger(duties_t *d, GBytes *bytes)
+{
+    if (d->usage != NULL) {
+        usage_duty_take_ledger(d->usage, bytes);
+    }
+}
+
+void
+duties_dump(const duties_t *d, GString *text)
+{
+    gint64 now = clock_boot_us();
+    guint64 token = duty_lease_holds(&d->lease, now);
+    g_string_append_printf(
+        text,
+        "duties %s, token %" G_GUINT64_FORMAT ", since %ld ms, clocks %u\n",
+        token != 0 ? "held" : "not held", d->lease.token,
+        (long)(d->lease.token != 0 ? (now - d->since_us) / MS : 0),
+        site_clock_count(d->clock));
+}
+
+char *
+duties_usage_text(const duties_t *d)
+{
+    GString *json = g_string_new(NULL);
+    if (d->usage != NULL) {
+        usage_duty_dump(d->usage, json);
+    }
+    return g_string_free(json, FALSE);
+}
+
+char *
+duties_capacity_text(const duties_t *d)
+{
+    GString *json = g_string_new(NULL);
+    if (d->capacity != NULL) {
+        capacity_duty_dump(d->capacity, json);
+    }
+    return g_string_free(json, FALSE);
+}
--- a/carobloomd/control/endpoint_leases.c
+++ b/carobloomd/control/endpoint_leases.c
@@ -138,6 +138,7 @@
         .sequence = heartbeat.sequence,
         .slots = heartbeat.slots,
         .state = heartbeat.draining ? LEASE_DRAINING : LEASE_READY,
+        .reclaimable = heartbeat.reclaimable,
         .cold_ms = heartbeat.cold_ms,
     };
     registry_result_t result =
--- a/carobloomd/control/letters.c
+++ b/carobloomd/control/letters.c
@@ -1,6 +1,7 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/gateway/inner_post.h"
 #include "carobloom/gateway/load_wire.h"
+#include "carobloom/gateway/usage_wire.h"
 #include "control_state.h"
 
 enum {
@@ -19,6 +20,8 @@
     [LETTER_VOTER] = {.path = VOTER_PATH, .under_way_max = 16},
     /* The next sums make up for those not sent. */
     [LETTER_LOADS] = {.path = LOAD_SUMS_PATH, .under_way_max = 1},
+    /* A word that waited tells a wrong time: none waits. */
+    [LETTER_CLOCK] = {.path = CLOCK_PATH, .under_way_max = 1},
 };
 
 static const http_peer_limits_t LETTER_LIMITS = {
--- /dev/null
+++ b/carobloomd/control/log_state.c
@@ -0,0 +1,142 @@
+#include "log_state.h"
+
+#include "carobloom/common/codec.h"
+#include "carobloom/gateway/usage_wire.h"
+
+/* A number that tells what follows: the version of a configuration, whose text
+ * it is, or one of these. Logs that hold nothing but configurations were
+ * written before there was anything else. */
+static const guint64 KIND_USAGE = G_MAXUINT64;
+static const guint64 KIND_SNAPSHOT = G_MAXUINT64 - 1;
+
+#define COMMAND_TYPE "(tay)"
+#define SNAPSHOT_TYPE "(tayay)" /* version, text, usage */
+
+static GVariant *
+bytes_variant(GBytes *bytes)
+{
+    gsize length = 0;
+    gconstpointer data = bytes != NULL ? g_bytes_get_data(bytes, &length) : "";
+    return g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, data, length, 1);
+}
+
+static GBytes *
+variant_bytes(GVariant *variant)
+{
+    gsize length = 0;
+    gconstpointer data = g_variant_get_fixed_array(variant, &length, 1);
+    GBytes *bytes = g_bytes_new(data, length);
+    g_variant_unref(variant);
+    return bytes;
+}
+
+static GBytes *
+command_write(guint64 kind, GBytes *bytes)
+{
+    return codec_write(g_variant_new("(t@ay)", kind, bytes_variant(bytes)));
+}
+
+GBytes *
+log_config_command(guint64 version, GBytes *text)
+{
+    return command_write(version, text);
+}
+
+GBytes *
+log_usage_command(GBytes *command)
+{
+    return command_write(KIND_USAGE, command);
+}
+
+void
+log_state_init(log_state_t *s)
+{
+    *s = (log_state_t){.usage = usage_ledger_create()};
+}
+
+void
+log_state_clear(log_state_t *s)
+{
+    g_clear_pointer(&s->text, g_bytes_unref);
+    g_clear_pointer(&s->usage, usage_ledger_destroy);
+}
+
+static guint
+apply_config(log_state_t *s, guint64 version, GBytes *text)
+{
+    if (s->text != NULL && version <= s->version) {
+        return 0;
+    }
+    g_clear_pointer(&s->text, g_bytes_unref);
+    s->version = version;
+    s->text = g_bytes_ref(text);
+    return LOG_STATE_CONFIG;
+}
+
+static guint
+apply_snapshot(log_state_t *s, GBytes *snapshot)
+{
+    GVariant *v = codec_read(snapshot, SNAPSHOT_TYPE);
+    if (v == NULL) {
+        return 0;
+    }
+    guint64 version;
+    GVariant *text;
+    GVariant *usage;
+    g_variant_get(v, "(t@ay@ay)", &version, &text, &usage);
+    GBytes *text_bytes = variant_bytes(text);
+    GBytes *usage_bytes = variant_bytes(usage);
+    guint changed = 0;
+    if (g_bytes_get_size(text_bytes) > 0) {
+        changed = apply_config(s, version, text_bytes);
+    }
+    usage_ledger_t *ledger = usage_ledger_read(usage_bytes);
+    if (ledger != NULL) {
+        usage_ledger_destroy(s->usage);
+        s->usage = ledger;
+        changed |= LOG_STATE_USAGE;
+    }
+    g_bytes_unref(text_bytes);
+    g_bytes_unref(usage_bytes);
+    g_variant_unref(v);
+    return changed;
+}
+
+guint
+log_state_apply(log_state_t *s, GBytes *command)
+{
+    GVariant *v = codec_read(command, COMMAND_TYPE);
+    if (v == NULL) {
+        return 0;
+    }
+    guint64 kind;
+    GVariant *variant;
+    guint changed = 0;
+    g_variant_get(v, "(t@ay)", &kind, &variant);
+    GBytes *bytes = variant_bytes(variant);
+    if (kind == KIND_USAGE) {
+        changed = usage_command_apply(s->usage, bytes) ? LOG_STATE_USAGE : 0;
+    }
+    else if (kind == KIND_SNAPSHOT) {
+        changed = apply_snapshot(s, bytes);
+    }
+    else {
+        changed = apply_config(s, kind, bytes);
+    }
+    g_bytes_unref(bytes);
+    g_variant_unref(v);
+    return changed;
+}
+
+GBytes *
+log_state_snapshot(const log_state_t *s)
+{
+    GBytes *usage = usage_ledger_write(s->usage);
+    GBytes *whole = codec_write(g_variant_new("(t@ay@ay)", s->version,
+                                              bytes_variant(s->text),
+                                              bytes_variant(usage)));
+    GBytes *command = command_write(KIND_SNAPSHOT, whole);
+    g_bytes_unref(whole);
+    g_bytes_unref(usage);
+    return command;
+}
--- /dev/null
+++ b/carobloomd/control/usage_duty.c
@@ -0,0 +1,249 @@
+/* Usage windows: fixed in the log, then told to the platform until it has
+ * them. */
+#include <jansson.h>
+
+#include "carobloom/common/clock.h"
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "duties.h"
+
+enum {
+    MS = 1000,
+    /* A command that did not come back from the log by then is proposed
+     * again; a slow disk takes a tenth of a second. */
+    PROPOSE_AGAIN_US = 1000 * MS,
+    /* A call that failed is made again after this, doubled each time. */
+    RETRY_FIRST_US = 200 * MS,
+    RETRY_MOST_US = 2000 * MS,
+};
+
+struct usage_duty {
+    duties_t *duties;
+    usage_book_t *book;
+    usage_ledger_t *ledger; /* as the log has it */
+    gint64 proposed_us;     /* when a command was last proposed */
+    guint64 proposed;       /* the window that it fixes */
+    guint64 telling;        /* the window of the call under way; 0: none */
+    guint64 told_through;   /* the platform took those up to here, though the
+                             * log may not know it yet */
+    gint64 retry_at_us;
+    gint64 retry_us;
+};
+
+static usage_times_t
+times_of(const usage_duty_t *u)
+{
+    const gateway_settings_t *s = u->duties->control->settings;
+    return (usage_times_t){
+        .window_us = (gint64)(s->usage_window_s * G_USEC_PER_SEC),
+        .due_us = (gint64)(s->usage_due_s * G_USEC_PER_SEC)};
+}
+
+usage_duty_t *
+usage_duty_create(duties_t *d)
+{
+    usage_duty_t *u = g_new0(usage_duty_t, 1);
+    u->duties = d;
+    u->book = usage_book_create();
+    u->ledger = usage_ledger_create();
+    return u;
+}
+
+void
+usage_duty_destroy(usage_duty_t *u)
+{
+    usage_book_destroy(u->book);
+    usage_ledger_destroy(u->ledger);
+    g_free(u);
+}
+
+void
+usage_duty_begin(usage_duty_t *u)
+{
+    usage_book_begin(u->book, duties_wall_us(u->duties));
+    u->telling = 0;
+    u->told_through = 0;
+    u->proposed = 0;
+    u->retry_at_us = 0;
+    u->retry_us = 0;
+}
+
+void
+usage_duty_report(usage_duty_t *u, const usage_report_t *report)
+{
+    for (guint i = 0; i < report->windows->len; i++) {
+        const usage_window_t *w = report->windows->pdata[i];
+        if (w->window > usage_duty_fixed_through(u)) {
+            usage_book_report(u->book, report->incarnation, w);
+        }
+    }
+}
+
+void
+usage_duty_take_ledger(usage_duty_t *u, GBytes *bytes)
+{
+    usage_ledger_t *ledger = usage_ledger_read(bytes);
+    if (ledger == NULL) {
+        if (event_log_begin(EVENT_STATE, "usage_ledger_unreadable")) {
+            event_log_end();
+        }
+        return;
+    }
+    usage_ledger_destroy(u->ledger);
+    u->ledger = ledger;
+}
+
+guint64
+usage_duty_fixed_through(const usage_duty_t *u)
+{
+    return usage_ledger_fixed_through(u->ledger);
+}
+
+/* ---- fixing ---- */
+
+static void
+propose(usage_duty_t *u, GBytes *command)
+{
+    task_send(u->duties->control->log_task,
+              config_bytes_message(CONFIG_LOG_USAGE, command));
+}
+
+static void
+log_window(const char *event, const usage_window_t *w, guint status)
+{
+    if (event_log_begin(EVENT_STATE, event)) {
+        event_log_number("window", (gint64)w->window);
+        event_log_number("teams", w->counts->len);
+        event_log_number("requests", (gint64)usage_window_total(w));
+        if (status != 0) {
+            event_log_number("status", status);
+        }
+        event_log_end();
+    }
+}
+
+static void
+fix_due(usage_duty_t *u)
+{
+    gint64 now = clock_boot_us();
+    usage_times_t times = times_of(u);
+    usage_window_t *figures =
+        usage_book_due(u->book, &times, usage_duty_fixed_through(u),
+                       duties_wall_us(u->duties));
+    if (figures == NULL) {
+        return;
+    }
+    if (figures->window != u->proposed ||
+        now - u->proposed_us > PROPOSE_AGAIN_US) {
+        u->proposed = figures->window;
+        u->proposed_us = now;
+        log_window("usage_fixed", figures, 0);
+        propose(u, usage_fix_command(figures));
+    }
+    usage_window_free(figures);
+}
+
+/* ---- telling ---- */
+
+static const usage_window_t *
+window_find(const usage_duty_t *u, guint64 window)
+{
+    const GArray *windows = usage_ledger_windows(u->ledger);
+    for (guint i = 0; i < windows->len; i++) {
+        const usage_window_t *w =
+            g_array_index(windows, fixed_window_t, i).figures;
+        if (w->window == window) {
+            return w;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_told(void *user, guint status)
+{
+    usage_duty_t *u = user;
+    guint64 window = u->telling;
+    const usage_window_t *figures = window_find(u, window);
+    u->telling = 0;
+    if (figures != NULL) {
+        log_window(status == 200 ? "usage_told" : "usage_not_told", figures,
+                   status);
+    }
+    if (status != 200) {
+        u->retry_us = CLAMP(u->retry_us * 2, RETRY_FIRST_US, RETRY_MOST_US);
+        u->retry_at_us = clock_boot_us() + u->retry_us;
+        return;
+    }
+    u->retry_us = 0;
+    u->told_through = window;
+    counter_add(counter_get("usage_windows_told_total", NULL, FALSE), 1);
+    propose(u, usage_take_command(window));
+}
+
+static GString *
+encode_usage(const duty_stamp_t *stamp, gconstpointer what)
+{
+    return platform_usage_encode(stamp, what);
+}
+
+static void
+tell_untold(usage_duty_t *u)
+{
+    const usage_window_t *w = usage_ledger_untold(u->ledger, u->told_through);
+    if (w == NULL || u->telling != 0 || clock_boot_us() < u->retry_at_us) {
+        return;
+    }
+    if (duties_send(u->duties, encode_usage, w, on_told, u)) {
+        u->telling = w->window;
+    }
+}
+
+void
+usage_duty_step(usage_duty_t *u)
+{
+    fix_due(u);
+    tell_untold(u);
+}
+
+/* ---- for people ---- */
+
+static json_t *
+window_json(const usage_window_t *w, const char *state)
+{
+    json_t *teams = json_object();
+    for (guint i = 0; i < w->counts->len; i++) {
+        const usage_count_t *c = &g_array_index(w->counts, usage_count_t, i);
+        json_object_set_new(teams, c->team,
+                            json_integer((json_int_t)c->count));
+    }
+    json_t *row = json_pack("{s:I,s:s,s:o}", "window", (json_int_t)w->window,
+                            "state", state, "teams", teams);
+    return row;
+}
+
+void
+usage_duty_dump(const usage_duty_t *u, GString *text)
+{
+    json_t *rows = json_array();
+    const GArray *windows = usage_ledger_windows(u->ledger);
+    for (guint i = 0; i < windows->len; i++) {
+        const fixed_window_t *f = &g_array_index(windows, fixed_window_t, i);
+        json_array_append_new(
+            rows, window_json(f->figures, f->taken ? "told" : "not told yet"));
+    }
+    GPtrArray *open = usage_book_open(u->book);
+    for (guint i = 0; i < open->len; i++) {
+        json_array_append_new(rows, window_json(open->pdata[i], "counting"));
+    }
+    g_ptr_array_unref(open);
+    const gateway_settings_t *s = u->duties->control->settings;
+    json_t *root =
+        json_pack("{s:b,s:f,s:s,s:o}", "held", u->duties->lease.token != 0,
+                  "window_s", s->usage_window_s, "leader",
+                  u->duties->control->view.leader, "windows", rows);
+    char *json = json_dumps(root, JSON_COMPACT);
+    g_string_append(text, json);
+    free(json);
+    json_decref(root);
+}
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -421,6 +421,18 @@
     return addresses;
 }
 
+const char *
+control_links_leader(const entry_t *e)
+{
+    for (guint i = 0; i < e->links->len; i++) {
+        const control_link_t *link = e->links->pdata[i];
+        if (link->leads && !link->lost) {
+            return link->address;
+        }
+    }
+    return NULL;
+}
+
 void
 control_links_dump(const entry_t *e, GString *text)
 {
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -326,6 +326,7 @@
     timers_subscribe(e->timers, SWEEP_US, SWEEP_US, on_sweep, e);
     control_links_seed(e);
     e->load_link = load_link_create(e);
+    e->usage_link = usage_link_create(e);
     return e;
 }
 
@@ -333,6 +334,7 @@
 entry_destroy(entry_t *e)
 {
     g_clear_pointer(&e->load_link, load_link_destroy);
+    g_clear_pointer(&e->usage_link, usage_link_destroy);
     control_links_destroy(e);
     g_clear_pointer(&e->callers, http_server_destroy);
     g_clear_pointer(&e->probe, http_server_destroy);
@@ -416,5 +418,8 @@
     dump_services(e, text);
     control_links_dump(e, text);
     load_link_dump(e->load_link, text);
+    if (e->usage_link != NULL) {
+        usage_link_dump(e->usage_link, text);
+    }
     return g_string_free(text, FALSE);
 }
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -3,6 +3,7 @@
  * entry.c        listeners, readiness, draining
  * control_link.c news from the control instances
  * load_link.c    requests under way, reported and told
+ * usage_link.c   what began to run, and work for engines, reported
  * crash_watch.c  endpoints that ended, and what ran there
  * crash_link.c   these told to control instances, and what they order for it
  * forward*.c     one request: admitted, placed, sent, repeated, answered
@@ -28,6 +29,7 @@
 
 typedef struct control_link control_link_t;
 typedef struct load_link load_link_t;
+typedef struct usage_link usage_link_t;
 typedef struct crash_link crash_link_t;
 
 /* What this instance remembers of a service. */
@@ -36,6 +38,10 @@
     prompt_mix_t prompts;
     engine_split_t split;
     engine_model_t engine;
+    /* since the start */
+    guint64 arrived;     /* requests */
+    guint64 turned_away; /* times that no engine had a place for one */
+    guint64 read_tokens; /* prompt tokens that engines had to read */
 } service_use_t;
 
 struct entry {
@@ -52,6 +58,7 @@
     GHashTable *services; /* name -> service_use_t */
     GPtrArray *links;     /* control_link_t * */
     load_link_t *load_link;
+    usage_link_t *usage_link; /* NULL: nobody asks for it */
     crash_watch_t *crashes;
     crash_link_t *crash_link;
     quarantine_t *quarantine;
@@ -94,6 +101,18 @@
  * their addresses in the same order, to be freed without them. */
 GPtrArray *control_links_collectors(const entry_t *entry, GArray *collectors);
 
+/* The address of the one that leads, as it said, or NULL. */
+const char *control_links_leader(const entry_t *entry);
+
+/* usage_link.c */
+/* NULL where nobody asks for it. */
+usage_link_t *usage_link_create(entry_t *entry);
+void usage_link_destroy(usage_link_t *link);
+/* A request of a team began to run at an endpoint. The link may be NULL, and
+ * the team where the route needs none. */
+void usage_link_count(usage_link_t *link, const char *team);
+void usage_link_dump(const usage_link_t *link, GString *text);
+
 /* load_link.c */
 load_link_t *load_link_create(entry_t *entry);
 void load_link_destroy(load_link_t *link);
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -142,6 +142,16 @@
     f->endpoint = NULL;
 }
 
+void
+forward_note_begun(forward_t *f)
+{
+    if (!f->counted) {
+        f->counted = TRUE;
+        usage_link_count(f->entry->usage_link,
+                         f->team != NULL ? f->team->name : NULL);
+    }
+}
+
 static void
 forward_free(forward_t *f)
 {
@@ -375,6 +385,7 @@
                                                 (gint)f->route->weight_sum));
     repeat_limits_t limits = entry_repeat_limits(e);
     f->use = entry_service(e, f->service);
+    f->use->arrived++;
     prompt_note_t note = {.prompt_tokens = f->info.prompt_tokens,
                           .target_ms = f->route->target_ms,
                           .pause_ms = f->route->pause_ms,
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -98,6 +98,7 @@
     if (!f->heard) {
         f->heard = TRUE;
         f->heard_us = now;
+        forward_note_begun(f);
         learn_first(f);
     }
     note_first(f);
@@ -207,6 +208,9 @@
         handle_not_run(f);
         return;
     }
+    if (f->info.prompt_tokens == 0) {
+        forward_note_begun(f);
+    }
     if (f->streaming) {
         finish_stream(f);
         return;
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -176,6 +176,7 @@
     f->found_waiting = endpoint_waiting(endpoint);
     f->waiting_tokens = placement->read_tokens;
     endpoint_join(endpoint, f->info.prompt_tokens, f->waiting_tokens);
+    f->use->read_tokens += f->waiting_tokens;
     for (guint i = 0; i < request->part_count; i++) {
         endpoint_note_part(endpoint, request->parts[i].id);
     }
@@ -223,6 +224,7 @@
     placement_t placement = place(f, &request);
     endpoint_t *endpoint = placement.endpoint;
     if (endpoint == NULL) {
+        f->use->turned_away++;
         f->placed = placement.counts;
         forward_give_up(f, placement_reason(&f->placed));
         return;
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -39,6 +39,7 @@
     /* when it was sent: what all instances' requests took of the endpoint */
     guint found_running;
     guint found_waiting; /* tokens */
+    gboolean counted;    /* that it began to run */
     gboolean heard;      /* an event came from this endpoint */
     gint64 heard_us;     /* the first of them */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX];
@@ -78,6 +79,9 @@
 /* Takes it off its endpoint; the call is over or cancelled. */
 void forward_leave_endpoint(forward_t *f);
 
+/* It began to run at an endpoint; counted once. */
+void forward_note_begun(forward_t *f);
+
 /* forward_runs.c */
 /* Which request it is, whatever its id; worked out when first asked for. */
 guint64 forward_fingerprint(forward_t *f);
--- a/carobloomd/gateway/settings.c
+++ b/carobloomd/gateway/settings.c
@@ -3,6 +3,7 @@
 #include "carobloom/common/fields.h"
 #include "carobloom/common/jsonc.h"
 #include "carobloom/process/settings.h"
+#include "platform.h"
 
 enum { NAME_MAX_BYTES = 128 };
 
@@ -21,6 +22,8 @@
         __VA_ARGS__                                                           \
     }
 
+static const char *const CAPACITY_WAYS[] = {"model", "off", "share", NULL};
+
 static const field_t ROOT_FIELDS[] = {
     ROOT(instance, FIELD_STRING, settings.instance, .required = TRUE, .min = 1,
          .max = NAME_MAX_BYTES),
@@ -55,6 +58,24 @@
     PART(retry_slack, FIELD_NUMBER, .min = 0, .max = 100000, .fallback = "10"),
     PART(crash_memory_s, FIELD_NUMBER, .min = 10, .max = 86400,
          .fallback = "600"),
+    PART(platform, FIELD_STRING, .max = 64),
+    PART(duties, FIELD_STRINGS, .max = 16),
+    PART(duty_lease_ms, FIELD_NUMBER, .min = 0, .max = 600000,
+         .fallback = "3000"),
+    PART(duty_calls_per_s, FIELD_NUMBER, .min = 0.1, .max = 100000,
+         .fallback = "10"),
+    PART(usage_window_s, FIELD_NUMBER, .min = 0.1, .max = 86400,
+         .fallback = "60"),
+    PART(usage_due_s, FIELD_NUMBER, .min = 0.1, .max = 86400,
+         .fallback = "60"),
+    PART(capacity, FIELD_STRING, .choices = CAPACITY_WAYS, .min = 1, .max = 16,
+         .fallback = "model"),
+    PART(capacity_floor, FIELD_NUMBER, .min = 0, .max = 100000,
+         .fallback = "1"),
+    PART(capacity_ceiling, FIELD_NUMBER, .min = 0, .max = 100000,
+         .fallback = "0"),
+    PART(capacity_reclaimable, FIELD_NUMBER, .min = 0, .max = 1,
+         .fallback = "1"),
 };
 
 gboolean
@@ -78,6 +99,19 @@
     g_free(host);
 }
 
+static void
+check_duties(const gateway_settings_t *s, GPtrArray *faults)
+{
+    duty_set_t duties;
+    if (platform_duties_decode(s->duties, &duties) != PLATFORM_OK) {
+        faults_add(faults, "gateway", "duties", "one of them is not known");
+    }
+    if (duties.any && (s->platform == NULL || *s->platform == '\0')) {
+        faults_add(faults, "gateway", "platform",
+                   "is required where there are duties");
+    }
+}
+
 /* What the tables can not say. */
 static void
 check_whole(const gateway_settings_t *s, GPtrArray *faults)
@@ -88,6 +122,8 @@
     check_listener("probe", s->probe, faults);
     check_listener("control", s->control, faults);
     check_listener("metrics", s->metrics, faults);
+    check_listener("platform", s->platform, faults);
+    check_duties(s, faults);
     if (!entry && !control) {
         faults_add(faults, "gateway", NULL,
                    "needs \"callers\" or \"control\"");
--- /dev/null
+++ b/carobloomd/gateway/usage_link.c
@@ -0,0 +1,234 @@
+/* What this instance counted and has under way, told to the control instance
+ * that leads and so holds the duties. */
+#include "carobloom/common/clock.h"
+#include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
+#include "carobloom/gateway/inner_line.h"
+#include "carobloom/gateway/usage_wire.h"
+#include "entry_state.h"
+#include "platform.h"
+
+enum {
+    MS = 1000,
+    /* Longer than a change of leaders leaves the new one busy. */
+    ANSWER_US = 600 * MS,
+    /* While nobody is known to lead. */
+    IDLE_US = 150 * MS,
+    PAUSE_LEAST_US = 50 * MS,
+    ANSWER_MAX = 4096, /* bytes */
+};
+
+static const http_peer_limits_t USAGE_LIMITS = {
+    .connect_us = ANSWER_US,
+    .idle_us = 5 * G_USEC_PER_SEC,
+    .idle_max = 1,
+    .head_max = 4096,
+};
+
+struct usage_link {
+    entry_t *entry;
+    duty_set_t set;
+    guint64 incarnation;
+    usage_tally_t *tally;
+    gint64 ahead_us; /* the site's time of day less clock_boot_us */
+    char *address;   /* of the control instance reported to */
+    inner_line_t *line;
+    guint64 timer;
+    gint64 asked_us; /* clock_boot_us */
+};
+
+static void on_due(void *data);
+
+static void
+link_wait(usage_link_t *link, gint64 us)
+{
+    timers_cancel(link->entry->timers, link->timer);
+    link->timer = timers_subscribe(link->entry->timers, us, 0, on_due, link);
+}
+
+/* ---- counting ---- */
+
+static guint64
+window_now(const usage_link_t *link)
+{
+    gint64 wall_us = clock_boot_us() + link->ahead_us;
+    double window_us = link->entry->settings->usage_window_s * G_USEC_PER_SEC;
+    return (guint64)((double)wall_us / window_us);
+}
+
+void
+usage_link_count(usage_link_t *link, const char *team)
+{
+    if (link == NULL || !link->set.usage || team == NULL) {
+        return;
+    }
+    if (!usage_tally_add(link->tally, window_now(link), team, 1)) {
+        counter_add(counter_get("usage_not_counted_total", NULL, FALSE), 1);
+    }
+}
+
+/* ---- the report ---- */
+
+static GArray *
+works_of(const entry_t *e)
+{
+    GArray *works = g_array_new(FALSE, FALSE, sizeof(service_work_t));
+    GHashTableIter iter;
+    gpointer name;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->services);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const service_use_t *use = value;
+        const service_t *service = route_config_service(e->config, name);
+        if (service == NULL || service->slots == 0) {
+            continue;
+        }
+        service_work_t work = {
+            .service = name,
+            .running = directory_running(e->directory, name),
+            .arrived = use->arrived,
+            .turned_away = use->turned_away,
+            .read_tokens = use->read_tokens,
+            .tokens_a_ms = engine_model_tokens_a_ms(&use->engine),
+        };
+        g_array_append_val(works, work);
+    }
+    return works;
+}
+
+static void
+report(usage_link_t *link)
+{
+    entry_t *e = link->entry;
+    usage_report_t report = {
+        .from = e->settings->instance,
+        .incarnation = link->incarnation,
+        .windows = usage_tally_windows(link->tally),
+    };
+    if (link->set.capacity) {
+        report.works = works_of(e);
+        report.supplies = directory_supplies(e->directory, entry_now(e));
+    }
+    GBytes *body = usage_report_write(&report);
+    g_ptr_array_unref(report.windows);
+    g_clear_pointer(&report.works, g_array_unref);
+    g_clear_pointer(&report.supplies, g_array_unref);
+    link->asked_us = clock_boot_us();
+    if (!inner_line_post(link->line, USAGE_PATH, body, ANSWER_US)) {
+        link_wait(link, IDLE_US);
+    }
+    g_bytes_unref(body);
+}
+
+/* The answer was written about halfway between the question and now; both ways
+ * take some milliseconds. */
+static void
+take_clock(usage_link_t *link, gint64 wall_us)
+{
+    gint64 now = clock_boot_us();
+    link->ahead_us = wall_us - (link->asked_us + (now - link->asked_us) / 2);
+}
+
+static void
+on_answered(void *user, guint status, GBytes *body)
+{
+    usage_link_t *link = user;
+    usage_answer_t answer;
+    if (status != 200 || !usage_answer_read(body, &answer)) {
+        link_wait(link, IDLE_US); /* another leads by now */
+        return;
+    }
+    take_clock(link, answer.wall_us);
+    if (answer.fixed_through != 0) {
+        usage_tally_drop_through(link->tally, answer.fixed_through);
+    }
+    gint64 since = clock_boot_us() - link->asked_us;
+    link_wait(link, MAX(answer.ask_ms * (gint64)MS - since, PAUSE_LEAST_US));
+}
+
+static void
+on_failed(void *user)
+{
+    counter_add(counter_get("usage_reports_failed_total", NULL, FALSE), 1);
+    link_wait(user, IDLE_US); /* the next report says it all again */
+}
+
+static const inner_line_ops_t USAGE_OPS = {.answered = on_answered,
+                                           .failed = on_failed};
+
+static gboolean
+turn_to(usage_link_t *link, const char *address)
+{
+    if (g_strcmp0(link->address, address) == 0) {
+        return link->line != NULL;
+    }
+    entry_t *e = link->entry;
+    inner_line_setup_t setup = {.poller = e->poller,
+                                .timers = e->timers,
+                                .peer = USAGE_LIMITS,
+                                .answer_max = ANSWER_MAX,
+                                .ops = &USAGE_OPS,
+                                .user = link};
+    g_clear_pointer(&link->line, inner_line_destroy);
+    g_free(link->address);
+    link->address = g_strdup(address);
+    link->line = inner_line_create(&setup, address);
+    if (event_log_begin(EVENT_STATE, "usage_reported_to")) {
+        event_log_cstr("control", address);
+        event_log_end();
+    }
+    return link->line != NULL;
+}
+
+static void
+on_due(void *data)
+{
+    usage_link_t *link = data;
+    entry_t *e = link->entry;
+    const char *leader = control_links_leader(e);
+    link->timer = 0;
+    if (e->config == NULL || leader == NULL || !turn_to(link, leader)) {
+        link_wait(link, IDLE_US);
+        return;
+    }
+    report(link);
+}
+
+/* ---- life ---- */
+
+usage_link_t *
+usage_link_create(entry_t *e)
+{
+    duty_set_t set;
+    if (platform_duties_decode(e->settings->duties, &set) != PLATFORM_OK ||
+        !set.any) {
+        return NULL; /* the settings were checked: nobody asks */
+    }
+    usage_link_t *link = g_new0(usage_link_t, 1);
+    link->entry = e;
+    link->set = set;
+    link->incarnation = (guint64)g_random_int() << 32 | g_random_int();
+    link->tally = usage_tally_create();
+    link->ahead_us = g_get_real_time() - clock_boot_us();
+    link_wait(link, IDLE_US);
+    return link;
+}
+
+void
+usage_link_destroy(usage_link_t *link)
+{
+    timers_cancel(link->entry->timers, link->timer);
+    g_clear_pointer(&link->line, inner_line_destroy);
+    usage_tally_destroy(link->tally);
+    g_free(link->address);
+    g_free(link);
+}
+
+void
+usage_link_dump(const usage_link_t *link, GString *text)
+{
+    g_string_append_printf(
+        text, "usage reported to %s, own clock off by %ld ms\n",
+        link->address != NULL ? link->address : "none",
+        (long)((g_get_real_time() - clock_boot_us() - link->ahead_us) / MS));
+}
--- a/carobloomd/version/route_config.c
+++ b/carobloomd/version/route_config.c
@@ -23,10 +23,30 @@
     g_free(route);
 }
 
+static void
+place_clear(gpointer data)
+{
+    g_free(((engine_place_t *)data)->data_centre);
+}
+
+void
+engine_offer_add_place(engine_offer_t *offer, const char *data_centre,
+                       double price)
+{
+    engine_place_t place = {.data_centre = g_strdup(data_centre),
+                            .price = price};
+    if (offer->places == NULL) {
+        offer->places = g_array_new(FALSE, FALSE, sizeof(engine_place_t));
+        g_array_set_clear_func(offer->places, place_clear);
+    }
+    g_array_append_val(offer->places, place);
+}
+
 static void
 service_free(gpointer data)
 {
     service_t *service = data;
+    g_clear_pointer(&service->offer.places, g_array_unref);
     g_free(service->name);
     g_free(service);
 }
--- a/include/carobloom/control/config_log.h
+++ b/include/carobloom/control/config_log.h
@@ -16,6 +16,7 @@
     CONFIG_LOG_LETTER,
     CONFIG_LOG_HAND_OVER,
     CONFIG_LOG_KEEP,
+    CONFIG_LOG_USAGE, /* both ways */
     /* to its owner */
     CONFIG_LOG_SEND,
     CONFIG_LOG_RESULT,
@@ -60,18 +61,21 @@
     gint64 read_until_us; /* clock_boot_us; until then what is applied here is
                              the newest there is. 0: not so */
     gboolean in_quorum;   /* a leader was heard of lately */
+    gboolean first_start; /* the site is new, and so is this instance */
     guint64 term;
     char leader[VOTER_NAME_MAX + 1]; /* empty when not known */
     voter_config_t voters;
 } config_view_message_t;
 
-/* CONFIG_LOG_KEEP: bytes of the owner's to keep beside the log, in place of
+/* CONFIG_LOG_USAGE, to the log: a command of gateway/usage_wire.h to append;
+ * from it: the whole ledger as it is now.
+ * CONFIG_LOG_KEEP: bytes of the owner's to keep beside the log, in place of
  * those before; CONFIG_LOG_KEPT: those found at the start. They are this
  * instance's alone and not agreed with the other voters. */
 typedef struct {
     message_t base;
     GBytes *bytes;
-} config_kept_message_t;
+} config_bytes_message_t;
 
 typedef struct config_log config_log_t;
 
@@ -89,6 +93,6 @@
 message_t *config_letter_message(config_log_message_t type, const char *to,
                                  GBytes *letter);
 message_t *config_hand_over_message(void);
-message_t *config_kept_message(config_log_message_t type, GBytes *bytes);
+message_t *config_bytes_message(config_log_message_t type, GBytes *bytes);
 
 #endif
--- a/include/carobloom/gateway/settings.h
+++ b/include/carobloom/gateway/settings.h
@@ -41,6 +41,19 @@
     double retry_slack;    /* repeats beyond */
     double crash_memory_s; /* a request that crashes endpoints is held back
                               for so long */
+    /* duties towards the platform, see control/duties.h */
+    char *platform;              /* IP:PORT of its calls; empty: no duties */
+    char **duties;               /* which, in the platform's words */
+    double duty_lease_ms;        /* a holder that lost the duty to another
+                                    keeps off for so long */
+    double duty_calls_per_s;     /* of all instances together */
+    double usage_window_s;       /* of usage reports */
+    double usage_due_s;          /* after a window's end */
+    char *capacity;              /* how engines are ordered, or "off" */
+    double capacity_floor;       /* engines of each service, at least */
+    double capacity_ceiling;     /* and at most; 0: as the platform allows */
+    double capacity_reclaimable; /* of what is ordered, the most that may be
+                                    reclaimable; 0 to 1 */
 } gateway_settings_t;
 
 /* Whether the text is of this kind of settings. */
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -38,7 +38,8 @@
     guint64 sequence;  /* within one start */
     guint slots;
     lease_state_t state;
-    gint64 cold_ms; /* slow for so long from now */
+    gboolean reclaimable; /* it may be taken away at short notice */
+    gint64 cold_ms;       /* slow for so long from now */
 } endpoint_lease_t;
 
 void endpoint_lease_clear(endpoint_lease_t *lease);
@@ -65,6 +66,7 @@
     guint64 hash;      /* of the id and the start */
     gboolean draining;
     gboolean left;
+    gboolean reclaimable;
     guint32 heard_by;        /* sources that hear its renewals */
     gint64 trusted_until_us; /* though no source hears it just now */
     gint64 cold_until_us;
@@ -92,6 +94,18 @@
     START_REPLACED, /* another start has its id or its address */
 } start_state_t;
 
+/* Endpoints of a service that take work, in one data centre. */
+typedef struct {
+    char *service;
+    char *data_centre;
+    guint32 slots; /* of one of them */
+    guint32 kept;
+    guint32 reclaimable;
+} engine_supply_t;
+
+/* An empty array of engine_supply_t that frees what is in it. */
+GArray *engine_supplies_create(void);
+
 typedef struct directory directory_t;
 
 /* `drop` frees an endpoint's `connections` as it goes. */
@@ -124,6 +138,10 @@
  * speed are the caller's to fill in. */
 split_demand_t directory_demand(const directory_t *directory,
                                 const char *service, gint64 now_us);
+/* This instance's requests at a service's endpoints. */
+guint directory_running(const directory_t *directory, const char *service);
+/* What takes work, by service and data centre: a new array. */
+GArray *directory_supplies(const directory_t *directory, gint64 now_us);
 /* Whether it may be sent new work at all. */
 gboolean endpoint_usable(const endpoint_t *endpoint, gint64 now_us);
 /* Requests of all instances there, as far as told; prompt tokens that wait to
--- a/include/carobloom/version/route_config.h
+++ b/include/carobloom/version/route_config.h
@@ -43,6 +43,22 @@
     guint weight_sum;
 } route_t;
 
+/* A data centre in which engines of a service may be ordered. */
+typedef struct {
+    char *data_centre;
+    double price; /* of one engine there, a second */
+} engine_place_t;
+
+/* How engines of a service may be ordered. */
+typedef struct {
+    guint least;              /* in one data centre, of both kinds together */
+    guint most;               /* the same */
+    gint64 boot_ms;           /* until an engine that was ordered serves */
+    double reclaimable_price; /* of one that may be taken away, in parts of
+                               * the price of another; 0: there are none */
+    GArray *places; /* engine_place_t, by name; NULL: none may be ordered */
+} engine_offer_t;
+
 typedef struct {
     char *name;
     guint connections; /* that one endpoint takes, of all callers together */
@@ -52,6 +68,7 @@
     /* Prompt tokens that one engine fetches from another's memory in a
      * millisecond; 0: they do not fetch. */
     double fetch_tokens_a_ms;
+    engine_offer_t offer;
 } service_t;
 
 typedef struct {
@@ -87,6 +104,8 @@
 route_t *route_config_add_route(route_config_t *config);
 void route_add_share(route_t *route, char *service, guint weight);
 service_t *route_config_add_service(route_config_t *config);
+void engine_offer_add_place(engine_offer_t *offer, const char *data_centre,
+                            double price);
 team_t *route_config_add_team(route_config_t *config);
 /* Checks the whole and builds the indexes. On ROUTE_CONFIG_INVALID `fault`
  * is a text freed with g_free. */
--- /dev/null
+++ b/policy/capacity_demand.c
@@ -0,0 +1,131 @@
+#include "carobloom/policy/capacity_demand.h"
+
+#include <math.h>
+
+enum {
+    /* An entry instance that told nothing for so long has ended, or is cut
+     * off: its callers are with others by then. */
+    SILENT_US = 2 * G_USEC_PER_SEC,
+};
+
+/* Rates follow what is told within about so long: a third of the time that an
+ * engine takes to start where it was met. */
+static const double SMOOTH_US = 700 * 1000;
+
+/* What one start of an entry instance last told of a service. */
+typedef struct {
+    service_work_t last; /* `service` is the table's key */
+    double arrived;      /* a second */
+    double turned_away;
+    double read_tokens;
+    gint64 at_us;
+} reporter_t;
+
+struct capacity_demand {
+    GHashTable *services; /* name -> GHashTable: incarnation -> reporter_t */
+};
+
+capacity_demand_t *
+capacity_demand_create(void)
+{
+    capacity_demand_t *d = g_new0(capacity_demand_t, 1);
+    d->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        (GDestroyNotify)g_hash_table_unref);
+    return d;
+}
+
+void
+capacity_demand_destroy(capacity_demand_t *d)
+{
+    g_hash_table_unref(d->services);
+    g_free(d);
+}
+
+static reporter_t *
+reporter_find(capacity_demand_t *d, const char *service, guint64 incarnation)
+{
+    GHashTable *reporters = g_hash_table_lookup(d->services, service);
+    if (reporters == NULL) {
+        reporters =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+        g_hash_table_insert(d->services, g_strdup(service), reporters);
+    }
+    reporter_t *r = g_hash_table_lookup(reporters, &incarnation);
+    if (r == NULL) {
+        r = g_new0(reporter_t, 1);
+        g_hash_table_insert(reporters,
+                            g_memdup2(&incarnation, sizeof(incarnation)), r);
+    }
+    return r;
+}
+
+static void
+follow(double *rate, guint64 before, guint64 now, gint64 us)
+{
+    double seen = (double)(now - MIN(before, now)) * G_USEC_PER_SEC / us;
+    *rate += (1 - exp(-(double)us / SMOOTH_US)) * (seen - *rate);
+}
+
+void
+capacity_demand_note(capacity_demand_t *d, guint64 incarnation,
+                     const service_work_t *work, gint64 now_us)
+{
+    reporter_t *r = reporter_find(d, work->service, incarnation);
+    gint64 since_us = now_us - r->at_us;
+    if (r->at_us != 0 && since_us > 0) {
+        follow(&r->arrived, r->last.arrived, work->arrived, since_us);
+        follow(&r->turned_away, r->last.turned_away, work->turned_away,
+               since_us);
+        follow(&r->read_tokens, r->last.read_tokens, work->read_tokens,
+               since_us);
+    }
+    r->last = *work;
+    r->last.service = NULL;
+    r->at_us = now_us;
+}
+
+service_demand_t
+capacity_demand_of(const capacity_demand_t *d, const char *service,
+                   gint64 now_us)
+{
+    service_demand_t sum = {0};
+    GHashTable *reporters = g_hash_table_lookup(d->services, service);
+    GHashTableIter iter;
+    gpointer value;
+    if (reporters == NULL) {
+        return sum;
+    }
+    g_hash_table_iter_init(&iter, reporters);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const reporter_t *r = value;
+        if (now_us - r->at_us > SILENT_US) {
+            continue;
+        }
+        sum.reporters++;
+        sum.running += r->last.running;
+        sum.arrived += r->arrived;
+        sum.turned_away += r->turned_away;
+        sum.read_tokens += r->read_tokens;
+        sum.tokens_a_ms += r->last.tokens_a_ms;
+    }
+    sum.tokens_a_ms /= MAX(sum.reporters, 1);
+    return sum;
+}
+
+void
+capacity_demand_expire(capacity_demand_t *d, gint64 now_us)
+{
+    GHashTableIter services;
+    gpointer reporters;
+    g_hash_table_iter_init(&services, d->services);
+    while (g_hash_table_iter_next(&services, NULL, &reporters)) {
+        GHashTableIter iter;
+        gpointer value;
+        g_hash_table_iter_init(&iter, reporters);
+        while (g_hash_table_iter_next(&iter, NULL, &value)) {
+            if (now_us - ((reporter_t *)value)->at_us > SILENT_US) {
+                g_hash_table_iter_remove(&iter);
+            }
+        }
+    }
+}
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -242,6 +242,7 @@
     e->heard_by |= 1u << source;
     e->draining |= lease->state == LEASE_DRAINING;
     e->slots = lease->slots;
+    e->reclaimable = lease->reclaimable;
     if (lease->cold_ms > 0) {
         e->cold_until_us = now_us + lease->cold_ms * 1000;
     }
@@ -425,6 +426,68 @@
     return demand;
 }
 
+guint
+directory_running(const directory_t *d, const char *service)
+{
+    const GPtrArray *list = directory_service(d, service);
+    guint running = 0;
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        running += ((const endpoint_t *)list->pdata[i])->running;
+    }
+    return running;
+}
+
+static void
+supply_clear(gpointer data)
+{
+    engine_supply_t *supply = data;
+    g_free(supply->service);
+    g_free(supply->data_centre);
+}
+
+GArray *
+engine_supplies_create(void)
+{
+    GArray *supplies = g_array_new(FALSE, FALSE, sizeof(engine_supply_t));
+    g_array_set_clear_func(supplies, supply_clear);
+    return supplies;
+}
+
+/* The supply that an endpoint belongs to, made when missing. */
+static engine_supply_t *
+supply_of(GArray *supplies, const endpoint_t *e)
+{
+    for (guint i = 0; i < supplies->len; i++) {
+        engine_supply_t *s = &g_array_index(supplies, engine_supply_t, i);
+        if (strcmp(s->service, e->service) == 0 &&
+            strcmp(s->data_centre, e->data_centre) == 0) {
+            return s;
+        }
+    }
+    engine_supply_t supply = {.service = g_strdup(e->service),
+                              .data_centre = g_strdup(e->data_centre)};
+    g_array_append_val(supplies, supply);
+    return &g_array_index(supplies, engine_supply_t, supplies->len - 1);
+}
+
+GArray *
+directory_supplies(const directory_t *d, gint64 now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    GArray *supplies = engine_supplies_create();
+    g_hash_table_iter_init(&iter, d->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const endpoint_t *e = value;
+        engine_supply_t *s = supply_of(supplies, e);
+        gboolean usable = endpoint_usable(e, now_us);
+        s->slots = MAX(s->slots, e->slots);
+        s->kept += usable && !e->reclaimable;
+        s->reclaimable += usable && e->reclaimable;
+    }
+    return supplies;
+}
+
 gboolean
 endpoint_usable(const endpoint_t *e, gint64 now_us)
 {
--- /dev/null
+++ b/policy/site_clock.c
@@ -0,0 +1,84 @@
+#include "carobloom/policy/site_clock.h"
+
+enum {
+    /* What was heard longer ago is left out: six words, so that a clock that
+     * was set is taken as it is now. */
+    FRESH_US = 3 * G_USEC_PER_SEC,
+};
+
+/* A clock as it was heard. */
+typedef struct {
+    gint64 ahead_us; /* its time of day less `now_us` */
+    gint64 heard_us;
+} heard_clock_t;
+
+struct site_clock {
+    GHashTable *heard; /* instance -> heard_clock_t */
+};
+
+site_clock_t *
+site_clock_create(void)
+{
+    site_clock_t *c = g_new0(site_clock_t, 1);
+    c->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return c;
+}
+
+void
+site_clock_destroy(site_clock_t *c)
+{
+    g_hash_table_unref(c->heard);
+    g_free(c);
+}
+
+void
+site_clock_note(site_clock_t *c, const char *instance, gint64 wall_us,
+                gint64 now_us)
+{
+    heard_clock_t clock = {.ahead_us = wall_us - now_us, .heard_us = now_us};
+    g_hash_table_replace(c->heard, g_strdup(instance),
+                         g_memdup2(&clock, sizeof(clock)));
+}
+
+static gboolean
+is_old(gpointer key, gpointer value, gpointer now_us)
+{
+    (void)key;
+    const heard_clock_t *clock = value;
+    return *(gint64 *)now_us - clock->heard_us > FRESH_US;
+}
+
+static gint
+by_value(gconstpointer a, gconstpointer b)
+{
+    gint64 x = *(const gint64 *)a;
+    gint64 y = *(const gint64 *)b;
+    return x < y ? -1 : x > y;
+}
+
+gint64
+site_clock_wall_us(site_clock_t *c, gint64 own_wall_us, gint64 now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    gint64 own = own_wall_us - now_us;
+    g_hash_table_foreach_remove(c->heard, is_old, &now_us);
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(gint64));
+    g_array_append_val(all, own);
+    g_hash_table_iter_init(&iter, c->heard);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_array_append_val(all, ((heard_clock_t *)value)->ahead_us);
+    }
+    g_array_sort(all, by_value);
+    /* Of an even number the lower one: a mean of the two in the middle would
+     * let one that is wrong pull it. */
+    gint64 median = g_array_index(all, gint64, (all->len - 1) / 2);
+    g_array_unref(all);
+    return now_us + median;
+}
+
+guint
+site_clock_count(const site_clock_t *c)
+{
+    return g_hash_table_size(c->heard) + 1;
+}
--- /dev/null
+++ b/tests/test_duties.c
@@ -0,0 +1,406 @@
+/* The duties' decisions without a network: the time of day of the site, usage
+ * windows over lost instances and changes of holder, and what is written of
+ * them. */
+#include <string.h>
+
+#include "carobloom/gateway/usage_wire.h"
+#include "carobloom/policy/duty_lease.h"
+#include "carobloom/policy/site_clock.h"
+#include "carobloom/policy/usage_book.h"
+#include "carobloom/policy/usage_ledger.h"
+#include "check.h"
+
+enum { MS = 1000, SECOND = 1000 * MS };
+
+/* ---- the lease ---- */
+
+typedef struct {
+    const char *name;
+    gboolean first_start;
+    gint64 acted_ms; /* before it leads again; -1: it did not act */
+    gint64 leads_ms; /* when it leads again */
+    gint64 acts_ms;  /* and may act from then on */
+} lease_case_t;
+
+static const lease_case_t LEASE_CASES[] = {
+    {"a new site", TRUE, -1, 500, 500},
+    {"a process that may have acted before its start", FALSE, -1, 500, 3500},
+    {"long after its start", FALSE, -1, 20000, 20000},
+    {"it acted a moment ago", TRUE, 1000, 2000, 5000},
+    {"it acted long ago", TRUE, 1000, 30000, 30000},
+};
+
+static void
+lease_case(const lease_case_t *c)
+{
+    enum { APART_MS = 3000, LEASE_MS = 700 };
+    duty_lease_t lease;
+    duty_lease_init(&lease, APART_MS * MS, c->first_start, 0);
+    if (c->acted_ms >= 0) {
+        gint64 at = c->acted_ms * MS;
+        CU_ASSERT(duty_lease_update(&lease, TRUE, 4, at + SECOND, at));
+        CU_ASSERT_EQUAL(duty_lease_act(&lease, at), 4);
+        CU_ASSERT(duty_lease_update(&lease, FALSE, 5, 0, at + MS));
+        CU_ASSERT_EQUAL(duty_lease_act(&lease, at + MS), 0);
+    }
+    for (gint64 ms = c->leads_ms; ms < c->acts_ms + 100; ms += 50) {
+        duty_lease_update(&lease, TRUE, 6, (ms + LEASE_MS) * MS, ms * MS);
+        guint64 token = duty_lease_holds(&lease, ms * MS);
+        if (token != (ms >= c->acts_ms ? 6u : 0u)) {
+            printf("%s: token %lu at %ld ms\n", c->name, (unsigned long)token,
+                   (long)ms);
+            CU_FAIL("the lease");
+        }
+    }
+    /* Not renewed, it ends by itself. */
+    gint64 last_us = (c->acts_ms + 50 + LEASE_MS) * MS;
+    CU_ASSERT_EQUAL(duty_lease_act(&lease, last_us), 0);
+}
+
+static void
+test_lease(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(LEASE_CASES); i++) {
+        lease_case(&LEASE_CASES[i]);
+    }
+}
+
+/* ---- the time of day ---- */
+
+enum { CLOCKS = 9, CLOCK_TRIES = 2000 };
+
+/* Fewer than half of the clocks are wrong, by whatever they please: the time
+ * lies between those that are right. */
+static void
+test_clock(void)
+{
+    GRand *random = g_rand_new_with_seed(3);
+    for (int i = 0; i < CLOCK_TRIES; i++) {
+        guint count = (guint)g_rand_int_range(random, 1, CLOCKS + 1);
+        guint wrong = (count - 1) / 2;
+        site_clock_t *clock = site_clock_create();
+        gint64 now = 1000 * (gint64)SECOND;
+        gint64 wall = 1700000000 * (gint64)SECOND;
+        gint64 own = wall;
+        gint64 spread = 20 * MS;
+        for (guint k = 0; k < count; k++) {
+            gint64 off = k < wrong ? g_rand_int_range(random, -30, 30) * SECOND
+                                   : g_rand_int_range(random, 0, (gint)spread);
+            char name[16];
+            g_snprintf(name, sizeof(name), "c%u", k);
+            if (k == 0) {
+                own = wall + off;
+            }
+            else {
+                site_clock_note(clock, name, wall + off, now);
+            }
+        }
+        gint64 told = site_clock_wall_us(clock, own, now);
+        CU_ASSERT(told >= wall && told <= wall + spread);
+        CU_ASSERT_EQUAL(site_clock_count(clock), count);
+        site_clock_destroy(clock);
+    }
+    g_rand_free(random);
+}
+
+/* A clock that is not heard of any more does not count. */
+static void
+test_clock_forgets(void)
+{
+    site_clock_t *clock = site_clock_create();
+    gint64 wall = 1700000000 * (gint64)SECOND;
+    site_clock_note(clock, "a", wall + 50 * SECOND, 0);
+    site_clock_note(clock, "b", wall + 50 * SECOND, 0);
+    CU_ASSERT_EQUAL(site_clock_wall_us(clock, wall, 0), wall + 50 * SECOND);
+    CU_ASSERT_EQUAL(site_clock_wall_us(clock, wall + 10 * SECOND, 10 * SECOND),
+                    wall + 10 * SECOND);
+    site_clock_destroy(clock);
+}
+
+/* ---- windows ---- */
+
+static const usage_times_t TIMES = {.window_us = 5 * SECOND,
+                                    .due_us = 10 * SECOND};
+
+static void
+report(usage_book_t *book, guint64 incarnation, guint64 window,
+       const char *team, guint64 count)
+{
+    usage_window_t *w = usage_window_create(window);
+    usage_window_add(w, team, count);
+    usage_book_report(book, incarnation, w);
+    usage_window_free(w);
+}
+
+static guint64
+count_of(const usage_window_t *w, const char *team)
+{
+    for (guint i = 0; i < w->counts->len; i++) {
+        const usage_count_t *c = &g_array_index(w->counts, usage_count_t, i);
+        if (strcmp(c->team, team) == 0) {
+            return c->count;
+        }
+    }
+    return 0;
+}
+
+/* What is told twice, late or out of order counts once; an instance that
+ * started again counts beside what it told before. */
+static void
+test_reports_count_once(void)
+{
+    usage_book_t *book = usage_book_create();
+    usage_book_begin(book, 0);
+    report(book, 1, 100, "t", 7);
+    report(book, 1, 100, "t", 9);
+    report(book, 1, 100, "t", 8);
+    report(book, 2, 100, "t", 1);
+    report(book, 2, 100, "u", 3);
+    report(book, 2, 101, "t", 50);
+    gint64 end = 101 * TIMES.window_us;
+    CU_ASSERT_PTR_NULL(usage_book_due(book, &TIMES, 0, end));
+    usage_window_t *w = usage_book_due(book, &TIMES, 0, end + 2 * SECOND);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+    CU_ASSERT_EQUAL(w->window, 100);
+    CU_ASSERT_EQUAL(count_of(w, "t"), 10);
+    CU_ASSERT_EQUAL(count_of(w, "u"), 3);
+    CU_ASSERT_EQUAL(usage_window_total(w), 13);
+    usage_window_free(w);
+    usage_book_destroy(book);
+}
+
+typedef struct {
+    const char *name;
+    gint64 began_s;  /* the holder leads since, after the window's end */
+    gint64 fixed_ms; /* the window is fixed then, after its end */
+} due_case_t;
+
+static const due_case_t DUE_CASES[] = {
+    {"a holder that led all along", -30, 1500},
+    {"one that has just come waits for the reports", 1, 3500},
+    {"but not beyond the time that is left", 6, 7500},
+    {"one that came late fixes what it was told", 20, 20000},
+};
+
+static void
+due_case(const due_case_t *c)
+{
+    usage_book_t *book = usage_book_create();
+    gint64 end = 101 * TIMES.window_us;
+    usage_book_begin(book, end + c->began_s * SECOND);
+    report(book, 1, 100, "t", 7);
+    gint64 fixed = 0;
+    for (gint64 ms = MAX(c->began_s * 1000, 0); ms < 30000 && fixed == 0;
+         ms += 100) {
+        usage_window_t *w = usage_book_due(book, &TIMES, 99, end + ms * MS);
+        if (w != NULL) {
+            fixed = ms;
+            CU_ASSERT_EQUAL(count_of(w, "t"), 7);
+            usage_window_free(w);
+        }
+    }
+    if (fixed != c->fixed_ms) {
+        printf("%s: fixed at %ld ms\n", c->name, (long)fixed);
+    }
+    CU_ASSERT_EQUAL(fixed, c->fixed_ms);
+    usage_book_destroy(book);
+}
+
+static void
+test_windows_fixed_in_time(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(DUE_CASES); i++) {
+        due_case(&DUE_CASES[i]);
+    }
+}
+
+/* A window without a request is told too; after an outage longer than what is
+ * kept, those that nobody can know of are passed over. */
+static void
+test_windows_in_a_row(void)
+{
+    usage_book_t *book = usage_book_create();
+    usage_book_begin(book, 0);
+    gint64 now = 200 * TIMES.window_us;
+    usage_window_t *w = usage_book_due(book, &TIMES, 197, now);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+    CU_ASSERT_EQUAL(w->window, 198);
+    CU_ASSERT_EQUAL(w->counts->len, 0);
+    usage_window_free(w);
+    w = usage_book_due(book, &TIMES, 100, now);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+    CU_ASSERT_EQUAL(w->window, 200 - USAGE_WINDOWS_MAX);
+    usage_window_free(w);
+    usage_book_destroy(book);
+}
+
+/* Of two proposals for a window the first in the log holds, whoever made it:
+ * all holders tell the same figures. */
+static void
+test_figures_never_change(void)
+{
+    usage_ledger_t *ledger = usage_ledger_create();
+    usage_window_t *first = usage_window_create(100);
+    usage_window_t *second = usage_window_create(100);
+    usage_window_add(first, "t", 7);
+    usage_window_add(second, "t", 8);
+    GBytes *a = usage_fix_command(first);
+    GBytes *b = usage_fix_command(second);
+    CU_ASSERT(usage_command_apply(ledger, a));
+    CU_ASSERT_FALSE(usage_command_apply(ledger, b));
+    CU_ASSERT_EQUAL(usage_ledger_fixed_through(ledger), 100);
+    GBytes *saved = usage_ledger_write(ledger);
+    usage_ledger_t *restored = usage_ledger_read(saved);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(restored);
+    CU_ASSERT_FALSE(usage_command_apply(restored, b));
+    const usage_window_t *untold = usage_ledger_untold(restored, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(untold);
+    CU_ASSERT_EQUAL(count_of(untold, "t"), 7);
+    CU_ASSERT_PTR_NULL(usage_ledger_untold(restored, 100));
+    GBytes *take = usage_take_command(100);
+    CU_ASSERT(usage_command_apply(restored, take));
+    CU_ASSERT_PTR_NULL(usage_ledger_untold(restored, 0));
+    CU_ASSERT_EQUAL(usage_ledger_fixed_through(restored), 100);
+    g_bytes_unref(a);
+    g_bytes_unref(b);
+    g_bytes_unref(saved);
+    g_bytes_unref(take);
+    usage_window_free(first);
+    usage_window_free(second);
+    usage_ledger_destroy(ledger);
+    usage_ledger_destroy(restored);
+}
+
+/* Bounded whatever comes. */
+static void
+test_tally_is_bounded(void)
+{
+    usage_tally_t *tally = usage_tally_create();
+    guint taken = 0;
+    for (guint i = 0; i < 2 * USAGE_TEAMS_MAX; i++) {
+        char name[16];
+        g_snprintf(name, sizeof(name), "t%u", i);
+        taken += usage_tally_add(tally, 1, name, 1);
+    }
+    CU_ASSERT_EQUAL(taken, USAGE_TEAMS_MAX);
+    for (guint64 w = 2; w < 2 * USAGE_WINDOWS_MAX; w++) {
+        usage_tally_add(tally, w, "t", 1);
+    }
+    GPtrArray *windows = usage_tally_windows(tally);
+    CU_ASSERT_EQUAL(windows->len, USAGE_WINDOWS_MAX);
+    g_ptr_array_unref(windows);
+    usage_tally_drop_through(tally, 10);
+    guint64 first;
+    CU_ASSERT(usage_tally_first(tally, &first));
+    CU_ASSERT_EQUAL(first, 11);
+    usage_tally_destroy(tally);
+}
+
+/* ---- messages ---- */
+
+static GBytes *
+sample_report(void)
+{
+    usage_report_t report = {
+        .from = "entry-1",
+        .incarnation = 77,
+        .windows =
+            g_ptr_array_new_with_free_func((GDestroyNotify)usage_window_free),
+        .works = g_array_new(FALSE, FALSE, sizeof(service_work_t)),
+        .supplies = engine_supplies_create(),
+    };
+    usage_window_t *w = usage_window_create(100);
+    usage_window_add(w, "t", 7);
+    g_ptr_array_add(report.windows, w);
+    service_work_t work = {.service = "a",
+                           .running = 3,
+                           .arrived = 9,
+                           .turned_away = 2,
+                           .read_tokens = 12000,
+                           .tokens_a_ms = 60};
+    g_array_append_val(report.works, work);
+    engine_supply_t supply = {.service = g_strdup("a"),
+                              .data_centre = g_strdup("dc"),
+                              .slots = 16,
+                              .kept = 4,
+                              .reclaimable = 5};
+    g_array_append_val(report.supplies, supply);
+    GBytes *bytes = usage_report_write(&report);
+    g_ptr_array_unref(report.windows);
+    g_array_unref(report.works);
+    g_array_unref(report.supplies);
+    return bytes;
+}
+
+static void
+test_report_wire(void)
+{
+    GBytes *bytes = sample_report();
+    usage_report_t read;
+    CU_ASSERT_FATAL(usage_report_read(bytes, &read));
+    CU_ASSERT_STRING_EQUAL(read.from, "entry-1");
+    CU_ASSERT_EQUAL(read.incarnation, 77);
+    CU_ASSERT_EQUAL(count_of(read.windows->pdata[0], "t"), 7);
+    const service_work_t *work = &g_array_index(read.works, service_work_t, 0);
+    CU_ASSERT_STRING_EQUAL(work->service, "a");
+    CU_ASSERT_EQUAL(work->turned_away, 2);
+    CU_ASSERT_EQUAL(work->read_tokens, 12000);
+    const engine_supply_t *supply =
+        &g_array_index(read.supplies, engine_supply_t, 0);
+    CU_ASSERT_STRING_EQUAL(supply->data_centre, "dc");
+    CU_ASSERT_EQUAL(supply->reclaimable, 5);
+    usage_report_clear(&read);
+    g_bytes_unref(bytes);
+}
+
+/* Cut or changed bytes are refused or read to some report, no more. */
+static void
+test_report_damaged(void)
+{
+    enum { TIMES_DAMAGED = 5000 };
+    GBytes *bytes = sample_report();
+    gsize length;
+    const char *data = g_bytes_get_data(bytes, &length);
+    GRand *random = g_rand_new_with_seed(5);
+    guint refused = 0;
+    for (int i = 0; i < TIMES_DAMAGED; i++) {
+        char *copy = g_memdup2(data, length);
+        copy[g_rand_int_range(random, 0, (gint)length)] ^=
+            (char)(1 << g_rand_int_range(random, 0, 8));
+        GBytes *changed = g_bytes_new_take(
+            copy, (gsize)g_rand_int_range(random, 0, (gint)length + 1));
+        usage_report_t read;
+        if (usage_report_read(changed, &read)) {
+            usage_report_clear(&read);
+        }
+        else {
+            refused++;
+        }
+        usage_ledger_t *ledger = usage_ledger_create();
+        usage_command_apply(ledger, changed);
+        usage_ledger_destroy(ledger);
+        ledger = usage_ledger_read(changed);
+        if (ledger != NULL) {
+            usage_ledger_destroy(ledger);
+        }
+        g_bytes_unref(changed);
+    }
+    CU_ASSERT(refused > TIMES_DAMAGED / 2);
+    g_rand_free(random);
+    g_bytes_unref(bytes);
+}
+
+static const test_case_t cases[] = {
+    {"when the lease lets act", test_lease},
+    {"the time of day by the median", test_clock},
+    {"a silent clock is forgotten", test_clock_forgets},
+    {"reports count once", test_reports_count_once},
+    {"windows are fixed in time", test_windows_fixed_in_time},
+    {"windows in a row", test_windows_in_a_row},
+    {"figures never change", test_figures_never_change},
+    {"counts are bounded", test_tally_is_bounded},
+    {"reports on the wire", test_report_wire},
+    {"damaged bytes", test_report_damaged},
+};
+
+CHECK_MAIN("duties", cases)
--- a/tests/test_voter.c
+++ b/tests/test_voter.c
@@ -1,6 +1,8 @@
 /* Voters under random loss, delay, repetition, partition, crash, disk loss,
  * stalled disks, suspension, and replacement by an empty voter. Each seed is
- * one history; what clients saw must be linearizable.
+ * one history; what clients saw must be linearizable, and the calls of whoever
+ * held the duties must reach the platform under rising tokens, one holder
+ * each, and never as holder, other, holder within APART_US.
  *
  * The network is an array of bytes in flight and a disk is what a voter was
  * told to make durable: nothing else is modelled. */
@@ -8,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "carobloom/policy/duty_lease.h"
 #include "carobloom/policy/voter.h"
 #include "carobloom/policy/voter_codec.h"
 #include "carobloom/policy/voter_repair.h"
@@ -26,6 +29,14 @@
     COMPACT_EVERY = 12,
     PAUSE_STEPS = 60, /* six election timeouts */
     REPLACED_MAX = 4,
+    /* So long that two changes of leaders fit. */
+    APART_US = 2000000,
+    /* A call takes up to so many steps to the platform: a round trip between
+     * data centres is a tenth of it. */
+    CALL_STEPS = 2,
+    CALLS_MAX = 64,
+    WORLD_START_US = 1000000,
+    MACHINES_MAX = 26,
 };
 
 /* What one voter made durable. */
@@ -49,8 +60,28 @@
     gint64 read_until_us; /* as its owner was last told; the owner goes on
                            * reading while the voter waits for its disk */
     gint64 heard_us;      /* by the world's clock: when it last was up */
+    duty_lease_t duties;  /* as its owner has it */
+    guint64 view_term;    /* as the owner was last told */
+    gboolean view_leads;
 } node_t;
 
+/* A call of a holder on its way to the platform. */
+typedef struct {
+    guint64 token;
+    guint machine;
+    gint64 due;
+} duty_call_t;
+
+/* What the platform saw. */
+typedef struct {
+    guint64 token;                /* the highest */
+    guint machine;                /* that sent it last */
+    gint64 last_us[MACHINES_MAX]; /* its last call; 0: none */
+    gboolean away[MACHINES_MAX];  /* another has called since */
+    guint calls;
+    guint changes;
+} platform_t;
+
 typedef struct {
     GBytes *bytes;
     guint from;
@@ -78,10 +109,14 @@
     GArray *chosen;      /* guint32 by log index: what was applied there */
     GHashTable *leaders; /* term -> leader id */
     gboolean calm;
+    gboolean brisk; /* packets come so soon that leases hold amid trouble */
     gboolean wrong;
     guint reads;
     guint replaced;
     guint pauses;
+    duty_call_t calls[CALLS_MAX];
+    guint calls_under_way;
+    platform_t platform;
 } world_t;
 
 static void
@@ -115,6 +150,82 @@
     n->state_index = snapshot->index;
 }
 
+static guint
+machine_of(const node_t *n)
+{
+    return (guint)(n->name - 'a') % MACHINES_MAX;
+}
+
+/* The owner is told where the log stands. */
+static void
+owner_told(const world_t *w, node_t *n)
+{
+    gint64 now = clock_of(w, n);
+    n->read_until_us =
+        voter_may_read(n->voter, now) ? voter_lease(n->voter) : 0;
+    n->view_leads = voter_role(n->voter) == ROLE_LEADER;
+    n->view_term = voter_term(n->voter);
+    duty_lease_update(&n->duties, n->view_leads, n->view_term,
+                      n->read_until_us, now);
+}
+
+/* The owner makes a call if it may, whatever the voter waits for. */
+static void
+duty_act(world_t *w, node_t *n)
+{
+    gint64 now = clock_of(w, n);
+    duty_lease_update(&n->duties, n->view_leads, n->view_term,
+                      n->read_until_us, now);
+    if (w->calls_under_way >= CALLS_MAX ||
+        g_rand_int_range(w->rand, 0, 3) != 0) {
+        return;
+    }
+    guint64 token = duty_lease_act(&n->duties, now);
+    if (token != 0) {
+        w->calls[w->calls_under_way++] = (duty_call_t){
+            .token = token,
+            .machine = machine_of(n),
+            .due = w->now +
+                   STEP_US * g_rand_int_range(w->rand, 0, CALL_STEPS + 1)};
+    }
+}
+
+/* What the platform forbids. */
+static void
+platform_take(world_t *w, const duty_call_t *call)
+{
+    platform_t *p = &w->platform;
+    gint64 *last_us = &p->last_us[call->machine];
+    gboolean other_sent_it =
+        call->token == p->token && call->machine != p->machine;
+    gboolean too_soon = p->away[call->machine] && w->now - *last_us < APART_US;
+    if (call->token < p->token || other_sent_it || too_soon) {
+        w->wrong = TRUE;
+    }
+    p->calls++;
+    p->changes += p->machine != call->machine;
+    p->token = call->token;
+    p->machine = call->machine;
+    *last_us = w->now;
+    for (guint i = 0; i < MACHINES_MAX; i++) {
+        p->away[i] = i != call->machine && p->last_us[i] > 0;
+    }
+}
+
+static void
+platform_step(world_t *w)
+{
+    for (guint i = 0; i < w->calls_under_way;) {
+        duty_call_t call = w->calls[i];
+        if (call.due > w->now) {
+            i++;
+            continue;
+        }
+        w->calls[i] = w->calls[--w->calls_under_way];
+        platform_take(w, &call);
+    }
+}
+
 static void
 node_start(world_t *w, node_t *n)
 {
@@ -125,6 +236,9 @@
     n->voter = voter_create(&settings, &n->disk.hard, &n->disk.snapshot,
                             n->disk.entries, clock_of(w, n));
     state_restore(n, &n->disk.snapshot);
+    n->view_leads = FALSE;
+    duty_lease_init(&n->duties, APART_US, w->now == WORLD_START_US,
+                    clock_of(w, n));
 }
 
 static void
@@ -197,7 +311,7 @@
     if (w->in_flight >= FLIGHT_MAX || w->cut[from][to]) {
         return;
     }
-    gint64 spread = w->calm ? 2 : 15;
+    gint64 spread = w->calm ? 2 : w->brisk ? 3 : 15;
     w->flight[w->in_flight++] = (packet_t){
         .bytes = g_bytes_ref(bytes),
         .from = from,
@@ -318,9 +432,7 @@
         compact(n);
     }
     if (n->voter) {
-        n->read_until_us = voter_may_read(n->voter, clock_of(w, n))
-                               ? voter_lease(n->voter)
-                               : 0;
+        owner_told(w, n);
     }
 }
 
@@ -542,8 +654,12 @@
 {
     w->now += STEP_US;
     deliver(w);
+    platform_step(w);
     for (guint i = 0; i < w->count; i++) {
         node_t *n = &w->nodes[i];
+        if (n->voter) {
+            duty_act(w, n);
+        }
         if (n->voter && w->now < n->paused_until) {
             read_check(w, n);
         }
@@ -567,12 +683,14 @@
 }
 
 static void
-world_init(world_t *w, guint seed)
+world_init(world_t *w, guint seed, gboolean brisk)
 {
-    *w = (world_t){.rand = g_rand_new_with_seed(seed),
+    *w = (world_t){.brisk = brisk,
+                   .rand = g_rand_new_with_seed(seed),
                    .count = seed % 2 ? 3 : 5,
-                   .now = 1000000,
-                   .next_id = 100};
+                   .now = WORLD_START_US,
+                   .next_id = 100,
+                   .platform = {.machine = MACHINES_MAX}};
     w->chosen = g_array_new(FALSE, TRUE, sizeof(guint32));
     w->leaders = g_hash_table_new(NULL, NULL);
     voter_config_t config = {.count = w->count};
@@ -673,6 +791,8 @@
     guint repaired;
     guint replaced;
     guint pauses;
+    guint calls;
+    guint changes;
     guint unsettled;
     guint unsettled_seed;
     guint wrong;
@@ -692,10 +812,10 @@
 }
 
 static void
-run_history(guint seed, totals_t *totals)
+run_history(guint seed, gboolean brisk, totals_t *totals)
 {
     world_t w;
-    world_init(&w, seed);
+    world_init(&w, seed, brisk);
     for (int i = 0; i < STEPS && !w.wrong; i++) {
         step(&w);
     }
@@ -708,6 +828,8 @@
     totals->repaired += w.next_id > 100;
     totals->replaced += w.replaced;
     totals->pauses += w.pauses;
+    totals->calls += w.platform.calls;
+    totals->changes += w.platform.changes;
     if (!settled(&w)) {
         totals->unsettled++;
         totals->unsettled_seed = seed;
@@ -728,6 +850,8 @@
     sum->repaired += part->repaired;
     sum->replaced += part->replaced;
     sum->pauses += part->pauses;
+    sum->calls += part->calls;
+    sum->changes += part->changes;
     sum->unsettled += part->unsettled;
     sum->unsettled_seed = MAX(sum->unsettled_seed, part->unsettled_seed);
     sum->wrong += part->wrong;
@@ -737,14 +861,14 @@
 /* One child runs every `stride`-th history and writes its totals. Threads
  * would wait for each other at GVariant's table of types. */
 static int
-start_child(guint first, guint last, guint stride)
+start_child(guint first, guint last, guint stride, gboolean brisk)
 {
     int ends[2];
     g_assert_cmpint(pipe(ends), ==, 0);
     if (fork() == 0) {
         totals_t totals = {0};
         for (guint seed = first; seed <= last; seed += stride) {
-            run_history(seed, &totals);
+            run_history(seed, brisk, &totals);
         }
         gssize wrote = write(ends[1], &totals, sizeof(totals));
         _exit(wrote == sizeof(totals) ? 0 : 1);
@@ -754,8 +878,8 @@
 }
 
 /* VOTER_SEED runs a single history, VOTER_HISTORIES so many. */
-static void
-test_histories(void)
+static totals_t
+run_histories(gboolean brisk)
 {
     const char *wanted = g_getenv("VOTER_SEED");
     const char *fewer = g_getenv("VOTER_HISTORIES");
@@ -764,7 +888,7 @@
     int ends[CHILDREN];
     totals_t totals = {0};
     for (guint i = 0; i < CHILDREN; i++) {
-        ends[i] = start_child(first + i, last, CHILDREN);
+        ends[i] = start_child(first + i, last, CHILDREN, brisk);
     }
     for (guint i = 0; i < CHILDREN; i++) {
         totals_t part;
@@ -775,17 +899,33 @@
         wait(NULL);
     }
     printf("%u histories, %u answered writes, %u lease reads, %u with a lost "
-           "disk, %u replacements, %u pauses, %u not settled (seed %u), %u "
-           "wrong (seed %u) ",
+           "disk, %u replacements, %u pauses, %u calls of %u holders, %u not "
+           "settled (seed %u), %u wrong (seed %u) ",
            totals.histories, totals.answered, totals.reads, totals.repaired,
-           totals.replaced, totals.pauses, totals.unsettled,
-           totals.unsettled_seed, totals.wrong, totals.wrong_seed);
+           totals.replaced, totals.pauses, totals.calls, totals.changes,
+           totals.unsettled, totals.unsettled_seed, totals.wrong,
+           totals.wrong_seed);
     CU_ASSERT_EQUAL(totals.histories, last - first + 1);
     CU_ASSERT(totals.answered > 0);
     CU_ASSERT(totals.pauses > 0);
     CU_ASSERT(totals.histories < 100 || totals.replaced > 0);
     CU_ASSERT_EQUAL(totals.wrong, 0);
     CU_ASSERT_EQUAL(totals.unsettled, 0);
+    return totals;
+}
+
+static void
+test_histories(void)
+{
+    run_histories(FALSE);
+}
+
+/* Leases hold amid trouble, so that holders follow each other in it. */
+static void
+test_holders(void)
+{
+    totals_t totals = run_histories(TRUE);
+    CU_ASSERT(totals.changes > totals.histories);
 }
 
 static void
@@ -824,6 +964,7 @@
 
 static const test_case_t cases[] = {
     {"what clients saw is linearizable", test_histories},
+    {"duties have one holder at a time", test_holders},
     {"malformed messages are refused", test_codec_refuses},
 };
 
