--- a/carobloom/command.h
+++ b/carobloom/command.h
@@ -30,6 +30,7 @@
                     const char *path, const char *body, json_t **root,
                     char **text);
 
+result_t command_capacity(const context_t *context);
 result_t command_check(const context_t *context);
 result_t command_document(const context_t *context);
 result_t command_drain(const context_t *context);
@@ -38,5 +39,6 @@
 result_t command_history(const context_t *context);
 result_t command_order(const context_t *context);
 result_t command_status(const context_t *context);
+result_t command_usage(const context_t *context);
 
 #endif
--- a/carobloom/main.c
+++ b/carobloom/main.c
@@ -15,6 +15,8 @@
     result_t (*handle)(const context_t *context);
     const char *help;
 } COMMANDS[] = {
+    {"capacity", command_capacity,
+     "engines wanted, ordered and present, of a control instance"},
     {"check", command_check, "FILE: check a site document, say all faults"},
     {"document", command_document,
      "[status]: print the document, or who is behind"},
@@ -25,6 +27,8 @@
     {"order", command_order,
      "ADDRESS VERB VALUE: load-model, load-adapter, set-version, set-role"},
     {"status", command_status, "the instance, its voter and its peers"},
+    {"usage", command_usage,
+     "requests by team and window, of a control instance"},
 };
 
 static void
--- a/carobloomd/control/capacity_duty.c
+++ b/carobloomd/control/capacity_duty.c
@@ -62,7 +62,12 @@
     capacity_place_t *places; /* sorted by the plan */
     GHashTable *states;       /* place -> place_state_t */
     guint count;
-    gint64 grew_us; /* the last order for more */
+    gint64 grew_us;   /* the last order for more */
+    gint64 lacked_us; /* a place had none to give last: what is given back then
+                       * can not be had again */
+    gint64 stands_us; /* since when as many engines stand as now */
+    guint standing;
+    gboolean settled;
 };
 
 struct capacity_duty {
@@ -275,6 +280,7 @@
     else {
         if (status == 409) {
             place->lacking_us = now + LACKING_US;
+            s->lacked_us = now;
         }
         counter_add(counter_get("engine_orders_refused_total", NULL, FALSE),
                     1);
@@ -337,10 +343,11 @@
     }
     if (kind == ENGINES_KEPT) {
         /* Replaced by ones that cost less, or no longer wanted. */
-        return now - s->grew_us > CALM_US ||
+        return now - s->grew_us > CALM_US || place->idle ||
                place->ready[ENGINES_RECLAIMABLE] > 0;
     }
-    return now - s->grew_us > CALM_US && count <= SHRINK_PART * ordered;
+    return now - MAX(s->grew_us, s->lacked_us) > CALM_US &&
+           count <= SHRINK_PART * ordered;
 }
 
 static void
@@ -361,12 +368,38 @@
     order_send(s, place, kind, count, now);
 }
 
+/* Whether what stands is known: all endpoints have renewed their leases since
+ * this instance or the whole site started, and no more were heard of. */
+static gboolean
+is_settled(service_plan_t *s, gint64 now)
+{
+    const gateway_settings_t *settings = s->duty->duties->control->settings;
+    guint standing = 0;
+    for (guint i = 0; i < s->count; i++) {
+        standing += s->places[i].ready[ENGINES_KEPT] +
+                    s->places[i].ready[ENGINES_RECLAIMABLE];
+    }
+    if (s->settled) {
+        return TRUE;
+    }
+    if (standing != s->standing) {
+        s->standing = standing;
+        s->stands_us = now;
+    }
+    s->settled = standing > 0 &&
+                 now - s->stands_us > (gint64)(settings->heartbeat_ms * MS);
+    return s->settled;
+}
+
 static void
 service_step(service_plan_t *s, gint64 now)
 {
     service_demand_t demand =
         capacity_demand_of(s->duty->demand, s->service, now);
     supply_follow(s);
+    if (!is_settled(s, now)) {
+        return;
+    }
     capacity_plan_update(&s->plan, &s->bounds, &demand, s->slots, s->places,
                          s->count, now);
     for (guint i = 0; i < s->count; i++) {
@@ -463,8 +496,8 @@
                      demand.read_tokens, "places", places);
 }
 
-void
-capacity_duty_dump(const capacity_duty_t *c, GString *text)
+char *
+capacity_duty_json(const capacity_duty_t *c)
 {
     GHashTableIter iter;
     gpointer value;
@@ -477,7 +510,8 @@
         "{s:b,s:s,s:o}", "held", c->duties->lease.token != 0, "leader",
         c->duties->control->view.leader, "services", services);
     char *json = json_dumps(root, JSON_COMPACT);
-    g_string_append(text, json);
+    char *text = g_strdup(json);
     free(json);
     json_decref(root);
+    return text;
 }
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -401,3 +401,15 @@
     }
     return g_string_free(text, FALSE);
 }
+
+char *
+control_usage(const control_t *c)
+{
+    return c->duties != NULL ? duties_usage_text(c->duties) : NULL;
+}
+
+char *
+control_capacity(const control_t *c)
+{
+    return c->duties != NULL ? duties_capacity_text(c->duties) : NULL;
+}
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -175,7 +175,7 @@
 void handle_usage_report(control_t *control, http_exchange_t *exchange);
 void handle_clock(control_t *control, http_exchange_t *exchange);
 void duties_dump(const duties_t *duties, GString *text);
-/* JSON for operators, or empty; freed with g_free. */
+/* JSON for operators, freed with g_free; NULL where it is no duty. */
 char *duties_usage_text(const duties_t *duties);
 char *duties_capacity_text(const duties_t *duties);
 
--- a/carobloomd/control/duties.c
+++ b/carobloomd/control/duties.c
@@ -287,19 +287,11 @@
 char *
 duties_usage_text(const duties_t *d)
 {
-    GString *json = g_string_new(NULL);
-    if (d->usage != NULL) {
-        usage_duty_dump(d->usage, json);
-    }
-    return g_string_free(json, FALSE);
+    return d->usage != NULL ? usage_duty_json(d->usage) : NULL;
 }
 
 char *
 duties_capacity_text(const duties_t *d)
 {
-    GString *json = g_string_new(NULL);
-    if (d->capacity != NULL) {
-        capacity_duty_dump(d->capacity, json);
-    }
-    return g_string_free(json, FALSE);
+    return d->capacity != NULL ? capacity_duty_json(d->capacity) : NULL;
 }
--- a/carobloomd/control/duties.h
+++ b/carobloomd/control/duties.h
@@ -53,7 +53,8 @@
 guint64 usage_duty_fixed_through(const usage_duty_t *duty);
 /* What is due, while the lease is held. */
 void usage_duty_step(usage_duty_t *duty);
-void usage_duty_dump(const usage_duty_t *duty, GString *json);
+/* For operators; freed with g_free. */
+char *usage_duty_json(const usage_duty_t *duty);
 
 /* capacity_duty.c */
 capacity_duty_t *capacity_duty_create(duties_t *duties);
@@ -61,6 +62,6 @@
 void capacity_duty_begin(capacity_duty_t *duty);
 void capacity_duty_report(capacity_duty_t *duty, const usage_report_t *report);
 void capacity_duty_step(capacity_duty_t *duty);
-void capacity_duty_dump(const capacity_duty_t *duty, GString *json);
+char *capacity_duty_json(const capacity_duty_t *duty);
 
 #endif
--- a/carobloomd/control/endpoint_leases.c
+++ b/carobloomd/control/endpoint_leases.c
@@ -139,6 +139,7 @@
         .slots = heartbeat.slots,
         .state = heartbeat.draining ? LEASE_DRAINING : LEASE_READY,
         .reclaimable = heartbeat.reclaimable,
+        .leaves_ms = heartbeat.leaves_ms,
         .cold_ms = heartbeat.cold_ms,
     };
     registry_result_t result =
--- a/carobloomd/control/usage_duty.c
+++ b/carobloomd/control/usage_duty.c
@@ -222,8 +222,8 @@
     return row;
 }
 
-void
-usage_duty_dump(const usage_duty_t *u, GString *text)
+char *
+usage_duty_json(const usage_duty_t *u)
 {
     json_t *rows = json_array();
     const GArray *windows = usage_ledger_windows(u->ledger);
@@ -243,7 +243,8 @@
                   "window_s", s->usage_window_s, "leader",
                   u->duties->control->view.leader, "windows", rows);
     char *json = json_dumps(root, JSON_COMPACT);
-    g_string_append(text, json);
+    char *text = g_strdup(json);
     free(json);
     json_decref(root);
+    return text;
 }
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -152,6 +152,17 @@
     }
 }
 
+void
+forward_note_lost(forward_t *f)
+{
+    double waited_ms = (double)(forward_now(f) - f->sent_us) / MS;
+    double tokens = (double)f->found_waiting + f->waiting_tokens;
+    if (f->info.prompt_tokens == 0 ||
+        waited_ms >= engine_model_first_ms(&f->use->engine, tokens)) {
+        forward_note_begun(f);
+    }
+}
+
 static void
 forward_free(forward_t *f)
 {
@@ -292,6 +303,7 @@
     if (now >= f->final_us) {
         if (f->call != NULL) {
             f->runs += client_call_sent(f->call);
+            forward_note_lost(f);
             forward_note_left(f);
             client_call_cancel(f->call);
             f->call = NULL;
@@ -402,6 +414,9 @@
     if (f == NULL) {
         return;
     }
+    if (f->call != NULL && client_call_sent(f->call)) {
+        forward_note_lost(f);
+    }
     forward_note_left(f);
     log_outcome(f, 499, "the caller left");
     count_outcome(f, 499);
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -250,6 +250,9 @@
     forward_note_failure(f, failure);
     forward_note_endpoint(f, arrived ? ENDPOINT_BROKE : ENDPOINT_UNREACHABLE);
     f->runs += arrived;
+    if (arrived) {
+        forward_note_lost(f);
+    }
     forward_repeat(f, arrived, REASONS[failure]);
 }
 
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -206,6 +206,7 @@
         return;
     }
     f->runs += client_call_sent(f->call);
+    forward_note_lost(f);
     client_call_cancel(f->call);
     f->call = NULL;
     repeat(f, "the endpoint is silent");
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -81,6 +81,9 @@
 
 /* It began to run at an endpoint; counted once. */
 void forward_note_begun(forward_t *f);
+/* Its endpoint had it, but how far it came is not known: it counts as begun
+ * when it should have begun by now. A prompt in a queue has not. */
+void forward_note_lost(forward_t *f);
 
 /* forward_runs.c */
 /* Which request it is, whatever its id; worked out when first asked for. */
--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -33,7 +33,7 @@
     entry_t *entry;     /* NULL: not of this role */
     control_t *control; /* NULL: not of this role */
     http_server_t *metrics;
-    metrics_source_t dump;
+    metrics_source_t pages;
     gboolean draining;
 } gateway_t;
 
@@ -76,6 +76,26 @@
     return text;
 }
 
+static char *
+gateway_usage(void *user)
+{
+    const gateway_t *g = user;
+    return g->control != NULL ? control_usage(g->control) : NULL;
+}
+
+static char *
+gateway_capacity(void *user)
+{
+    const gateway_t *g = user;
+    return g->control != NULL ? control_capacity(g->control) : NULL;
+}
+
+static const metrics_page_t PAGES[] = {
+    {"/capacity", gateway_capacity},
+    {"/dump", gateway_dump},
+    {"/usage", gateway_usage},
+};
+
 /* ---- settings ---- */
 
 static void
@@ -224,10 +244,11 @@
             return FALSE;
         }
     }
-    g->dump = (metrics_source_t){.dump = gateway_dump, .user = g};
+    g->pages = (metrics_source_t){
+        .pages = PAGES, .page_count = G_N_ELEMENTS(PAGES), .user = g};
     if (has_text(s->metrics)) {
         g->metrics = metrics_server_create(g->poller, task_timers(g->task),
-                                           s->metrics, &g->dump);
+                                           s->metrics, &g->pages);
         if (g->metrics == NULL && event_log_begin(EVENT_STATE, "no_metrics")) {
             event_log_cstr("address", s->metrics);
             event_log_end();
--- a/carobloomd/gateway/metrics.c
+++ b/carobloomd/gateway/metrics.c
@@ -11,18 +11,24 @@
     .buffered_max = 0,
 };
 
+static char *
+page_text(const metrics_source_t *source, str_t target)
+{
+    for (gsize i = 0; i < source->page_count; i++) {
+        const metrics_page_t *page = &source->pages[i];
+        if (str_equal(target, str_from_cstr(page->path))) {
+            return page->text(source->user);
+        }
+    }
+    return NULL;
+}
+
 static void
 handle_request(http_exchange_t *exchange, void *user)
 {
-    const metrics_source_t *source = user;
     str_t target = http_head_target(http_exchange_head(exchange));
-    char *text = NULL;
-    if (str_equal(target, STR("/metrics"))) {
-        text = counters_text();
-    }
-    else if (str_equal(target, STR("/dump"))) {
-        text = source->dump(source->user);
-    }
+    char *text = str_equal(target, STR("/metrics")) ? counters_text()
+                                                    : page_text(user, target);
     http_exchange_answer(exchange, text != NULL ? 200 : 404,
                          STR("Content-Type: text/plain\r\n"),
                          str_from_cstr(text));
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -4,7 +4,7 @@
 #include "carobloom/gateway/crash_wire.h"
 
 #define REQUEST_TYPE "(sttttub)"
-#define LEASES_TYPE "a(ssssxtuybx)"
+#define LEASES_TYPE "a(ssssxtuybxx)"
 #define ANSWER_TYPE "(ttbbttbay" LEASES_TYPE "assut" QUARANTINE_ORDERS_TYPE ")"
 #define ANSWER_FORMAT                                                         \
     "(ttbbttb@ay@" LEASES_TYPE "@assut@" QUARANTINE_ORDERS_TYPE ")"
@@ -70,10 +70,11 @@
     g_variant_builder_init(&b, G_VARIANT_TYPE(LEASES_TYPE));
     for (guint i = 0; leases != NULL && i < leases->len; i++) {
         const endpoint_lease_t *l = leases->pdata[i];
-        g_variant_builder_add(&b, "(ssssxtuybx)", l->id, l->service,
+        g_variant_builder_add(&b, "(ssssxtuybxx)", l->id, l->service,
                               l->address, l->data_centre ? l->data_centre : "",
                               l->started_ms, l->sequence, l->slots,
-                              (guchar)l->state, l->reclaimable, l->cold_ms);
+                              (guchar)l->state, l->reclaimable, l->leaves_ms,
+                              l->cold_ms);
     }
     return g_variant_builder_end(&b);
 }
@@ -106,10 +107,10 @@
     endpoint_lease_t l;
     guchar state;
     gboolean sound = g_variant_iter_init(&iter, list) <= SYNC_ENDPOINTS_MAX;
-    while (sound && g_variant_iter_next(&iter, "(ssssxtuybx)", &l.id,
-                                        &l.service, &l.address, &l.data_centre,
-                                        &l.started_ms, &l.sequence, &l.slots,
-                                        &state, &l.reclaimable, &l.cold_ms)) {
+    while (sound && g_variant_iter_next(
+                        &iter, "(ssssxtuybxx)", &l.id, &l.service, &l.address,
+                        &l.data_centre, &l.started_ms, &l.sequence, &l.slots,
+                        &state, &l.reclaimable, &l.leaves_ms, &l.cold_ms)) {
         l.state = (lease_state_t)state;
         sound = state < LEASE_STATES;
         g_ptr_array_add(a->leases, g_memdup2(&l, sizeof(l)));
--- a/completions/carobloom.bash
+++ b/completions/carobloom.bash
@@ -1,7 +1,7 @@
 # bash completion for carobloom
 _carobloom()
 {
-    local commands="check document drain dump endpoints history order status"
+    local commands="capacity check document drain dump endpoints history order status usage"
     local options="--address --key --tls --json --help --version"
     local current=${COMP_WORDS[COMP_CWORD]}
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
--- a/include/carobloom/control/control.h
+++ b/include/carobloom/control/control.h
@@ -20,7 +20,11 @@
 /* SIGTERM: hands leadership over and serves on until control_idle. */
 void control_drain(control_t *control);
 gboolean control_idle(const control_t *control);
-/* State as JSON, for the dump; freed with g_free. */
+/* State as text, for the dump; freed with g_free. */
 char *control_dump(const control_t *control);
+/* Usage by team and window, and engines planned, ordered and present, as JSON;
+ * freed with g_free. NULL where they are no duties. */
+char *control_usage(const control_t *control);
+char *control_capacity(const control_t *control);
 
 #endif
--- a/include/carobloom/gateway/metrics.h
+++ b/include/carobloom/gateway/metrics.h
@@ -1,13 +1,19 @@
-/* The counters and latency histograms over HTTP, and a dump of the state. */
+/* The counters and latency histograms over HTTP, and pages of the state. */
 #ifndef CAROBLOOM_GATEWAY_METRICS_H
 #define CAROBLOOM_GATEWAY_METRICS_H
 
 #include "carobloom/http/server.h"
 
-/* Answers GET /metrics and GET /dump; `dump` gives the text of the second,
- * freed with g_free. */
+/* A page beside /metrics. */
 typedef struct {
-    char *(*dump)(void *user);
+    const char *path;
+    char *(*text)(void *user); /* freed with g_free; NULL: there is none */
+} metrics_page_t;
+
+/* Answers GET of /metrics and of each page. */
+typedef struct {
+    const metrics_page_t *pages;
+    gsize page_count;
     void *user;
 } metrics_source_t;
 
--- a/include/carobloom/policy/capacity_plan.h
+++ b/include/carobloom/policy/capacity_plan.h
@@ -24,6 +24,7 @@
     guint ready[ENGINES_KINDS];   /* that take work now */
     guint ordered[ENGINES_KINDS]; /* as the platform last took it */
     guint wanted[ENGINES_KINDS];  /* the plan */
+    gboolean idle;                /* no demand was seen yet */
     gint64 lacking_us; /* no reclaimable ones are to be had until then */
 } capacity_place_t;
 
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -39,7 +39,8 @@
     guint slots;
     lease_state_t state;
     gboolean reclaimable; /* it may be taken away at short notice */
-    gint64 cold_ms;       /* slow for so long from now */
+    gint64 leaves_ms; /* it drains and is gone after so long; 0: not said */
+    gint64 cold_ms;   /* slow for so long from now */
 } endpoint_lease_t;
 
 void endpoint_lease_clear(endpoint_lease_t *lease);
@@ -67,6 +68,7 @@
     gboolean draining;
     gboolean left;
     gboolean reclaimable;
+    gint64 lends_until_us;   /* it drains; its memory is there until then */
     guint32 heard_by;        /* sources that hear its renewals */
     gint64 trusted_until_us; /* though no source hears it just now */
     gint64 cold_until_us;
@@ -144,6 +146,8 @@
 GArray *directory_supplies(const directory_t *directory, gint64 now_us);
 /* Whether it may be sent new work at all. */
 gboolean endpoint_usable(const endpoint_t *endpoint, gint64 now_us);
+/* Whether it drains, but others can still fetch from its memory. */
+gboolean endpoint_lends(const endpoint_t *endpoint, gint64 now_us);
 /* Requests of all instances there, as far as told; prompt tokens that wait to
  * be read for them. */
 guint endpoint_running(const endpoint_t *endpoint);
--- a/include/carobloom/policy/keepers.h
+++ b/include/carobloom/policy/keepers.h
@@ -26,6 +26,9 @@
     /* Ranked before the home, but on the other side by now: it was the home
      * while its side was this one, and got the part. NULL: none. */
     const endpoint_t *former;
+    /* Ranked before the home, but draining: it was the home until then, and
+     * its memory can still be asked. NULL: none. */
+    const endpoint_t *leaving;
 } keepers_t;
 
 /* The keepers of a part among the usable endpoints of a side; none for part
--- a/policy/capacity_plan.c
+++ b/policy/capacity_plan.c
@@ -27,7 +27,10 @@
 /* Reclaimable engines up to this price are cheap enough to stand ready before
  * anything is known. */
 static const double CHEAP_PRICE = 0.5;
-/* Without cheap ones, what was there at first stays until demand is known. */
+/* Kept engines stand in for reclaimable ones that are not to be had, as far as
+ * they are needed now: they cost several times as much, so none is had for
+ * what may come. */
+static const double KEPT_TIMES = 1.1;
 
 /* ---- how many ---- */
 
@@ -97,20 +100,44 @@
            b->reclaimable_part > 0;
 }
 
-/* Engines of both kinds, in all. */
 static guint
-total_of(const capacity_plan_t *p, const capacity_bounds_t *b,
-         const capacity_place_t *places, guint count, gint64 now_us)
+present_at(const capacity_place_t *places, guint count)
 {
-    guint most = b->most * count;
     guint present = 0;
     for (guint i = 0; i < count; i++) {
         present += places[i].ready[ENGINES_KEPT] +
                    places[i].ready[ENGINES_RECLAIMABLE];
     }
+    return present;
+}
+
+/* Notes when demand was first seen. A plan that begins in the middle of it,
+ * with a new holder, takes what stands for what the highest of late asked
+ * for. */
+static void
+seen_update(capacity_plan_t *p, const service_demand_t *demand,
+            const capacity_place_t *places, guint count, gint64 now_us)
+{
+    if (p->seen_us != 0 || demand->arrived <= 0) {
+        return;
+    }
+    p->seen_us = now_us;
+    if (p->at_us == 0) {
+        p->seen_us = now_us - UNKNOWN_US;
+        p->peak = present_at(places, count) / BURST_TIMES;
+        p->peak_us = now_us;
+    }
+}
+
+/* Engines of both kinds, in all. */
+static guint
+total_of(const capacity_plan_t *p, const capacity_bounds_t *b,
+         const capacity_place_t *places, guint count, gint64 now_us)
+{
+    guint most = b->most * count;
     double total = ceil(p->peak * BURST_TIMES);
     if (p->seen_us == 0 || now_us - p->seen_us < UNKNOWN_US) {
-        total = MAX(total, is_cheap(b) ? most : present);
+        total = MAX(total, is_cheap(b) ? most : present_at(places, count));
     }
     if (b->ceiling > 0) {
         most = MIN(most, b->ceiling);
@@ -154,9 +181,10 @@
 }
 
 static void
-place_engines(const capacity_bounds_t *b, guint total,
+place_engines(const capacity_plan_t *p, const capacity_bounds_t *b,
               capacity_place_t *places, guint count, gint64 now_us)
 {
+    guint total = p->total;
     guint *room = g_new0(guint, count);
     guint cheap = is_cheap(b) ? (guint)(total * b->reclaimable_part + 0.5) : 0;
     for (guint i = 0; i < count; i++) {
@@ -167,10 +195,13 @@
                       : b->most;
     }
     guint left = spread(cheap, places, room, count, ENGINES_RECLAIMABLE);
+    guint needed = (guint)ceil(p->needed * KEPT_TIMES);
+    guint lacking = needed - MIN(needed, total - left);
     for (guint i = 0; i < count; i++) {
         room[i] = b->most - places[i].wanted[ENGINES_RECLAIMABLE];
     }
-    spread(total - cheap + left, places, room, count, ENGINES_KEPT);
+    spread(total - cheap + MIN(left, lacking), places, room, count,
+           ENGINES_KEPT);
     g_free(room);
 }
 
@@ -180,28 +211,34 @@
                      capacity_place_t *places, guint count, gint64 now_us)
 {
     p->needed = p->way->needed(demand, slots);
-    if (p->seen_us == 0 && demand->arrived > 0) {
-        p->seen_us = now_us;
-    }
+    seen_update(p, demand, places, count, now_us);
     peak_update(p, now_us);
     qsort(places, count, sizeof(*places), by_price);
     p->total = total_of(p, b, places, count, now_us);
-    place_engines(b, p->total, places, count, now_us);
+    for (guint i = 0; i < count; i++) {
+        places[i].idle = p->seen_us == 0;
+    }
+    place_engines(p, b, places, count, now_us);
 }
 
 /* Kept engines where reclaimable ones need their room: once all that could be
- * ordered are up, as many are let go, or a part where there is no room yet. */
+ * ordered are up, as many are let go, or a part where there is no room yet.
+ * While nobody asks for anything that part is enough meanwhile. */
 static guint
 kept_in_a_crowd(const capacity_place_t *p, guint most)
 {
     guint kept = p->ordered[ENGINES_KEPT];
+    guint few = MAX(most / CROWD_PARTS, 1);
+    if (p->idle && kept > few) {
+        return few;
+    }
     guint ready = p->ready[ENGINES_RECLAIMABLE];
     guint room = most - MIN(kept, most);
     guint next = MIN(p->wanted[ENGINES_RECLAIMABLE], room);
     if (p->ordered[ENGINES_RECLAIMABLE] < next || ready < next) {
         return kept;
     }
-    return kept - MIN(kept, MAX(ready, MAX(most / CROWD_PARTS, 1)));
+    return kept - MIN(kept, MAX(ready, few));
 }
 
 guint
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -19,6 +19,11 @@
     FULL_FIRST_US = 100 * 1000,
     FULL_MOST_US = 3 * SECOND_US,
     MISDIRECTED_US = 30 * SECOND_US,
+    /* From an endpoint's word that it drains to its end, the shortest met. */
+    DRAINS_US = 2 * SECOND_US,
+    /* Its word may be half a second old, and what is fetched takes a few
+     * milliseconds. */
+    LEND_MARGIN_US = 500 * 1000,
 };
 
 /* The weight of the newest request in the share of failures: about the last
@@ -207,6 +212,20 @@
     return e;
 }
 
+/* An endpoint that drains serves on for a while, whether it says for how long
+ * or not. */
+static void
+note_draining(endpoint_t *e, const endpoint_lease_t *lease, gint64 now_us)
+{
+    if (lease->state != LEASE_DRAINING || e->draining) {
+        return;
+    }
+    gint64 stays_us =
+        lease->leaves_ms > 0 ? lease->leaves_ms * 1000 : DRAINS_US;
+    e->draining = TRUE;
+    e->lends_until_us = now_us + stays_us - LEND_MARGIN_US;
+}
+
 void
 directory_update(directory_t *d, guint source, const endpoint_lease_t *lease,
                  gint64 now_us)
@@ -240,7 +259,7 @@
         return;
     }
     e->heard_by |= 1u << source;
-    e->draining |= lease->state == LEASE_DRAINING;
+    note_draining(e, lease, now_us);
     e->slots = lease->slots;
     e->reclaimable = lease->reclaimable;
     if (lease->cold_ms > 0) {
@@ -495,6 +514,12 @@
            (e->heard_by != 0 || now_us < e->trusted_until_us);
 }
 
+gboolean
+endpoint_lends(const endpoint_t *e, gint64 now_us)
+{
+    return e->draining && !e->left && now_us < e->lends_until_us;
+}
+
 gboolean
 endpoint_open(const endpoint_t *e, gint64 now_us)
 {
--- a/policy/keepers.c
+++ b/policy/keepers.c
@@ -9,6 +9,7 @@
     keepers_t keepers;
     guint64 ranks[KEEPERS_RANKED];
     guint64 former_rank;
+    guint64 leaving_rank;
 } ranking_t;
 
 /* Puts an endpoint in its place, if it has one among the first. */
@@ -32,6 +33,15 @@
     r->ranks[at] = rank;
 }
 
+static void
+note_leaving(ranking_t *r, const endpoint_t *e, guint64 rank, gint64 now_us)
+{
+    if (rank > r->leaving_rank && endpoint_lends(e, now_us)) {
+        r->keepers.leaving = e;
+        r->leaving_rank = rank;
+    }
+}
+
 keepers_t
 keepers_of(const GPtrArray *endpoints, side_t side, guint64 part,
            gint64 now_us)
@@ -41,6 +51,7 @@
         endpoint_t *e = endpoints->pdata[i];
         guint64 rank = hash_pair(part, e->hash);
         if (!endpoint_usable(e, now_us)) {
+            note_leaving(&r, e, rank, now_us);
             continue;
         }
         if (i >= side.from && i < side.to) {
@@ -54,6 +65,9 @@
     if (r.keepers.count > 0 && r.former_rank < r.ranks[0]) {
         r.keepers.former = NULL;
     }
+    if (r.keepers.count > 0 && r.leaving_rank < r.ranks[0]) {
+        r.keepers.leaving = NULL;
+    }
     return r.keepers;
 }
 
@@ -80,7 +94,8 @@
 {
     const endpoint_t *home = k->count > 0 ? k->at[0] : NULL;
     const endpoint_t *next = k->count > 1 ? k->at[1] : NULL;
-    const endpoint_t *const sources[] = {home, k->former, next};
+    /* What leaves takes its memory with it: it is asked first. */
+    const endpoint_t *const sources[] = {k->leaving, home, k->former, next};
     for (gsize i = 0; i < G_N_ELEMENTS(sources); i++) {
         if (sources[i] != endpoint && may_be_asked(sources[i], now_us)) {
             return sources[i];
