Tests of notices, offers, calls and the log's two forms; a new holder's plan

What changed: it keeps what stands for 8 s, then plans by what it saw; it waits until the endpoints are heard of, three heartbeats at most.

--- a/carobloomd/control/capacity_duty.c
+++ b/carobloomd/control/capacity_duty.c
@@ -65,7 +65,8 @@
     gint64 grew_us;   /* the last order for more */
     gint64 lacked_us; /* a place had none to give last: what is given back then
                        * can not be had again */
-    gint64 stands_us; /* since when as many engines stand as now */
+    gint64 first_us;  /* when engines were first heard of */
+    gint64 stands_us; /* since when as many stand as now */
     guint standing;
     gboolean settled;
 };
@@ -369,25 +370,31 @@
 }
 
 /* Whether what stands is known: all endpoints have renewed their leases since
- * this instance or the whole site started, and no more were heard of. */
+ * this instance or the whole site started, and no more were heard of; where
+ * they come and go all the time, after three such intervals. */
 static gboolean
 is_settled(service_plan_t *s, gint64 now)
 {
+    enum { INTERVALS_MOST = 3 };
     const gateway_settings_t *settings = s->duty->duties->control->settings;
+    gint64 interval_us = (gint64)(settings->heartbeat_ms * MS);
     guint standing = 0;
     for (guint i = 0; i < s->count; i++) {
         standing += s->places[i].ready[ENGINES_KEPT] +
                     s->places[i].ready[ENGINES_RECLAIMABLE];
     }
-    if (s->settled) {
-        return TRUE;
+    if (s->settled || standing == 0) {
+        return s->settled;
+    }
+    if (s->first_us == 0) {
+        s->first_us = now;
     }
     if (standing != s->standing) {
         s->standing = standing;
         s->stands_us = now;
     }
-    s->settled = standing > 0 &&
-                 now - s->stands_us > (gint64)(settings->heartbeat_ms * MS);
+    s->settled = now - s->stands_us > interval_us ||
+                 now - s->first_us > INTERVALS_MOST * interval_us;
     return s->settled;
 }
 
--- a/include/carobloom/policy/capacity_plan.h
+++ b/include/carobloom/policy/capacity_plan.h
@@ -51,8 +51,9 @@
     double peak;   /* the highest of late, that is planned for */
     gint64 peak_us;
     gint64 at_us;
-    gint64 seen_us; /* when demand was first seen; 0: not yet */
-    guint total;    /* engines planned */
+    gint64 seen_us;  /* when demand was first seen; 0: not yet */
+    guint inherited; /* that stood when it began amid demand; 0: it did not */
+    guint total;     /* engines planned */
 } capacity_plan_t;
 
 /* "model": by the reading that is asked for and the slots taken. "share": by
--- a/policy/capacity_plan.c
+++ b/policy/capacity_plan.c
@@ -112,8 +112,7 @@
 }
 
 /* Notes when demand was first seen. A plan that begins in the middle of it,
- * with a new holder, takes what stands for what the highest of late asked
- * for. */
+ * with a new holder, keeps what stands until it has seen enough itself. */
 static void
 seen_update(capacity_plan_t *p, const service_demand_t *demand,
             const capacity_place_t *places, guint count, gint64 now_us)
@@ -123,10 +122,19 @@
     }
     p->seen_us = now_us;
     if (p->at_us == 0) {
-        p->seen_us = now_us - UNKNOWN_US;
-        p->peak = present_at(places, count) / BURST_TIMES;
-        p->peak_us = now_us;
+        p->inherited = present_at(places, count);
+    }
+}
+
+/* Engines that stand while what may come is not known. */
+static guint
+unknown_total(const capacity_plan_t *p, const capacity_bounds_t *b,
+              const capacity_place_t *places, guint count)
+{
+    if (p->inherited > 0) {
+        return p->inherited;
     }
+    return is_cheap(b) ? b->most * count : present_at(places, count);
 }
 
 /* Engines of both kinds, in all. */
@@ -137,7 +145,7 @@
     guint most = b->most * count;
     double total = ceil(p->peak * BURST_TIMES);
     if (p->seen_us == 0 || now_us - p->seen_us < UNKNOWN_US) {
-        total = MAX(total, is_cheap(b) ? most : present_at(places, count));
+        total = MAX(total, unknown_total(p, b, places, count));
     }
     if (b->ceiling > 0) {
         most = MIN(most, b->ceiling);
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -3,6 +3,8 @@
  * them. */
 #include <string.h>
 
+#include "../carobloomd/control/log_state.h"
+#include "carobloom/common/codec.h"
 #include "carobloom/gateway/usage_wire.h"
 #include "carobloom/policy/duty_lease.h"
 #include "carobloom/policy/site_clock.h"
@@ -271,6 +273,64 @@
     usage_ledger_destroy(restored);
 }
 
+/* ---- the log ---- */
+
+static GBytes *
+old_command(guint64 version, const char *text)
+{
+    return codec_write(
+        g_variant_new("(t@ay)", version,
+                      g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, text,
+                                                strlen(text), 1)));
+}
+
+static void
+check_state(const log_state_t *state, guint64 version, const char *text,
+            guint64 fixed_through)
+{
+    CU_ASSERT_EQUAL(state->version, version);
+    CU_ASSERT(str_equal(str_from_bytes(state->text), str_from_cstr(text)));
+    CU_ASSERT_EQUAL(usage_ledger_fixed_through(state->usage), fixed_through);
+}
+
+/* A log, or a snapshot, that was written when it held configurations only is
+ * read as it was; what is fixed is in the snapshot and stays over it. */
+static void
+test_log_state(void)
+{
+    log_state_t state;
+    log_state_t restored;
+    log_state_init(&state);
+    log_state_init(&restored);
+    GBytes *empty = g_bytes_new(NULL, 0);
+    GBytes *old = old_command(7, "{\"a\":1}");
+    GBytes *older = old_command(6, "{}");
+    usage_window_t *w = usage_window_create(100);
+    usage_window_add(w, "t", 7);
+    GBytes *fix = usage_fix_command(w);
+    GBytes *command = log_usage_command(fix);
+    CU_ASSERT_EQUAL(log_state_apply(&state, empty), 0);
+    CU_ASSERT_EQUAL(log_state_apply(&state, old), LOG_STATE_CONFIG);
+    CU_ASSERT_EQUAL(log_state_apply(&state, older), 0);
+    CU_ASSERT_EQUAL(log_state_apply(&state, command), LOG_STATE_USAGE);
+    CU_ASSERT_EQUAL(log_state_apply(&state, command), 0);
+    check_state(&state, 7, "{\"a\":1}", 100);
+    GBytes *snapshot = log_state_snapshot(&state);
+    CU_ASSERT_EQUAL(log_state_apply(&restored, snapshot),
+                    LOG_STATE_CONFIG | LOG_STATE_USAGE);
+    check_state(&restored, 7, "{\"a\":1}", 100);
+    CU_ASSERT_EQUAL(log_state_apply(&restored, command), 0);
+    g_bytes_unref(empty);
+    g_bytes_unref(old);
+    g_bytes_unref(older);
+    g_bytes_unref(fix);
+    g_bytes_unref(command);
+    g_bytes_unref(snapshot);
+    usage_window_free(w);
+    log_state_clear(&state);
+    log_state_clear(&restored);
+}
+
 /* Bounded whatever comes. */
 static void
 test_tally_is_bounded(void)
@@ -398,6 +458,7 @@
     {"windows are fixed in time", test_windows_fixed_in_time},
     {"windows in a row", test_windows_in_a_row},
     {"figures never change", test_figures_never_change},
+    {"the log, old and new", test_log_state},
     {"counts are bounded", test_tally_is_bounded},
     {"reports on the wire", test_report_wire},
     {"damaged bytes", test_report_damaged},
--- a/tests/test_endpoints.c
+++ b/tests/test_endpoints.c
@@ -52,6 +52,11 @@
     {"cold as text", "ColdRemainingMs", "\"0\"", PLATFORM_ERROR_FIELD},
     {"cold for years", "ColdRemainingMs", "1e300", PLATFORM_ERROR_FIELD},
     {"models that are no list", "Models", "{}", PLATFORM_ERROR_FIELD},
+    {"reclaimable", "Spot", "true", PLATFORM_OK},
+    {"reclaimable as text", "Spot", "\"true\"", PLATFORM_ERROR_FIELD},
+    {"gone soon", "leaves_ms", "2200.5", PLATFORM_OK},
+    {"gone soon, as text", "leaves_ms", "\"2\"", PLATFORM_ERROR_FIELD},
+    {"gone before now", "leaves_ms", "-1", PLATFORM_ERROR_FIELD},
 };
 
 /* The whole heartbeat with one field replaced, added or left out. */
@@ -112,6 +117,15 @@
     CU_ASSERT_EQUAL(h.sequence, 9);
     CU_ASSERT_EQUAL(h.slots, 4);
     CU_ASSERT_FALSE(h.draining);
+    CU_ASSERT_FALSE(h.reclaimable);
+    CU_ASSERT_EQUAL(h.leaves_ms, 0);
+    heartbeat_clear(&h);
+    CU_ASSERT_EQUAL(
+        platform_heartbeat_decode(
+            STR("{" WHOLE ",\"Spot\":true,\"leaves_ms\":2200}"), &h, &field),
+        PLATFORM_OK);
+    CU_ASSERT(h.reclaimable);
+    CU_ASSERT_EQUAL(h.leaves_ms, 2200);
     heartbeat_clear(&h);
 }
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -509,6 +509,34 @@
     }
 }
 
+/* The home of a part drains: the next home fetches the part from it while it
+ * lends its memory, and from others once it does not. */
+static void
+test_fetch_from_leaving(void)
+{
+    enum { LEAVES_MS = 2200 };
+    directory_t *d = engines_create();
+    place_case_t c = {.tokens = 9000,
+                      .shared = 7,
+                      .shared_tokens = 5000,
+                      .fetch_tokens_a_ms = 800};
+    endpoint_t *home = place_of(d, c).endpoint;
+    endpoint_lease_t lease = lease_of(home->id, 2, LEASE_DRAINING);
+    lease.slots = SLOTS;
+    lease.reclaimable = TRUE;
+    lease.leaves_ms = LEAVES_MS;
+    directory_update(d, 0, &lease, SECOND);
+    placement_t next = place_of(d, c);
+    CU_ASSERT_PTR_NOT_EQUAL(next.endpoint, home);
+    CU_ASSERT_PTR_EQUAL(next.source, home);
+    CU_ASSERT_EQUAL(next.read_tokens, 4000);
+    CU_ASSERT(endpoint_lends(home, SECOND + SECOND));
+    CU_ASSERT_FALSE(endpoint_lends(home, SECOND + LEAVES_MS * 1000));
+    home->lends_until_us = 0;
+    CU_ASSERT_PTR_NOT_EQUAL(place_of(d, c).source, home);
+    directory_destroy(d);
+}
+
 /* Short prompts that share a part go to its keepers, whatever is drawn, while
  * these are no more loaded than others; a crowded one is left. */
 static void
@@ -538,6 +566,7 @@
     {"failing endpoints are left", test_failing},
     {"long prompts take so many places", test_places},
     {"prompts fetched from another engine", test_fetching},
+    {"parts fetched from an engine that leaves", test_fetch_from_leaving},
     {"places of prompts without a home", test_places_without_home},
     {"places by an engine's memory", test_places_by_memory},
     {"a queue at a prompt's home", test_queue_at_home},
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -99,6 +99,103 @@
     }
 }
 
+typedef struct {
+    const char *name;
+    const char *scale;
+    guint places;
+    guint least;
+    guint most;
+    double reclaimable_price;
+} offer_case_t;
+
+static const offer_case_t OFFER_CASES[] = {
+    {"whole",
+     "{\"Min\":1,\"Max\":60,\"BootS\":4.0,\"SpotPrice\":0.22,"
+     "\"ZonePrices\":{\"za\":1.0,\"zb\":0.8}}",
+     2, 1, 60, 0.22},
+    {"one price",
+     "{\"Min\":2,\"Max\":9,\"BootS\":4,\"ZonePrices\":{\"za\":1}}", 1, 2, 9,
+     0},
+    {"none", "null", 0, 0, 0, 0},
+    {"nothing allowed", "{\"Max\":0,\"ZonePrices\":{\"za\":1}}", 0, 0, 0, 0},
+    {"a maximum as text", "{\"Max\":\"9\",\"ZonePrices\":{\"za\":1}}", 0, 0, 0,
+     0},
+    {"prices that are none", "{\"Max\":9,\"ZonePrices\":{\"za\":\"x\"}}", 0, 0,
+     9, 0},
+    {"least over most", "{\"Min\":20,\"Max\":9,\"ZonePrices\":{\"za\":1}}", 1,
+     9, 9, 0},
+};
+
+/* What engines may be ordered; what can not be used does not make the
+ * configuration invalid. */
+static void
+test_offers(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(OFFER_CASES); i++) {
+        const offer_case_t *c = &OFFER_CASES[i];
+        char *text = g_strdup_printf(
+            "{\"Version\":3,\"Services\":[{\"Name\":\"a\",\"Scale\":%s}],"
+            "\"Routes\":[]}",
+            c->scale);
+        route_config_t *config = NULL;
+        char *fault = NULL;
+        CU_ASSERT_EQUAL(
+            platform_config_decode(str_from_cstr(text), &config, &fault),
+            PLATFORM_OK);
+        const engine_offer_t *offer =
+            &route_config_service(config, "a")->offer;
+        guint places = offer->places != NULL ? offer->places->len : 0;
+        if (places != c->places || offer->most != c->most) {
+            printf("%s: %u places\n", c->name, places);
+        }
+        CU_ASSERT_EQUAL(places, c->places);
+        CU_ASSERT_EQUAL(offer->least, c->least);
+        CU_ASSERT_EQUAL(offer->most, c->most);
+        CU_ASSERT_EQUAL(offer->reclaimable_price, c->reclaimable_price);
+        route_config_unref(config);
+        g_free(text);
+    }
+}
+
+/* ---- calls to the platform ---- */
+
+static void
+test_duty_calls(void)
+{
+    duty_stamp_t stamp = {
+        .host = "10.0.0.9:80", .holder = "core-1", .token = 12};
+    usage_window_t *w = usage_window_create(353445120);
+    usage_window_add(w, "t", 412);
+    GString *usage = platform_usage_encode(&stamp, w);
+    CU_ASSERT_PTR_NOT_NULL(strstr(usage->str, "POST /usage HTTP/1.1\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(usage->str, "Duty-Holder: core-1\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(usage->str, "Fencing-Token: 12\r\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(
+        usage->str, "\r\n\r\n{\"Window\":353445120,\"Counts\":{\"t\":412}}"));
+    engine_order_t order = {
+        .service = "a", .data_centre = "za", .count = 6, .reclaimable = TRUE};
+    GString *scale = platform_order_encode(&stamp, &order);
+    CU_ASSERT_PTR_NOT_NULL(strstr(scale->str,
+                                  "{\"Service\":\"a\",\"Zone\":\"za\","
+                                  "\"Desired\":6,\"Spot\":true}"));
+    order.reclaimable = FALSE;
+    g_string_free(scale, TRUE);
+    scale = platform_order_encode(&stamp, &order);
+    CU_ASSERT_PTR_NULL(strstr(scale->str, "Spot"));
+    g_string_free(scale, TRUE);
+    g_string_free(usage, TRUE);
+    usage_window_free(w);
+    char *const sound[] = {"metering", "autoscale", NULL};
+    char *const unknown[] = {"metering", "sing", NULL};
+    duty_set_t set;
+    CU_ASSERT_EQUAL(platform_duties_decode(sound, &set), PLATFORM_OK);
+    CU_ASSERT(set.any && set.usage && set.capacity);
+    CU_ASSERT_EQUAL(platform_duties_decode(NULL, &set), PLATFORM_OK);
+    CU_ASSERT_FALSE(set.any);
+    CU_ASSERT_EQUAL(platform_duties_decode(unknown, &set),
+                    PLATFORM_ERROR_FIELD);
+}
+
 static route_config_t *
 sample_config(void)
 {
@@ -582,6 +679,8 @@
     {"faults of a configuration are named", test_config_faults},
     {"the longest prefix of the host matches", test_match},
     {"shares and kinds", test_shares_and_kinds},
+    {"engines that may be ordered", test_offers},
+    {"calls to the platform", test_duty_calls},
     {"faults of settings are named", test_settings},
     {"the sample settings have none", test_sample_settings},
     {"a client sets only what is its own", test_request_fields},
