Engines: asked for again soon after none were to be had; calls bounded

Cause: a data centre whose reclaimable engines were taken at 8 s had them back at 17.6 s, and was asked again only at 21.4 s, since an order that was taken counted until it was overdue; kept engines found no room beside it. What changed: after 409 what was ordered there counts as what stands, so that it is asked for each 1.5 s; kept ones stand in up to 0.4 of what is needed. Calls to the platform are bounded by duty_calls_per_s. Reading of the newest configuration and bytes of variants each stand once.

--- a/carobloomd/control/capacity_duty.c
+++ b/carobloomd/control/capacity_duty.c
@@ -156,23 +156,14 @@
 static void
 config_follow(capacity_duty_t *c)
 {
-    const kept_text_t *newest = control_newest(c->duties->control);
-    const char *name = c->duties->control->settings->capacity;
-    const capacity_way_t *way = capacity_way_find(name);
-    route_config_t *config;
-    char *fault = NULL;
-    if (newest == NULL || newest->version <= c->version || way == NULL) {
+    const control_t *control = c->duties->control;
+    const capacity_way_t *way = capacity_way_find(control->settings->capacity);
+    if (control_newest_version(control) <= c->version || way == NULL) {
         return;
     }
-    c->version = newest->version;
-    if (platform_config_decode(str_from_bytes(newest->text), &config,
-                               &fault) != PLATFORM_OK) {
-        if (event_log_begin(EVENT_STATE, "config_unreadable")) {
-            event_log_number("version", (gint64)newest->version);
-            event_log_cstr("why", fault);
-            event_log_end();
-        }
-        g_free(fault);
+    c->version = control_newest_version(control);
+    route_config_t *config = control_read_newest(control);
+    if (config == NULL) {
         return;
     }
     for (guint i = 0; i < config->services->len; i++) {
@@ -280,6 +271,10 @@
     }
     else {
         if (status == 409) {
+            /* What was ordered before is not to be had either, so that it is
+             * asked for again soon, and others may take its room. */
+            place->ordered[o->kind] =
+                MIN(place->ordered[o->kind], place->ready[o->kind]);
             place->lacking_us = now + LACKING_US;
             s->lacked_us = now;
         }
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -62,6 +62,26 @@
     return text != NULL ? text->version : 0;
 }
 
+route_config_t *
+control_read_newest(const control_t *c)
+{
+    const kept_text_t *newest = control_newest(c);
+    route_config_t *config = NULL;
+    char *fault = NULL;
+    if (newest == NULL ||
+        platform_config_decode(str_from_bytes(newest->text), &config,
+                               &fault) == PLATFORM_OK) {
+        return config;
+    }
+    if (event_log_begin(EVENT_STATE, "config_unreadable")) {
+        event_log_number("version", (gint64)newest->version);
+        event_log_cstr("why", fault);
+        event_log_end();
+    }
+    g_free(fault);
+    return NULL;
+}
+
 gboolean
 control_may_read(const control_t *c)
 {
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -19,6 +19,7 @@
 #include "carobloom/http/server.h"
 #include "carobloom/policy/crash_ledger.h"
 #include "carobloom/policy/registry.h"
+#include "carobloom/version/route_config.h"
 
 /* A configuration that was committed here. */
 typedef struct {
@@ -105,6 +106,9 @@
 /* The newest configuration committed here, or NULL; and its version, or 0. */
 const kept_text_t *control_newest(const control_t *control);
 guint64 control_newest_version(const control_t *control);
+/* It decoded, to be unref'd; NULL when there is none, or it can not be read,
+ * which is logged. */
+route_config_t *control_read_newest(const control_t *control);
 /* Whether what is committed here is the newest there is, now. */
 gboolean control_may_read(const control_t *control);
 void answer_plain(http_exchange_t *exchange, guint status, const char *text);
--- a/carobloomd/control/duties.c
+++ b/carobloomd/control/duties.c
@@ -180,6 +180,21 @@
 
 /* ---- calls ---- */
 
+/* Whether the platform takes one more call in this second. */
+static gboolean
+rate_allows(duties_t *d, gint64 now_us)
+{
+    if (now_us - d->second_us >= G_USEC_PER_SEC) {
+        d->second_us = now_us;
+        d->calls_made = 0;
+    }
+    if (d->calls_made + 1 > d->control->settings->duty_calls_per_s) {
+        return FALSE;
+    }
+    d->calls_made++;
+    return TRUE;
+}
+
 gboolean
 duties_send(duties_t *d, duty_encode_t encode, gconstpointer what,
             duty_answered_t answered, void *user)
@@ -190,7 +205,7 @@
         .holder = s->instance,
         .token = duty_lease_holds(&d->lease, clock_boot_us()),
     };
-    if (stamp.token == 0) {
+    if (stamp.token == 0 || !rate_allows(d, clock_boot_us())) {
         return FALSE;
     }
     GString *bytes = encode(&stamp, what);
--- a/carobloomd/control/duties.h
+++ b/carobloomd/control/duties.h
@@ -30,6 +30,8 @@
     usage_duty_t *usage;       /* NULL: not a duty here */
     capacity_duty_t *capacity; /* NULL: not a duty here */
     gint64 clock_told_us;
+    gint64 second_us; /* since when calls are counted */
+    guint calls_made;
     guint64 timer;
 };
 
--- a/carobloomd/control/endpoint_leases.c
+++ b/carobloomd/control/endpoint_leases.c
@@ -51,18 +51,9 @@
 static void
 learn_services(control_t *c)
 {
-    const kept_text_t *newest = control_newest(c);
-    route_config_t *config = NULL;
-    char *fault = NULL;
-    c->services_version = newest->version;
-    if (platform_config_decode(str_from_bytes(newest->text), &config,
-                               &fault) != PLATFORM_OK) {
-        if (event_log_begin(EVENT_STATE, "config_unreadable")) {
-            event_log_number("version", (gint64)newest->version);
-            event_log_cstr("why", fault);
-            event_log_end();
-        }
-        g_free(fault);
+    c->services_version = control_newest_version(c);
+    route_config_t *config = control_read_newest(c);
+    if (config == NULL) {
         return;
     }
     for (guint i = 0; i < config->services->len; i++) {
--- a/carobloomd/control/log_state.c
+++ b/carobloomd/control/log_state.c
@@ -12,28 +12,10 @@
 #define COMMAND_TYPE "(tay)"
 #define SNAPSHOT_TYPE "(tayay)" /* version, text, usage */
 
-static GVariant *
-bytes_variant(GBytes *bytes)
-{
-    gsize length = 0;
-    gconstpointer data = bytes != NULL ? g_bytes_get_data(bytes, &length) : "";
-    return g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, data, length, 1);
-}
-
-static GBytes *
-variant_bytes(GVariant *variant)
-{
-    gsize length = 0;
-    gconstpointer data = g_variant_get_fixed_array(variant, &length, 1);
-    GBytes *bytes = g_bytes_new(data, length);
-    g_variant_unref(variant);
-    return bytes;
-}
-
 static GBytes *
 command_write(guint64 kind, GBytes *bytes)
 {
-    return codec_write(g_variant_new("(t@ay)", kind, bytes_variant(bytes)));
+    return codec_write(g_variant_new("(t@ay)", kind, codec_bytes(bytes)));
 }
 
 GBytes *
@@ -84,8 +66,8 @@
     GVariant *text;
     GVariant *usage;
     g_variant_get(v, "(t@ay@ay)", &version, &text, &usage);
-    GBytes *text_bytes = variant_bytes(text);
-    GBytes *usage_bytes = variant_bytes(usage);
+    GBytes *text_bytes = codec_take_bytes(text);
+    GBytes *usage_bytes = codec_take_bytes(usage);
     guint changed = 0;
     if (g_bytes_get_size(text_bytes) > 0) {
         changed = apply_config(s, version, text_bytes);
@@ -113,7 +95,7 @@
     GVariant *variant;
     guint changed = 0;
     g_variant_get(v, "(t@ay)", &kind, &variant);
-    GBytes *bytes = variant_bytes(variant);
+    GBytes *bytes = codec_take_bytes(variant);
     if (kind == KIND_USAGE) {
         changed = usage_command_apply(s->usage, bytes) ? LOG_STATE_USAGE : 0;
     }
@@ -132,9 +114,8 @@
 log_state_snapshot(const log_state_t *s)
 {
     GBytes *usage = usage_ledger_write(s->usage);
-    GBytes *whole = codec_write(g_variant_new("(t@ay@ay)", s->version,
-                                              bytes_variant(s->text),
-                                              bytes_variant(usage)));
+    GBytes *whole = codec_write(g_variant_new(
+        "(t@ay@ay)", s->version, codec_bytes(s->text), codec_bytes(usage)));
     GBytes *command = command_write(KIND_SNAPSHOT, whole);
     g_bytes_unref(whole);
     g_bytes_unref(usage);
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -10,24 +10,6 @@
     "(ttbbttb@ay@" LEASES_TYPE "@assut@" QUARANTINE_ORDERS_TYPE ")"
 #define LETTER_TYPE "(stay)"
 
-static GVariant *
-bytes_variant(GBytes *bytes)
-{
-    gsize length = 0;
-    gconstpointer data = bytes != NULL ? g_bytes_get_data(bytes, &length) : "";
-    return g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, data, length, 1);
-}
-
-static GBytes *
-variant_bytes(GVariant *variant)
-{
-    gsize length = 0;
-    gconstpointer data = g_variant_get_fixed_array(variant, &length, 1);
-    GBytes *bytes = g_bytes_new(data, length);
-    g_variant_unref(variant);
-    return bytes;
-}
-
 GBytes *
 sync_request_write(const sync_request_t *r)
 {
@@ -95,7 +77,7 @@
 {
     return codec_write(g_variant_new(
         ANSWER_FORMAT, a->epoch, a->cursor, a->full, a->confirmed, a->version,
-        a->base, a->delta != NULL, bytes_variant(a->delta),
+        a->base, a->delta != NULL, codec_bytes(a->delta),
         leases_variant(a->leases), names_variant(a->controls), a->data_centre,
         a->entries, a->held_cursor, quarantine_orders_variant(a->held)));
 }
@@ -153,7 +135,7 @@
                   &controls, &a->data_centre, &a->entries, &a->held_cursor,
                   &held);
     a->held = quarantine_orders_take(held);
-    a->delta = variant_bytes(delta);
+    a->delta = codec_take_bytes(delta);
     if (!news) {
         g_clear_pointer(&a->delta, g_bytes_unref);
     }
@@ -180,7 +162,7 @@
 voter_letter_write(const voter_letter_t *l)
 {
     return codec_write(
-        g_variant_new("(st@ay)", l->from, l->id, bytes_variant(l->message)));
+        g_variant_new("(st@ay)", l->from, l->id, codec_bytes(l->message)));
 }
 
 gboolean
@@ -193,7 +175,7 @@
     }
     GVariant *message;
     g_variant_get(v, "(st@ay)", &l->from, &l->id, &message);
-    l->message = variant_bytes(message);
+    l->message = codec_take_bytes(message);
     g_variant_unref(v);
     return TRUE;
 }
--- a/common/codec.c
+++ b/common/codec.c
@@ -31,3 +31,21 @@
     }
     return variant;
 }
+
+GVariant *
+codec_bytes(GBytes *bytes)
+{
+    gsize length = 0;
+    gconstpointer data = bytes != NULL ? g_bytes_get_data(bytes, &length) : "";
+    return g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE, data, length, 1);
+}
+
+GBytes *
+codec_take_bytes(GVariant *variant)
+{
+    gsize length = 0;
+    gconstpointer data = g_variant_get_fixed_array(variant, &length, 1);
+    GBytes *bytes = g_bytes_new(data, length);
+    g_variant_unref(variant);
+    return bytes;
+}
--- a/include/carobloom/common/codec.h
+++ b/include/carobloom/common/codec.h
@@ -9,5 +9,9 @@
 GBytes *codec_write(GVariant *variant);
 /* NULL when malformed; the caller unrefs it. */
 GVariant *codec_read(GBytes *bytes, const char *type);
+/* Bytes as a part ("ay") of a variant; NULL gives none. And back: takes the
+ * part over. */
+GVariant *codec_bytes(GBytes *bytes);
+GBytes *codec_take_bytes(GVariant *variant);
 
 #endif
--- a/policy/capacity_plan.c
+++ b/policy/capacity_plan.c
@@ -27,10 +27,11 @@
 /* Reclaimable engines up to this price are cheap enough to stand ready before
  * anything is known. */
 static const double CHEAP_PRICE = 0.5;
-/* Kept engines stand in for reclaimable ones that are not to be had, as far as
- * they are needed now: they cost several times as much, so none is had for
- * what may come. */
-static const double KEPT_TIMES = 1.1;
+/* Kept engines stand in for reclaimable ones that are not to be had only up to
+ * such a part of what is needed now: they cost several times as much, and each
+ * engine that comes and goes takes prompt parts with it. With less than that
+ * most requests would be refused. */
+static const double KEPT_PART = 0.4;
 
 /* ---- how many ---- */
 
@@ -203,8 +204,8 @@
                       : b->most;
     }
     guint left = spread(cheap, places, room, count, ENGINES_RECLAIMABLE);
-    guint needed = (guint)ceil(p->needed * KEPT_TIMES);
-    guint lacking = needed - MIN(needed, total - left);
+    guint least = (guint)ceil(MIN(p->needed, total) * KEPT_PART);
+    guint lacking = least - MIN(least, total - left);
     for (guint i = 0; i < count; i++) {
         room[i] = b->most - places[i].wanted[ENGINES_RECLAIMABLE];
     }
