Directory: insert by hash; no engines ordered where the fleet is too large

Conclusion: an endpoint is put in its place by a binary search, and nothing is ordered beyond 200,000 engines times entry instances.

--- a/carobloomd/control/capacity_duty.c
+++ b/carobloomd/control/capacity_duty.c
@@ -28,6 +28,10 @@
     LACKING_US = 1500 * MS,
     /* This instance knows what stands only once some reports came. */
     KNOWN_REPORTS = 3 * SUPPLY_REPORTS,
+    /* Each engine that comes or goes is told to every entry instance: beyond
+     * so many engines times entry instances, an exchange of all of them fills
+     * the control instances' links and nothing is ordered. */
+    TELLINGS_MOST = 200000,
 };
 
 /* Fewer are ordered only when so much less is wanted: each move costs the
@@ -69,6 +73,7 @@
     gint64 stands_us; /* since when as many stand as now */
     guint standing;
     gboolean settled;
+    gboolean too_large; /* as was logged */
 };
 
 struct capacity_duty {
@@ -393,13 +398,30 @@
     return s->settled;
 }
 
+/* Whether the fleet is too large for engines to be exchanged. */
+static gboolean
+is_too_large(service_plan_t *s)
+{
+    guint64 tellings =
+        (guint64)s->standing * entries_fresh(s->duty->duties->control);
+    if (tellings > TELLINGS_MOST && !s->too_large &&
+        event_log_begin(EVENT_STATE, "engines_not_planned")) {
+        event_log_cstr("service", s->service);
+        event_log_number("engines", s->standing);
+        event_log_number("tellings", (gint64)tellings);
+        event_log_end();
+    }
+    s->too_large = tellings > TELLINGS_MOST;
+    return s->too_large;
+}
+
 static void
 service_step(service_plan_t *s, gint64 now)
 {
     service_demand_t demand =
         capacity_demand_of(s->duty->demand, s->service, now);
     supply_follow(s);
-    if (!is_settled(s, now)) {
+    if (!is_settled(s, now) || is_too_large(s)) {
         return;
     }
     capacity_plan_update(&s->plan, &s->bounds, &demand, s->slots, s->places,
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -184,12 +184,23 @@
     g_hash_table_replace(d->by_address, e->address, e);
 }
 
-static gint
-by_hash(gconstpointer a, gconstpointer b)
-{
-    const endpoint_t *x = *(endpoint_t *const *)a;
-    const endpoint_t *y = *(endpoint_t *const *)b;
-    return x->hash < y->hash ? -1 : x->hash > y->hash;
+/* Puts an endpoint in its place by hash. Thousands come at once where engines
+ * are exchanged: to sort the list for each takes seconds. */
+static void
+list_insert(GPtrArray *list, endpoint_t *e)
+{
+    guint from = 0;
+    guint to = list->len;
+    while (from < to) {
+        guint middle = from + (to - from) / 2;
+        if (((endpoint_t *)list->pdata[middle])->hash < e->hash) {
+            from = middle + 1;
+        }
+        else {
+            to = middle;
+        }
+    }
+    g_ptr_array_insert(list, (gint)from, e);
 }
 
 static endpoint_t *
@@ -206,8 +217,7 @@
         e->hash = hash_pair(e->hash, (guint64)e->started_ms);
     }
     g_hash_table_insert(d->by_id, e->id, e);
-    g_ptr_array_add(service_list(d, e->service), e);
-    g_ptr_array_sort(service_list(d, e->service), by_hash);
+    list_insert(service_list(d, e->service), e);
     take_address(d, e, now_us);
     return e;
 }
