Histories of the log: draw the duties' calls apart

Cause: the calls of whoever holds the duties were drawn from the history's own numbers, so that each seed from 1 to 10,000 played another history of the log than before duties were checked in it. Ruled out: leaving it, the checks being the same; a seed stays what it was. Conclusion: a generator of their own; every check as it was.

--- a/tests/test_voter.c
+++ b/tests/test_voter.c
@@ -97,6 +97,8 @@
 
 typedef struct {
     GRand *rand;
+    GRand *call_rand; /* of the duties alone: a seed's history of the log is
+                       * the same whatever calls are made */
     guint count;
     node_t nodes[NODES_MAX];
     packet_t flight[FLIGHT_MAX];
@@ -177,7 +179,7 @@
     duty_lease_update(&n->duties, n->view_leads, n->view_term,
                       n->read_until_us, now);
     if (w->calls_under_way >= CALLS_MAX ||
-        g_rand_int_range(w->rand, 0, 3) != 0) {
+        g_rand_int_range(w->call_rand, 0, 3) != 0) {
         return;
     }
     guint64 token = duty_lease_act(&n->duties, now);
@@ -185,8 +187,8 @@
         w->calls[w->calls_under_way++] = (duty_call_t){
             .token = token,
             .machine = machine_of(n),
-            .due = w->now +
-                   STEP_US * g_rand_int_range(w->rand, 0, CALL_STEPS + 1)};
+            .due = w->now + STEP_US * g_rand_int_range(w->call_rand, 0,
+                                                       CALL_STEPS + 1)};
     }
 }
 
@@ -687,6 +689,7 @@
 {
     *w = (world_t){.brisk = brisk,
                    .rand = g_rand_new_with_seed(seed),
+                   .call_rand = g_rand_new_with_seed(seed),
                    .count = seed % 2 ? 3 : 5,
                    .now = WORLD_START_US,
                    .next_id = 100,
@@ -781,6 +784,7 @@
     g_array_unref(w->chosen);
     g_hash_table_unref(w->leaders);
     g_rand_free(w->rand);
+    g_rand_free(w->call_rand);
 }
 
 /* What many histories came to. */
