Control: bodies and JSON written once, no copy of a place's name

Cause: five handlers read a posted body with the same two lines, two of them new with the duties; both duties wrote JSON with the same five; an order copied the name of the place that outlives it, and the duties kept a field nobody read. Ruled out: one reader for the wire's lists of records (usage_wire.c, crash_wire.c): alike in shape, with other types and bounds. Conclusion: posted_bytes and duties_json; behaviour as it was.

--- a/carobloomd/control/capacity_duty.c
+++ b/carobloomd/control/capacity_duty.c
@@ -1,5 +1,4 @@
 /* Engines: planned from what entry instances tell, and ordered. */
-#include <jansson.h>
 #include <string.h>
 
 #include "carobloom/common/clock.h"
@@ -42,7 +41,7 @@
 typedef struct service_plan service_plan_t;
 typedef struct {
     service_plan_t *service;
-    char *place;
+    const char *place; /* the place's own name */
     supply_kind_t kind;
     guint count;
 } order_t;
@@ -287,7 +286,6 @@
                     1);
         log_order(o, "engines_not_ordered", status);
     }
-    g_free(o->place);
     g_free(o);
 }
 
@@ -310,15 +308,12 @@
 {
     place_state_t *state = state_of(s, place->name);
     order_t *o = g_new0(order_t, 1);
-    *o = (order_t){.service = s,
-                   .place = g_strdup(place->name),
-                   .kind = kind,
-                   .count = count};
+    *o = (order_t){
+        .service = s, .place = place->name, .kind = kind, .count = count};
     state->asked_us[kind] = now;
     state->under_way[kind] = o;
     if (!duties_send(s->duty->duties, encode_order, o, on_ordered, o)) {
         state->under_way[kind] = NULL;
-        g_free(o->place);
         g_free(o);
     }
 }
@@ -533,9 +528,5 @@
     json_t *root = json_pack(
         "{s:b,s:s,s:o}", "held", c->duties->lease.token != 0, "leader",
         c->duties->control->view.leader, "services", services);
-    char *json = json_dumps(root, JSON_COMPACT);
-    char *text = g_strdup(json);
-    free(json);
-    json_decref(root);
-    return text;
+    return duties_json(root);
 }
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -49,6 +49,13 @@
                          str_from_cstr(text));
 }
 
+GBytes *
+posted_bytes(http_exchange_t *exchange)
+{
+    str_t body = http_exchange_body(exchange);
+    return g_bytes_new_static(body.data, body.length);
+}
+
 const kept_text_t *
 control_newest(const control_t *c)
 {
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -112,6 +112,9 @@
 /* Whether what is committed here is the newest there is, now. */
 gboolean control_may_read(const control_t *control);
 void answer_plain(http_exchange_t *exchange, guint status, const char *text);
+/* What an instance posted, as bytes that live as long as the exchange's body;
+ * to be unref'd. */
+GBytes *posted_bytes(http_exchange_t *exchange);
 
 /* operator_calls.c */
 void handle_config_put(control_t *control, http_exchange_t *exchange);
--- a/carobloomd/control/crash_reports.c
+++ b/carobloomd/control/crash_reports.c
@@ -77,8 +77,7 @@
 void
 handle_crashes(control_t *c, http_exchange_t *exchange)
 {
-    str_t body = http_exchange_body(exchange);
-    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    GBytes *bytes = posted_bytes(exchange);
     crash_report_t report;
     gint64 now = control_now(c);
     gboolean sound = crash_report_read(bytes, &report);
--- a/carobloomd/control/duties.c
+++ b/carobloomd/control/duties.c
@@ -117,8 +117,7 @@
 handle_clock(control_t *c, http_exchange_t *exchange)
 {
     clock_word_t word;
-    str_t body = http_exchange_body(exchange);
-    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    GBytes *bytes = posted_bytes(exchange);
     gboolean sound = clock_word_read(bytes, &word);
     g_bytes_unref(bytes);
     if (!sound) {
@@ -159,8 +158,7 @@
         return;
     }
     usage_report_t report;
-    str_t body = http_exchange_body(exchange);
-    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    GBytes *bytes = posted_bytes(exchange);
     gboolean sound = usage_report_read(bytes, &report);
     g_bytes_unref(bytes);
     if (!sound) {
@@ -216,6 +214,16 @@
     return sent;
 }
 
+char *
+duties_json(json_t *root)
+{
+    char *json = json_dumps(root, JSON_COMPACT);
+    char *text = g_strdup(json);
+    free(json);
+    json_decref(root);
+    return text;
+}
+
 /* ---- life ---- */
 
 static void
@@ -249,7 +257,6 @@
     }
     duties_t *d = g_new0(duties_t, 1);
     d->control = c;
-    d->set = set;
     d->calls = duty_calls_create(c->poller, c->timers, c->settings->platform,
                                  &d->lease);
     if (d->calls == NULL) {
--- a/carobloomd/control/duties.h
+++ b/carobloomd/control/duties.h
@@ -8,6 +8,8 @@
 #ifndef CAROBLOOMD_CONTROL_DUTIES_H
 #define CAROBLOOMD_CONTROL_DUTIES_H
 
+#include <jansson.h>
+
 #include "carobloom/gateway/usage_wire.h"
 #include "carobloom/policy/site_clock.h"
 #include "carobloom/policy/usage_book.h"
@@ -21,7 +23,6 @@
 /* What the duties share. */
 struct duties {
     control_t *control;
-    duty_set_t set;
     duty_lease_t lease;
     gboolean began;  /* the log said how this instance started */
     gint64 since_us; /* clock_boot_us at which the lease was last acquired */
@@ -44,6 +45,9 @@
 gboolean duties_send(duties_t *duties, duty_encode_t encode,
                      gconstpointer what, duty_answered_t answered, void *user);
 
+/* Takes over `root`; the text is freed with g_free. */
+char *duties_json(json_t *root);
+
 /* usage_duty.c */
 usage_duty_t *usage_duty_create(duties_t *duties);
 void usage_duty_destroy(usage_duty_t *duty);
--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -329,8 +329,7 @@
 void
 handle_sync(control_t *c, http_exchange_t *exchange)
 {
-    str_t body = http_exchange_body(exchange);
-    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    GBytes *bytes = posted_bytes(exchange);
     sync_request_t request;
     gboolean sound = sync_request_read(bytes, &request);
     g_bytes_unref(bytes);
--- a/carobloomd/control/load_exchange.c
+++ b/carobloomd/control/load_exchange.c
@@ -16,8 +16,7 @@
 static gboolean
 report_take(http_exchange_t *exchange, load_report_t *report)
 {
-    str_t body = http_exchange_body(exchange);
-    GBytes *bytes = g_bytes_new_static(body.data, body.length);
+    GBytes *bytes = posted_bytes(exchange);
     gboolean sound = load_report_read(bytes, report);
     g_bytes_unref(bytes);
     if (!sound) {
--- a/carobloomd/control/usage_duty.c
+++ b/carobloomd/control/usage_duty.c
@@ -1,6 +1,5 @@
 /* Usage windows: fixed in the log, then told to the platform until it has
  * them. */
-#include <jansson.h>
 
 #include "carobloom/common/clock.h"
 #include "carobloom/common/counters.h"
@@ -242,9 +241,5 @@
         json_pack("{s:b,s:f,s:s,s:o}", "held", u->duties->lease.token != 0,
                   "window_s", s->usage_window_s, "leader",
                   u->duties->control->view.leader, "windows", rows);
-    char *json = json_dumps(root, JSON_COMPACT);
-    char *text = g_strdup(json);
-    free(json);
-    json_decref(root);
-    return text;
+    return duties_json(root);
 }
