Usage: a run that the engine itself ends with an error is counted

Cause: requests with prompts were counted with their first event only, so that an engine's own 5xx was told as if nothing had run.

Ruled out: counts lost with killed processes (none is killed near that window, and the logs show each report taken); repeats counted once (windows with more of them were right).

What is marked as not run, or denied, is still not counted.

--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -198,6 +198,16 @@
     forward_repeat(f, TRUE, "refused by the endpoint");
 }
 
+/* Whether an answer that is no refusal says that the request ran: any from a
+ * plain service; of an engine a whole one, or its own failure. The runs of
+ * streams were noted with their first event. */
+static gboolean
+is_end_of_run(const forward_t *f)
+{
+    gboolean denied = f->status >= 400 && f->status < 500;
+    return f->info.prompt_tokens == 0 || (!f->streaming && !denied);
+}
+
 static void
 on_answer_done(client_call_t *call, void *user)
 {
@@ -208,7 +218,7 @@
         handle_not_run(f);
         return;
     }
-    if (f->info.prompt_tokens == 0) {
+    if (is_end_of_run(f)) {
         forward_note_begun(f);
     }
     if (f->streaming) {
--- a/tests/test_duty_calls.c
+++ b/tests/test_duty_calls.c
@@ -291,6 +291,11 @@
         {"/safe/1", "", 1},
         {"/none/1", "", 0},
         {"/once/1", "Fault: error\r\n", 1},
+        /* an engine's own failure, which ends a run, and a prompt answered
+         * whole */
+        {"/fragile/stream/1", "Token-Counts: 150\r\nFault: error\r\n", 1},
+        {"/safe/1", "Token-Counts: 150\r\n", 1},
+        {"/fragile/stream/1", "Token-Counts: 150\r\nFault: full\r\n", 0},
         {"/stream/1", "Fault: cut@endpoint-5.1\r\n", 1},
         {"/once/1", "Fault: reset\r\n", 1}, /* it ran, unheard */
         {"/once/1", "Fault: full\r\n", 0},
