Engines planned: a need beyond what is allowed is held no higher than that

Test: 45 s after a load of seven times what is allowed as many engines stand as after one that the most allowed would just serve (180 and not 97 before).

--- a/policy/capacity_plan.c
+++ b/policy/capacity_plan.c
@@ -79,17 +79,19 @@
     *p = (capacity_plan_t){.way = way};
 }
 
+/* `most`: the highest need that engines can be had for. One beyond it would be
+ * held long after it can change anything. */
 static void
-peak_update(capacity_plan_t *p, gint64 now_us)
+peak_update(capacity_plan_t *p, double most, gint64 now_us)
 {
     gint64 step_us = p->at_us != 0 ? now_us - p->at_us : 0;
-    if (p->needed >= p->peak) {
-        p->peak = p->needed;
+    double needed = MIN(p->needed, most);
+    if (needed >= p->peak) {
+        p->peak = needed;
         p->peak_us = now_us;
     }
     else if (now_us - p->peak_us > PEAK_HELD_US) {
-        p->peak =
-            MAX(p->needed, p->peak * exp2(-(double)step_us / PEAK_HELD_US));
+        p->peak = MAX(needed, p->peak * exp2(-(double)step_us / PEAK_HELD_US));
     }
     p->at_us = now_us;
 }
@@ -221,7 +223,7 @@
 {
     p->needed = p->way->needed(demand, slots);
     seen_update(p, demand, places, count, now_us);
-    peak_update(p, now_us);
+    peak_update(p, b->most * count / BURST_TIMES, now_us);
     qsort(places, count, sizeof(*places), by_price);
     p->total = total_of(p, b, places, count, now_us);
     for (guint i = 0; i < count; i++) {
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -215,6 +215,32 @@
     CU_ASSERT_EQUAL(least, most);
 }
 
+/* Callers that are turned away and come again ask for many times what is
+ * allowed. Once they are gone as few engines stand as after a load that the
+ * most allowed would just serve. */
+static void
+test_beyond_all(void)
+{
+    enum { LOW = 80, HIGH_S = 10, AFTER_S = 45 };
+    static const double HIGH[] = {1100, 7000};
+    guint total[G_N_ELEMENTS(HIGH)];
+    for (gsize i = 0; i < G_N_ELEMENTS(HIGH); i++) {
+        capacity_plan_t plan;
+        capacity_place_t places[PLACES];
+        places_init(places, 0);
+        capacity_plan_init(&plan, capacity_way_find("model"));
+        for (gint64 s = 0; s < HIGH_S + AFTER_S; s++) {
+            double running = s < HIGH_S ? HIGH[i] : LOW;
+            service_demand_t demand = demand_of(running, running / 2);
+            capacity_plan_update(&plan, &BOUNDS, &demand, SLOTS, places,
+                                 PLACES, s * SECOND);
+        }
+        total[i] = plan.total;
+    }
+    CU_ASSERT(total[0] < 100);
+    CU_ASSERT_EQUAL(total[1], total[0]);
+}
+
 /* A data centre has no reclaimable engines to give for a while: the others
  * have more, and kept ones stand in only for what finds no room there. */
 static void
@@ -616,6 +642,7 @@
     {"before anything is known", test_unknown},
     {"a new holder", test_new_holder},
     {"no swing", test_no_swing},
+    {"a load beyond all that is allowed", test_beyond_all},
     {"a data centre has none to give", test_lacking},
     {"one kind gives way to the other", test_exchange},
     {"loads played", test_played},
