Engines: what stands is taken as known after two intervals

Cause: engines that stood there at the start are paid at the full price until they are exchanged, and the first order came 5 s after the duties were held: leases come in one by one for longer than an interval, so that three intervals always ran out.

Ruled out: reports that are missing (all entry instances report by then).

--- a/carobloomd/control/capacity_duty.c
+++ b/carobloomd/control/capacity_duty.c
@@ -366,11 +366,12 @@
 
 /* Whether what stands is known: all endpoints have renewed their leases since
  * this instance or the whole site started, and no more were heard of; where
- * they come and go all the time, after three such intervals. */
+ * they come and go all the time, after two such intervals: what stands is paid
+ * for at the full price meanwhile. */
 static gboolean
 is_settled(service_plan_t *s, gint64 now)
 {
-    enum { INTERVALS_MOST = 3 };
+    enum { INTERVALS_MOST = 2 };
     const gateway_settings_t *settings = s->duty->duties->control->settings;
     gint64 interval_us = (gint64)(settings->heartbeat_ms * MS);
     guint standing = 0;
