Engines: while nobody asks, an eighth of the kept ones stays

Weighed: none at all for that time would save as much again, but leave callers that come early with nothing.

Amid demand nothing changes; the test says both.

--- a/policy/capacity_plan.c
+++ b/policy/capacity_plan.c
@@ -13,6 +13,9 @@
     UNKNOWN_US = 8 * G_USEC_PER_SEC,
     /* Of what a data centre may have, let go at once to make room. */
     CROWD_PARTS = 4,
+    /* And kept while nobody asks for anything, until reclaimable ones are up:
+     * a few, should somebody ask in that time. */
+    IDLE_PARTS = 8,
 };
 
 /* Engines read for such a part of their time at most: a prompt then waits for
@@ -234,14 +237,15 @@
 
 /* Kept engines where reclaimable ones need their room: once all that could be
  * ordered are up, as many are let go, or a part where there is no room yet.
- * While nobody asks for anything that part is enough meanwhile. */
+ * While nobody asks for anything a smaller part is enough meanwhile. */
 static guint
 kept_in_a_crowd(const capacity_place_t *p, guint most)
 {
     guint kept = p->ordered[ENGINES_KEPT];
     guint few = MAX(most / CROWD_PARTS, 1);
-    if (p->idle && kept > few) {
-        return few;
+    guint idle = MAX(most / IDLE_PARTS, 1);
+    if (p->idle && kept > idle) {
+        return idle;
     }
     guint ready = p->ready[ENGINES_RECLAIMABLE];
     guint room = most - MIN(kept, most);
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -320,6 +320,24 @@
     g_rand_free(random);
 }
 
+/* Before anybody asks, most kept engines make room at once; amid demand each
+ * goes only for one that is up. */
+static void
+test_exchange_while_idle(void)
+{
+    enum { MOST = 60, KEPT = 30 };
+    for (int idle = 0; idle < 2; idle++) {
+        capacity_place_t p = {.name = "a", .price = 1, .idle = idle};
+        p.ready[ENGINES_KEPT] = p.ordered[ENGINES_KEPT] = KEPT;
+        p.wanted[ENGINES_RECLAIMABLE] = MOST;
+        guint kept = capacity_next_order(&p, ENGINES_KEPT, MOST);
+        CU_ASSERT_EQUAL(kept, idle ? MOST / 8 : KEPT);
+        p.ordered[ENGINES_KEPT] = kept;
+        CU_ASSERT_EQUAL(capacity_next_order(&p, ENGINES_RECLAIMABLE, MOST),
+                        MOST - kept);
+    }
+}
+
 /* ---- a load, played ---- */
 
 /* Drafts in bursts of three times their number, within less time than an
@@ -645,6 +663,7 @@
     {"a load beyond all that is allowed", test_beyond_all},
     {"a data centre has none to give", test_lacking},
     {"one kind gives way to the other", test_exchange},
+    {"one kind gives way while nobody asks", test_exchange_while_idle},
     {"loads played", test_played},
 };
 
