--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -12,13 +12,12 @@
 #include <glib.h>
 
 #include "carobloom/common/str.h"
+#include "carobloom/policy/endpoint.h"
 #include "carobloom/policy/engine_split.h"
-#include "carobloom/policy/load_sum.h"
 #include "carobloom/policy/part_feed.h"
 
 enum {
     DIRECTORY_SOURCES_MAX = 32, /* control instances; bits of a word */
-    ENDPOINT_PARTS = 512,       /* prompt parts remembered an endpoint */
 };
 
 typedef enum {
@@ -47,49 +46,6 @@
 void endpoint_lease_clear(endpoint_lease_t *lease);
 void endpoint_lease_copy(endpoint_lease_t *to, const endpoint_lease_t *from);
 
-/* How a request at an endpoint went, for its health. */
-typedef enum {
-    ENDPOINT_SERVED,
-    ENDPOINT_ERRED,       /* its own 5xx */
-    ENDPOINT_FULL,        /* refused, not run */
-    ENDPOINT_BROKE,       /* reset, cut, no HTTP, or silent */
-    ENDPOINT_UNREACHABLE, /* no connection */
-    ENDPOINT_MISDIRECTED, /* another one has the address */
-} endpoint_outcome_t;
-
-/* One endpoint, with what this instance knows of its load and health. */
-typedef struct {
-    char *id;
-    char *service;
-    char *address;
-    char *data_centre;
-    guint slots;
-    gint64 started_ms; /* which start of it */
-    guint64 hash;      /* of the id and the start */
-    gboolean draining;
-    gboolean left;
-    gboolean reclaimable;
-    gint64 lends_until_us;   /* it drains; its memory is there until then */
-    guint32 heard_by;        /* sources that hear its renewals */
-    gint64 trusted_until_us; /* though no source hears it just now */
-    gint64 cold_until_us;
-    /* this instance's own requests there */
-    guint running;
-    guint32 waiting_tokens; /* that they wait for to be read */
-    guint32 prompt_tokens;  /* of all these requests' whole prompts */
-    guint long_running;     /* of them, those with long prompts */
-    guint32 long_waiting;
-    endpoint_load_t others; /* of the other entry instances, as last told */
-    /* health */
-    double failures;        /* decaying share of failed requests */
-    gint64 closed_until_us; /* gets nothing until then */
-    gint64 backoff_us;
-    gint64 full_until_us;
-    gint64 full_backoff_us;
-    guint64 parts[ENDPOINT_PARTS]; /* prompt parts sent there lately */
-    void *connections;             /* the owner's */
-} endpoint_t;
-
 /* What is known of one start of an endpoint. */
 typedef enum {
     START_KNOWN,
@@ -147,28 +103,5 @@
 guint directory_running(const directory_t *directory, const char *service);
 /* What takes work, by service and data centre: a new array. */
 GArray *directory_supplies(const directory_t *directory, gint64 now_us);
-/* Whether it may be sent new work at all. */
-gboolean endpoint_usable(const endpoint_t *endpoint, gint64 now_us);
-/* Whether it drains, but others can still fetch from its memory. */
-gboolean endpoint_lends(const endpoint_t *endpoint, gint64 now_us);
-/* Requests of all instances there, as far as told; prompt tokens that wait to
- * be read for them. */
-guint endpoint_running(const endpoint_t *endpoint);
-guint endpoint_waiting(const endpoint_t *endpoint);
-/* One of this instance's requests goes there, `waiting_tokens` of whose prompt
- * have to be read. */
-void endpoint_join(endpoint_t *endpoint, guint prompt_tokens,
-                   guint waiting_tokens);
-/* Its prompt is read. */
-void endpoint_end_wait(endpoint_t *endpoint, guint prompt_tokens,
-                       guint waiting_tokens);
-/* It is over there. */
-void endpoint_leave(endpoint_t *endpoint, guint prompt_tokens);
-/* Whether its health lets it take work just now. */
-gboolean endpoint_open(const endpoint_t *endpoint, gint64 now_us);
-void endpoint_note(endpoint_t *endpoint, endpoint_outcome_t outcome,
-                   gint64 now_us);
-void endpoint_note_part(endpoint_t *endpoint, guint64 part);
-gboolean endpoint_has_part(const endpoint_t *endpoint, guint64 part);
 
 #endif
--- /dev/null
+++ b/policy/endpoint.c
@@ -0,0 +1,138 @@
+#include "carobloom/policy/endpoint.h"
+
+#include "carobloom/policy/prompt_mix.h"
+
+enum {
+    SECOND_US = 1000 * 1000,
+    BACKOFF_FIRST_US = 300 * 1000,
+    BACKOFF_MOST_US = 4 * SECOND_US,
+    /* A refusal says that its queue is full; it drains a few requests in such
+     * a time. */
+    FULL_FIRST_US = 100 * 1000,
+    FULL_MOST_US = 3 * SECOND_US,
+    MISDIRECTED_US = 30 * SECOND_US,
+};
+
+/* The weight of the newest request in the share of failures: about the last
+ * twenty count. */
+static const double FAILURE_WEIGHT = 0.08;
+
+gboolean
+endpoint_usable(const endpoint_t *e, gint64 now_us)
+{
+    return !e->left && !e->draining &&
+           (e->heard_by != 0 || now_us < e->trusted_until_us);
+}
+
+gboolean
+endpoint_lends(const endpoint_t *e, gint64 now_us)
+{
+    return e->draining && !e->left && now_us < e->lends_until_us;
+}
+
+gboolean
+endpoint_open(const endpoint_t *e, gint64 now_us)
+{
+    return now_us >= e->closed_until_us && now_us >= e->full_until_us;
+}
+
+guint
+endpoint_running(const endpoint_t *e)
+{
+    return e->running + e->others.running;
+}
+
+guint
+endpoint_waiting(const endpoint_t *e)
+{
+    return e->waiting_tokens + e->others.waiting_tokens;
+}
+
+void
+endpoint_join(endpoint_t *e, guint prompt_tokens, guint waiting_tokens)
+{
+    e->running++;
+    e->prompt_tokens += prompt_tokens;
+    e->waiting_tokens += waiting_tokens;
+    if (prompt_is_long(prompt_tokens)) {
+        e->long_running++;
+        e->long_waiting += waiting_tokens;
+    }
+}
+
+void
+endpoint_end_wait(endpoint_t *e, guint prompt_tokens, guint waiting_tokens)
+{
+    e->waiting_tokens -= MIN(e->waiting_tokens, waiting_tokens);
+    if (prompt_is_long(prompt_tokens)) {
+        e->long_waiting -= MIN(e->long_waiting, waiting_tokens);
+    }
+}
+
+void
+endpoint_leave(endpoint_t *e, guint prompt_tokens)
+{
+    e->running--;
+    e->prompt_tokens -= prompt_tokens;
+    e->long_running -= prompt_is_long(prompt_tokens);
+}
+
+/* Twice as long for each failure in a row. */
+static void
+endpoint_close(endpoint_t *e, gint64 now_us)
+{
+    if (now_us < e->closed_until_us) {
+        return;
+    }
+    e->backoff_us = e->backoff_us == 0
+                        ? BACKOFF_FIRST_US
+                        : MIN(e->backoff_us * 2, BACKOFF_MOST_US);
+    e->closed_until_us = now_us + e->backoff_us;
+}
+
+void
+endpoint_note(endpoint_t *e, endpoint_outcome_t outcome, gint64 now_us)
+{
+    gboolean failed = outcome == ENDPOINT_BROKE || outcome == ENDPOINT_ERRED ||
+                      outcome == ENDPOINT_UNREACHABLE;
+    if (outcome != ENDPOINT_FULL && outcome != ENDPOINT_MISDIRECTED) {
+        e->failures += FAILURE_WEIGHT * ((failed ? 1.0 : 0.0) - e->failures);
+    }
+    switch (outcome) {
+    case ENDPOINT_SERVED:
+        e->backoff_us = 0;
+        e->full_backoff_us = 0;
+        break;
+    case ENDPOINT_FULL:
+        /* One that refuses all looks idle: it must not draw all requests. */
+        e->full_backoff_us =
+            CLAMP(e->full_backoff_us * 2, FULL_FIRST_US, FULL_MOST_US);
+        e->full_until_us = now_us + e->full_backoff_us;
+        break;
+    case ENDPOINT_MISDIRECTED:
+        e->closed_until_us = now_us + MISDIRECTED_US;
+        break;
+    case ENDPOINT_UNREACHABLE:
+        endpoint_close(e, now_us);
+        break;
+    case ENDPOINT_BROKE:
+        if (e->failures > 0.3) {
+            endpoint_close(e, now_us);
+        }
+        break;
+    case ENDPOINT_ERRED:
+        break;
+    }
+}
+
+void
+endpoint_note_part(endpoint_t *e, guint64 part)
+{
+    e->parts[part % ENDPOINT_PARTS] = part;
+}
+
+gboolean
+endpoint_has_part(const endpoint_t *e, guint64 part)
+{
+    return e->parts[part % ENDPOINT_PARTS] == part;
+}
