Usage: a window waits for entry instances that fell silent in it

Cause: a window was fixed 1.5 s after its end, whoever had told by then. An entry instance that is cut off from control serves for some seconds and tells of it when it is back; by then the window was fixed without.

Now it is fixed as late as it can be told in time, 2.5 s before it is due, while an instance that told something in this window or the one before told nothing since its end.

--- a/carobloomd/control/usage_duty.c
+++ b/carobloomd/control/usage_duty.c
@@ -70,6 +70,7 @@
 void
 usage_duty_report(usage_duty_t *u, const usage_report_t *report)
 {
+    usage_book_heard(u->book, report->incarnation, duties_wall_us(u->duties));
     for (guint i = 0; i < report->windows->len; i++) {
         const usage_window_t *w = report->windows->pdata[i];
         if (w->window > usage_duty_fixed_through(u)) {
--- a/include/carobloom/policy/usage_book.h
+++ b/include/carobloom/policy/usage_book.h
@@ -22,6 +22,10 @@
 void usage_book_destroy(usage_book_t *book);
 /* This instance came to lead at `wall_us`: what was told before is dropped. */
 void usage_book_begin(usage_book_t *book, gint64 wall_us);
+/* One start of an entry instance reported at `wall_us`, with or without
+ * counts. A window waits for those that fell silent in it, as long as it can.
+ */
+void usage_book_heard(usage_book_t *book, guint64 incarnation, gint64 wall_us);
 /* A report of one start of an entry instance, all it counted of a window. */
 void usage_book_report(usage_book_t *book, guint64 incarnation,
                        const usage_window_t *window);
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -223,6 +223,48 @@
     }
 }
 
+/* An entry instance that fell silent is waited for as long as there is time:
+ * it served its callers and tells of them when it is back. One that has been
+ * silent for longer, or told after the window's end, is not. */
+static void
+test_window_waits(void)
+{
+    static const struct {
+        gint64 heard_ms; /* its last report, against the window's end */
+        gint64 back_ms;  /* the next one; 0: none */
+        gint64 fixed_ms;
+    } CASES[] = {
+        {-250, 0, 7500},   {-250, 4000, 4000}, {-6000, 4000, 4000},
+        {-9900, 0, 7500},  {-10100, 0, 1500},  {0, 0, 1500},
+        {-250, 500, 1500}, {-250, 8000, 7500},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
+        usage_book_t *book = usage_book_create();
+        gint64 end = 101 * TIMES.window_us;
+        gint64 fixed = -1;
+        usage_book_begin(book, 0);
+        report(book, 1, 100, "t", 7);
+        usage_book_heard(book, 1, end + CASES[i].heard_ms * MS);
+        for (gint64 ms = 0; ms < 10000 && fixed < 0; ms += 100) {
+            if (ms == CASES[i].back_ms && ms != 0) {
+                report(book, 1, 100, "t", 9);
+                usage_book_heard(book, 1, end + ms * MS);
+            }
+            usage_window_t *w =
+                usage_book_due(book, &TIMES, 99, end + ms * MS);
+            if (w != NULL) {
+                gboolean back =
+                    CASES[i].back_ms != 0 && CASES[i].back_ms <= ms;
+                CU_ASSERT_EQUAL(count_of(w, "t"), back ? 9 : 7);
+                fixed = ms;
+                usage_window_free(w);
+            }
+        }
+        CU_ASSERT_EQUAL(fixed, CASES[i].fixed_ms);
+        usage_book_destroy(book);
+    }
+}
+
 /* A window without a request is told too; after an outage longer than what is
  * kept, those that nobody can know of are passed over. */
 static void
@@ -463,6 +505,7 @@
     {"a silent clock is forgotten", test_clock_forgets},
     {"reports count once", test_reports_count_once},
     {"windows are fixed in time", test_windows_fixed_in_time},
+    {"windows wait for who fell silent", test_window_waits},
     {"windows in a row", test_windows_in_a_row},
     {"figures never change", test_figures_never_change},
     {"the log, old and new", test_log_state},
