--- a/carobloomd/gateway/load_wire.c
+++ b/carobloomd/gateway/load_wire.c
@@ -61,20 +61,31 @@
                                    records);
 }
 
-/* NULL when it is no list of records. */
+/* The bytes of a list of records of `size` each, and how many; FALSE when it
+ * is none, or too long. */
+static gboolean
+records_of(GVariant *list, gsize size, gsize most, const guint8 **data,
+           gsize *count)
+{
+    gsize length;
+    *data = g_variant_get_fixed_array(list, &length, 1);
+    *count = length / size;
+    return length % size == 0 && *count <= most;
+}
+
+/* NULL when it is no list of loads. */
 static GArray *
 loads_take(GVariant *list)
 {
-    gsize length;
-    const guint8 *data = g_variant_get_fixed_array(list, &length, 1);
-    gsize count = length / sizeof(load_record_t);
+    const guint8 *data;
+    gsize count;
     GArray *loads = NULL;
-    if (length % sizeof(load_record_t) == 0 && count <= LOAD_ENDPOINTS_MAX) {
+    load_record_t record;
+    if (records_of(list, sizeof(record), LOAD_ENDPOINTS_MAX, &data, &count)) {
         loads = g_array_sized_new(FALSE, FALSE, sizeof(endpoint_load_t),
                                   (guint)count);
     }
     for (gsize i = 0; loads != NULL && i < count; i++) {
-        load_record_t record;
         memcpy(&record, data + i * sizeof(record), sizeof(record));
         endpoint_load_t load = load_unpack(&record);
         g_array_append_val(loads, load);
@@ -102,16 +113,15 @@
 static GArray *
 parts_take(GVariant *list)
 {
-    gsize length;
-    const guint8 *data = g_variant_get_fixed_array(list, &length, 1);
-    gsize count = length / sizeof(part_note_t);
+    const guint8 *data;
+    gsize count;
     GArray *parts = NULL;
-    if (length % sizeof(part_note_t) == 0 && count <= PART_FEED_MAX) {
+    guint64 words[2]; /* a part and an endpoint */
+    if (records_of(list, sizeof(words), PART_FEED_MAX, &data, &count)) {
         parts =
             g_array_sized_new(FALSE, FALSE, sizeof(part_note_t), (guint)count);
     }
     for (gsize i = 0; parts != NULL && i < count; i++) {
-        guint64 words[2];
         memcpy(words, data + i * sizeof(words), sizeof(words));
         part_note_t note = {.part = GUINT64_FROM_LE(words[0]),
                             .endpoint = GUINT64_FROM_LE(words[1])};
