--- a/include/carobloom/gateway/load_wire.h
+++ b/include/carobloom/gateway/load_wire.h
@@ -25,8 +25,7 @@
     char *from;    /* name of the instance; IP:PORT of a control instance */
     GArray *loads; /* endpoint_load_t */
     GArray *parts; /* part_note_t, since the last report */
-    guint64
-        heard; /* notes of the feed that were told before; see part_feed.h */
+    guint64 heard; /* how many notes it was told; see part_feed.h */
 } load_report_t;
 
 typedef struct {
--- a/include/carobloom/policy/keepers.h
+++ b/include/carobloom/policy/keepers.h
@@ -10,7 +10,7 @@
 #include "carobloom/policy/directory.h"
 
 enum {
-    KEEPERS_HOLDERS = 2, /* one of them may be the one that asks */
+    KEEPERS_HOLDERS = 2, /* the one that asks may be among them */
     KEEPERS_MAX = 2,     /* of the ranked ones, those that keep the part */
     KEEPERS_RANKED = 6,  /* four more: a choice among few evens out loads */
 };
