Soak: with duties, and a platform that is slow, silent, refuses or is busy

The soak can now start the stand-in of the platform beside the others, reach it through the proxy, and let it misbehave; whatever it forbids (two holders, a lower token, other figures of a window) breaks the run, as does a run in which no usage came through.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -245,7 +245,7 @@
 static void
 start_platform(fleet_t *f, fleet_process_t *p)
 {
-    char *listen = g_strdup_printf("%s:%d", p->ip, FLEET_PLATFORM_PORT);
+    char *listen = g_strdup_printf("%s:%d", p->bind, FLEET_PLATFORM_PORT);
     char *apart = g_strdup_printf("%d", FLEET_LEASE_MS);
     char *mode = mode_path(f);
     const char *argv[] = {PLATFORM, "--listen", listen,  "--apart-ms", apart,
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -62,7 +62,10 @@
 echo "== soak"
 while read -r seed seconds cause; do
     case $seed in '#'*|'') continue ;; esac
-    if build/tests/soak --seed "$seed" --seconds "$seconds" >soak.log 2>&1
+    duties=
+    case $cause in duties:*) duties=--duties ;; esac
+    if build/tests/soak --seed "$seed" --seconds "$seconds" $duties \
+        >soak.log 2>&1
     then
         passed=$((passed + 1))
     elif grep -qF "soak: seed $seed:" KNOWN-RED.txt 2>/dev/null; then
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -206,15 +206,18 @@
     int at_ms;
     fleet_process_t *process; /* to start, or to continue */
     gboolean stopped;
-    proxy_t *proxy; /* to pass again */
-    gboolean disk;  /* of the process: sound again */
+    gboolean platform; /* answers as it should again */
+    proxy_t *proxy;    /* to pass again */
+    gboolean disk;     /* of the process: sound again */
 } undo_t;
 
+/* Any but the platform, which is added last: what it has seen is what duties
+ * are judged by. */
 static fleet_process_t *
 any_process(soak_t *s)
 {
-    return &s->fleet->processes[g_rand_int_range(s->random, 0,
-                                                 (gint)s->fleet->count)];
+    gint count = (gint)s->fleet->count - (s->fleet->platform != NULL);
+    return &s->fleet->processes[g_rand_int_range(s->random, 0, count)];
 }
 
 static void
@@ -335,11 +338,25 @@
     return (undo_t){0};
 }
 
+/* The platform takes no calls, or takes them late. */
+static undo_t
+fault_platform(soak_t *s)
+{
+    static const char *const MODES[] = {"slow", "silent", "refuse", "busy"};
+    const char *mode =
+        MODES[g_rand_int_range(s->random, 0, (gint)G_N_ELEMENTS(MODES))];
+    int down = g_rand_int_range(s->random, 300, 4000);
+    say(s, "platform", mode);
+    fleet_platform_mode(s->fleet, mode);
+    return (undo_t){.at_ms = since_ms(s) + down, .platform = TRUE};
+}
+
 typedef undo_t (*fault_fn_t)(soak_t *s);
 
-static const fault_fn_t FAULTS[] = {fault_kill, fault_kill, fault_stop,
-                                    fault_term, fault_link, fault_link,
-                                    fault_link, fault_disk, fault_suspended};
+static const fault_fn_t FAULTS[] = {fault_kill,    fault_kill, fault_stop,
+                                    fault_term,    fault_link, fault_link,
+                                    fault_link,    fault_disk, fault_suspended,
+                                    fault_platform}; /* with duties alone */
 
 static void
 undo_one(soak_t *s, const undo_t *undo)
@@ -348,6 +365,10 @@
         proxy_set(undo->proxy, PROXY_PASS);
         return;
     }
+    if (undo->platform) {
+        fleet_platform_mode(s->fleet, "ok");
+        return;
+    }
     if (undo->disk) {
         undo->process->sync_us = 0;
         fleet_set_faults(undo->process);
@@ -412,8 +433,9 @@
         undo_due(s, undos, FALSE);
         tend_endpoints(s);
         if (since_ms(s) >= next) {
-            fault_fn_t fault = FAULTS[g_rand_int_range(
-                s->random, 0, (gint)G_N_ELEMENTS(FAULTS))];
+            gint kinds =
+                (gint)G_N_ELEMENTS(FAULTS) - (s->fleet->platform == NULL);
+            fault_fn_t fault = FAULTS[g_rand_int_range(s->random, 0, kinds)];
             undo_t undo = fault(s);
             if (undo.at_ms > 0) {
                 g_array_append_val(undos, undo);
@@ -541,6 +563,27 @@
     }
 }
 
+/* The platform was never called by two holders at once, nor told two figures
+ * of a window; and usage came through. */
+static void
+check_duties(soak_t *s)
+{
+    if (s->fleet->platform == NULL) {
+        return;
+    }
+    char *text = fleet_platform_log(s->fleet);
+    const char *at = strstr(text, "BROKEN");
+    if (at != NULL) {
+        char *line = g_strndup(at, strcspn(at, "\n"));
+        broke(s, "duties have one holder", line);
+        g_free(line);
+    }
+    if (strstr(text, "usage ") == NULL) {
+        broke(s, "usage is told", "none was");
+    }
+    g_free(text);
+}
+
 /* ---- life ---- */
 
 static void
@@ -550,6 +593,7 @@
         [FLEET_CONTROL] = {FLEET_CONTROL_PORT, FLEET_PEERS_PORT},
         [FLEET_ENTRY] = {FLEET_CALLERS_PORT, FLEET_PROBE_PORT},
         [FLEET_ENDPOINT] = {FLEET_ENDPOINT_PORT, 0},
+        [FLEET_PLATFORM] = {FLEET_PLATFORM_PORT, 0},
     };
     for (guint i = 0; i < s->fleet->count; i++) {
         const fleet_process_t *p = &s->fleet->processes[i];
@@ -576,7 +620,7 @@
 
 static int
 soak_run(guint32 seed, int seconds, guint controls, guint entries,
-         guint endpoints, guint clients)
+         guint endpoints, guint clients, gboolean duties)
 {
     soak_t s = {.seed = seed, .random = g_rand_new_with_seed(seed)};
     client_t all[CLIENTS_MAX];
@@ -584,6 +628,9 @@
     s.told = g_ptr_array_new_with_free_func(told_free);
     proxies_start();
     s.fleet = fleet_create_proxied(controls, entries, endpoints);
+    if (duties) {
+        fleet_add_platform(s.fleet);
+    }
     make_proxies(&s);
     s.started_us = g_get_monotonic_time();
     if (!fleet_up(s.fleet, 1)) {
@@ -613,6 +660,7 @@
     g_thread_join(operator);
     g_thread_join(crasher);
     check_runs(&s);
+    check_duties(&s);
     if (s.served * 100 < s.asked * SERVED_LEAST) {
         broke(&s, "serves on", "too few were served");
     }
@@ -637,9 +685,11 @@
     struct arg_int *entries = arg_int0(NULL, "entries", "N", "(3)");
     struct arg_int *endpoints = arg_int0(NULL, "endpoints", "N", "(4)");
     struct arg_int *clients = arg_int0(NULL, "clients", "N", "(8)");
+    struct arg_lit *duties =
+        arg_lit0(NULL, "duties", "the platform asks for duties");
     struct arg_end *end = arg_end(10);
-    void *table[] = {seed,    count,     seconds, controls,
-                     entries, endpoints, clients, end};
+    void *table[] = {seed,      count,   seconds, controls, entries,
+                     endpoints, clients, duties,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -654,7 +704,8 @@
                            (guint)CLAMP(OR(controls, 3), 1, 9),
                            (guint)CLAMP(OR(entries, 3), 1, 24),
                            (guint)CLAMP(OR(endpoints, 4), 1, 24),
-                           (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX));
+                           (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX),
+                           duties->count > 0);
     }
 #undef OR
     arg_freetable(table, G_N_ELEMENTS(table));
