Endpoints: prompt parts take memory as they are sent, bounded for all

Cause: an endpoint at an entry instance held 512 places of 8 bytes for prompt parts whether one was ever sent there or not, 4.1 KB of 4.6 KB.

Ruled out: one bounded table for the whole instance. With 245 endpoints and fewer it would forget parts that are known now.

Now: the places of an endpoint grow from none while parts fall on each other, to 512 where there are up to 256 endpoints (as before), to fewer the more there are: 128 K places in all.

--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -195,7 +195,8 @@
     f->use->read_tokens += f->waiting_tokens;
     tell_part(f, endpoint, request);
     for (guint i = 0; i < request->part_count; i++) {
-        endpoint_note_part(endpoint, request->parts[i].id);
+        directory_note_part(f->entry->directory, endpoint,
+                            request->parts[i].id);
     }
 }
 
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -93,6 +93,10 @@
  * this one. */
 void directory_take_loads(directory_t *directory, const GArray *sums,
                           const GArray *own);
+/* An endpoint is sent a prompt with this part. What is remembered of all
+ * endpoints is bounded: of each the less the more there are. */
+void directory_note_part(directory_t *directory, endpoint_t *endpoint,
+                         guint64 part);
 /* Takes what entry instances say of parts that they sent; part_note_t. */
 void directory_take_parts(directory_t *directory, const GArray *notes);
 /* Requests of all instances at a service's endpoints, by kind; objectives and
--- a/include/carobloom/policy/endpoint.h
+++ b/include/carobloom/policy/endpoint.h
@@ -4,8 +4,7 @@
 #define CAROBLOOM_POLICY_ENDPOINT_H
 
 #include "carobloom/policy/load_sum.h"
-
-enum { ENDPOINT_PARTS = 512 }; /* prompt parts remembered an endpoint */
+#include "carobloom/policy/part_set.h"
 
 /* How a request at an endpoint went, for its health. */
 typedef enum {
@@ -20,9 +19,9 @@
 /* One endpoint, with what this instance knows of its load and health. */
 typedef struct {
     char *id;
-    char *service;
+    GRefString *service; /* one copy for all that have it */
     char *address;
-    char *data_centre;
+    GRefString *data_centre;
     guint slots;
     gint64 started_ms; /* which start of it */
     guint64 hash;      /* of the id and the start */
@@ -46,8 +45,8 @@
     gint64 backoff_us;
     gint64 full_until_us;
     gint64 full_backoff_us;
-    guint64 parts[ENDPOINT_PARTS]; /* prompt parts sent there lately */
-    void *connections;             /* the owner's */
+    part_set_t parts;  /* of prompts sent there lately */
+    void *connections; /* the owner's */
 } endpoint_t;
 
 /* Whether it may be sent new work at all. */
@@ -71,7 +70,6 @@
 gboolean endpoint_open(const endpoint_t *endpoint, gint64 now_us);
 void endpoint_note(endpoint_t *endpoint, endpoint_outcome_t outcome,
                    gint64 now_us);
-void endpoint_note_part(endpoint_t *endpoint, guint64 part);
 gboolean endpoint_has_part(const endpoint_t *endpoint, guint64 part);
 
 #endif
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -16,6 +16,10 @@
     /* Its word may be half a second old, and what is fetched takes a few
      * milliseconds. */
     LEND_MARGIN_US = 500 * 1000,
+    /* Prompt parts that are remembered of one endpoint, and of all: 1 MB. */
+    PARTS_MOST = 512,
+    PARTS_LEAST = 8,
+    PARTS_OF_ALL = 128 * 1024,
 };
 
 struct directory {
@@ -60,9 +64,10 @@
         d->drop(e->connections);
     }
     g_free(e->id);
-    g_free(e->service);
+    g_ref_string_release(e->service);
     g_free(e->address);
-    g_free(e->data_centre);
+    g_ref_string_release(e->data_centre);
+    part_set_clear(&e->parts);
     g_free(e);
 }
 
@@ -212,9 +217,10 @@
 {
     endpoint_t *e = g_new0(endpoint_t, 1);
     e->id = g_strdup(lease->id);
-    e->service = g_strdup(lease->service);
+    e->service = g_ref_string_new_intern(lease->service);
     e->address = g_strdup(lease->address);
-    e->data_centre = g_strdup(lease->data_centre);
+    e->data_centre = g_ref_string_new_intern(
+        lease->data_centre != NULL ? lease->data_centre : "");
     e->started_ms = lease->started_ms;
     e->hash = hash_text(str_from_cstr(lease->id));
     if (e->started_ms != 0) {
@@ -438,6 +444,24 @@
     g_hash_table_unref(mine);
 }
 
+/* A power of two. */
+static guint
+parts_most(const directory_t *d)
+{
+    guint share = PARTS_OF_ALL / MAX(directory_count(d), 1);
+    guint most = PARTS_MOST;
+    while (most > PARTS_LEAST && most > share) {
+        most /= 2;
+    }
+    return most;
+}
+
+void
+directory_note_part(directory_t *d, endpoint_t *e, guint64 part)
+{
+    part_set_add(&e->parts, part, parts_most(d));
+}
+
 void
 directory_take_parts(directory_t *d, const GArray *notes)
 {
@@ -449,7 +473,7 @@
             const part_note_t *note = &g_array_index(notes, part_note_t, i);
             endpoint_t *e = list_find(list, note->endpoint);
             if (e != NULL) {
-                endpoint_note_part(e, note->part);
+                directory_note_part(d, e, note->part);
             }
         }
     }
--- a/policy/endpoint.c
+++ b/policy/endpoint.c
@@ -125,14 +125,8 @@
     }
 }
 
-void
-endpoint_note_part(endpoint_t *e, guint64 part)
-{
-    e->parts[part % ENDPOINT_PARTS] = part;
-}
-
 gboolean
 endpoint_has_part(const endpoint_t *e, guint64 part)
 {
-    return e->parts[part % ENDPOINT_PARTS] == part;
+    return part_set_has(&e->parts, part);
 }
--- a/tests/test_endpoints.c
+++ b/tests/test_endpoints.c
@@ -439,7 +439,7 @@
     second.address = "10.0.0.2:80";
     directory_update(d, 0, &first, SECOND);
     endpoint_t *before = directory_find(d, "e");
-    endpoint_note_part(before, 77);
+    directory_note_part(d, before, 77);
     endpoint_note(before, ENDPOINT_UNREACHABLE, SECOND);
     endpoint_join(before, 5000, 5000);
     directory_update(d, 1, &second, SECOND);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -471,7 +471,7 @@
         c.shared = part;
         c.long_part = 0.9;
         endpoint_t *before = place_of(d, c).endpoint;
-        endpoint_note_part(before, part);
+        directory_note_part(d, before, part);
         c.long_part = 0.3;
         placement_t after = place_of(d, c);
         if (after.endpoint != before) {
--- a/tests/test_placement_load.c
+++ b/tests/test_placement_load.c
@@ -233,7 +233,7 @@
     part_note_t note = {.part = part, .endpoint = e->hash};
     if (part != 0 && !endpoint_has_part(e, part)) {
         g_array_append_val(p->sent[n], note);
-        endpoint_note_part(e, part);
+        directory_note_part(p->seen[n], e, part);
     }
 }
 
