Loads: taken at the cost of the busy endpoints, not of all

Now: the directory keeps which endpoints have own requests and which it was told of; usable endpoints of a service are counted for 50 us a piece at most (each report as before up to 2,000 endpoints, each half second at 10,000).

tests/test_costs.c: endpoints looked at in 20 reports, 300 of them busy: at 10,000 at most twice as many as at 1,000 (before: 3 walks over all, ten times).

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -136,7 +136,7 @@
     if (f->endpoint == NULL) {
         return;
     }
-    endpoint_leave(f->endpoint, f->info.prompt_tokens);
+    directory_leave(f->entry->directory, f->endpoint, f->info.prompt_tokens);
     forward_end_wait(f);
     f->call = NULL;
     f->endpoint = NULL;
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -191,7 +191,8 @@
     f->found_running = endpoint_running(endpoint);
     f->found_waiting = endpoint_waiting(endpoint);
     f->waiting_tokens = placement->read_tokens;
-    endpoint_join(endpoint, f->info.prompt_tokens, f->waiting_tokens);
+    directory_join(f->entry->directory, endpoint, f->info.prompt_tokens,
+                   f->waiting_tokens);
     f->use->read_tokens += f->waiting_tokens;
     tell_part(f, endpoint, request);
     for (guint i = 0; i < request->part_count; i++) {
--- a/include/carobloom/policy/directory.h
+++ b/include/carobloom/policy/directory.h
@@ -87,10 +87,18 @@
                                     const char *id, gint64 started_ms,
                                     const char *address);
 guint directory_count(const directory_t *directory);
+/* Endpoints looked at so far for the loads: what they cost this instance. */
+guint64 directory_visits(const directory_t *directory);
+/* A request of this instance goes to an endpoint, and is over there; see
+ * endpoint_join and endpoint_leave. */
+void directory_join(directory_t *directory, endpoint_t *endpoint,
+                    guint prompt_tokens, guint waiting_tokens);
+void directory_leave(directory_t *directory, endpoint_t *endpoint,
+                     guint prompt_tokens);
 /* Requests under way here: a new array of endpoint_load_t. */
-GArray *directory_loads(const directory_t *directory);
+GArray *directory_loads(directory_t *directory);
 /* Takes the sums over all entry instances, of which `own` were reported by
- * this one. */
+ * this one. An endpoint that is not among them has none of the others. */
 void directory_take_loads(directory_t *directory, const GArray *sums,
                           const GArray *own);
 /* An endpoint is sent a prompt with this part. What is remembered of all
@@ -101,8 +109,8 @@
 void directory_take_parts(directory_t *directory, const GArray *notes);
 /* Requests of all instances at a service's endpoints, by kind; objectives and
  * speed are the caller's to fill in. */
-split_demand_t directory_demand(const directory_t *directory,
-                                const char *service, gint64 now_us);
+split_demand_t directory_demand(directory_t *directory, const char *service,
+                                gint64 now_us);
 /* This instance's requests at a service's endpoints. */
 guint directory_running(const directory_t *directory, const char *service);
 /* What takes work, by service and data centre: a new array. */
--- a/include/carobloom/policy/endpoint.h
+++ b/include/carobloom/policy/endpoint.h
@@ -39,6 +39,7 @@
     guint long_running;     /* of them, those with long prompts */
     guint32 long_waiting;
     endpoint_load_t others; /* of the other entry instances, as last told */
+    gboolean told;          /* they were told of */
     /* health */
     double failures;        /* decaying share of failed requests */
     gint64 closed_until_us; /* gets nothing until then */
--- a/policy/directory.c
+++ b/policy/directory.c
@@ -20,14 +20,29 @@
     PARTS_MOST = 512,
     PARTS_LEAST = 8,
     PARTS_OF_ALL = 128 * 1024,
+    /* Between two counts of a service's usable endpoints, for each of them: so
+     * much of the time goes into it, whatever their number. */
+    COUNT_US_AN_ENDPOINT = 50,
 };
 
+/* The endpoints of one service. */
+typedef struct {
+    GPtrArray *list; /* endpoint_t *, by hash */
+    /* as last counted */
+    guint usable;
+    guint slots;
+    gint64 counted_us; /* 0: never */
+} service_list_t;
+
 struct directory {
     GHashTable *by_id;      /* endpoint_t, owned */
     GHashTable *by_address; /* the newest endpoint of an address */
-    GHashTable *by_service; /* name -> GPtrArray */
+    GHashTable *by_service; /* name -> service_list_t */
+    GHashTable *busy;       /* set of endpoint_t with own requests */
+    GPtrArray *told;        /* endpoint_t that have requests of others */
     GHashTable *left;       /* id -> departure_t */
-    GPtrArray *replaced;    /* endpoint_t, owned: starts before the known */
+    GPtrArray *gone;        /* endpoint_t that left or started again */
+    guint64 visits;         /* endpoints looked at */
     void (*drop)(void *connections);
 };
 
@@ -71,6 +86,14 @@
     g_free(e);
 }
 
+static void
+service_list_free(gpointer data)
+{
+    service_list_t *service = data;
+    g_ptr_array_unref(service->list);
+    g_free(service);
+}
+
 directory_t *
 directory_create(void (*drop)(void *connections))
 {
@@ -78,9 +101,11 @@
     d->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     d->by_address = g_hash_table_new(g_str_hash, g_str_equal);
     d->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                          (GDestroyNotify)g_ptr_array_unref);
+                                          service_list_free);
+    d->busy = g_hash_table_new(NULL, NULL);
+    d->told = g_ptr_array_new();
     d->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    d->replaced = g_ptr_array_new();
+    d->gone = g_ptr_array_new();
     d->drop = drop;
     return d;
 }
@@ -88,32 +113,38 @@
 void
 directory_destroy(directory_t *d)
 {
+    for (guint i = 0; i < d->gone->len; i++) {
+        endpoint_t *e = d->gone->pdata[i];
+        if (g_hash_table_lookup(d->by_id, e->id) != e) {
+            endpoint_free(d, e);
+        }
+    }
+    g_ptr_array_unref(d->gone);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, d->by_id);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         endpoint_free(d, value);
     }
-    for (guint i = 0; i < d->replaced->len; i++) {
-        endpoint_free(d, d->replaced->pdata[i]);
-    }
-    g_ptr_array_unref(d->replaced);
     g_hash_table_unref(d->by_id);
     g_hash_table_unref(d->by_address);
     g_hash_table_unref(d->by_service);
+    g_hash_table_unref(d->busy);
+    g_ptr_array_unref(d->told);
     g_hash_table_unref(d->left);
     g_free(d);
 }
 
 static GPtrArray *
-service_list(directory_t *d, const char *service)
+service_list(directory_t *d, const char *name)
 {
-    GPtrArray *list = g_hash_table_lookup(d->by_service, service);
-    if (list == NULL) {
-        list = g_ptr_array_new();
-        g_hash_table_insert(d->by_service, g_strdup(service), list);
+    service_list_t *service = g_hash_table_lookup(d->by_service, name);
+    if (service == NULL) {
+        service = g_new0(service_list_t, 1);
+        service->list = g_ptr_array_new();
+        g_hash_table_insert(d->by_service, g_strdup(name), service);
     }
-    return list;
+    return service->list;
 }
 
 static void
@@ -136,7 +167,56 @@
     return departure != NULL && lease->started_ms <= departure->started_ms;
 }
 
-/* It is no longer one of its service's. */
+/* The place of a hash in a list that is sorted by it: of the first one that is
+ * no lower. */
+static guint
+list_place(const GPtrArray *list, guint64 hash)
+{
+    guint from = 0;
+    guint to = list->len;
+    while (from < to) {
+        guint middle = from + (to - from) / 2;
+        if (((endpoint_t *)list->pdata[middle])->hash < hash) {
+            from = middle + 1;
+        }
+        else {
+            to = middle;
+        }
+    }
+    return from;
+}
+
+/* Thousands come at once where engines are exchanged: to sort the list for
+ * each takes seconds. */
+static void
+list_insert(GPtrArray *list, endpoint_t *e)
+{
+    g_ptr_array_insert(list, (gint)list_place(list, e->hash), e);
+}
+
+/* Two may have one hash. */
+static void
+list_remove(GPtrArray *list, const endpoint_t *e)
+{
+    guint at = list_place(list, e->hash);
+    while (at < list->len && list->pdata[at] != e) {
+        at++;
+    }
+    if (at < list->len) {
+        g_ptr_array_remove_index(list, at);
+    }
+}
+
+static endpoint_t *
+list_find(const GPtrArray *list, guint64 hash)
+{
+    guint at = list_place(list, hash);
+    endpoint_t *e = at < list->len ? list->pdata[at] : NULL;
+    return e != NULL && e->hash == hash ? e : NULL;
+}
+
+/* It is no longer one of its service's, and is freed when its requests are
+ * over. */
 static void
 directory_drop(directory_t *d, endpoint_t *e)
 {
@@ -144,19 +224,24 @@
         return;
     }
     e->left = TRUE;
-    g_ptr_array_remove(service_list(d, e->service), e);
+    g_ptr_array_add(d->gone, e);
+    list_remove(service_list(d, e->service), e);
+    if (e->told) {
+        e->told = FALSE;
+        g_ptr_array_remove_fast(d->told, e);
+    }
     if (g_hash_table_lookup(d->by_address, e->address) == e) {
         g_hash_table_remove(d->by_address, e->address);
     }
 }
 
-/* It has started again: kept aside until its requests are over. */
+/* It has started again. */
 static void
 directory_replace(directory_t *d, endpoint_t *e)
 {
     directory_drop(d, e);
     g_hash_table_remove(d->by_id, e->id);
-    g_ptr_array_add(d->replaced, e);
+    g_hash_table_remove(d->busy, e);
 }
 
 /* Two endpoints at one address: the one that started later has it; where
@@ -177,41 +262,6 @@
     g_hash_table_replace(d->by_address, e->address, e);
 }
 
-/* The place of a hash in a list that is sorted by it: of the first one that is
- * no lower. */
-static guint
-list_place(const GPtrArray *list, guint64 hash)
-{
-    guint from = 0;
-    guint to = list->len;
-    while (from < to) {
-        guint middle = from + (to - from) / 2;
-        if (((endpoint_t *)list->pdata[middle])->hash < hash) {
-            from = middle + 1;
-        }
-        else {
-            to = middle;
-        }
-    }
-    return from;
-}
-
-/* Thousands come at once where engines are exchanged: to sort the list for
- * each takes seconds. */
-static void
-list_insert(GPtrArray *list, endpoint_t *e)
-{
-    g_ptr_array_insert(list, (gint)list_place(list, e->hash), e);
-}
-
-static endpoint_t *
-list_find(const GPtrArray *list, guint64 hash)
-{
-    guint at = list_place(list, hash);
-    endpoint_t *e = at < list->len ? list->pdata[at] : NULL;
-    return e != NULL && e->hash == hash ? e : NULL;
-}
-
 static endpoint_t *
 endpoint_add(directory_t *d, const endpoint_lease_t *lease, gint64 now_us)
 {
@@ -313,22 +363,16 @@
 void
 directory_sweep(directory_t *d, gint64 now_us)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, d->by_id);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        endpoint_t *e = value;
-        if (e->left && e->running == 0) {
-            g_hash_table_iter_remove(&iter);
-            endpoint_free(d, e);
+    for (guint i = d->gone->len; i > 0; i--) {
+        endpoint_t *e = d->gone->pdata[i - 1];
+        if (e->running > 0) {
+            continue;
         }
-    }
-    for (guint i = d->replaced->len; i > 0; i--) {
-        endpoint_t *e = d->replaced->pdata[i - 1];
-        if (e->running == 0) {
-            g_ptr_array_remove_index_fast(d->replaced, i - 1);
-            endpoint_free(d, e);
+        if (g_hash_table_lookup(d->by_id, e->id) == e) {
+            g_hash_table_remove(d->by_id, e->id);
         }
+        g_ptr_array_remove_index_fast(d->gone, i - 1);
+        endpoint_free(d, e);
     }
     g_hash_table_foreach_remove(d->left, left_is_old, &now_us);
 }
@@ -340,9 +384,10 @@
 }
 
 const GPtrArray *
-directory_service(const directory_t *d, const char *service)
+directory_service(const directory_t *d, const char *name)
 {
-    return g_hash_table_lookup(d->by_service, service);
+    const service_list_t *service = g_hash_table_lookup(d->by_service, name);
+    return service != NULL ? service->list : NULL;
 }
 
 start_state_t
@@ -366,24 +411,46 @@
     return g_hash_table_size(d->by_id);
 }
 
+void
+directory_join(directory_t *d, endpoint_t *e, guint prompt_tokens,
+               guint waiting_tokens)
+{
+    endpoint_join(e, prompt_tokens, waiting_tokens);
+    g_hash_table_add(d->busy, e);
+}
+
+void
+directory_leave(directory_t *d, endpoint_t *e, guint prompt_tokens)
+{
+    endpoint_leave(e, prompt_tokens);
+    if (e->running == 0) {
+        g_hash_table_remove(d->busy, e);
+    }
+}
+
+guint64
+directory_visits(const directory_t *d)
+{
+    return d->visits;
+}
+
 GArray *
-directory_loads(const directory_t *d)
+directory_loads(directory_t *d)
 {
     GHashTableIter iter;
-    gpointer value;
+    gpointer key;
     GArray *loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
-    g_hash_table_iter_init(&iter, d->by_id);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const endpoint_t *e = value;
-        if (e->running > 0) {
-            endpoint_load_t load = {.endpoint = e->hash,
-                                    .running = e->running,
-                                    .prompt_tokens = e->prompt_tokens,
-                                    .waiting_tokens = e->waiting_tokens,
-                                    .long_running = e->long_running,
-                                    .long_waiting = e->long_waiting};
-            g_array_append_val(loads, load);
-        }
+    g_hash_table_iter_init(&iter, d->busy);
+    d->visits += g_hash_table_size(d->busy);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const endpoint_t *e = key;
+        endpoint_load_t load = {.endpoint = e->hash,
+                                .running = e->running,
+                                .prompt_tokens = e->prompt_tokens,
+                                .waiting_tokens = e->waiting_tokens,
+                                .long_running = e->long_running,
+                                .long_waiting = e->long_waiting};
+        g_array_append_val(loads, load);
     }
     return loads;
 }
@@ -426,21 +493,47 @@
     return index;
 }
 
+/* The endpoint of a hash among those that have not left, or NULL. */
+static endpoint_t *
+find_hash(const directory_t *d, guint64 hash)
+{
+    GHashTableIter iter;
+    gpointer value;
+    endpoint_t *e = NULL;
+    g_hash_table_iter_init(&iter, d->by_service);
+    while (e == NULL && g_hash_table_iter_next(&iter, NULL, &value)) {
+        e = list_find(((service_list_t *)value)->list, hash);
+    }
+    return e;
+}
+
+/* Nothing is known of the others' requests any more. */
+static void
+forget_told(directory_t *d)
+{
+    for (guint i = 0; i < d->told->len; i++) {
+        endpoint_t *e = d->told->pdata[i];
+        e->others = (endpoint_load_t){0};
+        e->told = FALSE;
+    }
+    g_ptr_array_set_size(d->told, 0);
+}
+
 void
 directory_take_loads(directory_t *d, const GArray *sums, const GArray *own)
 {
-    GHashTable *all = loads_index(sums);
     GHashTable *mine = loads_index(own);
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, d->by_id);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        endpoint_t *e = value;
-        endpoint_load_t sum = load_in(all, e->hash);
-        endpoint_load_t part = load_in(mine, e->hash);
-        e->others = load_less(sum, part);
+    d->visits += d->told->len + sums->len;
+    forget_told(d);
+    for (guint i = 0; i < sums->len; i++) {
+        const endpoint_load_t *sum = &g_array_index(sums, endpoint_load_t, i);
+        endpoint_t *e = find_hash(d, sum->endpoint);
+        if (e != NULL && !e->told) {
+            e->others = load_less(*sum, load_in(mine, sum->endpoint));
+            e->told = TRUE;
+            g_ptr_array_add(d->told, e);
+        }
     }
-    g_hash_table_unref(all);
     g_hash_table_unref(mine);
 }
 
@@ -465,48 +558,93 @@
 void
 directory_take_parts(directory_t *d, const GArray *notes)
 {
-    GHashTableIter iter;
-    gpointer list;
-    g_hash_table_iter_init(&iter, d->by_service);
-    while (g_hash_table_iter_next(&iter, NULL, &list)) {
-        for (guint i = 0; i < notes->len; i++) {
-            const part_note_t *note = &g_array_index(notes, part_note_t, i);
-            endpoint_t *e = list_find(list, note->endpoint);
-            if (e != NULL) {
-                directory_note_part(d, e, note->part);
-            }
+    for (guint i = 0; i < notes->len; i++) {
+        const part_note_t *note = &g_array_index(notes, part_note_t, i);
+        endpoint_t *e = find_hash(d, note->endpoint);
+        if (e != NULL) {
+            directory_note_part(d, e, note->part);
         }
     }
 }
 
+static void
+count_usable(directory_t *d, service_list_t *service, gint64 now_us)
+{
+    gint64 pause_us = service->list->len * (gint64)COUNT_US_AN_ENDPOINT;
+    if (service->counted_us != 0 && now_us - service->counted_us < pause_us) {
+        return;
+    }
+    d->visits += service->list->len;
+    service->usable = 0;
+    service->slots = 0;
+    service->counted_us = now_us;
+    for (guint i = 0; i < service->list->len; i++) {
+        const endpoint_t *e = service->list->pdata[i];
+        service->usable += endpoint_usable(e, now_us);
+        service->slots = MAX(service->slots, e->slots);
+    }
+}
+
+/* Whether it counts as one of the service's. */
+static gboolean
+is_of(const endpoint_t *e, const char *service)
+{
+    return !e->left && strcmp(e->service, service) == 0;
+}
+
+static void
+demand_add(split_demand_t *demand, const endpoint_t *e)
+{
+    guint running = endpoint_running(e);
+    guint waiting = endpoint_waiting(e);
+    guint long_running = e->long_running + e->others.long_running;
+    guint long_waiting = e->long_waiting + e->others.long_waiting;
+    demand->of_long.running += long_running;
+    demand->of_long.waiting_tokens += long_waiting;
+    demand->of_rest.running += running - MIN(running, long_running);
+    demand->of_rest.waiting_tokens += waiting - MIN(waiting, long_waiting);
+}
+
 split_demand_t
-directory_demand(const directory_t *d, const char *service, gint64 now_us)
+directory_demand(directory_t *d, const char *name, gint64 now_us)
 {
     split_demand_t demand = {0};
-    const GPtrArray *list = directory_service(d, service);
-    for (guint i = 0; list != NULL && i < list->len; i++) {
-        const endpoint_t *e = list->pdata[i];
-        guint running = endpoint_running(e);
-        guint waiting = endpoint_waiting(e);
-        guint long_running = e->long_running + e->others.long_running;
-        guint long_waiting = e->long_waiting + e->others.long_waiting;
-        demand.engines += endpoint_usable(e, now_us);
-        demand.slots = MAX(demand.slots, e->slots);
-        demand.of_long.running += long_running;
-        demand.of_long.waiting_tokens += long_waiting;
-        demand.of_rest.running += running - MIN(running, long_running);
-        demand.of_rest.waiting_tokens += waiting - MIN(waiting, long_waiting);
+    service_list_t *service = g_hash_table_lookup(d->by_service, name);
+    if (service == NULL) {
+        return demand;
+    }
+    count_usable(d, service, now_us);
+    d->visits += d->told->len + g_hash_table_size(d->busy);
+    demand.engines = service->usable;
+    demand.slots = service->slots;
+    for (guint i = 0; i < d->told->len; i++) {
+        const endpoint_t *e = d->told->pdata[i];
+        if (is_of(e, name)) {
+            demand_add(&demand, e);
+        }
+    }
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, d->busy);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const endpoint_t *e = key;
+        if (!e->told && is_of(e, name)) {
+            demand_add(&demand, e);
+        }
     }
     return demand;
 }
 
 guint
-directory_running(const directory_t *d, const char *service)
+directory_running(const directory_t *d, const char *name)
 {
-    const GPtrArray *list = directory_service(d, service);
+    GHashTableIter iter;
+    gpointer key;
     guint running = 0;
-    for (guint i = 0; list != NULL && i < list->len; i++) {
-        running += ((const endpoint_t *)list->pdata[i])->running;
+    g_hash_table_iter_init(&iter, d->busy);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const endpoint_t *e = key;
+        running += is_of(e, name) ? e->running : 0;
     }
     return running;
 }
--- a/tests/test_costs.c
+++ b/tests/test_costs.c
@@ -74,8 +74,55 @@
     CU_ASSERT_EQUAL(part_bytes(200, 1000), 200 * 512 * sizeof(guint64));
 }
 
+/* ---- loads ---- */
+
+enum {
+    BUSY = 300,   /* endpoints with requests */
+    REPORTS = 20, /* in two seconds */
+    REPORT_US = 100 * 1000,
+};
+
+/* Endpoints that are looked at while loads are reported for two seconds. */
+static guint64
+visits_of(guint endpoints)
+{
+    directory_t *d = directory_of(endpoints);
+    const GPtrArray *list = directory_service(d, "s");
+    GArray *sums = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    for (guint i = 0; i < BUSY; i++) {
+        const endpoint_t *e = list->pdata[i * (endpoints / BUSY)];
+        endpoint_load_t sum = {.endpoint = e->hash, .running = 2};
+        g_array_append_val(sums, sum);
+    }
+    directory_join(d, list->pdata[0], 500, 500);
+    for (gint64 i = 1; i <= REPORTS; i++) {
+        GArray *own = directory_loads(d);
+        CU_ASSERT_EQUAL(own->len, 1);
+        directory_take_loads(d, sums, own);
+        split_demand_t demand = directory_demand(d, "s", i * REPORT_US);
+        CU_ASSERT_EQUAL(demand.of_rest.running, 2 * BUSY);
+        CU_ASSERT_EQUAL(demand.engines, endpoints);
+        g_array_unref(own);
+    }
+    guint64 visits = directory_visits(d);
+    g_array_unref(sums);
+    directory_destroy(d);
+    return visits;
+}
+
+/* Ten times the endpoints, as many of them busy: at most twice the cost. */
+static void
+test_load_visits(void)
+{
+    guint64 small = visits_of(SMALL);
+    guint64 large = visits_of(LARGE);
+    CU_ASSERT(small <= REPORTS * (3 * BUSY + SMALL + 4));
+    CU_ASSERT(large <= 2 * small);
+}
+
 static const test_case_t CASES[] = {
     {"memory for prompt parts is bounded", test_memory},
+    {"loads are taken at the cost of the busy endpoints", test_load_visits},
     {"few endpoints: all parts are remembered", test_memory_of_few},
 };
 
--- a/tests/test_placement_load.c
+++ b/tests/test_placement_load.c
@@ -275,7 +275,7 @@
     }
     note_shared(p, engine, part, k->shared_tokens);
     note_sent(p, n, e, part);
-    endpoint_join(e, k->prompt_tokens, r->waiting);
+    directory_join(p->seen[n], e, k->prompt_tokens, r->waiting);
     batch_engine_add(engine, &r->job);
     g_ptr_array_add(p->under_way, r);
 }
@@ -299,7 +299,7 @@
 {
     const request_kind_t *k = kind_of(p, r->kind);
     const engine_job_t *job = &r->job;
-    endpoint_leave(r->endpoint, k->prompt_tokens);
+    directory_leave(p->seen[r->instance], r->endpoint, k->prompt_tokens);
     if (job->first_ms - job->sent_ms <= (double)k->target_ms &&
         job->longest_ms <= (double)k->pause_ms) {
         p->served[r->kind].in_aim++;
