Loads: entry instances are told of the busiest endpoints, the rest is idle

Cause: an answer to a report of loads named every busy endpoint, 24 bytes each: 17 KB each 105 ms into each of 985 entry instances where some 700 endpoints are busy (by the code), and the control instance gathered and packed all of them anew for each of some 1,000 reports a second.

Ways: all; none; the 256 that are the busiest, ordered anew at most every 20 us for each busy endpoint. A subset of the endpoints for each instance was not built: homes of shared parts need all of them known, by address at least.

--- a/carobloomd/control/load_exchange.c
+++ b/carobloomd/control/load_exchange.c
@@ -44,7 +44,7 @@
     part_feed_add(c->parts, report.parts);
     load_answer_t answer = {
         .ask_ms = collector_ask_ms(load_sum_reporters(c->own_loads)),
-        .loads = load_sum_all(c->loads),
+        .loads = load_sum_told(c->loads, now),
         .heard = report.heard,
     };
     answer.parts = part_feed_since(c->parts, &answer.heard);
--- a/include/carobloom/policy/load_sum.h
+++ b/include/carobloom/policy/load_sum.h
@@ -18,6 +18,10 @@
     guint32 long_waiting;
 } endpoint_load_t;
 
+/* Endpoints told with one answer: as many as any few hundred endpoints that
+ * are all busy. */
+enum { LOADS_TOLD_MOST = 256 };
+
 typedef struct load_sum load_sum_t;
 
 load_sum_t *load_sum_create(void);
@@ -29,6 +33,11 @@
 void load_sum_expire(load_sum_t *sum, gint64 oldest_us);
 /* The sums that are not zero; a new array. */
 GArray *load_sum_all(const load_sum_t *sum);
+/* What entry instances are told: the sums of the busiest endpoints. All others
+ * count as idle, so that an answer is bounded however many endpoints there
+ * are. To be unref'd; it is worked out at most so often that it takes a fixed
+ * part of the time. */
+GArray *load_sum_told(load_sum_t *sum, gint64 now_us);
 /* Whether a report came or was taken out since this was last asked. */
 gboolean load_sum_changed(load_sum_t *sum);
 /* Instances whose report counts. */
--- a/policy/load_sum.c
+++ b/policy/load_sum.c
@@ -1,5 +1,13 @@
 #include "carobloom/policy/load_sum.h"
 
+enum {
+    /* Between two orderings of the sums, for each of them. */
+    TOLD_US_AN_ENDPOINT = 20,
+    /* What a running request weighs beside prompt tokens that wait to be read:
+     * it holds one of the slots, and the steps of those beside it up. */
+    RUNNING_TOKENS = 500,
+};
+
 typedef struct {
     GArray *loads;
     gint64 at_us;
@@ -9,6 +17,9 @@
     GHashTable *reports; /* instance -> report_t */
     GHashTable *sums;    /* endpoint -> endpoint_load_t */
     gboolean changed;
+    GArray *told; /* the busiest as last ordered, or NULL */
+    gint64 told_us;
+    gboolean told_changed; /* a report came since */
 };
 
 static void
@@ -34,6 +45,7 @@
 {
     g_hash_table_unref(s->reports);
     g_hash_table_unref(s->sums);
+    g_clear_pointer(&s->told, g_array_unref);
     g_free(s);
 }
 
@@ -92,6 +104,7 @@
     report->loads = g_array_ref(loads);
     report->at_us = now_us;
     s->changed = TRUE;
+    s->told_changed = TRUE;
 }
 
 void
@@ -106,6 +119,7 @@
             take_out(s, report->loads);
             g_hash_table_iter_remove(&iter);
             s->changed = TRUE;
+            s->told_changed = TRUE;
         }
     }
 }
@@ -124,6 +138,39 @@
     return all;
 }
 
+static guint64
+weight_of(const endpoint_load_t *l)
+{
+    return l->waiting_tokens + (guint64)l->running * RUNNING_TOKENS;
+}
+
+static gint
+compare_busier(gconstpointer a, gconstpointer b)
+{
+    guint64 x = weight_of(a);
+    guint64 y = weight_of(b);
+    return x > y ? -1 : x < y;
+}
+
+GArray *
+load_sum_told(load_sum_t *s, gint64 now_us)
+{
+    gint64 pause_us = g_hash_table_size(s->sums) * (gint64)TOLD_US_AN_ENDPOINT;
+    if (s->told != NULL &&
+        (!s->told_changed || now_us - s->told_us < pause_us)) {
+        return g_array_ref(s->told);
+    }
+    g_clear_pointer(&s->told, g_array_unref);
+    s->told = load_sum_all(s);
+    s->told_us = now_us;
+    s->told_changed = FALSE;
+    if (s->told->len > LOADS_TOLD_MOST) {
+        g_array_sort(s->told, compare_busier);
+        g_array_set_size(s->told, LOADS_TOLD_MOST);
+    }
+    return g_array_ref(s->told);
+}
+
 gboolean
 load_sum_changed(load_sum_t *s)
 {
--- a/tests/test_loads.c
+++ b/tests/test_loads.c
@@ -462,6 +462,70 @@
     }
 }
 
+/* Of more busy endpoints than are told, the busiest ones are; of fewer, all.
+ */
+static void
+test_told(void)
+{
+    static const struct {
+        guint busy;
+        guint told;
+    } COUNTS[] = {{0, 0},
+                  {1, 1},
+                  {LOADS_TOLD_MOST, LOADS_TOLD_MOST},
+                  {LOADS_TOLD_MOST + 1, LOADS_TOLD_MOST},
+                  {10 * LOADS_TOLD_MOST, LOADS_TOLD_MOST}};
+    for (gsize i = 0; i < G_N_ELEMENTS(COUNTS); i++) {
+        load_sum_t *s = load_sum_create();
+        GArray *loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+        for (guint n = 1; n <= COUNTS[i].busy; n++) {
+            endpoint_load_t load = {.endpoint = n, .running = n};
+            g_array_append_val(loads, load);
+        }
+        load_sum_report(s, "a", loads, SECOND);
+        GArray *told = load_sum_told(s, SECOND);
+        CU_ASSERT_EQUAL(told->len, COUNTS[i].told);
+        for (guint n = 0; n < told->len; n++) {
+            const endpoint_load_t *l =
+                &g_array_index(told, endpoint_load_t, n);
+            CU_ASSERT(l->running > COUNTS[i].busy - COUNTS[i].told);
+        }
+        g_array_unref(told);
+        g_array_unref(loads);
+        load_sum_destroy(s);
+    }
+}
+
+/* A prompt that waits to be read makes an endpoint busier than a few streams
+ * do; reports that come within the pause are told after it. */
+static void
+test_told_order(void)
+{
+    load_sum_t *s = load_sum_create();
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    for (guint n = 1; n <= LOADS_TOLD_MOST; n++) {
+        endpoint_load_t load = {.endpoint = n, .running = 3};
+        g_array_append_val(loads, load);
+    }
+    load_sum_report(s, "a", loads, SECOND);
+    g_array_unref(load_sum_told(s, SECOND));
+    GArray *waits = g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    endpoint_load_t load = {
+        .endpoint = 9999, .running = 1, .waiting_tokens = 7000};
+    g_array_append_val(waits, load);
+    load_sum_report(s, "b", waits, SECOND);
+    GArray *told = load_sum_told(s, SECOND + MS);
+    CU_ASSERT(g_array_index(told, endpoint_load_t, 0).endpoint != 9999);
+    g_array_unref(told);
+    told = load_sum_told(s, SECOND + 50 * MS);
+    CU_ASSERT_EQUAL(told->len, LOADS_TOLD_MOST);
+    CU_ASSERT_EQUAL(g_array_index(told, endpoint_load_t, 0).endpoint, 9999);
+    g_array_unref(told);
+    g_array_unref(loads);
+    g_array_unref(waits);
+    load_sum_destroy(s);
+}
+
 static const test_case_t CASES[] = {
     {"messages are read as written", test_messages},
     {"parts that were sent are told once", test_part_feed},
@@ -470,6 +534,8 @@
     {"sums follow reports", test_sums},
     {"loads are summed", test_load_sum},
     {"what is known is young at any size", test_ages},
+    {"the busiest endpoints are told", test_told},
+    {"what counts as busy, and how often", test_told_order},
 };
 
 CHECK_MAIN("loads", CASES)
--- a/tests/test_placement_load.c
+++ b/tests/test_placement_load.c
@@ -12,7 +12,7 @@
 #include "leases.h"
 
 enum {
-    ENGINES_MOST = 64,
+    ENGINES_MOST = 700,
     INSTANCES_MOST = 300,
     INSTANCES = 4, /* unless a load says otherwise */
     TICK_MS = 2,
@@ -37,6 +37,9 @@
     double a_second[KINDS];
 } phase_t;
 
+/* What instances are told of the loads of others. */
+typedef enum { TOLD_BUSIEST, TOLD_ALL, TOLD_NONE, TOLD_WAYS } told_t;
+
 typedef struct {
     const engine_kind_t *kind;
     const request_kind_t *requests; /* by kind; NULL: REQUESTS */
@@ -48,6 +51,7 @@
     guint parts;         /* 0: PARTS */
     guint tell_ms;       /* 0: TELL_MS */
     gboolean parts_told; /* instances tell each other what they sent where */
+    told_t told;
 } load_t;
 
 /* What one kind of caller got. */
@@ -331,7 +335,22 @@
     g_array_unref(notes);
 }
 
-/* An instance reports its requests and is told those of all, as they were
+static GArray *
+loads_told(play_t *p, gint64 now_us)
+{
+    switch (p->load->told) {
+    case TOLD_ALL:
+        return load_sum_all(p->loads);
+    case TOLD_NONE:
+        return g_array_new(FALSE, FALSE, sizeof(endpoint_load_t));
+    case TOLD_BUSIEST:
+    case TOLD_WAYS:
+        break;
+    }
+    return load_sum_told(p->loads, now_us);
+}
+
+/* An instance reports its requests and is told those of others, as they were
  * last reported. */
 static void
 tell_loads(play_t *p, guint n, double now_ms)
@@ -340,8 +359,8 @@
     g_snprintf(name, sizeof(name), "%u", n);
     GArray *own = directory_loads(p->seen[n]);
     load_sum_report(p->loads, name, own, 0);
-    GArray *all = load_sum_all(p->loads);
     gint64 now_us = (gint64)(now_ms * 1000);
+    GArray *all = loads_told(p, now_us);
     directory_take_loads(p->seen[n], all, own);
     split_demand_t demand = directory_demand(p->seen[n], "s", now_us);
     prompt_mix_fill(&p->mix[n], p->instances, now_us, &demand);
@@ -676,12 +695,51 @@
     }
 }
 
+/* More engines are busy than are told of. Told of the busiest only, callers
+ * get what they get when all are told, and not what they get where none is. */
+static void
+test_busiest_told(void)
+{
+    static const char *const NAMES[TOLD_WAYS] = {"busiest", "all", "none"};
+    double in_aim[TOLD_WAYS][KINDS];
+    for (told_t told = 0; told < TOLD_WAYS; told++) {
+        play_t p;
+        load_t load = {
+            .kind = &NARROW,
+            .requests = DRAFTS,
+            .engines = 700,
+            .phases = {{5, {320, 450, 320}}, {8, {0, 0, 0}}},
+            .phase_count = 2,
+            .instances = 60,
+            .parts = 600,
+            .tell_ms = 100,
+            .parts_told = TRUE,
+            .told = told,
+        };
+        play_init(&p, &load, 23);
+        play(&p);
+        printf("%s:", NAMES[told]);
+        for (kind_t kind = 0; kind < KINDS; kind++) {
+            in_aim[told][kind] = part_in_aim(&p, kind);
+            printf(" %.3f", in_aim[told][kind]);
+        }
+        printf("; ");
+        play_clear(&p);
+    }
+    for (kind_t kind = 0; kind < KINDS; kind++) {
+        CU_ASSERT(in_aim[TOLD_BUSIEST][kind] >= 0.95);
+        CU_ASSERT(in_aim[TOLD_BUSIEST][kind] >= in_aim[TOLD_ALL][kind] - 0.01);
+    }
+    CU_ASSERT(in_aim[TOLD_BUSIEST][KIND_LONG] > in_aim[TOLD_NONE][KIND_LONG]);
+}
+
 static const test_case_t CASES[] = {
     {"bursts of either kind", test_bursts},
     {"few instances and many", test_many_instances},
     {"half of the prompts share a part", test_hot_part},
     {"parts told among instances", test_parts_told},
     {"expected first events", test_expected_first_events},
+    {"the busiest engines are told", test_busiest_told},
 };
 
 CHECK_MAIN("placement under load", CASES)
