News: one answer for many, also while entry instances come

Cause: an answer to an entry instance is written once for all that ask the same, and what they ask was told apart by the exact number of entry instances; while 985 come within a second each gets an answer of its own. Each question also counted all entry instances, three times, so that what a control instance does for its questions grew with their number twice. And at each word of the log, also of its own lease of leadership, all kept answers were dropped.

Now: the number told is exact up to 32 and rounded to a sixteenth beyond; it is counted once in 20 us for each; kept answers go when the members change.

tests/test_costs.c: numbers told while entry instances come one by one: 30 of 30, at most 120 of 1,000, at most twice as many of 10,000.

--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -222,6 +222,16 @@
     spread_config(c);
 }
 
+static gboolean
+same_members(const voter_config_t *a, const voter_config_t *b)
+{
+    gboolean same = a->count == b->count;
+    for (guint i = 0; same && i < a->count; i++) {
+        same = strcmp(a->members[i].name, b->members[i].name) == 0;
+    }
+    return same;
+}
+
 static void
 handle_view(control_t *c, const config_view_message_t *view)
 {
@@ -233,8 +243,10 @@
     }
     gboolean may_read_now =
         c->view.read_until_us == 0 && view->read_until_us != 0;
+    if (!same_members(&view->voters, &c->view.voters)) {
+        answers_forget(c); /* they name the control instances */
+    }
     c->view = *view;
-    answers_forget(c); /* they name the control instances */
     if (view->in_quorum) {
         c->quorum_us = control_now(c);
     }
@@ -419,7 +431,7 @@
         "requests held back %u, suspect %u, endpoints that ended %u\n",
         c->self, c->view.leader, c->view.leads, c->view.term,
         control_newest_version(c), registry_count(c->registry),
-        entries_fresh(c), load_sum_reporters(c->own_loads),
+        c->fresh_entries, load_sum_reporters(c->own_loads),
         crash_ledger_held(c->crashes), crash_ledger_suspects(c->crashes),
         crash_ledger_ends(c->crashes));
     if (c->duties != NULL) {
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -96,6 +96,8 @@
     kept_answer_t answers[CONTROL_ANSWERS];
     guint next_answer;        /* the one to give way */
     GHashTable *entries;      /* instance name -> gint64, when it asked last */
+    guint fresh_entries;      /* of these, as last counted */
+    gint64 counted_us;        /* when; 0: never */
     GHashTable *puts;         /* call -> pending_put_t */
     GHashTable *services;     /* set of names that a configuration had */
     guint64 services_version; /* the newest of these configurations */
@@ -141,7 +143,7 @@
 void held_drop_all(control_t *control);
 void entry_gone(http_exchange_t *exchange);
 /* Entry instances that asked lately. */
-guint entries_fresh(const control_t *control);
+guint entries_fresh(control_t *control);
 /* Whether any did. */
 gboolean entries_ask(const control_t *control);
 
--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -2,6 +2,7 @@
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/policy/collector.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/version/text_delta.h"
 #include "control_state.h"
@@ -25,6 +26,8 @@
      * processes were lost, 8 of 16 entry instances, of 347, were told 500 ms
      * later than the first, and refused what came until then. */
     COMMITS_US = 20 * MS,
+    /* Between two counts of the entry instances that ask, for each of them. */
+    COUNT_US_AN_ENTRY = 20,
 };
 
 /* An entry instance's question, held until there is news. */
@@ -78,16 +81,23 @@
 }
 
 guint
-entries_fresh(const control_t *c)
+entries_fresh(control_t *c)
 {
     GHashTableIter iter;
     gpointer value;
-    guint count = 0;
+    gint64 now = control_now(c);
+    gint64 pause_us =
+        g_hash_table_size(c->entries) * (gint64)COUNT_US_AN_ENTRY;
+    if (c->counted_us != 0 && now - c->counted_us < pause_us) {
+        return c->fresh_entries;
+    }
+    c->counted_us = now;
+    c->fresh_entries = 0;
     g_hash_table_iter_init(&iter, c->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        count += control_now(c) - *(gint64 *)value < ENTRY_FRESH_US;
+        c->fresh_entries += now - *(gint64 *)value < ENTRY_FRESH_US;
     }
-    return count;
+    return c->fresh_entries;
 }
 
 void
@@ -99,7 +109,7 @@
 }
 
 static answer_key_t
-answer_key(const control_t *c, const sync_request_t *request)
+answer_key(control_t *c, const sync_request_t *request)
 {
     gboolean full = request->epoch != c->epoch;
     return (answer_key_t){
@@ -109,7 +119,7 @@
         .held = crash_ledger_cursor(c->crashes),
         .asked_version = request->version,
         .version = control_newest_version(c),
-        .entries = entries_fresh(c),
+        .entries = collector_entries_told(entries_fresh(c)),
         .takes_config = (guint32)request->takes_config,
         .full = (guint32)full,
         .confirmed = (guint32)control_may_read(c),
@@ -159,7 +169,7 @@
         .cursor = c->published,
         .full = full,
         .confirmed = control_may_read(c),
-        .entries = entries_fresh(c),
+        .entries = collector_entries_told(entries_fresh(c)),
         .leases = registry_since(c->registry, full ? 0 : request->cursor),
         .controls = g_ptr_array_new(),
         .data_centre = g_strdup(c->settings->data_centre),
@@ -280,7 +290,7 @@
 
 /* Until news may go out again; 0 or less: now. */
 static gint64
-spread_pause(const control_t *c)
+spread_pause(control_t *c)
 {
     gint64 pause = entries_fresh(c) * (gint64)SPREAD_US_AN_ENTRY;
     return c->spread_us + MIN(pause, SPREAD_MOST_US) - control_now(c);
--- a/include/carobloom/policy/collector.h
+++ b/include/carobloom/policy/collector.h
@@ -23,6 +23,9 @@
 /* Until the next report, in ms, of one of `reporters` to a control instance.
  */
 guint collector_ask_ms(guint reporters);
+/* How many entry instances ask, as it is told: exact for few, a sixteenth less
+ * at most for many, so that it does not change with each that comes. */
+guint collector_entries_told(guint entries);
 /* A report that is older, in ms, no longer counts. */
 guint collector_fresh_ms(guint reporters);
 
--- a/policy/collector.c
+++ b/policy/collector.c
@@ -17,6 +17,7 @@
     /* Reports that may be lost or late before an instance's requests are
      * taken to have ended with it. */
     MISSED_REPORTS = 8,
+    ENTRIES_EXACT = 32,
 };
 
 gssize
@@ -44,6 +45,16 @@
     return MAX(ASK_LEAST_MS, reporters * ASK_US_A_REPORTER / 1000);
 }
 
+guint
+collector_entries_told(guint entries)
+{
+    guint step = 1;
+    while (entries / step > ENTRIES_EXACT) {
+        step *= 2;
+    }
+    return entries / step * step;
+}
+
 guint
 collector_fresh_ms(guint reporters)
 {
--- a/tests/test_costs.c
+++ b/tests/test_costs.c
@@ -1,6 +1,7 @@
 /* What an instance spends as the fleet grows: counted at two sizes, not timed.
  * Each case fails when a cost of one instance grows with the number of
  * endpoints or of instances. */
+#include "carobloom/policy/collector.h"
 #include "carobloom/policy/directory.h"
 #include "check.h"
 #include "leases.h"
@@ -120,9 +121,36 @@
     CU_ASSERT(large <= 2 * small);
 }
 
+/* ---- news ---- */
+
+/* Numbers of entry instances that are told while they come one by one: an
+ * answer is written anew for each. */
+static guint
+tellings_of(guint entries)
+{
+    guint tellings = 0;
+    guint told = 0;
+    for (guint i = 1; i <= entries; i++) {
+        guint now = collector_entries_told(i);
+        CU_ASSERT(now <= i && now >= i - i / 16);
+        tellings += now != told;
+        told = now;
+    }
+    return tellings;
+}
+
+static void
+test_tellings(void)
+{
+    CU_ASSERT_EQUAL(tellings_of(30), 30);
+    CU_ASSERT(tellings_of(1000) <= 120);
+    CU_ASSERT(tellings_of(10000) <= 2 * tellings_of(1000));
+}
+
 static const test_case_t CASES[] = {
     {"memory for prompt parts is bounded", test_memory},
     {"loads are taken at the cost of the busy endpoints", test_load_visits},
+    {"entry instances that come one by one", test_tellings},
     {"few endpoints: all parts are remembered", test_memory_of_few},
 };
 
