Leases: bounded answers, packed

Cause: an entry instance that starts is told all leases: 84 bytes each, so that 10,000 of them to 985 entry instances are 0.8 GB, four fifths between data centres; each answer held all that one control instance heard, and one with more than 20,000 was refused as malformed, so that at twice the size nothing would have been known.

Packing moved from the configuration's differences to common/pack.c, which both use.

--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -164,13 +164,18 @@
 sync_build(control_t *c, const sync_request_t *request)
 {
     gboolean full = request->epoch != c->epoch;
+    guint64 through;
+    GPtrArray *leases = registry_since(c->registry, full ? 0 : request->cursor,
+                                       SYNC_LEASES_MAX, &through);
+    gboolean more = through < registry_cursor(c->registry);
     sync_answer_t answer = {
         .epoch = c->epoch,
-        .cursor = c->published,
+        .cursor = more ? through : c->published,
         .full = full,
+        .more = more,
         .confirmed = control_may_read(c),
         .entries = collector_entries_told(entries_fresh(c)),
-        .leases = registry_since(c->registry, full ? 0 : request->cursor),
+        .leases = leases,
         .controls = g_ptr_array_new(),
         .data_centre = g_strdup(c->settings->data_centre),
     };
@@ -351,7 +356,7 @@
     gboolean news = has_news(c, &request);
     /* While endpoints come and go all the time there is always news: one that
      * was just answered waits for the next batch like the others. */
-    gboolean batched = news && request.epoch == c->epoch &&
+    gboolean batched = news && !request.rest && request.epoch == c->epoch &&
                        !has_config_news(c, &request) && spread_pause(c) > 0;
     if ((news && !batched) || request.wait_ms == 0 || c->draining) {
         sync_answer(c, exchange, &request);
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -60,6 +60,7 @@
     guint64 epoch;
     guint64 cursor;
     guint64 held_cursor;
+    gboolean more;  /* leases than its last answer had */
     gboolean leads; /* it confirmed the configuration */
 };
 
@@ -259,6 +260,7 @@
     }
     link->epoch = answer->epoch;
     link->cursor = answer->cursor;
+    link->more = answer->more;
     link->held_cursor = answer->held_cursor;
     crash_link_control(e->crash_link, link->address, answer->epoch);
     crash_link_take_orders(e->crash_link, answer->held, link->address);
@@ -363,6 +365,7 @@
         .held_cursor = link->held_cursor,
         .wait_ms = wait_ms_of(link),
         .takes_config = takes_config(link),
+        .rest = link->more,
     };
     GBytes *body = sync_request_write(&request);
     link->asked_us = clock_boot_us();
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -1,21 +1,28 @@
 #include "carobloom/gateway/sync_wire.h"
 
 #include "carobloom/common/codec.h"
+#include "carobloom/common/pack.h"
 #include "carobloom/gateway/crash_wire.h"
 
-#define REQUEST_TYPE "(sttttub)"
+#define REQUEST_TYPE "(sttttubb)"
 #define LEASES_TYPE "a(ssssxtuybxx)"
-#define ANSWER_TYPE "(ttbbttbay" LEASES_TYPE "assut" QUARANTINE_ORDERS_TYPE ")"
-#define ANSWER_FORMAT                                                         \
-    "(ttbbttb@ay@" LEASES_TYPE "@assut@" QUARANTINE_ORDERS_TYPE ")"
+/* Leases are bytes of their own, packed where there are many. */
+#define ANSWER_TYPE "(ttbbbttbaybayassut" QUARANTINE_ORDERS_TYPE ")"
+#define ANSWER_FORMAT "(ttbbbttb@ayb@ay@assut@" QUARANTINE_ORDERS_TYPE ")"
 #define LETTER_TYPE "(stay)"
 
+enum {
+    PACKED_FROM = 16, /* leases */
+    /* A lease with names of the longest kind. */
+    LEASES_BYTES_MAX = SYNC_LEASES_MAX * 1024,
+};
+
 GBytes *
 sync_request_write(const sync_request_t *r)
 {
     return codec_write(g_variant_new(REQUEST_TYPE, r->instance, r->version,
                                      r->epoch, r->cursor, r->held_cursor,
-                                     r->wait_ms, r->takes_config));
+                                     r->wait_ms, r->takes_config, r->rest));
 }
 
 gboolean
@@ -27,7 +34,8 @@
         return FALSE;
     }
     g_variant_get(v, REQUEST_TYPE, &r->instance, &r->version, &r->epoch,
-                  &r->cursor, &r->held_cursor, &r->wait_ms, &r->takes_config);
+                  &r->cursor, &r->held_cursor, &r->wait_ms, &r->takes_config,
+                  &r->rest);
     g_variant_unref(v);
     return TRUE;
 }
@@ -45,8 +53,8 @@
     g_free(data);
 }
 
-static GVariant *
-leases_variant(const GPtrArray *leases)
+static GBytes *
+leases_write(const GPtrArray *leases, gboolean packed)
 {
     GVariantBuilder b;
     g_variant_builder_init(&b, G_VARIANT_TYPE(LEASES_TYPE));
@@ -58,7 +66,13 @@
                               (guchar)l->state, l->reclaimable, l->leaves_ms,
                               l->cold_ms);
     }
-    return g_variant_builder_end(&b);
+    GBytes *plain = codec_write(g_variant_builder_end(&b));
+    if (!packed) {
+        return plain;
+    }
+    GBytes *bytes = pack_bytes(plain);
+    g_bytes_unref(plain);
+    return bytes;
 }
 
 static GVariant *
@@ -75,20 +89,44 @@
 GBytes *
 sync_answer_write(const sync_answer_t *a)
 {
-    return codec_write(g_variant_new(
-        ANSWER_FORMAT, a->epoch, a->cursor, a->full, a->confirmed, a->version,
-        a->base, a->delta != NULL, codec_bytes(a->delta),
-        leases_variant(a->leases), names_variant(a->controls), a->data_centre,
+    gboolean packed = a->leases != NULL && a->leases->len >= PACKED_FROM;
+    GBytes *leases = leases_write(a->leases, packed);
+    GBytes *bytes = codec_write(g_variant_new(
+        ANSWER_FORMAT, a->epoch, a->cursor, a->full, a->more, a->confirmed,
+        a->version, a->base, a->delta != NULL, codec_bytes(a->delta), packed,
+        codec_bytes(leases), names_variant(a->controls), a->data_centre,
         a->entries, a->held_cursor, quarantine_orders_variant(a->held)));
+    g_bytes_unref(leases);
+    return bytes;
 }
 
+/* NULL when it is no list of leases. */
+static GVariant *
+leases_read(GVariant *bytes, gboolean packed)
+{
+    GBytes *plain = codec_take_bytes(bytes);
+    if (packed) {
+        GBytes *unpacked = unpack_bytes(plain, LEASES_BYTES_MAX);
+        g_bytes_unref(plain);
+        plain = unpacked;
+    }
+    GVariant *list = plain != NULL ? codec_read(plain, LEASES_TYPE) : NULL;
+    g_clear_pointer(&plain, g_bytes_unref);
+    return list;
+}
+
+/* Takes the bytes. */
 static gboolean
-leases_take(GVariant *list, sync_answer_t *a)
+leases_take(GVariant *bytes, gboolean packed, sync_answer_t *a)
 {
+    GVariant *list = leases_read(bytes, packed);
+    if (list == NULL) {
+        return FALSE;
+    }
     GVariantIter iter;
     endpoint_lease_t l;
     guchar state;
-    gboolean sound = g_variant_iter_init(&iter, list) <= SYNC_ENDPOINTS_MAX;
+    gboolean sound = g_variant_iter_init(&iter, list) <= SYNC_LEASES_MAX;
     while (sound && g_variant_iter_next(
                         &iter, "(ssssxtuybxx)", &l.id, &l.service, &l.address,
                         &l.data_centre, &l.started_ms, &l.sequence, &l.slots,
@@ -130,16 +168,17 @@
     GVariant *controls;
     GVariant *held;
     gboolean news;
-    g_variant_get(v, ANSWER_FORMAT, &a->epoch, &a->cursor, &a->full,
-                  &a->confirmed, &a->version, &a->base, &news, &delta, &leases,
-                  &controls, &a->data_centre, &a->entries, &a->held_cursor,
-                  &held);
+    gboolean packed;
+    g_variant_get(v, ANSWER_FORMAT, &a->epoch, &a->cursor, &a->full, &a->more,
+                  &a->confirmed, &a->version, &a->base, &news, &delta, &packed,
+                  &leases, &controls, &a->data_centre, &a->entries,
+                  &a->held_cursor, &held);
     a->held = quarantine_orders_take(held);
     a->delta = codec_take_bytes(delta);
     if (!news) {
         g_clear_pointer(&a->delta, g_bytes_unref);
     }
-    gboolean sound = leases_take(leases, a);
+    gboolean sound = leases_take(leases, packed, a);
     sound = names_take(controls, a) && sound && a->held != NULL;
     g_variant_unref(v);
     if (!sound) {
--- a/carobloomd/version/text_delta.c
+++ b/carobloomd/version/text_delta.c
@@ -1,14 +1,13 @@
 #include "carobloom/version/text_delta.h"
 
-#include <gio/gio.h>
 #include <string.h>
 
 #include "carobloom/common/codec.h"
+#include "carobloom/common/pack.h"
 #include "carobloom/policy/rendezvous.h"
 
 /* The length of the result, and pieces: copied from an offset, or new. */
 #define DELTA_TYPE "(ta(ttay))"
-static const int COMPRESSION = 6; /* zlib's own default */
 
 typedef struct {
     guint64 from;
@@ -107,30 +106,6 @@
     return pieces;
 }
 
-/* Runs bytes through zlib; NULL when they are damaged or too long. */
-static GBytes *
-convert(GConverter *converter, GBytes *bytes)
-{
-    GInputStream *source = g_memory_input_stream_new_from_bytes(bytes);
-    GInputStream *stream = g_converter_input_stream_new(source, converter);
-    GByteArray *out = g_byte_array_new();
-    guint8 buffer[16384];
-    gssize count;
-    while ((count = g_input_stream_read(stream, buffer, sizeof(buffer), NULL,
-                                        NULL)) > 0 &&
-           out->len <= TEXT_DELTA_BYTES_MAX) {
-        g_byte_array_append(out, buffer, (guint)count);
-    }
-    g_object_unref(stream);
-    g_object_unref(source);
-    g_object_unref(converter);
-    if (count != 0) {
-        g_byte_array_unref(out);
-        return NULL;
-    }
-    return g_byte_array_free_to_bytes(out);
-}
-
 GBytes *
 text_delta_between(str_t from, str_t to)
 {
@@ -146,9 +121,7 @@
     }
     GBytes *plain =
         codec_write(g_variant_new("(ta(ttay))", (guint64)to.length, &b));
-    GBytes *packed = convert(G_CONVERTER(g_zlib_compressor_new(
-                                 G_ZLIB_COMPRESSOR_FORMAT_RAW, COMPRESSION)),
-                             plain);
+    GBytes *packed = pack_bytes(plain);
     g_array_unref(pieces);
     g_bytes_unref(plain);
     return packed;
@@ -178,9 +151,7 @@
 GBytes *
 text_delta_apply(str_t from, GBytes *delta)
 {
-    GBytes *plain = convert(
-        G_CONVERTER(g_zlib_decompressor_new(G_ZLIB_COMPRESSOR_FORMAT_RAW)),
-        delta);
+    GBytes *plain = unpack_bytes(delta, TEXT_DELTA_BYTES_MAX);
     GVariant *v = plain != NULL ? codec_read(plain, DELTA_TYPE) : NULL;
     g_clear_pointer(&plain, g_bytes_unref);
     if (v == NULL) {
--- a/include/carobloom/gateway/sync_wire.h
+++ b/include/carobloom/gateway/sync_wire.h
@@ -14,7 +14,10 @@
 #define SYNC_PATH "/sync"   /* entry to control */
 #define VOTER_PATH "/voter" /* control to control */
 
-enum { SYNC_ENDPOINTS_MAX = 20000, SYNC_CONTROLS_MAX = 64 };
+enum {
+    SYNC_LEASES_MAX = 1024, /* in one answer; more come in the next */
+    SYNC_CONTROLS_MAX = 64,
+};
 
 typedef struct {
     char *instance;
@@ -24,6 +27,7 @@
     guint64 held_cursor;   /* orders to hold requests back, up to here, too */
     guint32 wait_ms;       /* to be held for, at most, when there is no news */
     gboolean takes_config; /* news of the configuration are to be sent here */
+    gboolean rest;         /* the last answer said that there are more */
 } sync_request_t;
 
 typedef struct {
@@ -31,7 +35,8 @@
     guint64 cursor;
     guint64 held_cursor;
     GArray *held;       /* quarantine_order_t, changed since */
-    gboolean full;      /* `leases` are all, not the changes */
+    gboolean full;      /* `leases` are from the first on, not the changes */
+    gboolean more;      /* there are more leases than were sent */
     gboolean confirmed; /* no newer configuration was acknowledged by the time
                            this was written */
     guint64 version;    /* committed here */
--- a/include/carobloom/policy/registry.h
+++ b/include/carobloom/policy/registry.h
@@ -28,8 +28,10 @@
 gboolean registry_expire(registry_t *registry, gint64 now_us);
 /* Raised with each change. */
 guint64 registry_cursor(const registry_t *registry);
-/* Copies of the leases changed after `cursor`, or of all for 0. */
-GPtrArray *registry_since(const registry_t *registry, guint64 cursor);
+/* Copies of the `most` leases that changed first after `cursor`, or of all for
+ * 0. `through` becomes the cursor up to which they are told. */
+GPtrArray *registry_since(const registry_t *registry, guint64 cursor,
+                          guint most, guint64 *through);
 guint registry_count(const registry_t *registry);
 
 #endif
--- a/policy/registry.c
+++ b/policy/registry.c
@@ -174,18 +174,34 @@
     g_free(data);
 }
 
-GPtrArray *
-registry_since(const registry_t *r, guint64 cursor)
+/* The first change after `cursor`, or NULL. */
+static const GList *
+first_after(const registry_t *r, guint64 cursor)
 {
-    GPtrArray *leases = g_ptr_array_new_with_free_func(lease_free);
-    for (GList *l = r->changes.tail; l != NULL; l = l->prev) {
+    const GList *first = NULL;
+    for (const GList *l = r->changes.tail; l != NULL; l = l->prev) {
         const item_t *item = l->data;
         if (item->changed <= cursor) {
             break;
         }
+        first = l;
+    }
+    return first;
+}
+
+GPtrArray *
+registry_since(const registry_t *r, guint64 cursor, guint most,
+               guint64 *through)
+{
+    GPtrArray *leases = g_ptr_array_new_with_free_func(lease_free);
+    const GList *l = first_after(r, cursor);
+    *through = r->cursor;
+    for (; l != NULL && leases->len < most; l = l->next) {
+        const item_t *item = l->data;
         endpoint_lease_t *copy = g_new0(endpoint_lease_t, 1);
         endpoint_lease_copy(copy, &item->lease);
         g_ptr_array_add(leases, copy);
+        *through = l->next != NULL ? item->changed : r->cursor;
     }
     return leases;
 }
--- a/tests/test_costs.c
+++ b/tests/test_costs.c
@@ -1,12 +1,15 @@
 /* What an instance spends as the fleet grows: counted at two sizes, not timed.
  * Each case fails when a cost of one instance grows with the number of
  * endpoints or of instances. */
+#include "carobloom/gateway/sync_wire.h"
 #include "carobloom/policy/collector.h"
 #include "carobloom/policy/directory.h"
+#include "carobloom/policy/registry.h"
 #include "check.h"
 #include "leases.h"
 
 enum {
+    SECOND = 1000000,
     SMALL = 1000,  /* endpoints */
     LARGE = 10000, /* ten times as many */
 };
@@ -147,9 +150,68 @@
     CU_ASSERT(tellings_of(10000) <= 2 * tellings_of(1000));
 }
 
+/* ---- leases ---- */
+
+enum {
+    ANSWER_BYTES = 48 * 1024, /* 40 ms of a link of 10 Mbit/s */
+    LEASE_BYTES = 40,
+};
+
+static registry_t *
+registry_of(guint endpoints)
+{
+    registry_t *r = registry_create(SECOND);
+    for (guint i = 0; i < endpoints; i++) {
+        char *id = endpoint_name(i);
+        char *address = g_strdup_printf("10.0.%u.%u:80", i / 256, i % 256);
+        endpoint_lease_t lease = lease_of(id, i, LEASE_READY);
+        lease.address = address;
+        lease.started_ms = 1790000000000 + i * 7919 % 300;
+        registry_renew(r, &lease, 0);
+        g_free(id);
+        g_free(address);
+    }
+    return r;
+}
+
+/* What an entry instance that starts is sent for its leases: the bytes of all
+ * answers, each of which is bounded. */
+static gsize
+start_bytes(guint endpoints)
+{
+    registry_t *r = registry_of(endpoints);
+    guint64 cursor = 0;
+    guint leases = 0;
+    gsize bytes = 0;
+    while (cursor < registry_cursor(r)) {
+        sync_answer_t answer = {.data_centre = "dc"};
+        answer.leases =
+            registry_since(r, cursor, SYNC_LEASES_MAX, &answer.cursor);
+        CU_ASSERT_FATAL(answer.cursor > cursor);
+        GBytes *written = sync_answer_write(&answer);
+        CU_ASSERT(g_bytes_get_size(written) <= ANSWER_BYTES);
+        bytes += g_bytes_get_size(written);
+        leases += answer.leases->len;
+        cursor = answer.cursor;
+        g_ptr_array_unref(answer.leases);
+        g_bytes_unref(written);
+    }
+    CU_ASSERT_EQUAL(leases, endpoints);
+    registry_destroy(r);
+    return bytes;
+}
+
+static void
+test_start(void)
+{
+    CU_ASSERT(start_bytes(SMALL) <= (gsize)SMALL * LEASE_BYTES);
+    CU_ASSERT(start_bytes(LARGE) <= (gsize)LARGE * LEASE_BYTES);
+}
+
 static const test_case_t CASES[] = {
     {"memory for prompt parts is bounded", test_memory},
     {"loads are taken at the cost of the busy endpoints", test_load_visits},
+    {"leases come in bounded answers", test_start},
     {"entry instances that come one by one", test_tellings},
     {"few endpoints: all parts are remembered", test_memory_of_few},
 };
--- a/tests/test_endpoints.c
+++ b/tests/test_endpoints.c
@@ -196,6 +196,7 @@
     endpoint_lease_t late = lease_of("e", 1, LEASE_DRAINING);
     endpoint_lease_t again = lease_of("e", 3, LEASE_READY);
     CU_ASSERT_EQUAL(registry_renew(r, &ready, SECOND), REGISTRY_TAKEN);
+    guint64 through;
     guint64 cursor = registry_cursor(r);
     CU_ASSERT_EQUAL(registry_renew(r, &late, SECOND), REGISTRY_LATE);
     CU_ASSERT_EQUAL(registry_renew(r, &again, 2 * SECOND), REGISTRY_TAKEN);
@@ -203,7 +204,7 @@
     CU_ASSERT_EQUAL(registry_cursor(r), cursor);
     CU_ASSERT_FALSE(registry_expire(r, 4 * SECOND));
     CU_ASSERT(registry_expire(r, 8 * SECOND));
-    GPtrArray *news = registry_since(r, cursor);
+    GPtrArray *news = registry_since(r, cursor, G_MAXUINT, &through);
     CU_ASSERT_EQUAL_FATAL(news->len, 1);
     CU_ASSERT_EQUAL(((endpoint_lease_t *)news->pdata[0])->state, LEASE_SILENT);
     g_ptr_array_unref(news);
@@ -214,7 +215,7 @@
     again.sequence = 5;
     CU_ASSERT_EQUAL(registry_renew(r, &again, 11 * SECOND), REGISTRY_GONE);
     registry_leave(r, "never seen", 0, 1, 11 * SECOND);
-    news = registry_since(r, 0);
+    news = registry_since(r, 0, G_MAXUINT, &through);
     CU_ASSERT_EQUAL(news->len, 2);
     g_ptr_array_unref(news);
     registry_destroy(r);
@@ -399,7 +400,8 @@
             CU_ASSERT_EQUAL(registry_renew(r, &lease, SECOND),
                             c->heard[j].result);
         }
-        GPtrArray *all = registry_since(r, 0);
+        guint64 through;
+        GPtrArray *all = registry_since(r, 0, G_MAXUINT, &through);
         CU_ASSERT_EQUAL_FATAL(all->len, 1);
         const endpoint_lease_t *lease = all->pdata[0];
         if (lease->started_ms != c->started_ms || lease->state != c->state) {
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -605,6 +605,7 @@
             .cursor = 6,
             .wait_ms = 200,
             .takes_config = bits,
+            .rest = !bits,
         };
         sync_request_t read;
         GBytes *bytes = sync_request_write(&request);
@@ -615,17 +616,19 @@
         CU_ASSERT_EQUAL(read.cursor, 6);
         CU_ASSERT_EQUAL(read.wait_ms, 200);
         CU_ASSERT_EQUAL(read.takes_config, request.takes_config);
+        CU_ASSERT_EQUAL(read.rest, request.rest);
         sync_request_clear(&read);
         g_bytes_unref(bytes);
     }
 }
 
 static void
-test_sync_wire(void)
+check_sync_wire(guint leases)
 {
     endpoint_lease_t lease = lease_of("e", 7, LEASE_DRAINING);
     sync_answer_t answer = {.epoch = 3,
                             .cursor = 9,
+                            .more = TRUE,
                             .confirmed = TRUE,
                             .version = 4,
                             .base = 2,
@@ -634,21 +637,25 @@
                             .controls = g_ptr_array_new(),
                             .data_centre = "dc-2",
                             .entries = 8};
-    g_ptr_array_add(answer.leases, &lease);
+    for (guint i = 0; i < leases; i++) {
+        g_ptr_array_add(answer.leases, &lease);
+    }
     g_ptr_array_add(answer.controls, "10.0.0.1:7000");
     GBytes *bytes = sync_answer_write(&answer);
     sync_answer_t read;
     CU_ASSERT_FATAL(sync_answer_read(bytes, &read));
     CU_ASSERT_EQUAL(read.base, 2);
     CU_ASSERT(g_bytes_equal(read.delta, answer.delta));
-    CU_ASSERT_EQUAL(read.leases->len, 1);
-    CU_ASSERT_EQUAL(((endpoint_lease_t *)read.leases->pdata[0])->state,
-                    LEASE_DRAINING);
+    CU_ASSERT_EQUAL_FATAL(read.leases->len, leases);
+    CU_ASSERT_EQUAL(
+        ((endpoint_lease_t *)read.leases->pdata[leases - 1])->state,
+        LEASE_DRAINING);
     CU_ASSERT_STRING_EQUAL(read.controls->pdata[0], "10.0.0.1:7000");
     CU_ASSERT_EQUAL(read.epoch, 3);
     CU_ASSERT_EQUAL(read.cursor, 9);
     CU_ASSERT_EQUAL(read.confirmed, TRUE);
     CU_ASSERT_EQUAL(read.full, FALSE);
+    CU_ASSERT_EQUAL(read.more, TRUE);
     CU_ASSERT_EQUAL(read.version, 4);
     CU_ASSERT_EQUAL(read.entries, 8);
     CU_ASSERT_STRING_EQUAL(read.data_centre, "dc-2");
@@ -675,6 +682,14 @@
     g_ptr_array_unref(answer.controls);
 }
 
+/* Few leases go as they are, many packed. */
+static void
+test_sync_wire(void)
+{
+    check_sync_wire(1);
+    check_sync_wire(40);
+}
+
 static const test_case_t CASES[] = {
     {"faults of a configuration are named", test_config_faults},
     {"the longest prefix of the host matches", test_match},
