Answers that callers do not read: bounded in sum, with a true refusal

Cause: an entry instance held up to 128 KB for each stream that its caller does not read, 243 MB for the 1,900 connections it takes, and whole answers of 16 MB each without a bound in sum, of 160 MB of memory.

Ruled out: a smaller bound a stream at all times. A caller that stalls for a moment would hold its endpoint up though there is memory.

Now: bytes that are gathered or not taken yet are counted. Beyond a tenth of the memory each stream holds 4 KB before its endpoint waits, beyond a quarter new requests are refused as not run, beyond 0.4 an answer that is gathered whole is given up. The gauge is answer_bytes_held.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -72,6 +72,18 @@
     e->confirmed_us = MAX(e->confirmed_us, asked_us);
 }
 
+gsize
+entry_memory(const entry_t *e)
+{
+    return (gsize)(e->settings->memory_mb * 1048576);
+}
+
+gsize
+entry_answers_held(const entry_t *e)
+{
+    return http_server_unread(e->callers) + e->gathered;
+}
+
 static http_limits_t
 caller_limits(const entry_t *e)
 {
@@ -83,8 +95,7 @@
         .head_us = (l != NULL ? l->head_ms : 3000) * MS,
         .idle_us = (l != NULL ? l->idle_ms : 15000) * MS,
         .connections = (guint)MAX(descriptors / 2, 32),
-        .buffered_max =
-            (gsize)(e->settings->memory_mb * 1048576 * BODIES_PART),
+        .buffered_max = (gsize)((double)entry_memory(e) * BODIES_PART),
     };
     return limits;
 }
@@ -269,6 +280,8 @@
     counter_set(counter_get("endpoints", NULL, TRUE),
                 directory_count(e->directory));
     counter_set(counter_get("requests_in_flight", NULL, TRUE), e->forwards);
+    counter_set(counter_get("answer_bytes_held", NULL, TRUE),
+                (gint64)entry_answers_held(e));
     counter_set(counter_get("connections", NULL, TRUE),
                 http_server_connections(e->callers));
     event_log_flush();
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -19,6 +19,7 @@
 #include "carobloom/policy/collector.h"
 #include "carobloom/policy/directory.h"
 #include "carobloom/policy/engine_model.h"
+#include "carobloom/policy/memory_bound.h"
 #include "carobloom/policy/placement.h"
 #include "carobloom/policy/prompt_mix.h"
 #include "carobloom/policy/quarantine.h"
@@ -55,6 +56,7 @@
     metrics_source_t dump;
     GRand *random;
     directory_t *directory;
+    gsize gathered;       /* bytes of answers that are not whole yet */
     GHashTable *services; /* name -> service_use_t */
     GPtrArray *links;     /* control_link_t * */
     load_link_t *load_link;
@@ -113,6 +115,10 @@
 void usage_link_count(usage_link_t *link, const char *team);
 void usage_link_dump(const usage_link_t *link, GString *text);
 
+/* Memory for all that this instance holds, and what answers take of it. */
+gsize entry_memory(const entry_t *entry);
+gsize entry_answers_held(const entry_t *entry);
+
 /* load_link.c */
 load_link_t *load_link_create(entry_t *entry);
 void load_link_destroy(load_link_t *link);
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -176,6 +176,7 @@
     if (f->fields != NULL) {
         g_string_free(f->fields, TRUE);
     }
+    f->entry->gathered -= f->body->len;
     g_byte_array_unref(f->body);
     event_stream_clear(&f->events);
     g_clear_pointer(&f->config, route_config_unref);
@@ -344,6 +345,10 @@
         *reason = "no configuration yet";
         return 503;
     }
+    if (!memory_admits(entry_memory(e), entry_answers_held(e))) {
+        *reason = "answers that are not read fill the memory";
+        return 503;
+    }
     f->config = route_config_ref(e->config);
     f->route =
         route_config_match(f->config, f->info.host,
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -6,8 +6,6 @@
     /* Answers held whole before they go on: a part that is lost can still be
      * made good by another endpoint. Plain answers met so far have 5 KB. */
     ANSWER_MAX = 16 * 1024 * 1024,
-    /* Towards a caller that reads slowly; beyond it the endpoint waits. */
-    BACKLOG_MAX = 128 * 1024,
 };
 
 void
@@ -66,6 +64,7 @@
     f->status = head->status;
     f->streaming = success && is_event_stream(head);
     keep_fields(f, head);
+    f->entry->gathered -= f->body->len;
     g_byte_array_set_size(f->body, 0);
     return CALL_TAKE;
 }
@@ -142,25 +141,47 @@
     forward_repeat(f, TRUE, reason);
 }
 
+static void
+gather(forward_t *f, str_t bytes)
+{
+    entry_t *e = f->entry;
+    if (f->body->len + bytes.length > ANSWER_MAX) {
+        answer_too_long(f, "the endpoint's answer is too long");
+        return;
+    }
+    if (!memory_gathers(entry_memory(e), entry_answers_held(e))) {
+        answer_too_long(f, "no memory for the endpoint's answer");
+        return;
+    }
+    g_byte_array_append(f->body, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
+    e->gathered += bytes.length;
+}
+
+/* Whether the endpoint has to wait, since the caller reads slowly. */
+static gboolean
+is_behind(const forward_t *f)
+{
+    const entry_t *e = f->entry;
+    return f->begun &&
+           http_exchange_backlog(f->exchange) >
+               memory_stream_most(entry_memory(e), entry_answers_held(e));
+}
+
 static void
 on_answer_body(client_call_t *call, str_t bytes, void *user)
 {
     forward_t *f = user;
     forward_note_heard(f);
     if (!f->streaming) {
-        if (f->body->len + bytes.length > ANSWER_MAX) {
-            answer_too_long(f, "the endpoint's answer is too long");
-            return;
-        }
-        g_byte_array_append(f->body, (const guint8 *)bytes.data,
-                            (guint)bytes.length);
+        gather(f, bytes);
         return;
     }
     if (event_stream_feed(&f->events, bytes, on_event, f) != EVENT_STREAM_OK) {
         answer_too_long(f, "an event of the endpoint is too long");
         return;
     }
-    if (f->begun && http_exchange_backlog(f->exchange) > BACKLOG_MAX) {
+    if (is_behind(f)) {
         f->paused = TRUE;
         client_call_read(call, FALSE);
     }
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -52,6 +52,7 @@
     guint count;
     guint exchanges;
     gsize buffered; /* bytes of bodies held */
+    gsize unread;   /* bytes of answers that clients have not taken */
     gboolean draining;
 };
 
@@ -332,6 +333,7 @@
         g_free(c);
         return;
     }
+    stream_socket_count(c->socket, &server->unread);
     c->body = g_byte_array_new();
     c->unread = g_byte_array_new();
     c->activity_us = timers_now(server->timers);
@@ -450,6 +452,12 @@
     return server->exchanges;
 }
 
+gsize
+http_server_unread(const http_server_t *server)
+{
+    return server->unread;
+}
+
 /* ---- exchanges ---- */
 
 const http_head_t *
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -30,6 +30,7 @@
     int refused; /* errno of a connection that failed at once */
     gboolean reading;
     gboolean sent;
+    gsize *sum; /* of its owner's, of the bytes in line, or NULL */
 };
 
 gboolean
@@ -234,9 +235,19 @@
     return s;
 }
 
+void
+stream_socket_count(stream_socket_t *s, gsize *sum)
+{
+    s->sum = sum;
+    *sum += stream_socket_backlog(s);
+}
+
 void
 stream_socket_destroy(stream_socket_t *s)
 {
+    if (s->sum != NULL) {
+        *s->sum -= stream_socket_backlog(s);
+    }
     poll_watch_destroy(s->watch);
     close(s->fd);
     if (s->out != NULL) {
@@ -267,6 +278,9 @@
     }
     g_byte_array_append(s->out, (const guint8 *)bytes.data,
                         (guint)bytes.length);
+    if (s->sum != NULL) {
+        *s->sum += bytes.length;
+    }
 }
 
 gboolean
@@ -286,6 +300,9 @@
         }
         s->sent = TRUE;
         s->out_at += (gsize)count;
+        if (s->sum != NULL) {
+            *s->sum -= (gsize)count;
+        }
     }
     if (s->out != NULL && s->out_at == s->out->len) {
         g_byte_array_set_size(s->out, 0);
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -51,6 +51,8 @@
 void http_server_close_idle(http_server_t *server);
 guint http_server_connections(const http_server_t *server);
 guint http_server_exchanges(const http_server_t *server);
+/* Bytes of answers held for clients that have not taken them. */
+gsize http_server_unread(const http_server_t *server);
 
 /* The request; valid until the exchange ends. */
 const http_head_t *http_exchange_head(const http_exchange_t *exchange);
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -50,6 +50,8 @@
 void stream_socket_write(stream_socket_t *socket, str_t bytes);
 /* FALSE when the connection failed; `closed` is not called then. */
 gboolean stream_socket_flush(stream_socket_t *socket);
+/* Adds the bytes in line, as they come and go, to a sum of its owner's. */
+void stream_socket_count(stream_socket_t *socket, gsize *sum);
 /* Bytes in line. */
 gsize stream_socket_backlog(const stream_socket_t *socket);
 /* Whether any byte has gone to the kernel since the last call. */
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -23,6 +23,7 @@
     LATE_WORK_US = 2500 * MS, /* of FAULT_LATE */
     HUGE_BYTES = 17 * 1024 * 1024, /* of FAULT_HUGE: over an entry's bounds */
     HUGE_EVENT_BYTES = 300 * 1024,
+    LARGE_BYTES = 8 * 1024 * 1024, /* of a path with /large */
     CRASH_US = 20 * MS, /* of FAULT_CRASH: from the start of the run */
     CRASH_EXIT = 70,    /* as a program ends by a fault of its own */
 };
@@ -160,6 +161,9 @@
     }
     run_free(run);
     str_t id = request_id(exchange);
+    gboolean is_large =
+        str_find(http_head_target(http_exchange_head(exchange)), STR("/large"),
+                 0) >= 0;
     char *body = g_strdup_printf("answer to %.*s by %s", (int)id.length,
                                  id.data, e->id);
     char *fields;
@@ -183,6 +187,10 @@
         answer(e, exchange, 200, "", body);
         break;
     default:
+        if (is_large) {
+            g_free(body);
+            body = g_strnfill(LARGE_BYTES, 'x');
+        }
         answer(e, exchange, 200, "", body);
     }
     g_free(body);
--- a/tests/test_costs.c
+++ b/tests/test_costs.c
@@ -4,6 +4,7 @@
 #include "carobloom/gateway/sync_wire.h"
 #include "carobloom/policy/collector.h"
 #include "carobloom/policy/directory.h"
+#include "carobloom/policy/memory_bound.h"
 #include "carobloom/policy/registry.h"
 #include "check.h"
 #include "leases.h"
@@ -78,6 +79,36 @@
     CU_ASSERT_EQUAL(part_bytes(200, 1000), 200 * 512 * sizeof(guint64));
 }
 
+/* Answers that callers do not read: streams are cut short first, then new
+ * requests are refused, and whole answers are given up last. */
+static void
+test_answers_held(void)
+{
+    enum { MB = 1024 * 1024, MEMORY = 160 * MB, CONNECTIONS = 1900 };
+    static const struct {
+        gsize held;
+        gboolean admits;
+        gboolean gathers;
+        gsize stream_most;
+    } HELD[] = {
+        {0, TRUE, TRUE, 128 * 1024},       {15 * MB, TRUE, TRUE, 128 * 1024},
+        {17 * MB, TRUE, TRUE, 4 * 1024},   {41 * MB, FALSE, TRUE, 4 * 1024},
+        {65 * MB, FALSE, FALSE, 4 * 1024},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(HELD); i++) {
+        gsize held = HELD[i].held;
+        CU_ASSERT_EQUAL(memory_admits(MEMORY, held), HELD[i].admits);
+        CU_ASSERT_EQUAL(memory_gathers(MEMORY, held), HELD[i].gathers);
+        CU_ASSERT_EQUAL(memory_stream_most(MEMORY, held), HELD[i].stream_most);
+    }
+    /* All connections' streams, read by nobody. */
+    gsize held = 0;
+    for (guint i = 0; i < CONNECTIONS; i++) {
+        held += memory_stream_most(MEMORY, held);
+    }
+    CU_ASSERT(memory_admits(MEMORY, held));
+}
+
 /* ---- loads ---- */
 
 enum {
@@ -213,6 +244,7 @@
     {"loads are taken at the cost of the busy endpoints", test_load_visits},
     {"leases come in bounded answers", test_start},
     {"entry instances that come one by one", test_tellings},
+    {"answers that are not read", test_answers_held},
     {"few endpoints: all parts are remembered", test_memory_of_few},
 };
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -641,6 +641,70 @@
     fleet_destroy(f);
 }
 
+/* A client that sends a request and reads nothing; NULL when there is no
+ * connection. */
+static GSocketConnection *
+silent_reader(const fleet_process_t *entry, const char *id)
+{
+    GSocketClient *client = g_socket_client_new();
+    GSocketConnection *connection = g_socket_client_connect_to_host(
+        client, entry->ip, FLEET_CALLERS_PORT, NULL, NULL);
+    g_object_unref(client);
+    if (connection == NULL) {
+        return NULL;
+    }
+    char *text =
+        g_strdup_printf("GET /safe/large HTTP/1.1\r\nHost: h.example\r\n"
+                        "Request-Id: %s\r\nDeadline-Ms: 8000\r\n"
+                        "Authorization: Bearer %s\r\n\r\n",
+                        id, FLEET_KEY);
+    g_output_stream_write_all(
+        g_io_stream_get_output_stream(G_IO_STREAM(connection)), text,
+        strlen(text), NULL, NULL, NULL);
+    g_free(text);
+    return connection;
+}
+
+/* Callers that read nothing of large answers: what is held for them stays
+ * within the memory, new requests are refused as not run while it is full, and
+ * served again when they are gone. */
+static void
+test_slow_readers(void)
+{
+    enum { READERS = 24, MEMORY_MB = 64 };
+    GSocketConnection *readers[READERS];
+    fleet_t *f = fleet_create(1, 1, 3);
+    f->memory_mb = MEMORY_MB;
+    CU_ASSERT(fleet_up(f, 1));
+    fleet_process_t *entry = fleet_entry(f, 0);
+    for (guint i = 0; i < READERS; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "slow-%u", i);
+        readers[i] = silent_reader(entry, id);
+        CU_ASSERT_PTR_NOT_NULL(readers[i]);
+        fleet_sleep(150);
+    }
+    fleet_sleep(600);
+    guint64 held = fleet_counter(entry, "answer_bytes_held");
+    printf("%" G_GUINT64_FORMAT " KB held; ", held / 1024);
+    CU_ASSERT(held > MEMORY_MB * 1048576 / 5);
+    CU_ASSERT(held < MEMORY_MB * 1048576 / 2);
+    reply_t *reply = fleet_request(entry, "/once/1", "refused", "");
+    CU_ASSERT_EQUAL(reply->status, 503);
+    CU_ASSERT(strstr(reply->fields, "Retry-After") != NULL);
+    CU_ASSERT_EQUAL(fleet_ran(f, "run", "refused"), 0);
+    reply_free(reply);
+    for (guint i = 0; i < READERS; i++) {
+        g_clear_object(&readers[i]);
+    }
+    fleet_sleep(1000);
+    CU_ASSERT_EQUAL(fleet_counter(entry, "answer_bytes_held"), 0);
+    reply = fleet_request(entry, "/once/1", "served", "");
+    CU_ASSERT_EQUAL(reply->status, 200);
+    reply_free(reply);
+    fleet_destroy(f);
+}
+
 /* Without the control instances an entry serves on for a while, and then
  * refuses what needs a key: it may have been withdrawn. */
 static void
@@ -682,6 +746,7 @@
     {"a control instance is replaced", test_replaced},
     {"what is invalid is refused", test_invalid_refused},
     {"two operators, one version", test_race},
+    {"callers that do not read", test_slow_readers},
     {"no word from control", test_unconfirmed},
 };
 
