--- /dev/null
+++ b/policy/voter_election.c
@@ -0,0 +1,143 @@
+#include "voter_state.h"
+
+static void
+ask_votes(voter_t *v, gboolean pre)
+{
+    g_hash_table_remove_all(v->votes);
+    for (guint i = 0; i < v->config.count; i++) {
+        const voter_member_t *member = &v->config.members[i];
+        if (member->learner || member->id == v->settings.id) {
+            continue;
+        }
+        voter_message_t *m =
+            voter_message_to(v, pre ? VOTER_PREVOTE : VOTER_VOTE, member->id);
+        m->term = pre ? v->hard.term + 1 : v->hard.term;
+        m->index = replica_log_last(&v->log);
+        m->log_term = replica_log_last_term(&v->log);
+    }
+}
+
+static void take_vote(voter_t *v, guint64 from);
+
+static void
+start_election(voter_t *v)
+{
+    v->role = ROLE_CANDIDATE;
+    v->prevoting = FALSE;
+    v->leader = 0;
+    v->hard = (voter_hard_t){.term = v->hard.term + 1, .vote = v->settings.id};
+    v->hard_changed = TRUE;
+    voter_reset_timeout(v);
+    ask_votes(v, FALSE);
+    take_vote(v, v->settings.id);
+}
+
+void
+voter_start_prevote(voter_t *v)
+{
+    voter_reset_timeout(v);
+    if (!voter_may_vote(v, v->settings.id)) {
+        return;
+    }
+    v->role = ROLE_CANDIDATE;
+    v->prevoting = TRUE;
+    v->leader = 0;
+    ask_votes(v, TRUE);
+    take_vote(v, v->settings.id);
+}
+
+static void
+become_leader(voter_t *v)
+{
+    v->role = ROLE_LEADER;
+    v->prevoting = FALSE;
+    v->leader = v->settings.id;
+    v->lease_us = 0;
+    v->quorum_us = v->now_us;
+    v->progress_count = 0;
+    voter_progress_refresh(v);
+    GBytes *empty = g_bytes_new(NULL, 0);
+    voter_append_own(v, ENTRY_NOOP, empty);
+    g_bytes_unref(empty);
+    v->term_start = replica_log_last(&v->log);
+    voter_send_all(v);
+}
+
+static void
+take_vote(voter_t *v, guint64 from)
+{
+    g_hash_table_add(v->votes, (gpointer)from);
+    guint granted = 0;
+    for (guint i = 0; i < v->config.count; i++) {
+        const voter_member_t *member = &v->config.members[i];
+        granted += !member->learner &&
+                   g_hash_table_contains(v->votes, (gpointer)member->id);
+    }
+    if (granted < voter_quorum(v)) {
+        return;
+    }
+    if (v->prevoting) {
+        start_election(v);
+    }
+    else {
+        become_leader(v);
+    }
+}
+
+/* ---- votes asked for ---- */
+
+static gboolean
+log_up_to_date(const voter_t *v, const voter_message_t *m)
+{
+    guint64 term = replica_log_last_term(&v->log);
+    return m->log_term > term ||
+           (m->log_term == term && m->index >= replica_log_last(&v->log));
+}
+
+gboolean
+voter_leader_is_fresh(const voter_t *v)
+{
+    return v->role != ROLE_LEADER &&
+           v->now_us - v->heard_us < v->settings.election_us;
+}
+
+void
+voter_handle_prevote(voter_t *v, const voter_message_t *m)
+{
+    gboolean leading = v->role == ROLE_LEADER && v->now_us < v->lease_us;
+    voter_message_t *reply = voter_message_to(v, VOTER_PREVOTE_REPLY, m->from);
+    reply->granted = m->term > v->hard.term && log_up_to_date(v, m) &&
+                     !voter_leader_is_fresh(v) && !leading;
+    reply->term = reply->granted ? m->term : v->hard.term;
+}
+
+void
+voter_handle_vote(voter_t *v, const voter_message_t *m)
+{
+    if (m->term > v->hard.term) {
+        voter_follow(v, m->term, 0);
+    }
+    gboolean free_vote = v->hard.vote == 0 || v->hard.vote == m->from;
+    gboolean grant =
+        m->term == v->hard.term && free_vote && log_up_to_date(v, m);
+    if (grant && v->hard.vote == 0) {
+        v->hard.vote = m->from;
+        v->hard_changed = TRUE;
+    }
+    if (grant) {
+        voter_reset_timeout(v);
+    }
+    voter_message_t *reply = voter_message_to(v, VOTER_VOTE_REPLY, m->from);
+    reply->granted = grant;
+}
+
+void
+voter_handle_vote_reply(voter_t *v, const voter_message_t *m)
+{
+    gboolean pre = m->kind == VOTER_PREVOTE_REPLY;
+    guint64 expected = pre ? v->hard.term + 1 : v->hard.term;
+    if (v->role == ROLE_CANDIDATE && v->prevoting == pre && m->granted &&
+        m->term == expected) {
+        take_vote(v, m->from);
+    }
+}
--- /dev/null
+++ b/policy/voter_replicate.c
@@ -0,0 +1,304 @@
+#include "voter_state.h"
+
+#include <string.h>
+
+#include "carobloom/policy/voter_codec.h"
+
+static const double LEASE_SHARE = 0.9; /* the rest covers clock drift */
+
+/* ---- members, as the leader knows them ---- */
+
+static progress_t *
+progress_of(voter_t *v, guint64 id)
+{
+    for (guint i = 0; i < v->progress_count; i++) {
+        if (v->progress[i].id == id) {
+            return &v->progress[i];
+        }
+    }
+    return NULL;
+}
+
+void
+voter_progress_refresh(voter_t *v)
+{
+    progress_t fresh[VOTER_MEMBERS_MAX];
+    for (guint i = 0; i < v->config.count; i++) {
+        guint64 id = v->config.members[i].id;
+        progress_t *known = progress_of(v, id);
+        fresh[i] = known ? *known
+                         : (progress_t){.id = id,
+                                        .next = replica_log_last(&v->log) + 1,
+                                        .heard_us = v->now_us};
+    }
+    memcpy(v->progress, fresh, sizeof(progress_t) * v->config.count);
+    v->progress_count = v->config.count;
+}
+
+/* ---- replication, as leader ---- */
+
+static void
+send_snapshot(voter_t *v, progress_t *p)
+{
+    if (v->now_us - p->snapshot_us < v->settings.election_us &&
+        p->snapshot_us > 0) {
+        return;
+    }
+    p->snapshot_us = v->now_us;
+    voter_message_t *m = voter_message_to(v, VOTER_SNAPSHOT, p->id);
+    m->index = v->snapshot.index;
+    m->log_term = v->snapshot.term;
+    m->config = v->snapshot.config;
+    m->round = (guint64)v->now_us;
+    m->snapshot = v->snapshot.data ? g_bytes_ref(v->snapshot.data)
+                                   : g_bytes_new(NULL, 0);
+}
+
+static void
+send_append(voter_t *v, progress_t *p)
+{
+    guint64 previous = p->next - 1;
+    if (previous < v->log.base_index) {
+        send_snapshot(v, p);
+        return;
+    }
+    voter_message_t *m = voter_message_to(v, VOTER_APPEND, p->id);
+    m->index = previous;
+    m->log_term = replica_log_term(&v->log, previous);
+    m->commit = v->commit;
+    m->round = (guint64)v->now_us;
+    m->entries = g_ptr_array_new_with_free_func(voter_entry_free);
+    gsize bytes = 0;
+    while (m->entries->len < VOTER_ENTRIES_A_MESSAGE &&
+           bytes < VOTER_BYTES_A_MESSAGE) {
+        const log_entry_t *entry = replica_log_get(&v->log, p->next);
+        if (entry == NULL) {
+            break;
+        }
+        g_ptr_array_add(m->entries, log_entry_copy(entry));
+        bytes += g_bytes_get_size(entry->data);
+        p->next++;
+    }
+}
+
+void
+voter_send_all(voter_t *v)
+{
+    v->beat_us = v->now_us + v->settings.heartbeat_us;
+    for (guint i = 0; i < v->progress_count; i++) {
+        if (v->progress[i].id != v->settings.id) {
+            send_append(v, &v->progress[i]);
+        }
+    }
+}
+
+static gint
+compare_u64_down(gconstpointer a, gconstpointer b)
+{
+    guint64 x = *(const guint64 *)a;
+    guint64 y = *(const guint64 *)b;
+    return x > y ? -1 : x < y;
+}
+
+/* The value that a quorum of voting members has reached. */
+static guint64
+quorum_value(voter_t *v, guint64 (*value)(voter_t *, progress_t *))
+{
+    guint64 values[VOTER_MEMBERS_MAX];
+    guint count = 0;
+    for (guint i = 0; i < v->progress_count; i++) {
+        if (voter_may_vote(v, v->progress[i].id)) {
+            values[count++] = value(v, &v->progress[i]);
+        }
+    }
+    if (count == 0) {
+        return 0;
+    }
+    qsort(values, count, sizeof(guint64), compare_u64_down);
+    return values[voter_quorum(v) - 1];
+}
+
+static guint64
+value_match(voter_t *v, progress_t *p)
+{
+    return p->id == v->settings.id ? v->durable : p->match;
+}
+
+static guint64
+value_round(voter_t *v, progress_t *p)
+{
+    return p->id == v->settings.id ? (guint64)v->now_us : p->acked_round;
+}
+
+void
+voter_advance_commit(voter_t *v)
+{
+    guint64 index = quorum_value(v, value_match);
+    /* Only entries of the own term are committed by counting. */
+    if (index > v->commit &&
+        replica_log_term(&v->log, index) == v->hard.term) {
+        v->commit = index;
+        gboolean removed =
+            voter_config_find(&v->config, v->settings.id) == NULL &&
+            v->config_index <= v->commit;
+        if (removed) {
+            voter_send_all(v);
+            voter_follow(v, v->hard.term, 0);
+        }
+    }
+}
+
+void
+voter_advance_lease(voter_t *v)
+{
+    gint64 round = (gint64)quorum_value(v, value_round);
+    if (round == 0) {
+        return;
+    }
+    v->quorum_us = MAX(v->quorum_us, round);
+    v->lease_us =
+        MAX(v->lease_us,
+            round + (gint64)(LEASE_SHARE * (double)v->settings.election_us));
+}
+
+void
+voter_append_own(voter_t *v, entry_kind_t kind, GBytes *data)
+{
+    log_entry_t entry = {
+        .index = replica_log_last(&v->log) + 1,
+        .term = v->hard.term,
+        .kind = kind,
+        .data = data,
+    };
+    replica_log_append(&v->log, &entry);
+    if (v->append_from == 0) {
+        v->append_from = entry.index;
+    }
+}
+
+/* ---- as follower ---- */
+
+/* Takes the entries that are new; a conflict cuts the own tail. */
+static guint64
+take_entries(voter_t *v, const voter_message_t *m)
+{
+    gboolean changed = FALSE;
+    guint64 last = m->index;
+    for (guint i = 0; m->entries && i < m->entries->len; i++) {
+        const log_entry_t *entry = m->entries->pdata[i];
+        last = entry->index;
+        if (entry->index <= v->log.base_index ||
+            replica_log_term(&v->log, entry->index) == entry->term) {
+            continue;
+        }
+        if (entry->index <= replica_log_last(&v->log)) {
+            replica_log_truncate(&v->log, entry->index);
+            v->durable = MIN(v->durable, entry->index - 1);
+        }
+        replica_log_append(&v->log, entry);
+        if (v->append_from == 0 || entry->index < v->append_from) {
+            v->append_from = entry->index;
+        }
+        changed = TRUE;
+    }
+    if (changed) {
+        voter_config_refresh(v);
+    }
+    return last;
+}
+
+void
+voter_handle_append(voter_t *v, const voter_message_t *m)
+{
+    voter_message_t *reply = voter_message_to(v, VOTER_APPEND_REPLY, m->from);
+    reply->round = m->round;
+    if (m->term < v->hard.term) {
+        return;
+    }
+    voter_follow(v, m->term, m->from);
+    reply->term = v->hard.term;
+    v->heard_us = v->now_us;
+    gboolean fits = m->index < v->log.base_index ||
+                    (m->index <= replica_log_last(&v->log) &&
+                     replica_log_term(&v->log, m->index) == m->log_term);
+    if (!fits) {
+        /* Where the leader may try next: before the conflicting term. */
+        guint64 hint = MIN(m->index - 1, replica_log_last(&v->log));
+        guint64 term = replica_log_term(&v->log, hint);
+        while (hint > v->log.base_index && hint > v->commit &&
+               m->index <= replica_log_last(&v->log) &&
+               replica_log_term(&v->log, hint) == term) {
+            hint--;
+        }
+        reply->index = MAX(hint, v->log.base_index);
+        return;
+    }
+    reply->granted = TRUE;
+    reply->index = take_entries(v, m);
+    v->commit = MAX(v->commit, MIN(m->commit, reply->index));
+}
+
+void
+voter_handle_append_reply(voter_t *v, const voter_message_t *m)
+{
+    progress_t *p = v->role == ROLE_LEADER ? progress_of(v, m->from) : NULL;
+    if (p == NULL || m->term != v->hard.term) {
+        return;
+    }
+    p->heard_us = v->now_us;
+    p->acked_round = MAX(p->acked_round, m->round);
+    voter_advance_lease(v);
+    if (!m->granted) {
+        p->next = MAX(MIN(m->index + 1, replica_log_last(&v->log) + 1),
+                      p->match + 1);
+        send_append(v, p);
+        return;
+    }
+    p->match = MAX(p->match, m->index);
+    p->next = MAX(p->next, p->match + 1);
+    p->snapshot_us = 0;
+    guint64 before = v->commit;
+    voter_advance_commit(v);
+    if (v->role != ROLE_LEADER) {
+        return;
+    }
+    if (v->commit > before) {
+        voter_send_all(v); /* followers learn of the commit at once */
+    }
+    else if (p->next <= replica_log_last(&v->log)) {
+        send_append(v, p);
+    }
+}
+
+void
+voter_handle_snapshot(voter_t *v, const voter_message_t *m)
+{
+    voter_message_t *reply = voter_message_to(v, VOTER_APPEND_REPLY, m->from);
+    reply->round = m->round;
+    if (m->term < v->hard.term) {
+        return;
+    }
+    voter_follow(v, m->term, m->from);
+    reply->term = v->hard.term;
+    reply->granted = TRUE;
+    v->heard_us = v->now_us;
+    reply->index = MAX(v->commit, m->index);
+    if (m->index <= v->commit) {
+        return;
+    }
+    replica_log_truncate(&v->log, v->log.base_index + 1);
+    replica_log_compact(&v->log, m->index, m->log_term);
+    g_clear_pointer(&v->snapshot.data, g_bytes_unref);
+    v->snapshot = (voter_snapshot_t){
+        .index = m->index,
+        .term = m->log_term,
+        .config = m->config,
+        .data = g_bytes_ref(m->snapshot),
+    };
+    v->install = TRUE;
+    v->append_from = 0;
+    v->commit = m->index;
+    v->applied = m->index;
+    v->durable = m->index;
+    voter_config_refresh(v);
+}
