Confirmations: a held question proves the time of its answer

Cause: an entry instance took its configuration as confirmed at the time it had asked; the leader holds the question for 4 ms for each instance that asks, 2 s at most. Beyond some 310 instances the word was 2 s old as it came and nearly 4 s before the next, over the 2.5 s after which an instance is not ready and about the 4 s after which it refuses.

Ruled out: asking more often alone; a word would still be as old as the wait.

Now: the answer says for how long its question was held, by a clock read after the question was and before the answer is written; the configuration is confirmed as of then. And the leader holds it for a quarter of the bound for a withdrawn key at most, however many ask (policy/sync_pace.c).

tests/test_costs.c: from 1 to 10,000 instances and bounds of 3 to 20 s.

--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -1,7 +1,9 @@
 #include <string.h>
 
+#include "carobloom/common/clock.h"
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/gateway/inner_line.h"
 #include "carobloom/policy/collector.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/version/text_delta.h"
@@ -35,6 +37,7 @@
     control_t *control;
     http_exchange_t *exchange;
     sync_request_t request;
+    gint64 asked_us; /* clock_boot_us, not the timers' clock: never early */
     guint64 timer;
 } held_sync_t;
 
@@ -232,12 +235,17 @@
            has_config_news(c, request);
 }
 
+/* `held_us` is for how long the question waited. */
 static void
 sync_answer(control_t *c, http_exchange_t *exchange,
-            const sync_request_t *request)
+            const sync_request_t *request, gint64 held_us)
 {
+    char fields[64];
     GBytes *bytes = sync_news(c, request);
-    http_exchange_answer(exchange, 200, STR(""), str_from_bytes(bytes));
+    g_snprintf(fields, sizeof(fields), HELD_FIELD ": %d\r\n",
+               (int)(held_us / MS));
+    http_exchange_answer(exchange, 200, str_from_cstr(fields),
+                         str_from_bytes(bytes));
     g_bytes_unref(bytes);
 }
 
@@ -254,12 +262,11 @@
 static void
 held_answer(held_sync_t *held)
 {
-    http_exchange_t *exchange = held->exchange;
-    http_exchange_set_data(exchange, NULL);
-    GBytes *bytes = sync_news(held->control, &held->request);
+    control_t *c = held->control;
+    http_exchange_set_data(held->exchange, NULL);
+    sync_answer(c, held->exchange, &held->request,
+                clock_boot_us() - held->asked_us);
     held_free(held);
-    http_exchange_answer(exchange, 200, STR(""), str_from_bytes(bytes));
-    g_bytes_unref(bytes);
 }
 
 static void
@@ -359,13 +366,15 @@
     gboolean batched = news && !request.rest && request.epoch == c->epoch &&
                        !has_config_news(c, &request) && spread_pause(c) > 0;
     if ((news && !batched) || request.wait_ms == 0 || c->draining) {
-        sync_answer(c, exchange, &request);
+        sync_answer(c, exchange, &request, 0);
         sync_request_clear(&request);
         return;
     }
     held_sync_t *held = g_new0(held_sync_t, 1);
-    *held =
-        (held_sync_t){.control = c, .exchange = exchange, .request = request};
+    *held = (held_sync_t){.control = c,
+                          .exchange = exchange,
+                          .request = request,
+                          .asked_us = clock_boot_us()};
     held->timer = timers_subscribe(
         c->timers, MIN(request.wait_ms, WAIT_MOST_MS) * (gint64)MS, 0,
         held_expired, held);
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -5,24 +5,12 @@
 #include "carobloom/common/event_log.h"
 #include "carobloom/gateway/inner_line.h"
 #include "carobloom/policy/rendezvous.h"
+#include "carobloom/policy/sync_pace.h"
 #include "carobloom/version/text_delta.h"
 #include "entry_state.h"
 
 enum {
     MS = 1000,
-    /* For how long a control instance may hold a question when it has no
-     * news, in ms: less often the more instances ask, so that the questions
-     * of 320 stay under 3 KB a second each. */
-    WAIT_LEAST_MS = 600,
-    WAIT_MOST_MS = 2000,
-    WAIT_MS_AN_ENTRY = 20,
-    /* The leader is asked more often, since it confirms the configuration.
-     * With 320 instances that is 250 calls a second of 0.08 ms at it. */
-    LEADER_WAIT_MS_AN_ENTRY = 4,
-    /* While nothing is confirmed or the other is only just back; at the
-     * leader's pace where many ask, or 291 instances without a configuration
-     * keep all control instances too busy to elect a leader. */
-    FIRST_WAIT_MS = 100,
     /* Over the time held: a round trip between regions and a busy instance,
      * the busier the more ask. One given up too soon asks again and makes it
      * busier still. */
@@ -245,6 +233,16 @@
     }
 }
 
+/* When the answer was surely not written yet, by this instance's clock: the
+ * question was held for a while after it was asked. */
+static gint64
+written_us(const control_link_t *link)
+{
+    gint64 since_us = clock_boot_us() - link->asked_us;
+    gint64 held_us = inner_line_held_ms(link->line) * (gint64)MS;
+    return link->asked_us + CLAMP(held_us, 0, since_us);
+}
+
 static void
 take_answer(control_link_t *link, const sync_answer_t *answer)
 {
@@ -270,7 +268,7 @@
     gboolean sound = take_config(link, answer);
     if (sound && answer->confirmed && e->config != NULL &&
         e->config->version >= answer->version) {
-        entry_take_confirmation(e, link->asked_us);
+        entry_take_confirmation(e, written_us(link));
     }
     e->entries = MAX(answer->entries, 1);
     for (guint i = 0; i < answer->controls->len; i++) {
@@ -342,15 +340,14 @@
 wait_ms_of(const control_link_t *link)
 {
     const entry_t *e = link->entry;
-    if (link->answered_us == 0 || link->lost || !entry_is_confirmed(e)) {
-        return CLAMP(e->entries * LEADER_WAIT_MS_AN_ENTRY, FIRST_WAIT_MS,
-                     WAIT_MOST_MS);
-    }
-    if (link->leads) {
-        return CLAMP(e->entries * LEADER_WAIT_MS_AN_ENTRY, WAIT_LEAST_MS,
-                     WAIT_MOST_MS);
-    }
-    return CLAMP(e->entries * WAIT_MS_AN_ENTRY, WAIT_LEAST_MS, WAIT_MOST_MS);
+    sync_pace_t pace = {
+        .entries = e->entries,
+        .leads = link->leads,
+        .sound =
+            link->answered_us != 0 && !link->lost && entry_is_confirmed(e),
+        .bound_ms = e->settings->revoke_ms,
+    };
+    return sync_wait_ms(&pace);
 }
 
 static void
--- a/carobloomd/gateway/inner_line.c
+++ b/carobloomd/gateway/inner_line.c
@@ -3,6 +3,8 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/gateway/inner_post.h"
 
+enum { HELD_MOST_MS = 60 * 1000 };
+
 struct inner_line {
     inner_line_setup_t setup;
     char *address;
@@ -10,6 +12,7 @@
     client_call_t *call;
     guint64 timer; /* 0: no call is under way */
     guint status;
+    guint held_ms;
     GByteArray *body;
     gboolean progress; /* bytes came since the timer was set */
 };
@@ -50,7 +53,13 @@
 {
     (void)call;
     inner_line_t *line = user;
+    str_t held;
+    guint64 held_ms = 0;
     line->status = head->status;
+    if (http_head_find(head, HELD_FIELD, &held)) {
+        http_number(held, &held_ms);
+    }
+    line->held_ms = (guint)MIN(held_ms, HELD_MOST_MS);
     return CALL_TAKE;
 }
 
@@ -128,6 +137,12 @@
     line->setup.progress_us = progress_us;
 }
 
+guint
+inner_line_held_ms(const inner_line_t *line)
+{
+    return line->held_ms;
+}
+
 gboolean
 inner_line_is_busy(const inner_line_t *line)
 {
--- a/include/carobloom/gateway/inner_line.h
+++ b/include/carobloom/gateway/inner_line.h
@@ -4,6 +4,9 @@
 
 #include "carobloom/http/client.h"
 
+/* Of an answer: milliseconds between the question and it. */
+#define HELD_FIELD "Held-Ms"
+
 typedef struct inner_line inner_line_t;
 
 /* How a call ended; exactly one of them is called for each. Another may be
@@ -33,6 +36,9 @@
 /* Ends a call under way without a word. */
 void inner_line_destroy(inner_line_t *line);
 void inner_line_set_progress(inner_line_t *line, gint64 progress_us);
+/* For how long the question was held before its answer was written, as the
+ * other says; for `answered`. */
+guint inner_line_held_ms(const inner_line_t *line);
 gboolean inner_line_is_busy(const inner_line_t *line);
 /* Posts `body`, to be answered within `wait_us`. FALSE when no connection can
  * be had; `failed` is not called then. Not while it is busy. */
--- /dev/null
+++ b/policy/sync_pace.c
@@ -0,0 +1,37 @@
+#include "carobloom/policy/sync_pace.h"
+
+enum {
+    /* Less often the more instances ask, so that the questions of 320 stay
+     * under 3 KB a second each. */
+    WAIT_LEAST_MS = 600,
+    WAIT_MOST_MS = 2000,
+    WAIT_MS_AN_ENTRY = 20,
+    /* The leader is asked more often, since it confirms the configuration.
+     * With 320 instances that is 250 calls a second of 0.08 ms at it. */
+    LEADER_WAIT_MS_AN_ENTRY = 4,
+    /* While nothing is confirmed or the other is only just back; at the
+     * leader's pace where many ask, or 291 instances without a configuration
+     * keep all control instances too busy to elect a leader. */
+    FIRST_WAIT_MS = 100,
+};
+
+/* Of the bound for a withdrawn key: an instance whose configuration was last
+ * confirmed half of it ago is not ready, and an answer may be late. */
+static const double CONFIRM_PART = 0.25;
+
+guint32
+sync_wait_ms(const sync_pace_t *p)
+{
+    gint64 leader_ms = (gint64)p->entries * LEADER_WAIT_MS_AN_ENTRY;
+    if (!p->sound) {
+        return (guint32)CLAMP(leader_ms, FIRST_WAIT_MS, WAIT_MOST_MS);
+    }
+    if (!p->leads) {
+        return (guint32)CLAMP((gint64)p->entries * WAIT_MS_AN_ENTRY,
+                              WAIT_LEAST_MS, WAIT_MOST_MS);
+    }
+    gint64 most_ms =
+        p->bound_ms > 0 ? (gint64)(p->bound_ms * CONFIRM_PART) : WAIT_MOST_MS;
+    most_ms = CLAMP(most_ms, WAIT_LEAST_MS, WAIT_MOST_MS);
+    return (guint32)CLAMP(leader_ms, WAIT_LEAST_MS, most_ms);
+}
--- a/tests/test_costs.c
+++ b/tests/test_costs.c
@@ -6,6 +6,7 @@
 #include "carobloom/policy/directory.h"
 #include "carobloom/policy/memory_bound.h"
 #include "carobloom/policy/registry.h"
+#include "carobloom/policy/sync_pace.h"
 #include "check.h"
 #include "leases.h"
 
@@ -181,6 +182,30 @@
     CU_ASSERT(tellings_of(10000) <= 2 * tellings_of(1000));
 }
 
+/* ---- confirmations ---- */
+
+/* An entry instance whose configuration was confirmed half the bound for a
+ * withdrawn key ago is not ready: however many ask, the leader holds no
+ * question for so long that an answer half a bound late leaves it so. */
+static void
+test_confirmations(void)
+{
+    static const guint ENTRIES[] = {1, 30, 300, 1000, 2000, 10000};
+    static const double BOUNDS_MS[] = {3000, 5000, 20000};
+    for (gsize i = 0; i < G_N_ELEMENTS(ENTRIES); i++) {
+        for (gsize j = 0; j < G_N_ELEMENTS(BOUNDS_MS); j++) {
+            sync_pace_t pace = {.entries = ENTRIES[i],
+                                .leads = TRUE,
+                                .sound = TRUE,
+                                .bound_ms = BOUNDS_MS[j]};
+            CU_ASSERT(sync_wait_ms(&pace) <= 0.25 * BOUNDS_MS[j]);
+            pace.leads = FALSE;
+            CU_ASSERT(sync_wait_ms(&pace) <= 2000);
+            CU_ASSERT(sync_wait_ms(&pace) >= 600);
+        }
+    }
+}
+
 /* ---- leases ---- */
 
 enum {
@@ -245,6 +270,7 @@
     {"leases come in bounded answers", test_start},
     {"entry instances that come one by one", test_tellings},
     {"answers that are not read", test_answers_held},
+    {"confirmations in time however many ask", test_confirmations},
     {"few endpoints: all parts are remembered", test_memory_of_few},
 };
 
