Parts of prompts: what comes before a new part is fetched from one holder

Ways: homes chosen by the first part and then by the longer one, without any fetch: how many homes a first part needs follows from its load, which no instance knows, so small deployments would crowd or large ones gain nothing. Fetching it from an endpoint that has it costs a seventh of the reading's price and no crowd: that.

Now: whoever sends a first part that no endpoint is known to keep tells the others where; the home of a part that is asked for first time fetches what comes before it from there, rather than guess that the next in rank has all.

--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -20,6 +20,9 @@
     /* Shorter shared parts are read again in less time than the others are
      * told. */
     PART_TOLD_TOKENS = 1024,
+    /* The same of the part before them, which is told once for all endpoints
+     * that get it from the first. */
+    PREFIX_TOLD_TOKENS = 64,
 };
 
 static const http_peer_limits_t ENDPOINT_LIMITS = {
@@ -168,12 +171,17 @@
 }
 
 /* Tells the others that an endpoint gets the prompt's shared part, unless it
- * is known to have it. */
+ * is known to have it, and the part before it, unless some endpoint is. */
 static void
-tell_part(const forward_t *f, const endpoint_t *endpoint,
-          const placement_request_t *request)
+tell_parts(const forward_t *f, const placement_t *placement,
+           const placement_request_t *request)
 {
+    const endpoint_t *endpoint = placement->endpoint;
+    prompt_part_t prefix = placement_prefix_part(request);
     prompt_part_t shared = placement_shared_part(request);
+    if (prefix.tokens >= PREFIX_TOLD_TOKENS && !placement->prefix_held) {
+        load_link_note_part(f->entry->load_link, prefix.id, endpoint);
+    }
     if (shared.tokens >= PART_TOLD_TOKENS &&
         !endpoint_has_part(endpoint, shared.id)) {
         load_link_note_part(f->entry->load_link, shared.id, endpoint);
@@ -194,7 +202,7 @@
     directory_join(f->entry->directory, endpoint, f->info.prompt_tokens,
                    f->waiting_tokens);
     f->use->read_tokens += f->waiting_tokens;
-    tell_part(f, endpoint, request);
+    tell_parts(f, placement, request);
     for (guint i = 0; i < request->part_count; i++) {
         directory_note_part(f->entry->directory, endpoint,
                             request->parts[i].id);
--- a/include/carobloom/policy/keepers.h
+++ b/include/carobloom/policy/keepers.h
@@ -33,12 +33,16 @@
     /* Ranked highest of those that were sent the part lately, wherever they
      * are by now. */
     const endpoint_t *holders[KEEPERS_HOLDERS];
+    /* One that was sent the part before it in the prompt, which more prompts
+     * share; an endpoint that gets the part for the first time has it from
+     * there. NULL: none. */
+    const endpoint_t *prefix_holder;
 } keepers_t;
 
 /* The keepers of a part among the usable endpoints of a side; none for part
- * 0. */
+ * 0. `prefix` is the part before it, or 0. */
 keepers_t keepers_of(const GPtrArray *endpoints, side_t side, guint64 part,
-                     gint64 now_us);
+                     guint64 prefix, gint64 now_us);
 /* Its place among them; KEEPERS_RANKED when it has none. */
 guint keepers_rank(const keepers_t *keepers, const endpoint_t *endpoint);
 /* Whom `endpoint` best fetches the part from; NULL: nobody well enough. */
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -62,6 +62,8 @@
      * when there is none, or engines do not fetch. */
     const endpoint_t *source;
     guint read_tokens; /* prompt tokens that it has to read */
+    /* Some endpoint is known to keep the part before the shared one. */
+    gboolean prefix_held;
     placement_counts_t counts;
 } placement_t;
 
@@ -74,6 +76,8 @@
 /* The part of a prompt that it shares with most others, with its tokens those
  * of all parts up to it; 0 where it shares none. */
 prompt_part_t placement_shared_part(const placement_request_t *request);
+/* The same of the part before that one. */
+prompt_part_t placement_prefix_part(const placement_request_t *request);
 /* Prompt tokens that `endpoint` would have to read. */
 guint placement_unread(const endpoint_t *endpoint,
                        const placement_request_t *request);
--- a/policy/keepers.c
+++ b/policy/keepers.c
@@ -11,6 +11,7 @@
     guint64 former_rank;
     guint64 leaving_rank;
     guint64 holder_ranks[KEEPERS_HOLDERS];
+    guint64 prefix_rank;
 } ranking_t;
 
 /* Whether an endpoint is well enough to be asked for its memory. */
@@ -78,9 +79,24 @@
     }
 }
 
+/* All instances ask the same one, so that it surely has the part. */
+static void
+note_prefix(ranking_t *r, const endpoint_t *e, guint64 prefix, gint64 now_us)
+{
+    if (prefix == 0 || !endpoint_has_part(e, prefix) ||
+        !is_source(e, now_us)) {
+        return;
+    }
+    guint64 rank = hash_pair(prefix, e->hash);
+    if (rank > r->prefix_rank) {
+        r->keepers.prefix_holder = e;
+        r->prefix_rank = rank;
+    }
+}
+
 keepers_t
 keepers_of(const GPtrArray *endpoints, side_t side, guint64 part,
-           gint64 now_us)
+           guint64 prefix, gint64 now_us)
 {
     ranking_t r = {0};
     for (guint i = 0; part != 0 && i < endpoints->len; i++) {
@@ -89,6 +105,7 @@
         if (endpoint_has_part(e, part) && is_source(e, now_us)) {
             note_holder(&r, e, rank);
         }
+        note_prefix(&r, e, prefix, now_us);
         if (!endpoint_usable(e, now_us)) {
             note_leaving(&r, e, rank, now_us);
             continue;
@@ -126,9 +143,11 @@
     const endpoint_t *home = k->count > 0 ? k->at[0] : NULL;
     const endpoint_t *next = k->count > 1 ? k->at[1] : NULL;
     /* Those that have it as is known; where none is known, those that most
-     * likely do. What leaves takes its memory with it: it goes first. */
+     * likely do. What leaves takes its memory with it: it goes first. The home
+     * itself asks for the part before it rather than for a guess. */
     const endpoint_t *const sources[] = {
-        k->holders[0], k->holders[1], k->leaving, home, k->former, next};
+        k->holders[0], k->holders[1],    k->leaving, home,
+        k->former,     k->prefix_holder, next};
     for (gsize i = 0; i < G_N_ELEMENTS(sources); i++) {
         if (sources[i] != endpoint && may_be_asked(sources[i], now_us)) {
             return sources[i];
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -140,6 +140,17 @@
     return shared;
 }
 
+prompt_part_t
+placement_prefix_part(const placement_request_t *r)
+{
+    prompt_part_t prefix = {0};
+    for (guint i = 0; i + 2 < r->part_count; i++) {
+        prefix.id = r->parts[i].id;
+        prefix.tokens += r->parts[i].tokens;
+    }
+    return prefix;
+}
+
 static guint
 shared_tokens(const placement_request_t *r)
 {
@@ -541,14 +552,15 @@
     side_t side = side_of(endpoints, r);
     choice_t c = {
         .request = r,
-        .keepers =
-            keepers_of(endpoints, side, placement_shared_part(r).id, now_us),
+        .keepers = keepers_of(endpoints, side, placement_shared_part(r).id,
+                              placement_prefix_part(r).id, now_us),
         .closed = closed,
         .now_us = now_us,
         .best = {.counts = {.known = endpoints->len}},
     };
     gboolean is_long = prompt_is_long(r->prompt_tokens);
     gboolean leaves = is_long && c.keepers.count > 0;
+    c.best.prefix_held = c.keepers.prefix_holder != NULL;
     choice_rank(&c);
     if (c.best.endpoint == NULL ||
         c.best_ms > RANKED_PART * (double)r->target_ms) {
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -565,6 +565,38 @@
     directory_destroy(d);
 }
 
+/* An endpoint that gets a part for the first time has the part before it,
+ * which more prompts share, from one that surely keeps that. */
+static void
+test_fetch_prefix(void)
+{
+    enum { PREFIX = 3, THING = 7, OWN = 99 };
+    directory_t *d = engines_create();
+    const GPtrArray *list = directory_service(d, "s");
+    prompt_part_t parts[] = {{PREFIX, 400}, {THING, 200}, {OWN, 1800}};
+    placement_request_t request = {.parts = parts,
+                                   .part_count = G_N_ELEMENTS(parts),
+                                   .prompt_tokens = 2400,
+                                   .target_ms = 500,
+                                   .tokens_a_ms = 61,
+                                   .fetch_tokens_a_ms = 800,
+                                   .data_centre = "dc"};
+    placement_t first = placement_pick(list, &request, 0);
+    CU_ASSERT_FALSE(first.prefix_held);
+    endpoint_t *other = list->pdata[first.endpoint == list->pdata[0]];
+    directory_note_part(d, other, PREFIX);
+    placement_t then = placement_pick(list, &request, 0);
+    CU_ASSERT(then.prefix_held);
+    CU_ASSERT_PTR_EQUAL(then.endpoint, first.endpoint);
+    CU_ASSERT_PTR_EQUAL(then.source, other);
+    /* One that keeps all of it is better. */
+    endpoint_t *whole = list->pdata[list->len - 1];
+    CU_ASSERT_PTR_NOT_EQUAL(whole, first.endpoint);
+    directory_note_part(d, whole, THING);
+    CU_ASSERT_PTR_EQUAL(placement_pick(list, &request, 0).source, whole);
+    directory_destroy(d);
+}
+
 /* Short prompts that share a part go to its keepers, whatever is drawn, while
  * these are no more loaded than others; a crowded one is left. */
 static void
@@ -595,6 +627,7 @@
     {"long prompts take so many places", test_places},
     {"prompts fetched from another engine", test_fetching},
     {"parts fetched from whom the others sent them", test_fetch_from_holder},
+    {"the part before one that is new", test_fetch_prefix},
     {"parts fetched from an engine that leaves", test_fetch_from_leaving},
     {"places of prompts without a home", test_places_without_home},
     {"places by an engine's memory", test_places_by_memory},
