Plain servers: of equals the one that is connected

tests/test_placement.c: 200 requests to idle endpoints open one connection; a busy endpoint is left.

--- a/include/carobloom/policy/endpoint.h
+++ b/include/carobloom/policy/endpoint.h
@@ -33,6 +33,7 @@
     gint64 trusted_until_us; /* though no source hears it just now */
     gint64 cold_until_us;
     /* this instance's own requests there */
+    gint64 served_us; /* when one was last answered there; 0: never */
     guint running;
     guint32 waiting_tokens; /* that they wait for to be read */
     guint32 prompt_tokens;  /* of all these requests' whole prompts */
@@ -58,6 +59,8 @@
  * be read for them. */
 guint endpoint_running(const endpoint_t *endpoint);
 guint endpoint_waiting(const endpoint_t *endpoint);
+/* Whether this instance most likely has an open connection to it. */
+gboolean endpoint_connected(const endpoint_t *endpoint, gint64 now_us);
 /* One of this instance's requests goes there, `waiting_tokens` of whose prompt
  * have to be read. */
 void endpoint_join(endpoint_t *endpoint, guint prompt_tokens,
--- a/policy/endpoint.c
+++ b/policy/endpoint.c
@@ -11,6 +11,8 @@
     FULL_FIRST_US = 100 * 1000,
     FULL_MOST_US = 3 * SECOND_US,
     MISDIRECTED_US = 30 * SECOND_US,
+    /* Endpoints close connections that rest; few do within so long. */
+    CONNECTED_US = 4 * SECOND_US,
 };
 
 /* The weight of the newest request in the share of failures: about the last
@@ -36,6 +38,12 @@
     return now_us >= e->closed_until_us && now_us >= e->full_until_us;
 }
 
+gboolean
+endpoint_connected(const endpoint_t *e, gint64 now_us)
+{
+    return e->served_us != 0 && now_us - e->served_us < CONNECTED_US;
+}
+
 guint
 endpoint_running(const endpoint_t *e)
 {
@@ -100,6 +108,7 @@
     }
     switch (outcome) {
     case ENDPOINT_SERVED:
+        e->served_us = now_us;
         e->backoff_us = 0;
         e->full_backoff_us = 0;
         break;
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -20,6 +20,10 @@
  * multiple of its objective. */
 static const double FAILURE_MS = 400.0;
 static const double COLD_MS = 30.0;
+/* A new connection to a plain server: a round trip and the server's work on
+ * it. Less than one request under way, so that it only decides among equals:
+ * of hundreds of idle ones an instance uses those that it is connected to. */
+static const double CONNECT_MS = 1.0;
 /* Reading a shared part again costs the engine its time and is priced: it
  * weighs so many times its time. */
 static const double REREAD_WEIGHT = 3.0;
@@ -346,6 +350,13 @@
     return ms;
 }
 
+static double
+plain_ms(const endpoint_t *e, gint64 now_us)
+{
+    double connect = endpoint_connected(e, now_us) ? 0 : CONNECT_MS;
+    return e->running * RUNNING_PLAIN_MS + connect;
+}
+
 /* Whether going there costs nothing for its data centre. A keeper of shared
  * parts elsewhere is worth it: what is not read again takes more of an
  * engine's time than the way, and a request is few bytes. */
@@ -361,8 +372,8 @@
 expected_ms(const endpoint_t *e, const placement_request_t *r,
             standing_t standing, gint64 now_us)
 {
-    double ms = r->prompt_tokens > 0 ? engine_ms(e, r, standing)
-                                     : e->running * RUNNING_PLAIN_MS;
+    double ms =
+        r->prompt_tokens > 0 ? engine_ms(e, r, standing) : plain_ms(e, now_us);
     ms += e->failures * FAILURE_MS;
     if (!near_enough(e, r, standing)) {
         ms += FAR_MS;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -597,6 +597,37 @@
     directory_destroy(d);
 }
 
+/* Of many idle endpoints an instance uses few, to which it has connections;
+ * one that is busy is left for another. */
+static void
+test_connections_used(void)
+{
+    enum { REQUESTS = 200, GAP_US = 100000 };
+    directory_t *d = engines_create();
+    const GPtrArray *list = directory_service(d, "s");
+    GHashTable *used = g_hash_table_new(NULL, NULL);
+    guint connections = 0;
+    for (guint32 n = 0; n < REQUESTS; n++) {
+        gint64 now_us = SECOND + n * (gint64)GAP_US;
+        placement_request_t request = {
+            .target_ms = 150, .data_centre = "dc", .draw = n * 7};
+        endpoint_t *e = placement_pick(list, &request, now_us).endpoint;
+        connections += !endpoint_connected(e, now_us);
+        endpoint_note(e, ENDPOINT_SERVED, now_us);
+        g_hash_table_add(used, e);
+    }
+    CU_ASSERT_EQUAL(connections, 1);
+    CU_ASSERT_EQUAL(g_hash_table_size(used), 1);
+    gint64 now_us = SECOND + REQUESTS * (gint64)GAP_US;
+    placement_request_t request = {.target_ms = 150, .data_centre = "dc"};
+    endpoint_t *e = placement_pick(list, &request, now_us).endpoint;
+    endpoint_join(e, 0, 0);
+    CU_ASSERT_PTR_NOT_EQUAL(placement_pick(list, &request, now_us).endpoint,
+                            e);
+    g_hash_table_unref(used);
+    directory_destroy(d);
+}
+
 /* Short prompts that share a part go to its keepers, whatever is drawn, while
  * these are no more loaded than others; a crowded one is left. */
 static void
@@ -627,6 +658,7 @@
     {"long prompts take so many places", test_places},
     {"prompts fetched from another engine", test_fetching},
     {"parts fetched from whom the others sent them", test_fetch_from_holder},
+    {"connections are used again", test_connections_used},
     {"the part before one that is new", test_fetch_prefix},
     {"parts fetched from an engine that leaves", test_fetch_from_leaving},
     {"places of prompts without a home", test_places_without_home},
