Known red: loads after a pause of the only control instance left

Traced: an entry instance does not ask a control instance that answered late (0.4 s) for three seconds, also when no other is left to ask.

Check and bound stay as they are.

--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -409,6 +409,27 @@
     fleet_destroy(f);
 }
 
+/* The same where the control instance that is left stood still for a moment
+ * before. */
+static void
+test_loads_after_pause(void)
+{
+    enum { ENTRIES = 3, PAUSE_MS = 900, SETTLE_MS = 1200, AGE_MS = 1000 };
+    fleet_t *f = fleet_of(3, ENTRIES, 2);
+    fleet_sleep(AGE_MS);
+    fleet_signal(fleet_control(f, 0), SIGSTOP);
+    fleet_sleep(PAUSE_MS);
+    fleet_signal(fleet_control(f, 0), SIGCONT);
+    fleet_kill(fleet_control(f, 1));
+    fleet_kill(fleet_control(f, 2));
+    fleet_sleep(SETTLE_MS);
+    for (guint i = 0; i < ENTRIES; i++) {
+        guint64 age = loads_age_ms(fleet_entry(f, i));
+        CU_ASSERT(age < AGE_MS);
+    }
+    fleet_destroy(f);
+}
+
 /* ---- the configuration ---- */
 
 static guint
@@ -739,6 +760,7 @@
     {"an endpoint starts again under its id", test_endpoint_starts_again},
     {"other writers name no endpoint", test_other_writers},
     {"loads without a leader", test_loads_without_leader},
+    {"loads after a pause", test_loads_after_pause},
     {"entry instances share answers", test_answers_shared},
     {"acknowledged changes survive", test_config_survives},
     {"a disk that takes no more", test_disk_full},
