Placement, sums: one loop for leading parts of a prompt, no wrapper to free

placement_shared_part and placement_prefix_part were the same loop, one part apart; both call part_before now. The table of what was told of sums frees its entries with load_delta_destroy itself.

--- a/carobloomd/control/load_exchange.c
+++ b/carobloomd/control/load_exchange.c
@@ -72,16 +72,11 @@
 
 /* ---- sums, told to the other control instances ---- */
 
-static void
-delta_free(gpointer delta)
-{
-    load_delta_destroy(delta);
-}
-
 GHashTable *
 load_sums_table(void)
 {
-    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, delta_free);
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                 (GDestroyNotify)load_delta_destroy);
 }
 
 static load_delta_t *
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -131,28 +131,31 @@
     return FALSE;
 }
 
+/* The last of a prompt's parts but its `last` ones, with the tokens of all up
+ * to it. */
+static prompt_part_t
+part_before(const placement_request_t *r, guint last)
+{
+    prompt_part_t part = {0};
+    for (guint i = 0; i + last < r->part_count; i++) {
+        part.id = r->parts[i].id;
+        part.tokens += r->parts[i].tokens;
+    }
+    part.tokens = MIN(part.tokens, r->prompt_tokens);
+    return part;
+}
+
 /* The last part is the request's own; the one before is what many share. */
 prompt_part_t
 placement_shared_part(const placement_request_t *r)
 {
-    prompt_part_t shared = {0};
-    for (guint i = 0; i + 1 < r->part_count; i++) {
-        shared.id = r->parts[i].id;
-        shared.tokens += r->parts[i].tokens;
-    }
-    shared.tokens = MIN(shared.tokens, r->prompt_tokens);
-    return shared;
+    return part_before(r, 1);
 }
 
 prompt_part_t
 placement_prefix_part(const placement_request_t *r)
 {
-    prompt_part_t prefix = {0};
-    for (guint i = 0; i + 2 < r->part_count; i++) {
-        prefix.id = r->parts[i].id;
-        prefix.tokens += r->parts[i].tokens;
-    }
-    return prefix;
+    return part_before(r, 2);
 }
 
 static guint
