--- a/tests/test_costs.c
+++ b/tests/test_costs.c
@@ -16,10 +16,22 @@
     LARGE = 10000, /* ten times as many */
 };
 
-static char *
-endpoint_name(guint n)
+/* The nth endpoint's lease, in texts that the caller keeps. */
+typedef struct {
+    char id[16];
+    char address[32];
+    endpoint_lease_t lease;
+} numbered_lease_t;
+
+static endpoint_lease_t *
+lease_number(numbered_lease_t *l, guint n)
 {
-    return g_strdup_printf("i-%08x", n * 2654435761u);
+    g_snprintf(l->id, sizeof(l->id), "i-%08x", n * 2654435761u);
+    g_snprintf(l->address, sizeof(l->address), "10.0.%u.%u:80", n / 256,
+               n % 256);
+    l->lease = lease_of(l->id, n + 1, LEASE_READY);
+    l->lease.address = l->address;
+    return &l->lease;
 }
 
 /* A directory that was told of so many endpoints of service "s". */
@@ -28,13 +40,8 @@
 {
     directory_t *d = directory_create(drop_nothing);
     for (guint i = 0; i < endpoints; i++) {
-        char *id = endpoint_name(i);
-        char *address = g_strdup_printf("10.0.%u.%u:80", i / 256, i % 256);
-        endpoint_lease_t lease = lease_of(id, 1, LEASE_READY);
-        lease.address = address;
-        directory_update(d, 0, &lease, 0);
-        g_free(id);
-        g_free(address);
+        numbered_lease_t lease;
+        directory_update(d, 0, lease_number(&lease, i), 0);
     }
     return d;
 }
@@ -218,14 +225,10 @@
 {
     registry_t *r = registry_create(SECOND);
     for (guint i = 0; i < endpoints; i++) {
-        char *id = endpoint_name(i);
-        char *address = g_strdup_printf("10.0.%u.%u:80", i / 256, i % 256);
-        endpoint_lease_t lease = lease_of(id, i, LEASE_READY);
-        lease.address = address;
-        lease.started_ms = 1790000000000 + i * 7919 % 300;
-        registry_renew(r, &lease, 0);
-        g_free(id);
-        g_free(address);
+        numbered_lease_t numbered;
+        endpoint_lease_t *lease = lease_number(&numbered, i);
+        lease->started_ms = 1790000000000 + i * 7919 % 300;
+        registry_renew(r, lease, 0);
     }
     return r;
 }
