Test: callers of an instance cut off from the endpoints are refused

The test cuts one instance and not the others: outgoing connections of the tests' carobloomd come from an address of their own, so that a proxy of an endpoint tells instances apart; new connections are refused or hang in the kernel as on a real cut.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -154,8 +154,9 @@
 fleet_set_faults(const fleet_process_t *p)
 {
     char *path = faults_path(p);
-    char *text = g_strdup_printf("%" G_GINT64_FORMAT " %" G_GINT64_FORMAT "\n",
-                                 p->ahead_us, p->sync_us);
+    char *text = g_strdup_printf(
+        "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %s\n", p->ahead_us,
+        p->sync_us, p->connects != NULL ? p->connects : "-");
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
     g_free(path);
@@ -183,7 +184,12 @@
         launcher, open(p->role >= FLEET_ENDPOINT ? "/dev/null" : p->log,
                        O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644));
     g_subprocess_launcher_set_stderr_file_path(launcher, errors);
+    char *cut_port = g_strdup_printf("%d", FLEET_ENDPOINT_PORT);
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_FAULTS", faults, TRUE);
+    g_subprocess_launcher_setenv(launcher, "CAROBLOOM_SOURCE", p->bind, TRUE);
+    g_subprocess_launcher_setenv(launcher, "CAROBLOOM_CUT_PORT", cut_port,
+                                 TRUE);
+    g_free(cut_port);
     g_free(faults);
     GSubprocess *process = g_subprocess_launcher_spawnv(launcher, argv, NULL);
     g_object_unref(launcher);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -44,6 +44,8 @@
     gboolean founding;    /* as its next start is told */
     gint64 ahead_us;      /* its machine's clock, see faulty_system.c */
     gint64 sync_us;       /* that a sync of its disk takes */
+    const char *connects; /* what its new connections to endpoints meet; NULL:
+                             nothing, see faulty_system.c */
     guint starts;
     char *id; /* that an endpoint goes by; NULL: a new one each start */
 } fleet_process_t;
@@ -107,7 +109,8 @@
 /* The exit code; -1 when it does not end in time or was killed. */
 int fleet_wait_exit(fleet_process_t *process);
 void fleet_lose_disk(fleet_process_t *process);
-/* Puts `ahead_us` and `sync_us` in force; of a proxied fleet only. */
+/* Puts `ahead_us`, `sync_us` and `connects` in force; of a proxied fleet
+ * only. */
 void fleet_set_faults(const fleet_process_t *process);
 /* From now on the process can write no file beyond `bytes`. FALSE when it has
  * ended. */
--- a/tests/fleet_load.h
+++ b/tests/fleet_load.h
@@ -12,12 +12,17 @@
 typedef struct {
     fleet_t *fleet;
     const char *target;
+    const char *fields;      /* of each request, lines; NULL: none */
     int interval_ms;         /* between two requests of a caller */
     gint stop;               /* atomic */
     gint answered;           /* 200, complete; atomic */
     gint refused;            /* 503 with Retry-After; atomic */
     gint failed;             /* any other outcome; atomic */
     gint longest_refusal_ms; /* until a refusal was answered; atomic */
+    /* Told of each reply, by several threads; NULL: nobody is. */
+    void (*observe)(void *user, guint entry, const reply_t *reply,
+                    gint64 started_us);
+    void *user;
 } load_t;
 
 typedef struct {
--- a/tests/proxy.c
+++ b/tests/proxy.c
@@ -1,5 +1,6 @@
 #include "proxy.h"
 
+#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -7,21 +8,28 @@
 #include "carobloom/common/timers.h"
 #include "carobloom/http/stream_socket.h"
 
-enum { DELAY_US = 80 * 1000, TURN_MS = 2 };
+enum { DELAY_US = 80 * 1000, TURN_MS = 2, SOURCES_MAX = 32 };
 
 static const char *const MODE_NAMES[] = {
     [PROXY_PASS] = "pass",         [PROXY_DELAY] = "delay",
     [PROXY_RESET] = "reset",       [PROXY_CUT_TO] = "cut-to",
     [PROXY_CUT_FROM] = "cut-from", [PROXY_SILENT] = "silent",
-    [PROXY_STALE] = "stale",
+    [PROXY_STALE] = "stale",       [PROXY_REFUSE] = "refuse",
 };
 
+/* A mode, and whether it took effect. */
+typedef struct {
+    gint ip;   /* atomic; of the connecting side, in network order; 0: any */
+    gint mode; /* atomic; a proxy_mode_t, as asked for */
+    gint done; /* the mode that took effect on open connections */
+} source_t;
+
 struct proxy {
     struct sockaddr_in to;
     int fd;
     poll_watch_t *watch;
-    gint mode; /* atomic; a proxy_mode_t, as asked for */
-    gint done; /* the mode that took effect on open connections */
+    source_t any;
+    source_t sources[SOURCES_MAX];
     GList *pairs;
 };
 
@@ -37,6 +45,7 @@
 
 struct pair {
     proxy_t *proxy;
+    gint ip;    /* of the connecting side, in network order */
     end_t near; /* of the connecting side */
     end_t far;
     gboolean stale;
@@ -67,9 +76,22 @@
 }
 
 static proxy_mode_t
-mode_of(const proxy_t *proxy)
+mode_from(const proxy_t *proxy, gint ip)
+{
+    for (guint i = 0; i < SOURCES_MAX; i++) {
+        const source_t *source = &proxy->sources[i];
+        gint mode = g_atomic_int_get(&source->mode);
+        if (mode != PROXY_PASS && g_atomic_int_get(&source->ip) == ip) {
+            return (proxy_mode_t)mode;
+        }
+    }
+    return (proxy_mode_t)g_atomic_int_get(&proxy->any.mode);
+}
+
+static proxy_mode_t
+mode_of(const pair_t *pair)
 {
-    return (proxy_mode_t)g_atomic_int_get(&proxy->mode);
+    return mode_from(pair->proxy, pair->ip);
 }
 
 static void
@@ -98,7 +120,7 @@
 static gboolean
 is_lost(const pair_t *pair, gboolean to_far)
 {
-    proxy_mode_t mode = mode_of(pair->proxy);
+    proxy_mode_t mode = mode_of(pair);
     return pair->stale || mode == PROXY_SILENT ||
            mode == (to_far ? PROXY_CUT_TO : PROXY_CUT_FROM);
 }
@@ -139,7 +161,7 @@
         return;
     }
     /* Once a piece is late those after it must not overtake it. */
-    if (mode_of(pair->proxy) != PROXY_DELAY && pair->late == 0) {
+    if (mode_of(pair) != PROXY_DELAY && pair->late == 0) {
         pass(pair, to_far, bytes);
         return;
     }
@@ -181,11 +203,16 @@
 {
     (void)events;
     proxy_t *proxy = data;
-    int fd = accept4(proxy->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    struct sockaddr_in from = {0};
+    socklen_t length = sizeof(from);
+    int fd = accept4(proxy->fd, (struct sockaddr *)&from, &length,
+                     SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
         return;
     }
-    if (mode_of(proxy) == PROXY_RESET) {
+    gint ip = (gint)from.sin_addr.s_addr;
+    proxy_mode_t mode = mode_from(proxy, ip);
+    if (mode == PROXY_RESET || mode == PROXY_REFUSE) {
         struct linger linger = {.l_onoff = 1};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
         close(fd);
@@ -193,6 +220,7 @@
     }
     pair_t *pair = g_new0(pair_t, 1);
     pair->proxy = proxy;
+    pair->ip = ip;
     pair->near.pair = pair;
     pair->far.pair = pair;
     pair->near.socket =
@@ -205,23 +233,23 @@
     }
 }
 
-/* What a change of mode does to open connections. */
+/* What a change of mode does to open connections of a source. */
 static void
-proxy_turn(proxy_t *proxy)
+source_turn(proxy_t *proxy, source_t *source)
 {
-    proxy_mode_t mode = mode_of(proxy);
-    if (proxy->watch == NULL) {
-        proxy->watch = poll_watch_create(all.poller, proxy->fd, EPOLLIN,
-                                         on_acceptable, proxy);
-    }
-    if ((gint)mode == proxy->done) {
+    gint ip = g_atomic_int_get(&source->ip);
+    proxy_mode_t mode = (proxy_mode_t)g_atomic_int_get(&source->mode);
+    if ((gint)mode == source->done) {
         return;
     }
-    proxy->done = (gint)mode;
+    source->done = (gint)mode;
     GList *next;
     for (GList *l = proxy->pairs; l != NULL; l = next) {
         pair_t *pair = l->data;
         next = l->next;
+        if (ip != 0 && ip != pair->ip) {
+            continue;
+        }
         gboolean ended = pair->near.closed || pair->far.closed ||
                          pair->near.lossy || pair->far.lossy;
         if (mode == PROXY_RESET || (mode == PROXY_PASS && ended)) {
@@ -233,6 +261,19 @@
     }
 }
 
+static void
+proxy_turn(proxy_t *proxy)
+{
+    if (proxy->watch == NULL) {
+        proxy->watch = poll_watch_create(all.poller, proxy->fd, EPOLLIN,
+                                         on_acceptable, proxy);
+    }
+    source_turn(proxy, &proxy->any);
+    for (guint i = 0; i < SOURCES_MAX; i++) {
+        source_turn(proxy, &proxy->sources[i]);
+    }
+}
+
 static void
 on_turn(void *data)
 {
@@ -314,5 +355,22 @@
 void
 proxy_set(proxy_t *proxy, proxy_mode_t mode)
 {
-    g_atomic_int_set(&proxy->mode, (gint)mode);
+    g_atomic_int_set(&proxy->any.mode, (gint)mode);
+}
+
+void
+proxy_set_from(proxy_t *proxy, const char *ip, proxy_mode_t mode)
+{
+    struct in_addr address = {0};
+    inet_pton(AF_INET, ip, &address);
+    gint number = (gint)address.s_addr;
+    for (guint i = 0; i < SOURCES_MAX; i++) {
+        source_t *source = &proxy->sources[i];
+        gint known = g_atomic_int_get(&source->ip);
+        if (known == 0 || known == number) {
+            g_atomic_int_set(&source->ip, number);
+            g_atomic_int_set(&source->mode, (gint)mode);
+            return;
+        }
+    }
 }
--- a/tests/proxy.h
+++ b/tests/proxy.h
@@ -14,7 +14,9 @@
     PROXY_CUT_FROM, /* what goes back to it is lost */
     PROXY_SILENT,   /* both; connections stay open, new ones hang */
     PROXY_STALE,    /* connections open by now go silent; new ones work */
-    PROXY_MODES,
+    PROXY_MODES,    /* drawn by the soak */
+    /* Connections open by now live on; new ones are reset. */
+    PROXY_REFUSE = PROXY_MODES,
 } proxy_mode_t;
 
 typedef struct proxy proxy_t;
@@ -26,6 +28,9 @@
  * address can not be had. */
 proxy_t *proxy_create(const char *from, const char *to);
 void proxy_set(proxy_t *proxy, proxy_mode_t mode);
+/* The same for connections from one address, whatever the mode of the others;
+ * with PROXY_PASS they are like the others again. */
+void proxy_set_from(proxy_t *proxy, const char *ip, proxy_mode_t mode);
 const char *proxy_mode_name(proxy_mode_t mode);
 
 #endif
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "fleet.h"
-#include "proxy.h"
+#include "fleet_cut.h"
 #include "soak_limits.h"
 #include "soak_rests.h"
 
@@ -46,7 +46,7 @@
 typedef struct {
     fleet_t *fleet;
     GRand *random; /* of the schedule */
-    proxy_t *proxies[FLEET_PROCESSES_MAX][2];
+    fleet_proxies_t proxies;
     guint32 seed;
     gint stop;       /* atomic */
     gint acked;      /* atomic: newest version acknowledged */
@@ -601,31 +601,6 @@
 
 /* ---- life ---- */
 
-static void
-make_proxies(soak_t *s)
-{
-    static const guint PORTS[][2] = {
-        [FLEET_CONTROL] = {FLEET_CONTROL_PORT, FLEET_PEERS_PORT},
-        [FLEET_ENTRY] = {FLEET_CALLERS_PORT, FLEET_PROBE_PORT},
-        [FLEET_ENDPOINT] = {FLEET_ENDPOINT_PORT, 0},
-        [FLEET_PLATFORM] = {FLEET_PLATFORM_PORT, 0},
-    };
-    for (guint i = 0; i < s->fleet->count; i++) {
-        const fleet_process_t *p = &s->fleet->processes[i];
-        for (int j = 0; j < 2; j++) {
-            guint port = PORTS[p->role][j];
-            if (port == 0) {
-                continue;
-            }
-            char *from = g_strdup_printf("%s:%u", p->ip, port);
-            char *to = g_strdup_printf("%s:%u", p->bind, port);
-            s->proxies[i][j] = proxy_create(from, to);
-            g_free(from);
-            g_free(to);
-        }
-    }
-}
-
 static void
 told_free(gpointer data)
 {
@@ -649,7 +624,7 @@
     }
     s.limits = limits ? soak_limits_create(s.fleet, seed) : NULL;
     s.rests = rests ? soak_rests_create(s.fleet, seed) : NULL;
-    make_proxies(&s);
+    fleet_proxies_create(s.fleet, s.proxies);
     s.started_us = g_get_monotonic_time();
     if (!fleet_up(s.fleet, 1)) {
         broke(&s, "starts", s.fleet->folder);
--- /dev/null
+++ b/tests/test_cuts.c
@@ -0,0 +1,171 @@
+/* Tests that callers of entry instances that are cut off from endpoints are
+ * served like those of the others, with real processes. */
+#include <string.h>
+
+#include "check.h"
+#include "fleet_cut.h"
+#include "fleet_load.h"
+
+enum {
+    MS = 1000,
+    ENTRIES = 4,
+    ENDPOINTS = 4,
+    CALL_INTERVAL_MS = 166, /* per caller: 60 requests per second in total */
+    WARMUP_MS = 1000,
+    CUT_MS = 8000,
+    /* The bound: from then on the cut-off instances serve at least two thirds
+     * as often at the first try as the others, or at most 10 + 1 in 50 of all
+     * first tries fail there. */
+    STABLE_MS = 3000,
+    FAILED_MAX = 10,
+    FAILED_PER = 50,
+};
+
+/* First tries at the cut-off instances and at the others. */
+typedef struct {
+    guint asked;
+    guint served;
+} tries_t;
+
+typedef struct {
+    load_t load;
+    caller_t callers[LOAD_CALLERS];
+    GThread *threads[LOAD_CALLERS];
+    fleet_proxies_t proxies;
+    guint cut;      /* entry instances that are cut off, the first ones */
+    gint64 from_us; /* requests that are sent later count */
+    GMutex lock;    /* over the counts below */
+    tries_t at_cut;
+    tries_t at_others;
+} scenario_t;
+
+static gboolean
+is_whole_stream(const reply_t *reply)
+{
+    return strstr(reply->fields, "text/event-stream") == NULL ||
+           g_str_has_suffix(reply->body->str, "id: 12\ndata: w12\n\n");
+}
+
+static void
+observe(void *user, guint entry, const reply_t *reply, gint64 started_us)
+{
+    scenario_t *p = user;
+    g_mutex_lock(&p->lock);
+    if (p->from_us != 0 && started_us > p->from_us) {
+        tries_t *tries = entry < p->cut ? &p->at_cut : &p->at_others;
+        tries->asked++;
+        tries->served += reply->status == 200 && reply->complete &&
+                         reply->sealed && is_whole_stream(reply);
+    }
+    g_mutex_unlock(&p->lock);
+}
+
+static void
+scenario_start(scenario_t *p, const char *target)
+{
+    proxies_start();
+    fleet_t *f = fleet_create_proxied(1, ENTRIES, ENDPOINTS);
+    *p = (scenario_t){.load = {.fleet = f,
+                               .target = target,
+                               .fields = "Deadline-Ms: 1500\r\n",
+                               .interval_ms = CALL_INTERVAL_MS,
+                               .observe = observe,
+                               .user = p}};
+    fleet_proxies_create(f, p->proxies);
+    CU_ASSERT_FATAL(fleet_up(f, 1));
+    for (guint i = 0; target == NULL && i < LOAD_CALLERS; i++) {
+        p->callers[i].target = i % 3 == 0 ? "/once/slow" : "/safe/slow";
+    }
+    load_start(&p->load, p->callers, p->threads);
+    fleet_sleep(WARMUP_MS);
+}
+
+static void
+scenario_cut(scenario_t *p, guint count, cut_kind_t kind, guint32 spared)
+{
+    p->cut = count;
+    for (guint i = 0; i < count; i++) {
+        fleet_cut(p->load.fleet, p->proxies, i, kind, spared);
+    }
+}
+
+static void
+count_from_now(scenario_t *p)
+{
+    g_mutex_lock(&p->lock);
+    p->from_us = g_get_monotonic_time();
+    g_mutex_unlock(&p->lock);
+}
+
+static void
+scenario_end(scenario_t *p)
+{
+    load_stop(&p->load, p->threads);
+    fleet_destroy(p->load.fleet);
+    proxies_stop();
+}
+
+static gboolean
+are_served_alike(const scenario_t *p)
+{
+    guint asked = p->at_cut.asked + p->at_others.asked;
+    guint failed = p->at_cut.asked - p->at_cut.served;
+    gboolean as_often =
+        3 * (guint64)p->at_cut.served * MAX(p->at_others.asked, 1) >=
+        2 * (guint64)p->at_others.served * p->at_cut.asked;
+    return p->at_cut.asked > 0 &&
+           (as_often || failed <= FAILED_MAX + asked / FAILED_PER);
+}
+
+static const struct {
+    const char *name;
+    const char *target; /* NULL: idempotent requests, and others */
+    guint cut;          /* instances */
+    cut_kind_t kind;
+    guint32 spared; /* endpoints, bits */
+} CASES_OF_CUTS[] = {
+    {"one hangs", NULL, 1, CUT_HANG, 0},
+    {"one is reset", NULL, 1, CUT_RESET, 0},
+    {"one keeps its open connections", NULL, 1, CUT_LIVE_ON, 0},
+    {"one is silent", NULL, 1, CUT_SILENT, 0},
+    {"one hears nothing", NULL, 1, CUT_ONE_WAY, 0},
+    {"three are reset", NULL, 3, CUT_RESET, 0},
+    {"two hang, streams", "/stream/x", 2, CUT_HANG, 0},
+    {"one is reset, streams", "/stream/x", 1, CUT_RESET, 0},
+    {"one reaches one endpoint", NULL, 1, CUT_SILENT, 1},
+};
+
+/* Guards against callers who are refused by an instance that is cut off from
+ * the endpoints, while other instances reach them. */
+static void
+test_served_during_cut(void)
+{
+    const char *selected = g_getenv("CUT_CASE"); /* runs a single case */
+    for (gsize i = 0; i < G_N_ELEMENTS(CASES_OF_CUTS); i++) {
+        const char *name = CASES_OF_CUTS[i].name;
+        if (selected != NULL && !g_str_equal(selected, name)) {
+            continue;
+        }
+        scenario_t p;
+        scenario_start(&p, CASES_OF_CUTS[i].target);
+        scenario_cut(&p, CASES_OF_CUTS[i].cut, CASES_OF_CUTS[i].kind,
+                     CASES_OF_CUTS[i].spared);
+        fleet_sleep(STABLE_MS);
+        count_from_now(&p);
+        fleet_sleep(CUT_MS - STABLE_MS);
+        scenario_end(&p);
+        if (!are_served_alike(&p) || selected != NULL) {
+            printf("%s: %u of %u at the cut-off, %u of %u at the others; ",
+                   name, p.at_cut.served, p.at_cut.asked, p.at_others.served,
+                   p.at_others.asked);
+        }
+        CU_ASSERT(are_served_alike(&p));
+    }
+}
+
+static const test_case_t CASES[] = {
+    {"callers of an instance cut off from endpoints are served",
+     test_served_during_cut},
+};
+
+CHECK_MAIN("cuts", CASES)
