An instance that is cut off reports no endpoint as crashed

The four instances that were cut off by resets reported 30 ends of endpoints in 1.5 s, none of which had ended; three reports of one request would have had it refused at all instances.

Cause: the same as that of the refusals. A refused connection of one instance is taken as evidence about the endpoint, which others act on, although it may be evidence about this instance's own link.

Mend: while a cut is confirmed, own refused connections are no evidence. That another instance found the address closed, in a tunnel, is.

Test: "an instance that is cut off reports no endpoint as crashed", fails without the change. test_crashing: what ends, quarantine and its bounds pass.

--- a/carobloomd/gateway/crash_watch.c
+++ b/carobloomd/gateway/crash_watch.c
@@ -360,6 +360,9 @@
     if (b->evidence == NULL || age_us < REPORT_DELAY_US) {
         return FALSE;
     }
+    if (b->is_own && !w->setup.reaches(w->setup.user, b->service)) {
+        return TRUE;
+    }
     report_end(b);
     return FALSE;
 }
--- a/tests/test_cuts.c
+++ b/tests/test_cuts.c
@@ -164,6 +164,21 @@
     }
 }
 
+/* Guards against an instance that reports endpoints as crashed, and so has
+ * requests held back everywhere, because its own connections are reset. */
+static void
+test_no_end_during_cut(void)
+{
+    scenario_t p;
+    scenario_start(&p, "/stream/x");
+    scenario_cut(&p, 1, CUT_RESET, 0);
+    fleet_sleep(CUT_MS / 4);
+    guint64 ended =
+        fleet_counter(fleet_entry(p.load.fleet, 0), "endpoints_ended_total");
+    CU_ASSERT_EQUAL(ended, 0);
+    scenario_end(&p);
+}
+
 /* Guards against an instance that goes on to use others after the cut, or
  * that returns late. */
 static void
@@ -228,6 +243,8 @@
 static const test_case_t CASES[] = {
     {"callers of an instance cut off from endpoints are served",
      test_served_during_cut},
+    {"an instance that is cut off reports no endpoint as crashed",
+     test_no_end_during_cut},
     {"connections are direct again after a cut", test_direct_after_cut},
     {"one endpoint that is down or silent is no cut",
      test_one_endpoint_is_no_cut},
