Tests: reachability, and what may happen to a tunnel

All cut off: 503 within 1.1 s, no tunnel. Bodies of 900 KB in and 8 MB out; a caller who leaves ends the run within 0.5 s. Strangers are refused.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -515,6 +515,25 @@
     return reply;
 }
 
+gssize
+fleet_exchange(const char *ip, guint port, const char *bytes, gsize length,
+               char *answer, gsize size)
+{
+    enum { EXCHANGE_MS = 2000 };
+    int fd = connect_to(ip, port, EXCHANGE_MS);
+    gsize at = 0;
+    ssize_t count;
+    if (fd < 0 || send(fd, bytes, length, MSG_NOSIGNAL) != (ssize_t)length) {
+        close(fd);
+        return -1;
+    }
+    while (at < size && (count = recv(fd, answer + at, size - at, 0)) > 0) {
+        at += (gsize)count;
+    }
+    close(fd);
+    return (gssize)at;
+}
+
 void
 reply_free(reply_t *reply)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -124,6 +124,10 @@
                     const char *target, const char *fields, const char *body,
                     int wait_ms);
 void reply_free(reply_t *reply);
+/* Sends bytes and reads up to `size` of what comes back, until the other side
+ * closes. Returns how many came, or -1. */
+gssize fleet_exchange(const char *ip, guint port, const char *bytes,
+                      gsize length, char *answer, gsize size);
 /* A client's request at an entry, with an id and the sample's key. */
 reply_t *fleet_request(const fleet_process_t *entry, const char *target,
                        const char *id, const char *more);
--- a/tests/test_cuts.c
+++ b/tests/test_cuts.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "carobloom/http/tunnel.h"
 #include "check.h"
 #include "fleet_cut.h"
 #include "fleet_load.h"
@@ -33,9 +34,10 @@
     caller_t callers[LOAD_CALLERS];
     GThread *threads[LOAD_CALLERS];
     fleet_proxies_t proxies;
-    guint cut;      /* entry instances that are cut off, the first ones */
-    gint64 from_us; /* requests that are sent later count */
-    GMutex lock;    /* over the counts below */
+    guint cut;          /* entry instances that are cut off, the first ones */
+    gint64 from_us;     /* requests that are sent later count */
+    GMutex lock;        /* over what follows */
+    GPtrArray *not_run; /* ids of requests that were refused as not run */
     tries_t at_cut;
     tries_t at_others;
 } scenario_t;
@@ -47,11 +49,22 @@
            g_str_has_suffix(reply->body->str, "id: 12\ndata: w12\n\n");
 }
 
+static char *
+request_id(const reply_t *reply)
+{
+    const char *at = strstr(reply->fields, "Request-Id: ");
+    return at == NULL ? g_strdup("")
+                      : g_strndup(at + 12, strcspn(at + 12, "\r\n"));
+}
+
 static void
 observe(void *user, guint entry, const reply_t *reply, gint64 started_us)
 {
     scenario_t *p = user;
     g_mutex_lock(&p->lock);
+    if (reply->status == 503 || reply->status == 429) {
+        g_ptr_array_add(p->not_run, request_id(reply));
+    }
     if (p->from_us != 0 && started_us > p->from_us) {
         tries_t *tries = entry < p->cut ? &p->at_cut : &p->at_others;
         tries->asked++;
@@ -71,7 +84,8 @@
                                .fields = "Deadline-Ms: 1500\r\n",
                                .interval_ms = CALL_INTERVAL_MS,
                                .observe = observe,
-                               .user = p}};
+                               .user = p},
+                      .not_run = g_ptr_array_new_with_free_func(g_free)};
     fleet_proxies_create(f, p->proxies);
     CU_ASSERT_FATAL(fleet_up(f, 1));
     for (guint i = 0; target == NULL && i < LOAD_CALLERS; i++) {
@@ -98,10 +112,75 @@
     g_mutex_unlock(&p->lock);
 }
 
+/* Counts the runs of each request, by its id. */
+static GHashTable *
+runs_by_id(fleet_t *fleet)
+{
+    GHashTable *runs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (guint i = 0; i < ENDPOINTS; i++) {
+        char *text = NULL;
+        if (!g_file_get_contents(fleet_endpoint(fleet, i)->log, &text, NULL,
+                                 NULL)) {
+            continue;
+        }
+        char **lines = g_strsplit(text, "\n", -1);
+        for (guint k = 0; lines[k] != NULL; k++) {
+            if (g_str_has_prefix(lines[k], "run ")) {
+                char *id = g_strdup(lines[k] + 4);
+                guint count = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
+                g_hash_table_replace(runs, id, GUINT_TO_POINTER(count + 1));
+            }
+        }
+        g_strfreev(lines);
+        g_free(text);
+    }
+    return runs;
+}
+
+/* The requests of callers that are not idempotent. */
+static gboolean
+is_once(const scenario_t *p, const char *id)
+{
+    const char *caller = strstr(id, "-c");
+    guint at = caller != NULL ? (guint)g_ascii_strtoull(caller + 2, NULL, 10)
+                              : LOAD_CALLERS;
+    return at < LOAD_CALLERS && p->callers[at].target != NULL &&
+           g_str_has_prefix(p->callers[at].target, "/once/");
+}
+
+/* No request that is not idempotent runs twice, and none that was refused as
+ * not run has run. */
+static void
+check_runs(const scenario_t *p)
+{
+    GHashTable *runs = runs_by_id(p->load.fleet);
+    GHashTableIter iter;
+    gpointer id;
+    gpointer count;
+    g_hash_table_iter_init(&iter, runs);
+    while (g_hash_table_iter_next(&iter, &id, &count)) {
+        if (is_once(p, id) && GPOINTER_TO_UINT(count) > 1) {
+            printf("%s ran %u times; ", (char *)id, GPOINTER_TO_UINT(count));
+            CU_FAIL("a request that is not idempotent ran twice");
+        }
+    }
+    for (guint i = 0; i < p->not_run->len; i++) {
+        const char *refused = p->not_run->pdata[i];
+        if (is_once(p, refused) && g_hash_table_contains(runs, refused)) {
+            printf("%s was refused and ran; ", refused);
+            CU_FAIL("a request that was refused as not run has run");
+        }
+    }
+    g_hash_table_unref(runs);
+}
+
 static void
 scenario_end(scenario_t *p)
 {
     load_stop(&p->load, p->threads);
+    check_runs(p);
+    g_ptr_array_unref(p->not_run);
     fleet_destroy(p->load.fleet);
     proxies_stop();
 }
@@ -240,6 +319,188 @@
     }
 }
 
+static void
+kill_helper(scenario_t *p)
+{
+    fleet_process_t *helper = fleet_entry(p->load.fleet, ENTRIES - 1);
+    fleet_kill(helper);
+    fleet_sleep(WARMUP_MS / 2);
+    fleet_start(p->load.fleet, helper);
+}
+
+static void
+terminate_helper(scenario_t *p)
+{
+    fleet_signal(fleet_entry(p->load.fleet, ENTRIES - 1), SIGTERM);
+}
+
+static void
+freeze_helper(scenario_t *p)
+{
+    fleet_process_t *helper = fleet_entry(p->load.fleet, ENTRIES - 1);
+    fleet_signal(helper, SIGSTOP);
+    fleet_sleep(WARMUP_MS);
+    fleet_signal(helper, SIGCONT);
+}
+
+static void
+cut_helper(scenario_t *p)
+{
+    fleet_cut(p->load.fleet, p->proxies, ENTRIES - 1, CUT_RESET, 0);
+    fleet_sleep(WARMUP_MS);
+    fleet_cut_end(p->load.fleet, p->proxies, ENTRIES - 1);
+}
+
+static void
+flap(scenario_t *p)
+{
+    for (guint i = 0; i < 3; i++) {
+        fleet_cut_end(p->load.fleet, p->proxies, 0);
+        fleet_sleep(WARMUP_MS / 2);
+        fleet_cut(p->load.fleet, p->proxies, 0, (cut_kind_t)i, 0);
+        fleet_sleep(WARMUP_MS / 2);
+    }
+}
+
+static void
+lose_control(scenario_t *p)
+{
+    fleet_kill(fleet_control(p->load.fleet, 0));
+    fleet_sleep(WARMUP_MS / 2);
+    fleet_start(p->load.fleet, fleet_control(p->load.fleet, 0));
+}
+
+static const struct {
+    const char *name;
+    void (*disrupt)(scenario_t *p);
+} DISRUPTIONS[] = {
+    {"a helper is killed", kill_helper},
+    {"a helper is terminated", terminate_helper},
+    {"a helper is frozen", freeze_helper},
+    {"a helper is cut off too", cut_helper},
+    {"the cut comes and goes", flap},
+    {"control is killed and back", lose_control},
+};
+
+/* Guards against a request that runs twice, or runs although it was refused,
+ * because something happens to the tunnel that carries it. */
+static void
+test_disrupted_tunnels(void)
+{
+    const char *selected = g_getenv("CUT_CASE");
+    for (gsize i = 0; i < G_N_ELEMENTS(DISRUPTIONS); i++) {
+        if (selected != NULL && !g_str_equal(selected, DISRUPTIONS[i].name)) {
+            continue;
+        }
+        scenario_t p;
+        scenario_start(&p, NULL);
+        scenario_cut(&p, 2, CUT_RESET, 0);
+        fleet_sleep(WARMUP_MS);
+        DISRUPTIONS[i].disrupt(&p);
+        fleet_sleep(WARMUP_MS);
+        count_from_now(&p);
+        fleet_sleep(2 * WARMUP_MS);
+        if (!are_served_alike(&p)) {
+            printf("%s: %u of %u at the cut-off; ", DISRUPTIONS[i].name,
+                   p.at_cut.served, p.at_cut.asked);
+        }
+        CU_ASSERT(are_served_alike(&p));
+        scenario_end(&p);
+    }
+}
+
+/* Guards against a request that goes round among instances that all are cut
+ * off, and a caller who waits for that. */
+static void
+test_all_cut_off(void)
+{
+    enum { REFUSAL_MAX_MS = 1100 };
+    scenario_t p;
+    scenario_start(&p, "/safe/slow");
+    scenario_cut(&p, ENTRIES, CUT_RESET, 0);
+    fleet_sleep(STABLE_MS);
+    count_from_now(&p);
+    p.load.longest_refusal_ms = 0;
+    fleet_sleep(2 * WARMUP_MS);
+    CU_ASSERT(p.at_cut.asked > 0);
+    CU_ASSERT_EQUAL(p.at_cut.served, 0);
+    CU_ASSERT(p.load.longest_refusal_ms < REFUSAL_MAX_MS);
+    for (guint i = 0; i < ENTRIES; i++) {
+        CU_ASSERT_EQUAL(fleet_counter(fleet_entry(p.load.fleet, i),
+                                      "tunnel_requests_served_total"),
+                        0);
+    }
+    scenario_end(&p);
+}
+
+/* Guards against answers and bodies that lose bytes in a tunnel, and runs that
+ * go on after their caller left. */
+static void
+test_bodies_in_tunnels(void)
+{
+    enum { LARGE = 8 * 1024 * 1024, BODY = 900 * 1024, LEFT_MS = 300 };
+    scenario_t p;
+    scenario_start(&p, "/safe/x");
+    fleet_t *f = p.load.fleet;
+    fleet_process_t *entry = fleet_entry(f, 0);
+    scenario_cut(&p, 1, CUT_HANG, 0);
+    fleet_sleep(STABLE_MS);
+    char *body = g_strnfill(BODY, 'b');
+    reply_t *reply =
+        fleet_post(entry, "/safe/large", "large", FLEET_KEY, "", body);
+    CU_ASSERT_EQUAL(reply->status, 200);
+    CU_ASSERT_TRUE(reply->complete && reply->sealed);
+    CU_ASSERT_EQUAL(reply->body->len, LARGE);
+    reply_free(reply);
+    g_free(body);
+    guint64 before = fleet_counter(entry, "tunnel_requests_total");
+    reply = fleet_call(entry->ip, FLEET_CALLERS_PORT, "GET", "/safe/x",
+                       "Request-Id: left\r\nAuthorization: Bearer "
+                       "sample-key\r\nDeadline-Ms: 8000\r\nFault: late\r\n",
+                       "", LEFT_MS);
+    CU_ASSERT_EQUAL(reply->status, 0);
+    reply_free(reply);
+    fleet_sleep(500);
+    CU_ASSERT(fleet_counter(entry, "tunnel_requests_total") > before);
+    CU_ASSERT_EQUAL(fleet_ran(f, "gone", "left"), 1);
+    scenario_end(&p);
+}
+
+/* Guards against callers who open connections to endpoints by themselves. */
+static void
+test_strangers_are_denied(void)
+{
+    static const char *const TEXTS[] = {
+        "GET / HTTP/1.1\r\n\r\n", "\5\0\0\0\4data", "\1\377\377\377\377"};
+    fleet_t *f = fleet_create(1, 1, 1);
+    CU_ASSERT_FATAL(fleet_up(f, 1));
+    fleet_process_t *entry = fleet_entry(f, 0);
+    for (gsize i = 0; i < G_N_ELEMENTS(TEXTS); i++) {
+        reply_t *reply = fleet_call(entry->ip, FLEET_PEERS_PORT, "GET",
+                                    TEXTS[i], "", "", 2000);
+        CU_ASSERT_EQUAL(reply->status, 0);
+        reply_free(reply);
+    }
+    tunnel_open_t open = {.from = "stranger",
+                          .tunnel = "stranger/1",
+                          .endpoint = fleet_endpoint(f, 0)->name,
+                          .token = 1};
+    GBytes *payload = tunnel_open_write(&open);
+    GByteArray *frame = g_byte_array_new();
+    tunnel_frame_write(frame, TUNNEL_OPEN, str_from_bytes(payload));
+    char answer[64];
+    CU_ASSERT_EQUAL(fleet_exchange(entry->ip, FLEET_PEERS_PORT,
+                                   (const char *)frame->data, frame->len,
+                                   answer, sizeof(answer)),
+                    6);
+    CU_ASSERT_EQUAL(answer[0], TUNNEL_REFUSED);
+    CU_ASSERT_EQUAL(answer[5], TUNNEL_REFUSAL_DENIED);
+    CU_ASSERT_EQUAL(fleet_counter(entry, "tunnels_refused_total"), 1);
+    g_byte_array_unref(frame);
+    g_bytes_unref(payload);
+    fleet_destroy(f);
+}
+
 static const test_case_t CASES[] = {
     {"callers of an instance cut off from endpoints are served",
      test_served_during_cut},
@@ -248,6 +509,11 @@
     {"connections are direct again after a cut", test_direct_after_cut},
     {"one endpoint that is down or silent is no cut",
      test_one_endpoint_is_no_cut},
+    {"no request runs twice when a tunnel is disrupted",
+     test_disrupted_tunnels},
+    {"no request goes round when all instances are cut off", test_all_cut_off},
+    {"bodies and hang-ups pass a tunnel whole", test_bodies_in_tunnels},
+    {"strangers open no tunnels", test_strangers_are_denied},
 };
 
 CHECK_MAIN("cuts", CASES)
