Brittle endpoints are sent no more than fits into their slots

Cause: nothing read the field. An instance sends plain endpoints up to four requests a slot, by loads that are reported late, and tries another endpoint at once after a refusal.

Mend: the field of any answer but 421 marks the service, so that a new start of an endpoint counts as brittle before it has said so; an answer without it, a second after the last with it, ends that. Meanwhile an instance uses its share of each endpoint's slots, more only of what the others leave unused, and pauses after a refusal for as long as keeps all instances together under half of the number.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -182,6 +182,16 @@
     event_log_end();
 }
 
+static void
+record_peaks(const GPtrArray *endpoints)
+{
+    for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
+        endpoint_t *endpoint = endpoints->pdata[i];
+        endpoint->others_peak =
+            brittle_peak(endpoint->others_peak, endpoint->others.running);
+    }
+}
+
 void
 entry_apply_loads(entry_t *e)
 {
@@ -197,6 +207,9 @@
         demand.tokens_per_ms = engine_model_tokens_per_ms(&state->engine);
         prompt_mix_fill_demand(&state->prompts, e->entries,
                                e->loads_received_us, &demand);
+        if (state->brittle.is_brittle) {
+            record_peaks(directory_service(e->directory, service));
+        }
         double before = engine_split_long_fraction(&state->split);
         engine_split_update(&state->split, &demand, e->loads_received_us);
         if (engine_split_long_fraction(&state->split) != before) {
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -25,6 +25,7 @@
 #include "carobloom/gateway/traffic.h"
 #include "carobloom/http/client.h"
 #include "carobloom/http/server.h"
+#include "carobloom/policy/brittle.h"
 #include "carobloom/policy/collector.h"
 #include "carobloom/policy/directory.h"
 #include "carobloom/policy/engine_model.h"
@@ -55,6 +56,7 @@
 typedef struct {
     repeat_budget_t budget;
     service_reach_t reach;
+    service_brittle_t brittle;
     prompt_mix_t prompts;
     engine_split_t split;
     engine_model_t engine;
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -82,6 +82,62 @@
     }
 }
 
+static void
+log_brittle(const forward_t *f, const char *event, double refusals_per_s)
+{
+    if (event_log_begin(EVENT_STATE, event)) {
+        event_log_cstr("service", f->service);
+        event_log_cstr("endpoint", f->endpoint->id);
+        event_log_number("refusals_per_s", (gint64)refusals_per_s);
+        event_log_number("instances",
+                         instance_count_get(&f->entry->sharing_instances));
+        event_log_text("request", f->info.id);
+        event_log_end();
+    }
+}
+
+/* Records whether the endpoints of the service are brittle. Status 421 may
+ * come from an endpoint of another service. */
+static void
+record_brittle(const forward_t *f, const answer_info_t *answer, guint status)
+{
+    service_brittle_t *brittle = &f->service_state->brittle;
+    gint64 now = forward_now(f);
+    if (f->endpoint == NULL || status == 421) {
+        return;
+    }
+    switch (answer->brittle_field) {
+    case ANSWER_FIELD_VALID:
+        if (service_brittle_record(brittle, answer->brittle, now)) {
+            log_brittle(f, "endpoints_brittle", answer->brittle);
+        }
+        break;
+    case ANSWER_FIELD_MALFORMED:
+        rest_watch_record_malformed(f->endpoint, "brittle_malformed",
+                                    f->info.id);
+        break;
+    case ANSWER_FIELD_ABSENT:
+        if (service_brittle_record_absent(brittle, now)) {
+            log_brittle(f, "endpoints_sturdy", 0);
+        }
+        break;
+    }
+}
+
+/* Keeps away from a brittle endpoint that turned a request away. */
+static void
+pause_brittle(const forward_t *f)
+{
+    const service_brittle_t *brittle = &f->service_state->brittle;
+    if (brittle->is_brittle && f->endpoint != NULL && f->status != 421) {
+        gint64 pause_us = brittle_pause_us(
+            brittle, instance_count_get(&f->entry->sharing_instances));
+        counter_add(counter_get("brittle_refusals_total", NULL, FALSE), 1);
+        f->endpoint->full_until_us =
+            MAX(f->endpoint->full_until_us, forward_now(f) + pause_us);
+    }
+}
+
 static gboolean
 is_event_stream(const http_head_t *head)
 {
@@ -123,6 +179,7 @@
     f->not_run = answer.not_run;
     record_limit(f, &answer, head->status);
     record_notices(f, &answer, head->status);
+    record_brittle(f, &answer, head->status);
     forward_record_bytes(f);
     if (f->head_sent) {
         f->streaming = success;
@@ -290,6 +347,7 @@
     f->refusals++;
     forward_return_probe(f);
     forward_record_outcome(f, outcome);
+    pause_brittle(f);
     if (f->status == 400 && !f->head_sent) {
         forward_deliver(f);
         return;
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -148,6 +148,8 @@
         .fetch_tokens_per_ms =
             service != NULL ? service->fetch_tokens_a_ms : 0,
         .load_scale = entry_has_recent_loads(f->entry) ? 0 : f->entry->entries,
+        .brittle = f->service_state->brittle.is_brittle,
+        .instances = instance_count_get(&f->entry->sharing_instances),
         .data_centre = f->entry->settings->data_centre,
         .tried_count = MIN(f->tried_count, PLACEMENT_TRIED_MAX),
         .yields = yields_limited_sends(f),
--- a/include/carobloom/policy/endpoint.h
+++ b/include/carobloom/policy/endpoint.h
@@ -47,6 +47,8 @@
     guint32 long_waiting;
     endpoint_load_t others;   /* of other entry instances, as reported */
     gboolean has_others_load; /* `others` holds a reported load */
+    double others_peak; /* decaying maximum of `others.running`, while the
+                           service is brittle */
     /* health */
     double failures; /* decaying fraction of failed requests */
     /* Backoff after failures: no requests until then, and its length, which
--- a/include/carobloom/policy/placement.h
+++ b/include/carobloom/policy/placement.h
@@ -45,6 +45,9 @@
      * load of this instance is multiplied by it to estimate the total. 0 while
      * they are known. */
     guint load_scale;
+    /* The endpoints are brittle, see brittle.h; instances that send there. */
+    gboolean brittle;
+    guint instances;
     const char *data_centre;                      /* of this instance */
     const endpoint_t *tried[PLACEMENT_TRIED_MAX]; /* not to be chosen again */
     guint tried_count;
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -1,5 +1,6 @@
 #include "carobloom/policy/placement.h"
 
+#include "carobloom/policy/brittle.h"
 #include "carobloom/policy/keepers.h"
 #include "carobloom/policy/prompt_mix.h"
 #include "carobloom/policy/rendezvous.h"
@@ -279,6 +280,13 @@
          candidate_t candidate)
 {
     double max_fraction = SHORT_SLOTS_FRACTION;
+    brittle_load_t load = {.running = e->running,
+                           .others = e->others_peak,
+                           .slots = e->slots,
+                           .instances = r->instances};
+    if (r->brittle && !brittle_has_slot(&load)) {
+        return FALSE;
+    }
     if (r->prompt_tokens == 0) {
         max_fraction = PLAIN_SLOTS_FRACTION;
     }
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -25,7 +25,8 @@
     HUGE_EVENT_BYTES = 300 * 1024,
     LARGE_BYTES = 8 * 1024 * 1024, /* of a path with /large */
     CRASH_US = 20 * MS, /* of FAULT_CRASH: from the start of the run */
-    CRASH_EXIT = 70,    /* as a program ends by a fault of its own */
+    BRITTLE_GRACE_US = 3000 * MS, /* until nothing waits any more */
+    CRASH_EXIT = 70,              /* as a program ends by a fault of its own */
 };
 
 typedef enum {
@@ -62,6 +63,11 @@
     char *limit_path;
     char *rest_path;
     char *leaving_path;
+    char *brittle_path;
+    gint64 brittle_us; /* when it first said that it is brittle; 0: never */
+    GArray
+        *refused; /* gint64; when it turned requests away for want of room */
+    int running;
     GMainLoop *loop;
     task_t *task;
     poller_t *poller;
@@ -159,9 +165,11 @@
     str_t id = request_id(exchange);
     char *limit = fields_of(e->limit_path, "Server-Limit");
     char *leaving = fields_of(e->leaving_path, "Server-Leaving");
+    char *brittle = fields_of(e->brittle_path, "Server-Brittle");
     char *fields = g_strdup_printf(
-        "Request-Id: %.*s\r\nResponse-Seal: %.*s.%s\r\n%s%s%s", (int)id.length,
-        id.data, (int)id.length, id.data, e->id, limit, leaving, more);
+        "Request-Id: %.*s\r\nResponse-Seal: %.*s.%s\r\n%s%s%s%s",
+        (int)id.length, id.data, (int)id.length, id.data, e->id, limit,
+        leaving, brittle, more);
     if (limit[0] != '\0') {
         log_moment(e, "named", id);
     }
@@ -170,6 +178,7 @@
     }
     g_free(limit);
     g_free(leaving);
+    g_free(brittle);
     return fields;
 }
 
@@ -177,6 +186,7 @@
 run_free(run_t *run)
 {
     timers_cancel(run->endpoint->timers, run->timer);
+    run->endpoint->running--;
     http_exchange_set_data(run->exchange, NULL);
     g_free(run);
 }
@@ -307,6 +317,7 @@
     run_t *run = g_new0(run_t, 1);
     *run = (run_t){.endpoint = e, .exchange = exchange, .fault = fault};
     http_exchange_set_data(exchange, run);
+    e->running++;
     log_run(e, "run", request_id(exchange));
     if (fault == FAULT_CRASH) {
         timers_subscribe(e->timers, CRASH_US, 0, crash, e);
@@ -342,6 +353,37 @@
     return resting;
 }
 
+/* Turns a request away since all slots are taken, and falls over if that
+ * happens too often. Only a brittle endpoint does, some time after it said so;
+ * others let requests wait. */
+static gboolean
+refuse_for_room(endpoint_t *e, http_exchange_t *exchange)
+{
+    char *brittle = fields_of(e->brittle_path, "Server-Brittle");
+    gint64 now = g_get_monotonic_time();
+    if (brittle[0] != '\0' && e->brittle_us == 0) {
+        e->brittle_us = now;
+    }
+    gboolean is_full = brittle[0] != '\0' && e->brittle_us != 0 &&
+                       now - e->brittle_us > BRITTLE_GRACE_US &&
+                       e->running >= e->slots;
+    int most = is_full ? atoi(strchr(brittle, ':') + 1) : 0;
+    g_free(brittle);
+    if (!is_full) {
+        return FALSE;
+    }
+    g_array_append_val(e->refused, now);
+    while (now - g_array_index(e->refused, gint64, 0) > G_USEC_PER_SEC) {
+        g_array_remove_index(e->refused, 0);
+    }
+    if ((int)e->refused->len > most) {
+        log_moment(e, "fell", request_id(exchange));
+        _exit(CRASH_EXIT);
+    }
+    answer(e, exchange, 503, "Not-Executed: 1\r\n", "");
+    return TRUE;
+}
+
 static void
 handle_request(http_exchange_t *exchange, void *user)
 {
@@ -356,7 +398,7 @@
         answer(e, exchange, 421, "", "");
         return;
     }
-    if (refuse_for_rest(e, exchange)) {
+    if (refuse_for_rest(e, exchange) || refuse_for_room(e, exchange)) {
         return;
     }
     if (fault == FAULT_FULL) {
@@ -613,6 +655,8 @@
     char *arrivals = g_strconcat(log->filename[0], ".arrivals", NULL);
     endpoint.arrivals = fopen(arrivals, "a");
     g_free(arrivals);
+    endpoint.refused = g_array_new(FALSE, FALSE, sizeof(gint64));
+    endpoint.brittle_path = g_strconcat(log->filename[0], ".brittle", NULL);
     endpoint.limit_path = g_strconcat(log->filename[0], ".limit", NULL);
     endpoint.rest_path = g_strconcat(log->filename[0], ".rest", NULL);
     endpoint.leaving_path = g_strconcat(log->filename[0], ".leaving", NULL);
@@ -625,6 +669,8 @@
     fclose(endpoint.log);
     fclose(endpoint.arrivals);
     g_free(endpoint.limit_path);
+    g_free(endpoint.brittle_path);
+    g_array_unref(endpoint.refused);
     g_free(endpoint.rest_path);
     g_free(endpoint.leaving_path);
     g_strfreev(endpoint.controls);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -743,6 +743,12 @@
     set_mode(p, ".limit", text);
 }
 
+void
+fleet_brittle(const fleet_process_t *p, const char *text)
+{
+    set_mode(p, ".brittle", text);
+}
+
 void
 fleet_rest(const fleet_process_t *p, const char *text)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -155,6 +155,8 @@
  * what it says of leaving. */
 void fleet_rest(const fleet_process_t *endpoint, const char *text);
 void fleet_leaving(const fleet_process_t *endpoint, const char *text);
+/* The same for how many requests it turns away in a second before it falls. */
+void fleet_brittle(const fleet_process_t *endpoint, const char *text);
 /* Something that an endpoint logged. */
 typedef struct {
     gint64 at_us;   /* of monotonic time */
