Soak: entry instances are cut off from endpoints beside the other faults

--cuts cuts one instance, most or all, of every kind, with some endpoints spared in one of four. The comment on keep-alive says what the user timeout decides.

--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -13,7 +13,8 @@
     /* Unacknowledged bytes for so long end a connection: several round trips
      * with losses, well under the bounds for a final answer. */
     USER_TIMEOUT_MS = 4000,
-    /* An idle peer that is gone is found within three seconds. */
+    /* An idle peer that is gone is found within four seconds. USER_TIMEOUT_MS
+     * decides that too, whatever the number of probes. */
     KEEPALIVE_IDLE_S = 1,
     KEEPALIVE_INTERVAL_S = 1,
     KEEPALIVE_PROBES = 3,
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -81,6 +81,7 @@
     duties:*) options=--duties ;;
     limits:*) options=--limits ;;
     rests:*) options=--rests ;;
+    cuts:*) options=--cuts ;;
     esac
     if build/tests/soak --seed "$seed" --seconds "$seconds" $options \
         >soak.log 2>&1
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -8,6 +8,7 @@
 
 #include "fleet.h"
 #include "fleet_cut.h"
+#include "soak_cuts.h"
 #include "soak_limits.h"
 #include "soak_rests.h"
 
@@ -60,6 +61,7 @@
     gint64 back_us[FLEET_PROCESSES_MAX]; /* of endpoints that crashed */
     soak_limits_t *limits;               /* NULL: no endpoint names one */
     soak_rests_t *rests;                 /* NULL: none rests or leaves */
+    soak_cuts_t *cuts;                   /* NULL: no instance is cut off */
 } soak_t;
 
 static int
@@ -445,6 +447,7 @@
         tend_endpoints(s);
         soak_limits_step(s->limits);
         soak_rests_step(s->rests);
+        soak_cuts_step(s->cuts);
         if (since_ms(s) >= next) {
             gint kinds =
                 (gint)G_N_ELEMENTS(FAULTS) - (s->fleet->platform == NULL);
@@ -460,6 +463,7 @@
     undo_due(s, undos, TRUE);
     soak_limits_end(s->limits);
     soak_rests_end(s->rests);
+    soak_cuts_end(s->cuts);
     g_array_unref(undos);
 }
 
@@ -611,7 +615,7 @@
 static int
 soak_run(guint32 seed, int seconds, guint controls, guint entries,
          guint endpoints, guint clients, gboolean duties, gboolean limits,
-         gboolean rests)
+         gboolean rests, gboolean cuts)
 {
     soak_t s = {.seed = seed, .random = g_rand_new_with_seed(seed)};
     client_t all[CLIENTS_MAX];
@@ -625,6 +629,7 @@
     s.limits = limits ? soak_limits_create(s.fleet, seed) : NULL;
     s.rests = rests ? soak_rests_create(s.fleet, seed) : NULL;
     fleet_proxies_create(s.fleet, s.proxies);
+    s.cuts = cuts ? soak_cuts_create(s.fleet, s.proxies, seed) : NULL;
     s.started_us = g_get_monotonic_time();
     if (!fleet_up(s.fleet, 1)) {
         broke(&s, "starts", s.fleet->folder);
@@ -668,6 +673,7 @@
            s.broken ? s.fleet->folder : "");
     soak_limits_destroy(s.limits);
     soak_rests_destroy(s.rests);
+    soak_cuts_destroy(s.cuts);
     fleet_destroy_keep(s.fleet, s.broken > 0);
     proxies_stop();
     g_ptr_array_unref(s.told);
@@ -691,9 +697,11 @@
     struct arg_lit *limits = arg_lit0(NULL, "limits", "endpoints name limits");
     struct arg_lit *rests =
         arg_lit0(NULL, "rests", "endpoints ask for rest, and leave");
+    struct arg_lit *cuts =
+        arg_lit0(NULL, "cuts", "entry instances are cut off from endpoints");
     struct arg_end *end = arg_end(10);
     void *table[] = {seed,    count,  seconds, controls, entries, endpoints,
-                     clients, duties, limits,  rests,    end};
+                     clients, duties, limits,  rests,    cuts,    end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -704,13 +712,13 @@
     int failed = 0;
     int many = OR(count, 1);
     for (int i = 0; i < many; i++) {
-        failed +=
-            soak_run((guint32)(OR(seed, 1) + i), OR(seconds, 15),
-                     (guint)CLAMP(OR(controls, 3), 1, 9),
-                     (guint)CLAMP(OR(entries, 3), 1, 24),
-                     (guint)CLAMP(OR(endpoints, 4), 1, 24),
-                     (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX),
-                     duties->count > 0, limits->count > 0, rests->count > 0);
+        failed += soak_run((guint32)(OR(seed, 1) + i), OR(seconds, 15),
+                           (guint)CLAMP(OR(controls, 3), 1, 9),
+                           (guint)CLAMP(OR(entries, 3), 1, 24),
+                           (guint)CLAMP(OR(endpoints, 4), 1, 24),
+                           (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX),
+                           duties->count > 0, limits->count > 0,
+                           rests->count > 0, cuts->count > 0);
     }
 #undef OR
     arg_freetable(table, G_N_ELEMENTS(table));
