--- a/carobloomd/gateway/forward_reach.c
+++ b/carobloomd/gateway/forward_reach.c
@@ -45,7 +45,7 @@
     if (event_log_begin(EVENT_ROUTINE, "tunnelled")) {
         event_log_text("request", f->info.id);
         event_log_cstr("endpoint", endpoint->id);
-        event_log_cstr("helper", f->helper->info.instance);
+        event_log_cstr("helper", client_call_tunnel_address(f->call));
         event_log_cstr("tunnel", client_call_tunnel_name(f->call));
         event_log_end();
     }
@@ -76,16 +76,16 @@
     if (f->call == NULL) {
         return FALSE;
     }
+    /* The call may have taken a free tunnel through another helper, which
+     * need not be among the known ones any more. */
+    f->in_tunnel = TRUE;
     f->helper =
         reach_watch_helper_at(e->reach, client_call_tunnel_address(f->call));
-    if (f->helper == NULL) { /* a free tunnel of a former helper */
-        client_call_cancel(f->call);
-        f->call = NULL;
-        return FALSE;
+    if (f->helper != NULL) {
+        f->helper->tunnels++;
     }
-    f->helper->tunnels++;
     traffic_count_into(e->traffic, f->call, TRAFFIC_TUNNELS,
-                       f->helper->info.data_centre);
+                       f->helper != NULL ? f->helper->info.data_centre : NULL);
     log_tunnelled(f, endpoint);
     return TRUE;
 }
@@ -135,6 +135,7 @@
         f->helper->tunnels--;
         f->helper = NULL;
     }
+    f->in_tunnel = FALSE;
 }
 
 void
@@ -144,10 +145,13 @@
     if (event_log_begin(EVENT_FAILURE, "tunnel_failed")) {
         event_log_text("request", f->info.id);
         event_log_cstr("endpoint", f->last_endpoint);
-        event_log_cstr("helper", f->helper->info.instance);
+        event_log_cstr("helper",
+                       f->helper != NULL ? f->helper->info.address : "");
         event_log_end();
     }
-    helper_record_failed(f->helper, forward_now(f));
+    if (f->helper != NULL) {
+        helper_record_failed(f->helper, forward_now(f));
+    }
     f->tunnels_failed++;
     f->direct_only = f->tunnels_failed >= TUNNELS_FAILED_MAX;
     /* Neither the endpoint nor the request is to blame. */
@@ -174,7 +178,7 @@
         [CALL_FAILED_TUNNEL] = NULL,
     };
     entry_t *e = f->entry;
-    if (f->helper != NULL || f->endpoint == NULL || SIGNS[failure] == NULL) {
+    if (f->in_tunnel || f->endpoint == NULL || SIGNS[failure] == NULL) {
         return FALSE;
     }
     reach_watch_record_failure(e->reach, f->endpoint, SIGNS[failure]);
@@ -185,7 +189,7 @@
 gint64
 forward_silence_check_us(const forward_t *f)
 {
-    if (f->call == NULL || f->helper != NULL || f->silence_recorded ||
+    if (f->call == NULL || f->in_tunnel || f->silence_recorded ||
         f->last_byte_us >= f->sent_us) {
         return G_MAXINT64;
     }
@@ -207,7 +211,7 @@
 void
 forward_record_silence(forward_t *f)
 {
-    if (f->helper == NULL && f->endpoint != NULL && !f->silence_recorded &&
+    if (!f->in_tunnel && f->endpoint != NULL && !f->silence_recorded &&
         is_endpoint_silent(f)) {
         f->silence_recorded = TRUE;
         reach_watch_record_failure(f->entry->reach, f->endpoint, "silent");
--- a/carobloomd/gateway/forward_runs.c
+++ b/carobloomd/gateway/forward_runs.c
@@ -145,7 +145,7 @@
 forward_record_bytes(forward_t *f)
 {
     f->last_byte_us = forward_now(f);
-    if (f->endpoint != NULL && f->helper == NULL) {
+    if (f->endpoint != NULL && !f->in_tunnel) {
         endpoint_record_reached(f->endpoint, f->last_byte_us);
     }
     if (f->endpoint != NULL &&
@@ -164,7 +164,7 @@
         return;
     }
     if (failure == CALL_FAILED_REFUSED) {
-        crash_watch_record_refused(watch, f->endpoint, f->helper == NULL);
+        crash_watch_record_refused(watch, f->endpoint, !f->in_tunnel);
     }
     if (failure == CALL_FAILED_SENT || failure == CALL_FAILED_CUT) {
         crash_watch_record_break(watch, f->endpoint, watched_run(f));
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -287,6 +287,9 @@
 {
     placement_request_t request;
     forward_record_silence(f);
+    if (f->helper != NULL) {
+        helper_record_failed(f->helper, forward_now(f));
+    }
     forward_record_outcome(f, ENDPOINT_BROKEN);
     if (choose_endpoint(f, &request).endpoint == NULL || !may_repeat(f) ||
         !take_repeat_from_budget(f)) {
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -36,8 +36,8 @@
     endpoint_t *endpoint;
     char last_endpoint[ENDPOINT_NAME_MAX]; /* endpoint id, for the log */
     client_call_t *call;
-    /* the instance whose tunnel carries the call; NULL: a direct connection */
-    helper_t *helper;
+    gboolean in_tunnel; /* the call is in a tunnel through another instance */
+    helper_t *helper;   /* that instance; NULL if it is not known any more */
     guint tunnels_failed; /* tunnels that could not be opened */
     gboolean tunnelled;   /* a send went through a tunnel */
     gboolean direct_only; /* no tunnel could be opened */
--- a/carobloomd/gateway/reach_watch.c
+++ b/carobloomd/gateway/reach_watch.c
@@ -17,8 +17,11 @@
     PROBE_TIMEOUT_US = 500 * MS,
     PROBE_CONNECT_US = 250 * MS,
     PROBE_HEAD_MAX = 16384,
-    /* Interval between two checks of what control instances know. */
-    ANNOUNCE_TICK_US = 500 * MS,
+    /* Until an announcement that failed is repeated. */
+    ANNOUNCE_RETRY_US = 500 * MS,
+    /* Interval between two checks of what control instances know, while they
+     * know all. */
+    ANNOUNCE_TICK_US = 5000 * MS,
     /* A restart of a large fleet spreads its first announcements. */
     ANNOUNCE_DELAY_PER_ENTRY_US = 10 * MS,
     ANNOUNCE_TIMEOUT_US = 1000 * MS,
@@ -558,13 +561,14 @@
     told_control_t *told = g_hash_table_lookup(w->controls, w->line_address);
     w->line_done = TRUE;
     announce_schedule(w, 0);
+    /* One that does not know the call is not asked again at once. */
+    if (told != NULL) {
+        told->announced = w->line_version;
+    }
     if (infos == NULL) {
         counter_add(counter_get("helpers_malformed_total", NULL, FALSE), 1);
         return;
     }
-    if (told != NULL) {
-        told->announced = w->line_version;
-    }
     helper_set_update(w->helpers, (helper_info_t *)infos->data, infos->len);
     counter_set(counter_get("helpers", NULL, TRUE),
                 helper_set_count(w->helpers));
@@ -576,7 +580,7 @@
 {
     reach_watch_t *w = user;
     w->line_done = TRUE;
-    announce_schedule(w, ANNOUNCE_TICK_US);
+    announce_schedule(w, ANNOUNCE_RETRY_US);
 }
 
 static const inner_line_ops_t ANNOUNCE_OPS = {.answered = on_announced,
@@ -661,8 +665,12 @@
     if (w->line != NULL) {
         return; /* its end schedules the next */
     }
-    const char *address =
-        entry_now(w->entry) >= w->first_announce_us ? next_control(w) : NULL;
+    gint64 delay_us = w->first_announce_us - entry_now(w->entry);
+    if (delay_us > 0) {
+        announce_schedule(w, delay_us);
+        return;
+    }
+    const char *address = next_control(w);
     if (address != NULL) {
         announce_to(w, address);
         return;
@@ -685,11 +693,13 @@
         w->first_announce_us =
             entry_now(e) +
             (gint64)(g_rand_double(e->random) * (double)spread_us);
-        announce_schedule(w, ANNOUNCE_TICK_US);
     }
     told = g_new0(told_control_t, 1);
     told->epoch = epoch;
     g_hash_table_replace(w->controls, g_strdup(address), told);
+    if (w->line == NULL) {
+        announce_schedule(w, ANNOUNCE_RETRY_US);
+    }
 }
 
 void
