A cut is confirmed and over by what shows it; announcements on confirmed cuts

What callers saw: nothing yet; found by reading. An engine whose slots are taken lets a health check wait, which counted as an endpoint that no other instance reaches, so that a cut would have been taken for over; and each assumption of a cut, mostly over within milliseconds, was announced to all control instances.

Mend: a check that is late on both ways shows nothing; a connection that is accepted in a tunnel and not directly confirms, and the reverse ends a cut of that kind. Only confirmed cuts are announced. Table of cases in test_reachability.

--- a/carobloomd/gateway/reach_watch.c
+++ b/carobloomd/gateway/reach_watch.c
@@ -46,8 +46,9 @@
     probe_t *probe;
     http_peer_t *peer; /* NULL: this way is not tried */
     client_call_t *call;
+    gboolean opened;
     gboolean answered;
-    gboolean no_tunnel; /* another instance opened none */
+    gboolean is_unreached; /* the endpoint did not accept a connection */
 } probe_leg_t;
 
 /* A health check of an endpoint of a cut-off service; one at a time. */
@@ -72,7 +73,8 @@
     helper_set_t *helpers;
     GHashTable *probes; /* service -> probe_t, in flight */
     guint64 probe_timer;
-    guint cut_services;
+    guint cut_services;       /* assumed or confirmed */
+    guint confirmed_services; /* of these */
     /* announcements */
     GHashTable *controls; /* address -> told_control_t */
     guint version;        /* of what is announced */
@@ -171,10 +173,6 @@
     counter_add(counter_get("cuts_begun_total", NULL, FALSE), 1);
     counter_set(counter_get("services_cut_off", NULL, TRUE), w->cut_services);
     log_cut(w, service, sign, counts);
-    if (w->cut_services == 1) {
-        w->refreshed_us = 0;
-        announce_change(w);
-    }
     schedule_probes(w, 0);
 }
 
@@ -201,13 +199,13 @@
                          (entry_now(e) - state->reach.since_us) / MS);
         event_log_end();
     }
+    if (state->reach.confirmed && --w->confirmed_services == 0) {
+        announce_change(w);
+    }
     service_reach_end(&state->reach, endpoints);
     close_tunnels(endpoints);
     w->cut_services--;
     counter_set(counter_get("services_cut_off", NULL, TRUE), w->cut_services);
-    if (w->cut_services == 0) {
-        announce_change(w);
-    }
 }
 
 void
@@ -272,18 +270,6 @@
     g_free(probe);
 }
 
-/* What the tunnel's leg showed. A tunnel that another instance did not open
- * for a reason of its own shows nothing. */
-static reach_through_t
-through_result(const probe_leg_t *leg)
-{
-    if (leg->answered) {
-        return REACH_THROUGH_ANSWERED;
-    }
-    return leg->peer == NULL || leg->no_tunnel ? REACH_THROUGH_UNKNOWN
-                                               : REACH_THROUGH_FAILED;
-}
-
 static void
 log_confirmed(const probe_t *probe)
 {
@@ -305,18 +291,26 @@
     gint64 now = entry_now(e);
     service_reach_t *reach = &entry_service_state(e, probe->service)->reach;
     endpoint_t *endpoint = directory_find(e->directory, probe->endpoint);
-    gboolean answered = probe->direct.answered;
-    reach_through_t through = through_result(&probe->through);
+    reach_probe_t result = {
+        .opened = probe->direct.opened,
+        .answered = probe->direct.answered,
+        .through_opened = probe->through.opened,
+        .through_answered = probe->through.answered,
+        .through_failed = probe->through.is_unreached,
+    };
     probe->timer = 0;
-    if (service_reach_record_probe(reach, endpoint, answered, through, now)) {
+    if (service_reach_record_probe(reach, endpoint, &result, now)) {
         service_reach_forgive(directory_service(e->directory, probe->service));
         log_confirmed(probe);
+        if (++w->confirmed_services == 1) {
+            announce_change(w);
+        }
     }
     if (service_reach_is_over(
             reach, directory_service(e->directory, probe->service), now)) {
         cut_end(w, probe->service);
     }
-    gboolean unchanged = !answered && through != REACH_THROUGH_FAILED;
+    gboolean unchanged = reach->probes_ok == 0 && !result.through_failed;
     g_hash_table_remove(w->probes, probe->service);
     if (w->cut_services > 0) {
         schedule_probes(w, unchanged ? probe_interval_us(w) : 0);
@@ -343,6 +337,14 @@
 }
 
 /* Any answer shows that the endpoint is reached. */
+static gboolean
+on_probe_opened(client_call_t *call, void *user)
+{
+    (void)call;
+    ((probe_leg_t *)user)->opened = TRUE;
+    return TRUE;
+}
+
 static call_verdict_t
 on_probe_head(client_call_t *call, const http_head_t *head, void *user)
 {
@@ -372,11 +374,13 @@
 {
     (void)call;
     probe_leg_t *leg = user;
-    leg->no_tunnel = failure == CALL_FAILED_TUNNEL;
+    leg->is_unreached = !leg->opened && (failure == CALL_FAILED_UNSENT ||
+                                         failure == CALL_FAILED_REFUSED);
     leg_end(leg);
 }
 
-static const client_call_ops_t PROBE_OPS = {.head = on_probe_head,
+static const client_call_ops_t PROBE_OPS = {.may_send = on_probe_opened,
+                                            .head = on_probe_head,
                                             .body = on_probe_body,
                                             .done = on_probe_done,
                                             .failed = on_probe_failed};
@@ -603,7 +607,7 @@
                  .address = (char *)tunnel_server_address(e->tunnel_server),
                  .data_centre = e->settings->data_centre,
                  .token = tunnel_server_token(e->tunnel_server)},
-        .can_help = !w->draining && w->cut_services == 0,
+        .can_help = !w->draining && w->confirmed_services == 0,
     };
     w->line = inner_line_create(&setup, address);
     w->line_address = g_strdup(address);
--- a/include/carobloom/policy/reachability.h
+++ b/include/carobloom/policy/reachability.h
@@ -16,15 +16,19 @@
     gint64 since_us; /* when the first path of the cut failed; 0: not cut off
                       */
     gboolean confirmed;
-    guint probes_ok; /* direct probes answered in a row */
+    gboolean is_silent; /* direct connections are accepted, and not answered */
+    guint probes_ok;    /* direct probes answered in a row */
 } service_reach_t;
 
-/* What a probe through another instance showed. */
-typedef enum {
-    REACH_THROUGH_UNKNOWN, /* none was possible */
-    REACH_THROUGH_ANSWERED,
-    REACH_THROUGH_FAILED, /* the other instance does not reach it either */
-} reach_through_t;
+/* What a probe of an endpoint showed, directly and through another instance.
+ */
+typedef struct {
+    gboolean opened; /* the direct connection was accepted */
+    gboolean answered;
+    gboolean through_opened;
+    gboolean through_answered;
+    gboolean through_failed; /* the other instance does not reach it either */
+} reach_probe_t;
 
 /* Endpoints of a service by what is known of their paths. */
 typedef struct {
@@ -50,12 +54,11 @@
 /* Whether the endpoint is to be reached through another instance. */
 gboolean service_reach_avoids(const service_reach_t *reach,
                               const endpoint_t *endpoint);
-/* Records the result of a probe, directly and through another instance.
- * `endpoint` is NULL if it is gone. Returns TRUE if the cut becomes confirmed.
- */
+/* Records the result of a probe. `endpoint` is NULL if it is gone. Returns
+ * TRUE if the cut becomes confirmed. */
 gboolean service_reach_record_probe(service_reach_t *reach,
-                                    endpoint_t *endpoint, gboolean answered,
-                                    reach_through_t through, gint64 now_us);
+                                    endpoint_t *endpoint,
+                                    const reach_probe_t *probe, gint64 now_us);
 /* Whether the cut is over, or never was one: direct probes are answered, or
  * each endpoint that failed is not reached by others either. */
 gboolean service_reach_is_over(const service_reach_t *reach,
--- a/policy/reachability.c
+++ b/policy/reachability.c
@@ -83,28 +83,45 @@
            (e->reached_us <= r->since_us || e->unreached_us >= e->reached_us);
 }
 
+/* Whether the probe reached the endpoint directly. An engine whose slots are
+ * taken accepts a health check and answers it late; where it was the
+ * connections that failed, one that is accepted shows enough. */
+static gboolean
+is_reached_by(const service_reach_t *r, const reach_probe_t *probe)
+{
+    return probe->answered || (r->confirmed && !r->is_silent && probe->opened);
+}
+
+static gboolean
+is_confirmed_by(const reach_probe_t *probe)
+{
+    return probe->through_answered ||
+           (probe->through_opened && !probe->opened);
+}
+
 gboolean
 service_reach_record_probe(service_reach_t *r, endpoint_t *e,
-                           gboolean answered, reach_through_t through,
-                           gint64 now_us)
+                           const reach_probe_t *probe, gint64 now_us)
 {
     if (r->since_us == 0) {
         return FALSE;
     }
-    r->probes_ok = answered ? r->probes_ok + 1 : 0;
-    if (answered) {
+    if (is_reached_by(r, probe)) {
+        r->probes_ok++;
         if (e != NULL) {
             endpoint_record_reached(e, now_us);
         }
         return FALSE;
     }
+    r->probes_ok = 0;
     if (e != NULL) {
-        e->unreached_us = through == REACH_THROUGH_FAILED ? 0 : now_us;
+        e->unreached_us = probe->through_failed ? 0 : now_us;
     }
-    if (r->confirmed || through != REACH_THROUGH_ANSWERED) {
+    if (r->confirmed || !is_confirmed_by(probe)) {
         return FALSE;
     }
     r->confirmed = TRUE;
+    r->is_silent = probe->opened;
     return TRUE;
 }
 
--- a/tests/test_reachability.c
+++ b/tests/test_reachability.c
@@ -8,6 +8,11 @@
 
 enum { MS = 1000, ENDPOINTS_MAX = 16, NOW_US = 100 * 1000 * MS };
 
+static const reach_probe_t REACHED = {.opened = TRUE, .answered = TRUE};
+static const reach_probe_t CUT_HERE = {.through_opened = TRUE,
+                                       .through_answered = TRUE};
+static const reach_probe_t DOWN = {.through_failed = TRUE};
+
 typedef struct {
     endpoint_t endpoints[ENDPOINTS_MAX];
     GPtrArray *list;
@@ -120,16 +125,15 @@
     CU_ASSERT_TRUE(service_reach_avoids(&s.reach, &s.endpoints[5]));
     endpoint_t *e = service_reach_next_probe(&s.reach, s.list, 0, NOW_US);
     CU_ASSERT_PTR_EQUAL(e, &s.endpoints[0]);
-    CU_ASSERT_TRUE(service_reach_record_probe(
-        &s.reach, e, FALSE, REACH_THROUGH_ANSWERED, NOW_US + 2 * MS));
+    CU_ASSERT_TRUE(
+        service_reach_record_probe(&s.reach, e, &CUT_HERE, NOW_US + 2 * MS));
     CU_ASSERT_TRUE(s.reach.confirmed);
     CU_ASSERT_FALSE(service_reach_is_over(&s.reach, s.list, NOW_US));
     for (guint i = 0; i < 3; i++) {
         CU_ASSERT_FALSE(service_reach_is_over(&s.reach, s.list, NOW_US));
         e = service_reach_next_probe(&s.reach, s.list, 3, NOW_US);
         CU_ASSERT_FALSE(service_reach_record_probe(
-            &s.reach, e, TRUE, REACH_THROUGH_UNKNOWN,
-            NOW_US + (3 + i) * (gint64)MS));
+            &s.reach, e, &REACHED, NOW_US + (3 + i) * (gint64)MS));
         CU_ASSERT_FALSE(service_reach_avoids(&s.reach, e));
     }
     CU_ASSERT_TRUE(service_reach_is_over(&s.reach, s.list, NOW_US));
@@ -139,6 +143,64 @@
     g_ptr_array_unref(s.list);
 }
 
+/* Results of a probe while a cut is assumed, and while one is confirmed whose
+ * connections fail or are silent. */
+static const struct {
+    const char *name;
+    reach_probe_t probe;
+    gboolean confirms;
+    gboolean is_reached; /* while assumed */
+    gboolean ends;       /* counts for the end of a cut that refuses */
+    gboolean ends_silent;
+} PROBE_CASES[] = {
+    {"answered", {TRUE, TRUE, FALSE, FALSE, FALSE}, FALSE, TRUE, TRUE, TRUE},
+    {"accepted, both are slow",
+     {TRUE, FALSE, TRUE, FALSE, FALSE},
+     FALSE,
+     FALSE,
+     TRUE,
+     FALSE},
+    {"accepted and silent, others are answered",
+     {TRUE, FALSE, TRUE, TRUE, FALSE},
+     TRUE,
+     FALSE,
+     TRUE,
+     FALSE},
+    {"not accepted, others are slow",
+     {FALSE, FALSE, TRUE, FALSE, FALSE},
+     TRUE,
+     FALSE,
+     FALSE,
+     FALSE},
+    {"no helper",
+     {FALSE, FALSE, FALSE, FALSE, FALSE},
+     FALSE,
+     FALSE,
+     FALSE,
+     FALSE},
+    {"down", {FALSE, FALSE, FALSE, FALSE, TRUE}, FALSE, FALSE, FALSE, FALSE},
+};
+
+static void
+test_probes(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(PROBE_CASES); i++) {
+        const reach_probe_t *probe = &PROBE_CASES[i].probe;
+        service_reach_t assumed = {.since_us = 1};
+        service_reach_t refuses = {.since_us = 1, .confirmed = TRUE};
+        service_reach_t silent = {
+            .since_us = 1, .confirmed = TRUE, .is_silent = TRUE};
+        CU_ASSERT_EQUAL(
+            service_reach_record_probe(&assumed, NULL, probe, NOW_US),
+            PROBE_CASES[i].confirms);
+        service_reach_record_probe(&refuses, NULL, probe, NOW_US);
+        service_reach_record_probe(&silent, NULL, probe, NOW_US);
+        CU_ASSERT_EQUAL(assumed.probes_ok, PROBE_CASES[i].is_reached);
+        CU_ASSERT_EQUAL(refuses.probes_ok, PROBE_CASES[i].ends);
+        CU_ASSERT_EQUAL(silent.probes_ok, PROBE_CASES[i].ends_silent);
+    }
+}
+
 /* Endpoints that no other instance reaches either are down. */
 static void
 test_endpoints_that_are_down(void)
@@ -150,8 +212,7 @@
     for (guint i = 0; i < 2; i++) {
         CU_ASSERT_FALSE(service_reach_is_over(&s.reach, s.list, NOW_US));
         endpoint_t *e = service_reach_next_probe(&s.reach, s.list, 0, NOW_US);
-        service_reach_record_probe(&s.reach, e, FALSE, REACH_THROUGH_FAILED,
-                                   NOW_US);
+        service_reach_record_probe(&s.reach, e, &DOWN, NOW_US);
     }
     CU_ASSERT_FALSE(s.reach.confirmed);
     CU_ASSERT_TRUE(service_reach_is_over(&s.reach, s.list, NOW_US));
@@ -202,9 +263,10 @@
     if (e != NULL) {
         guint at = (guint)(e - s->endpoints);
         gboolean answered = world->up[at] && world->link[at];
-        service_reach_record_probe(&s->reach, e, answered,
-                                   world->up[at] ? REACH_THROUGH_ANSWERED
-                                                 : REACH_THROUGH_FAILED,
+        service_reach_record_probe(&s->reach, e,
+                                   answered        ? &REACHED
+                                   : world->up[at] ? &CUT_HERE
+                                                   : &DOWN,
                                    now_us);
     }
     if (service_reach_is_over(&s->reach, s->list, now_us)) {
@@ -293,6 +355,7 @@
     {"when a cut is assumed", test_begin},
     {"a service with a single endpoint", test_single_endpoint},
     {"a cut is confirmed, and over", test_confirmed_and_over},
+    {"what a probe shows", test_probes},
     {"endpoints that are down are no cut", test_endpoints_that_are_down},
     {"drawn histories of cuts and failures", test_histories},
     {"the choice of a helper", test_helpers},
