--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -209,7 +209,7 @@
     timers_cancel(e->timers, link->timer);
     inner_line_destroy(link->line);
     crash_link_remove_control(e->crash_link, link->address);
-    reach_watch_remove_control(e->reach, link->address);
+    helper_link_remove_control(e->helper_link, link->address);
     directory_source_reset(e->directory, link->source, entry_now(e));
     g_free(link->address);
     g_free(link->data_centre);
@@ -269,7 +269,7 @@
     link->quarantine_cursor = answer->quarantine_cursor;
     link->limit_cursor = answer->limit_cursor;
     crash_link_update_control(e->crash_link, link->address, answer->epoch);
-    reach_watch_update_control(e->reach, link->address, answer->epoch);
+    helper_link_update_control(e->helper_link, link->address, answer->epoch);
     crash_link_apply_orders(e->crash_link, answer->quarantine_orders,
                             link->address);
     limit_link_apply_limits(e->limit_link, answer->limits, link->address);
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -371,6 +371,7 @@
     e->rests = rest_watch_create(e);
     e->quarantine = quarantine_create();
     e->reach = reach_watch_create(e);
+    e->helper_link = helper_link_create(e);
     if (!entry_listen(e)) {
         entry_destroy(e);
         return NULL;
@@ -393,6 +394,7 @@
     g_clear_pointer(&e->probe, http_server_destroy);
     g_clear_pointer(&e->tunnel_server, tunnel_server_destroy);
     reach_watch_destroy(e->reach);
+    helper_link_destroy(e->helper_link);
     crash_watch_destroy(e->crashes);
     crash_link_destroy(e->crash_link);
     limit_link_destroy(e->limit_link);
@@ -419,7 +421,7 @@
 {
     e->drain_us = entry_now(e);
     http_server_drain(e->callers);
-    reach_watch_drain(e->reach);
+    helper_link_set_can_help(e->helper_link, FALSE);
     tunnel_server_drain(e->tunnel_server);
 }
 
@@ -483,6 +485,7 @@
     limit_link_dump(e->limit_link, text);
     rest_watch_dump(e->rests, text);
     reach_watch_dump(e->reach, text);
+    helper_link_dump(e->helper_link, text);
     if (e->usage_link != NULL) {
         usage_link_dump(e->usage_link, text);
     }
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -5,8 +5,8 @@
  * load_link.c       reports and updates of the requests in flight
  * limit_link.c      limits that endpoints name, shared by all instances
  * limit_log.c       log lines about these limits
- * reach_watch.c     whether endpoints are reached directly, and the instances
- *                   that help if not
+ * reach_watch.c     whether endpoints are reached directly
+ * helper_link.c     the instances through which they are reached if not
  * tunnel_server.c   connections to endpoints on behalf of other instances
  * rest_watch.c      rests that endpoints ask for, and endpoints that leave
  * endpoints_page.c  endpoints, for operators
@@ -51,6 +51,7 @@
 typedef struct limit_link limit_link_t;
 typedef struct rest_watch rest_watch_t;
 typedef struct reach_watch reach_watch_t;
+typedef struct helper_link helper_link_t;
 
 /* State of a service at this instance. */
 typedef struct {
@@ -91,6 +92,7 @@
     limit_link_t *limit_link;
     rest_watch_t *rests;
     reach_watch_t *reach;
+    helper_link_t *helper_link;
     tunnel_server_t *tunnel_server; /* NULL: opens none for others */
     quarantine_t *quarantine;
     run_history_t history;
@@ -271,19 +273,25 @@
 /* Whether this instance is known to be cut off from a service. */
 gboolean reach_watch_is_confirmed(const reach_watch_t *watch,
                                   const char *service);
-/* An instance to open a tunnel through, or NULL; and the one at an address. */
-helper_t *reach_watch_helper(reach_watch_t *watch);
-helper_t *reach_watch_helper_at(reach_watch_t *watch, const char *address);
 /* A new name of a tunnel, freed with g_free. */
 char *reach_watch_tunnel_name(reach_watch_t *watch);
+void reach_watch_dump(const reach_watch_t *watch, GString *text);
+
+/* helper_link.c */
+helper_link_t *helper_link_create(entry_t *entry);
+void helper_link_destroy(helper_link_t *link);
+/* An instance to open a tunnel through, or NULL; and the one at an address. */
+helper_t *helper_link_pick(helper_link_t *link);
+helper_t *helper_link_find(helper_link_t *link, const char *address);
+guint helper_link_count(const helper_link_t *link);
+/* Announces whether this instance opens tunnels for others. */
+void helper_link_set_can_help(helper_link_t *link, gboolean can_help);
 /* Adds the control instance at `address`, or announces this instance to it
  * again if its `epoch`, which identifies its incarnation, has changed. */
-void reach_watch_update_control(reach_watch_t *watch, const char *address,
+void helper_link_update_control(helper_link_t *link, const char *address,
                                 guint64 epoch);
-void reach_watch_remove_control(reach_watch_t *watch, const char *address);
-/* Announces that this instance opens no more tunnels for others. */
-void reach_watch_drain(reach_watch_t *watch);
-void reach_watch_dump(const reach_watch_t *watch, GString *text);
+void helper_link_remove_control(helper_link_t *link, const char *address);
+void helper_link_dump(const helper_link_t *link, GString *text);
 
 /* forward.c */
 void forward_create(entry_t *entry, http_exchange_t *exchange);
--- a/carobloomd/gateway/forward_reach.c
+++ b/carobloomd/gateway/forward_reach.c
@@ -80,7 +80,7 @@
      * need not be among the known ones any more. */
     f->in_tunnel = TRUE;
     f->helper =
-        reach_watch_helper_at(e->reach, client_call_tunnel_address(f->call));
+        helper_link_find(e->helper_link, client_call_tunnel_address(f->call));
     if (f->helper != NULL) {
         f->helper->tunnels++;
     }
@@ -109,7 +109,7 @@
     f->silence_recorded = FALSE;
     const helper_t *helper =
         !f->direct_only && reach_watch_avoids(e->reach, endpoint)
-            ? reach_watch_helper(e->reach)
+            ? helper_link_pick(e->helper_link)
             : NULL;
     if (helper != NULL && call_in_tunnel(f, endpoint, helper, bytes)) {
         forget_direct_sends(f, endpoint);
--- a/carobloomd/gateway/reach_watch.c
+++ b/carobloomd/gateway/reach_watch.c
@@ -1,12 +1,9 @@
-/* Whether this instance reaches the endpoints of each service, probes of
- * direct connections while it does not, and the instances that help. */
+/* Whether this instance reaches the endpoints of each service, and probes of
+ * direct connections while it does not. */
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
-#include "carobloom/gateway/helper_wire.h"
-#include "carobloom/gateway/inner_line.h"
 #include "entry_state.h"
 #include "platform.h"
-#include "tunnel_server.h"
 
 enum {
     MS = 1000,
@@ -17,28 +14,12 @@
     PROBE_TIMEOUT_US = 500 * MS,
     PROBE_CONNECT_US = 250 * MS,
     PROBE_HEAD_MAX = 16384,
-    /* Until an announcement that failed is repeated. */
-    ANNOUNCE_RETRY_US = 500 * MS,
-    /* Interval between two checks of what control instances know, while they
-     * know all. */
-    ANNOUNCE_TICK_US = 5000 * MS,
-    /* A restart of a large fleet spreads its first announcements. */
-    ANNOUNCE_DELAY_PER_ENTRY_US = 10 * MS,
-    ANNOUNCE_TIMEOUT_US = 1000 * MS,
-    /* The known helpers are replaced this often. */
-    REFRESH_INTERVAL_US = 30 * G_USEC_PER_SEC,
-    /* The same while no known helper is usable. */
-    REFRESH_URGENT_US = 500 * MS,
-    ANSWER_MAX = 8192,
     LOGGED_ENDPOINTS_MAX = 4,
     HELPER_NAME_MAX = 64,
 };
 
 static const http_peer_limits_t PROBE_LIMITS = {.connect_us = PROBE_CONNECT_US,
                                                 .head_max = PROBE_HEAD_MAX};
-static const http_peer_limits_t ANNOUNCE_LIMITS = {.connect_us = 600 * MS,
-                                                   .head_max = 4096};
-
 typedef struct probe probe_t;
 
 /* One way of a probe. */
@@ -62,35 +43,16 @@
     guint64 timer;
 };
 
-/* A control instance, and what it was told. */
-typedef struct {
-    guint64 epoch;
-    guint announced; /* version of what it was told; 0: nothing yet */
-} told_control_t;
-
 struct reach_watch {
     entry_t *entry;
-    helper_set_t *helpers;
     GHashTable *probes; /* service -> probe_t, in flight */
     guint64 probe_timer;
     guint cut_services;       /* assumed or confirmed */
     guint confirmed_services; /* of these */
-    /* announcements */
-    GHashTable *controls; /* address -> told_control_t */
-    guint version;        /* of what is announced */
-    gboolean draining;
-    guint64 announce_timer;
-    gint64 first_announce_us;
-    gint64 refreshed_us;
-    inner_line_t *line; /* NULL: no announcement is in flight */
-    char *line_address;
-    guint line_version;
-    gboolean line_done; /* to be destroyed */
-    guint64 tunnels;    /* opened, for their names */
+    guint64 tunnels;          /* opened, for their names */
 };
 
 static void probe_tick(void *data);
-static void announce_tick(void *data);
 
 /* ---- beginning and end of a cut ---- */
 
@@ -135,21 +97,11 @@
     event_log_number("usable", counts->usable);
     event_log_number("since_ms", (now - counts->first_failed_us) / MS);
     event_log_cstr("endpoints", list->str);
-    event_log_number("helpers", helper_set_count(w->helpers));
+    event_log_number("helpers", helper_link_count(w->entry->helper_link));
     event_log_end();
     g_string_free(list, TRUE);
 }
 
-/* What this instance announces has changed. */
-static void
-announce_change(reach_watch_t *w)
-{
-    w->version++;
-    timers_cancel(w->entry->timers, w->announce_timer);
-    w->announce_timer =
-        timers_subscribe(w->entry->timers, 0, 0, announce_tick, w);
-}
-
 static void
 schedule_probes(reach_watch_t *w, gint64 delay_us)
 {
@@ -199,9 +151,9 @@
                          (entry_now(e) - state->reach.since_us) / MS);
         event_log_end();
     }
-    if (state->reach.confirmed && --w->confirmed_services == 0) {
-        announce_change(w);
-    }
+    w->confirmed_services -= state->reach.confirmed;
+    helper_link_set_can_help(e->helper_link,
+                             w->confirmed_services == 0 && e->drain_us == 0);
     service_reach_end(&state->reach, endpoints);
     close_tunnels(endpoints);
     w->cut_services--;
@@ -302,9 +254,8 @@
     if (service_reach_record_probe(reach, endpoint, &result, now)) {
         service_reach_forgive(directory_service(e->directory, probe->service));
         log_confirmed(probe);
-        if (++w->confirmed_services == 1) {
-            announce_change(w);
-        }
+        w->confirmed_services++;
+        helper_link_set_can_help(e->helper_link, FALSE);
     }
     if (service_reach_is_over(
             reach, directory_service(e->directory, probe->service), now)) {
@@ -419,7 +370,7 @@
 {
     reach_watch_t *w = probe->watch;
     probe_leg_t *leg = &probe->through;
-    const helper_t *helper = reach_watch_helper(w);
+    const helper_t *helper = helper_link_pick(w->entry->helper_link);
     if (helper == NULL || leg->peer == NULL) {
         g_clear_pointer(&leg->peer, http_peer_destroy);
         return;
@@ -512,36 +463,6 @@
     }
 }
 
-/* ---- helpers ---- */
-
-static gboolean
-has_usable_helper(const reach_watch_t *w)
-{
-    return helper_set_pick(w->helpers, 0, entry_now(w->entry)) != NULL;
-}
-
-helper_t *
-reach_watch_helper(reach_watch_t *w)
-{
-    entry_t *e = w->entry;
-    helper_t *helper =
-        helper_set_pick(w->helpers, g_rand_int(e->random), entry_now(e));
-    if (helper == NULL &&
-        entry_now(e) - w->refreshed_us > (gint64)REFRESH_URGENT_US &&
-        w->line == NULL) {
-        timers_cancel(e->timers, w->announce_timer);
-        w->announce_timer =
-            timers_subscribe(e->timers, 0, 0, announce_tick, w);
-    }
-    return helper;
-}
-
-helper_t *
-reach_watch_helper_at(reach_watch_t *w, const char *address)
-{
-    return helper_set_find(w->helpers, address);
-}
-
 char *
 reach_watch_tunnel_name(reach_watch_t *w)
 {
@@ -549,176 +470,6 @@
                            w->entry->settings->instance, ++w->tunnels);
 }
 
-static void
-announce_schedule(reach_watch_t *w, gint64 delay_us)
-{
-    timers_cancel(w->entry->timers, w->announce_timer);
-    w->announce_timer =
-        timers_subscribe(w->entry->timers, delay_us, 0, announce_tick, w);
-}
-
-static void
-on_announced(void *user, guint status, GBytes *body)
-{
-    reach_watch_t *w = user;
-    GArray *infos = status == 200 ? helpers_answer_read(body) : NULL;
-    told_control_t *told = g_hash_table_lookup(w->controls, w->line_address);
-    w->line_done = TRUE;
-    announce_schedule(w, 0);
-    /* One that does not know the call is not asked again at once. */
-    if (told != NULL) {
-        told->announced = w->line_version;
-    }
-    if (infos == NULL) {
-        counter_add(counter_get("helpers_malformed_total", NULL, FALSE), 1);
-        return;
-    }
-    helper_set_update(w->helpers, (helper_info_t *)infos->data, infos->len);
-    counter_set(counter_get("helpers", NULL, TRUE),
-                helper_set_count(w->helpers));
-    g_array_unref(infos);
-}
-
-static void
-on_announce_failed(void *user)
-{
-    reach_watch_t *w = user;
-    w->line_done = TRUE;
-    announce_schedule(w, ANNOUNCE_RETRY_US);
-}
-
-static const inner_line_ops_t ANNOUNCE_OPS = {.answered = on_announced,
-                                              .failed = on_announce_failed};
-
-static void
-announce_to(reach_watch_t *w, const char *address)
-{
-    entry_t *e = w->entry;
-    inner_line_setup_t setup = {.poller = e->poller,
-                                .timers = e->timers,
-                                .peer = ANNOUNCE_LIMITS,
-                                .answer_max = ANSWER_MAX,
-                                .ops = &ANNOUNCE_OPS,
-                                .user = w,
-                                .traffic = e->traffic,
-                                .kind = TRAFFIC_HELPERS};
-    helpers_request_t request = {
-        .self = {.instance = e->settings->instance,
-                 .address = (char *)tunnel_server_address(e->tunnel_server),
-                 .data_centre = e->settings->data_centre,
-                 .token = tunnel_server_token(e->tunnel_server)},
-        .can_help = !w->draining && w->confirmed_services == 0,
-    };
-    w->line = inner_line_create(&setup, address);
-    w->line_address = g_strdup(address);
-    w->line_version = w->version;
-    w->refreshed_us = entry_now(e);
-    GBytes *body = helpers_request_write(&request);
-    if (w->line == NULL ||
-        !inner_line_post(w->line, HELPERS_PATH, body, ANNOUNCE_TIMEOUT_US)) {
-        on_announce_failed(w);
-    }
-    g_bytes_unref(body);
-}
-
-static void
-line_clear(reach_watch_t *w)
-{
-    g_clear_pointer(&w->line, inner_line_destroy);
-    g_clear_pointer(&w->line_address, g_free);
-    w->line_done = FALSE;
-}
-
-/* A control instance that does not know what is announced, or any one if the
- * helpers are due to be replaced; NULL: none. The start is random, so that one
- * that does not answer holds up none of the others. */
-static const char *
-next_control(const reach_watch_t *w)
-{
-    const entry_t *e = w->entry;
-    gint64 age_us = entry_now(e) - w->refreshed_us;
-    gboolean refresh = age_us > REFRESH_INTERVAL_US ||
-                       (w->cut_services > 0 && age_us > REFRESH_URGENT_US &&
-                        !has_usable_helper(w));
-    guint count = g_hash_table_size(w->controls);
-    guint skipped =
-        count > 0 ? (guint)g_rand_int_range(e->random, 0, (gint)count) : 0;
-    const char *chosen = NULL;
-    GHashTableIter iter;
-    gpointer address;
-    gpointer value;
-    g_hash_table_iter_init(&iter, w->controls);
-    for (guint i = 0; g_hash_table_iter_next(&iter, &address, &value); i++) {
-        const told_control_t *told = value;
-        if ((refresh || told->announced != w->version) &&
-            (chosen == NULL || i == skipped)) {
-            chosen = address;
-        }
-    }
-    return chosen;
-}
-
-static void
-announce_tick(void *data)
-{
-    reach_watch_t *w = data;
-    w->announce_timer = 0;
-    if (w->line_done) {
-        line_clear(w);
-    }
-    if (w->line != NULL) {
-        return; /* its end schedules the next */
-    }
-    gint64 delay_us = w->first_announce_us - entry_now(w->entry);
-    if (delay_us > 0) {
-        announce_schedule(w, delay_us);
-        return;
-    }
-    const char *address = next_control(w);
-    if (address != NULL) {
-        announce_to(w, address);
-        return;
-    }
-    announce_schedule(w, ANNOUNCE_TICK_US);
-}
-
-void
-reach_watch_update_control(reach_watch_t *w, const char *address,
-                           guint64 epoch)
-{
-    entry_t *e = w->entry;
-    told_control_t *told = g_hash_table_lookup(w->controls, address);
-    if (told != NULL && told->epoch == epoch) {
-        return;
-    }
-    if (w->first_announce_us == 0) {
-        gint64 spread_us =
-            (gint64)e->entries * (gint64)ANNOUNCE_DELAY_PER_ENTRY_US;
-        w->first_announce_us =
-            entry_now(e) +
-            (gint64)(g_rand_double(e->random) * (double)spread_us);
-    }
-    told = g_new0(told_control_t, 1);
-    told->epoch = epoch;
-    g_hash_table_replace(w->controls, g_strdup(address), told);
-    if (w->line == NULL) {
-        announce_schedule(w, ANNOUNCE_RETRY_US);
-    }
-}
-
-void
-reach_watch_remove_control(reach_watch_t *w, const char *address)
-{
-    g_hash_table_remove(w->controls, address);
-}
-
-void
-reach_watch_drain(reach_watch_t *w)
-{
-    w->draining = TRUE;
-    announce_change(w);
-}
-
 /* ---- lifecycle ---- */
 
 reach_watch_t *
@@ -726,12 +477,8 @@
 {
     reach_watch_t *w = g_new0(reach_watch_t, 1);
     w->entry = e;
-    w->version = 1;
-    w->helpers = helper_set_create(e->settings->data_centre);
     w->probes =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, probe_free);
-    w->controls =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return w;
 }
 
@@ -739,11 +486,7 @@
 reach_watch_destroy(reach_watch_t *w)
 {
     timers_cancel(w->entry->timers, w->probe_timer);
-    timers_cancel(w->entry->timers, w->announce_timer);
-    line_clear(w);
     g_hash_table_unref(w->probes);
-    g_hash_table_unref(w->controls);
-    helper_set_destroy(w->helpers);
     g_free(w);
 }
 
@@ -769,17 +512,6 @@
 void
 reach_watch_dump(const reach_watch_t *w, GString *text)
 {
-    gint64 now = entry_now(w->entry);
     void *user[] = {(void *)w, text};
     directory_each_service(w->entry->directory, dump_service, user);
-    for (guint i = 0; i < helper_set_count(w->helpers); i++) {
-        const helper_t *helper = helper_set_at(w->helpers, i);
-        g_string_append_printf(
-            text, "helper %s %s %s, %s, %u requests\n", helper->info.instance,
-            helper->info.address, helper->info.data_centre,
-            now < helper->unusable_until_us ? "unusable" : "usable",
-            helper->tunnels);
-    }
-    g_string_append_printf(text, "tunnels served %u\n",
-                           tunnel_server_count(w->entry->tunnel_server));
 }
--- a/include/carobloom/policy/helper_set.h
+++ b/include/carobloom/policy/helper_set.h
@@ -1,8 +1,8 @@
 /* Other entry instances through which this one can reach endpoints.
  *
  * An instance knows a few of them, as a control instance named them. It
- * prefers those of its own data centre, and among these the one with the
- * fewest of its own tunnels. Pure. */
+ * prefers those that were named last, then those of its own data centre, and
+ * among these the one with the fewest of its own requests. Pure. */
 #ifndef CAROBLOOM_POLICY_HELPER_SET_H
 #define CAROBLOOM_POLICY_HELPER_SET_H
 
@@ -21,6 +21,7 @@
 
 typedef struct {
     helper_info_t info;
+    gboolean named;           /* by the last answer of a control instance */
     gboolean local;           /* in the data centre of this instance */
     gint64 unusable_until_us; /* it refused, or could not be reached */
     gint64 backoff_us;        /* length of that pause; doubles */
@@ -31,8 +32,9 @@
 
 helper_set_t *helper_set_create(const char *data_centre);
 void helper_set_destroy(helper_set_t *set);
-/* Replaces the helpers by those that were named last. Keeps what is known of
- * those that were in the set, and those in use. Takes the strings over. */
+/* Adds the helpers that a control instance named. Others stay as a last resort
+ * while there are no more than HELPERS_MAX, since a control instance that has
+ * just started knows few. Takes the strings over. */
 void helper_set_update(helper_set_t *set, helper_info_t *infos, guint count);
 guint helper_set_count(const helper_set_t *set);
 const helper_t *helper_set_at(const helper_set_t *set, guint at);
--- a/policy/helper_set.c
+++ b/policy/helper_set.c
@@ -45,17 +45,6 @@
     g_free(set);
 }
 
-static gboolean
-is_named(const helper_t *helper, const helper_info_t *infos, guint count)
-{
-    for (guint i = 0; i < count; i++) {
-        if (strcmp(infos[i].address, helper->info.address) == 0) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
 static void
 helper_set_put(helper_set_t *set, helper_info_t *info)
 {
@@ -70,6 +59,7 @@
     }
     helper_info_clear(&helper->info);
     helper->info = *info;
+    helper->named = TRUE;
     helper->local = g_strcmp0(info->data_centre, set->data_centre) == 0;
     *info = (helper_info_t){0};
 }
@@ -77,15 +67,19 @@
 void
 helper_set_update(helper_set_t *set, helper_info_t *infos, guint count)
 {
-    for (guint i = set->helpers->len; i > 0; i--) {
-        helper_t *helper = set->helpers->pdata[i - 1];
-        if (helper->tunnels == 0 && !is_named(helper, infos, count)) {
-            g_ptr_array_remove_index(set->helpers, i - 1);
-        }
+    for (guint i = 0; i < set->helpers->len; i++) {
+        ((helper_t *)set->helpers->pdata[i])->named = FALSE;
     }
     for (guint i = 0; i < count; i++) {
         helper_set_put(set, &infos[i]);
     }
+    for (guint i = set->helpers->len; i > 0 && set->helpers->len > HELPERS_MAX;
+         i--) {
+        const helper_t *helper = set->helpers->pdata[i - 1];
+        if (helper->tunnels == 0 && !helper->named) {
+            g_ptr_array_remove_index(set->helpers, i - 1);
+        }
+    }
 }
 
 guint
@@ -103,8 +97,11 @@
 static gboolean
 is_better(const helper_t *helper, const helper_t *than)
 {
-    if (than == NULL || helper->local != than->local) {
-        return than == NULL || helper->local;
+    if (than == NULL || helper->named != than->named) {
+        return than == NULL || helper->named;
+    }
+    if (helper->local != than->local) {
+        return helper->local;
     }
     return helper->tunnels < than->tunnels;
 }
