--- a/tests/soak_cuts.c
+++ b/tests/soak_cuts.c
@@ -48,9 +48,9 @@
 static void
 begin(soak_cuts_t *c, gint64 now)
 {
+    guint entries = MAX(c->fleet->entries, 1);
     cut_kind_t kind = (cut_kind_t)g_rand_int_range(c->random, 0, CUT_KINDS);
-    guint count =
-        (guint)g_rand_int_range(c->random, 1, (gint)c->fleet->entries + 1);
+    guint count = (guint)g_rand_int_range(c->random, 1, (gint)entries + 1);
     guint first = g_rand_int(c->random);
     guint32 spared = g_rand_int_range(c->random, 0, SPARED_ONE_IN) == 0
                          ? g_rand_int(c->random) | 1u
@@ -59,7 +59,7 @@
     printf("       cut off %u entries (%s), all but %x\n", count,
            cut_kind_name(kind), spared);
     for (guint i = 0; i < count; i++) {
-        guint entry = (first + i) % c->fleet->entries;
+        guint entry = (first + i) % entries;
         fleet_cut(c->fleet, c->proxies, entry, kind, spared);
         c->end_us[entry] = end_us;
     }
