--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -187,8 +187,8 @@
 {
     for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
         endpoint_t *endpoint = endpoints->pdata[i];
-        endpoint->others_peak =
-            brittle_peak(endpoint->others_peak, endpoint->others.running);
+        endpoint->others_peak = (float)brittle_peak(endpoint->others_peak,
+                                                    endpoint->others.running);
     }
 }
 
--- a/include/carobloom/policy/endpoint.h
+++ b/include/carobloom/policy/endpoint.h
@@ -47,7 +47,7 @@
     guint32 long_waiting;
     endpoint_load_t others;   /* of other entry instances, as reported */
     gboolean has_others_load; /* `others` holds a reported load */
-    double others_peak; /* decaying maximum of `others.running`, while the
+    float others_peak; /* decaying maximum of `others.running`, while the
                            service is brittle */
     /* health */
     double failures; /* decaying fraction of failed requests */
