--- a/tests/test_parsers.c
+++ b/tests/test_parsers.c
@@ -13,6 +13,7 @@
 #include "carobloom/common/jsonc.h"
 #include "carobloom/gateway/leaving_wire.h"
 #include "carobloom/gateway/limit_wire.h"
+#include "carobloom/http/tunnel.h"
 #include "carobloom/policy/membership.h"
 #include "carobloom/policy/sse.h"
 #include "carobloom/policy/voter_codec.h"
@@ -540,10 +541,66 @@
     g_rand_free(rand);
 }
 
+/* Frames come in pieces of any size; bytes that are no frames are refused. */
+static void
+test_tunnel_frames(void)
+{
+    enum { ROUNDS = 500, BYTES = 4000 };
+    GRand *rand = g_rand_new_with_seed(48);
+    GByteArray *sent = g_byte_array_new();
+    GByteArray *stream = g_byte_array_new();
+    char data[BYTES];
+    for (guint i = 0; i < 20; i++) {
+        gsize length = (gsize)g_rand_int_range(rand, 0, BYTES);
+        memset(data, (int)('a' + i), length);
+        g_byte_array_append(sent, (guint8 *)data, (guint)length);
+        tunnel_frame_write(stream, TUNNEL_REQUEST, STR("id"));
+        tunnel_frame_write(stream, TUNNEL_DATA,
+                           (str_t){.data = data, .length = length});
+    }
+    tunnel_frame_write(stream, TUNNEL_END, STR(""));
+    for (guint i = 0; i < ROUNDS; i++) {
+        tunnel_reader_t reader;
+        GByteArray *got = g_byte_array_new();
+        gboolean ended = FALSE;
+        gboolean malformed = FALSE;
+        gboolean damaged = i % 2 == 1;
+        guint hit = (guint)g_rand_int_range(rand, 0, (gint)stream->len);
+        guint8 *copy = g_memdup2(stream->data, stream->len);
+        copy[hit] = damaged ? (guint8)g_rand_int(rand) : copy[hit];
+        tunnel_reader_init(&reader);
+        for (guint at = 0; at < stream->len && !malformed;) {
+            guint length = (guint)g_rand_int_range(
+                rand, 1, (gint)MIN(stream->len - at, BYTES) + 1);
+            tunnel_piece_t piece;
+            tunnel_reader_feed(
+                &reader, (str_t){.data = (char *)copy + at, .length = length},
+                &piece);
+            g_byte_array_append(got, piece.data->data, piece.data->len);
+            ended |= piece.ended;
+            malformed = piece.malformed;
+            tunnel_piece_clear(&piece);
+            at += length;
+        }
+        if (!damaged) {
+            CU_ASSERT(ended && !malformed && got->len == sent->len);
+            CU_ASSERT(got->len == sent->len &&
+                      memcmp(got->data, sent->data, sent->len) == 0);
+        }
+        tunnel_reader_clear(&reader);
+        g_byte_array_unref(got);
+        g_free(copy);
+    }
+    g_byte_array_unref(sent);
+    g_byte_array_unref(stream);
+    g_rand_free(rand);
+}
+
 static const test_case_t cases[] = {
     {"mutated input is refused or read", test_mutations},
     {"messages about limits", test_limit_messages},
     {"reports of endpoints that leave", test_leaving_reports},
+    {"frames of a tunnel", test_tunnel_frames},
     {"settings' faults have their place", test_settings_faults},
     {"a torn tail is cut", test_torn_tail_is_cut},
     {"a damaged middle is refused", test_damaged_middle_is_refused},
