--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -704,6 +704,33 @@
     return status == 200;
 }
 
+GHashTable *
+fleet_runs_by_id(const fleet_t *f)
+{
+    GHashTable *runs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (guint i = 0; i < f->count; i++) {
+        char *text = NULL;
+        if (f->processes[i].role != FLEET_ENDPOINT ||
+            !g_file_get_contents(f->processes[i].log, &text, NULL, NULL)) {
+            continue;
+        }
+        char **lines = g_strsplit(text, "\n", -1);
+        for (int j = 0; lines[j] != NULL; j++) {
+            if (g_str_has_prefix(lines[j], "run ")) {
+                const char *id = lines[j] + 4;
+                gpointer count = g_hash_table_lookup(runs, id);
+                g_hash_table_replace(
+                    runs, g_strdup(id),
+                    GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+            }
+        }
+        g_strfreev(lines);
+        g_free(text);
+    }
+    return runs;
+}
+
 guint
 fleet_ran(const fleet_t *f, const char *what, const char *id)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -146,6 +146,8 @@
 guint fleet_put(fleet_t *fleet, const char *text, guint first);
 /* The version read back at a control: 0 when it does not say. */
 guint64 fleet_get(const fleet_process_t *control);
+/* How often each request began to run, by its id (GUINT_TO_POINTER). */
+GHashTable *fleet_runs_by_id(const fleet_t *fleet);
 /* Lines "WHAT ID" in the endpoints' logs. */
 guint fleet_ran(const fleet_t *fleet, const char *what, const char *id);
 /* From now on an endpoint names this limit in its answers, a field for each
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -469,37 +469,10 @@
 
 /* ---- what must hold at the end ---- */
 
-static GHashTable *
-runs_by_id(const fleet_t *f)
-{
-    GHashTable *runs =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    for (guint i = 0; i < f->count; i++) {
-        char *text = NULL;
-        if (f->processes[i].role != FLEET_ENDPOINT ||
-            !g_file_get_contents(f->processes[i].log, &text, NULL, NULL)) {
-            continue;
-        }
-        char **lines = g_strsplit(text, "\n", -1);
-        for (int j = 0; lines[j] != NULL; j++) {
-            if (g_str_has_prefix(lines[j], "run ")) {
-                const char *id = lines[j] + 4;
-                gpointer count = g_hash_table_lookup(runs, id);
-                g_hash_table_replace(
-                    runs, g_strdup(id),
-                    GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
-            }
-        }
-        g_strfreev(lines);
-        g_free(text);
-    }
-    return runs;
-}
-
 static void
 check_runs(soak_t *s)
 {
-    GHashTable *runs = runs_by_id(s->fleet);
+    GHashTable *runs = fleet_runs_by_id(s->fleet);
     for (guint i = 0; i < s->told->len; i++) {
         const told_t *told = s->told->pdata[i];
         guint count = GPOINTER_TO_UINT(g_hash_table_lookup(runs, told->id));
@@ -542,7 +515,7 @@
 static guint
 crashing_runs(const soak_t *s)
 {
-    GHashTable *runs = runs_by_id(s->fleet);
+    GHashTable *runs = fleet_runs_by_id(s->fleet);
     GHashTableIter iter;
     gpointer id;
     gpointer count;
--- a/tests/soak_cuts.c
+++ b/tests/soak_cuts.c
@@ -13,14 +13,15 @@
 
 struct soak_cuts {
     fleet_t *fleet;
-    proxy_t *(*proxies)[3];
+    proxy_t *(*proxies)[FLEET_LISTENERS_MAX];
     GRand *random;
     gint64 next_us;
     gint64 end_us[FLEET_PROCESSES_MAX]; /* of an entry's cut; 0: none */
 };
 
 soak_cuts_t *
-soak_cuts_create(fleet_t *fleet, proxy_t *(*proxies)[3], guint32 seed)
+soak_cuts_create(fleet_t *fleet, proxy_t *(*proxies)[FLEET_LISTENERS_MAX],
+                 guint32 seed)
 {
     soak_cuts_t *c = g_new0(soak_cuts_t, 1);
     c->fleet = fleet;
--- a/tests/soak_cuts.h
+++ b/tests/soak_cuts.h
@@ -8,7 +8,8 @@
 typedef struct soak_cuts soak_cuts_t;
 
 /* `proxies` stay the caller's. */
-soak_cuts_t *soak_cuts_create(fleet_t *fleet, proxy_t *(*proxies)[3],
+soak_cuts_t *soak_cuts_create(fleet_t *fleet,
+                              proxy_t *(*proxies)[FLEET_LISTENERS_MAX],
                               guint32 seed);
 void soak_cuts_destroy(soak_cuts_t *cuts);
 /* Begins and ends cuts as they are due. The functions accept NULL. */
--- a/tests/test_cuts.c
+++ b/tests/test_cuts.c
@@ -112,32 +112,6 @@
     g_mutex_unlock(&p->lock);
 }
 
-/* Counts the runs of each request, by its id. */
-static GHashTable *
-runs_by_id(fleet_t *fleet)
-{
-    GHashTable *runs =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    for (guint i = 0; i < ENDPOINTS; i++) {
-        char *text = NULL;
-        if (!g_file_get_contents(fleet_endpoint(fleet, i)->log, &text, NULL,
-                                 NULL)) {
-            continue;
-        }
-        char **lines = g_strsplit(text, "\n", -1);
-        for (guint k = 0; lines[k] != NULL; k++) {
-            if (g_str_has_prefix(lines[k], "run ")) {
-                char *id = g_strdup(lines[k] + 4);
-                guint count = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
-                g_hash_table_replace(runs, id, GUINT_TO_POINTER(count + 1));
-            }
-        }
-        g_strfreev(lines);
-        g_free(text);
-    }
-    return runs;
-}
-
 /* The requests of callers that are not idempotent. */
 static gboolean
 is_once(const scenario_t *p, const char *id)
@@ -154,7 +128,7 @@
 static void
 check_runs(const scenario_t *p)
 {
-    GHashTable *runs = runs_by_id(p->load.fleet);
+    GHashTable *runs = fleet_runs_by_id(p->load.fleet);
     GHashTableIter iter;
     gpointer id;
     gpointer count;
