--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -318,9 +318,7 @@
     const gateway_settings_t *s = c->settings;
     c->server = http_server_create(c->poller, c->timers, s->control,
                                    &CONTROL_LIMITS, &OUTER_OPS, c);
-    const char *bind =
-        s->bind != NULL && *s->bind != '\0' ? s->bind : s->address;
-    char *inner = g_strdup_printf("%s:%d", bind, (int)s->peers_port);
+    char *inner = gateway_settings_inner_listener(s);
     c->inner = http_server_create(c->poller, c->timers, inner, &CONTROL_LIMITS,
                                   &INNER_OPS, c);
     g_free(inner);
--- a/carobloomd/gateway/settings.c
+++ b/carobloomd/gateway/settings.c
@@ -195,6 +195,14 @@
     return result;
 }
 
+char *
+gateway_settings_inner_listener(const gateway_settings_t *s)
+{
+    const char *ip =
+        s->bind != NULL && *s->bind != '\0' ? s->bind : s->address;
+    return g_strdup_printf("%s:%d", ip, (int)s->peers_port);
+}
+
 void
 gateway_settings_destroy(gateway_settings_t *s)
 {
--- a/carobloomd/gateway/tunnel_server.c
+++ b/carobloomd/gateway/tunnel_server.c
@@ -430,12 +430,6 @@
     }
 }
 
-static gboolean
-is_set(const char *text)
-{
-    return text != NULL && *text != '\0';
-}
-
 static guint64
 random_token(void)
 {
@@ -453,11 +447,11 @@
 {
     const gateway_settings_t *s = e->settings;
     guint16 port;
-    if (s->peers_port == 0 || is_set(s->control)) {
+    gboolean is_control = s->control != NULL && *s->control != '\0';
+    if (s->peers_port == 0 || is_control) {
         return NULL; /* the port belongs to the control role */
     }
-    char *listen = g_strdup_printf(
-        "%s:%d", is_set(s->bind) ? s->bind : s->address, (int)s->peers_port);
+    char *listen = gateway_settings_inner_listener(s);
     int fd = socket_listen(listen, &port);
     if (fd < 0) {
         if (event_log_begin(EVENT_STATE, "listen_failed")) {
--- a/include/carobloom/gateway/settings.h
+++ b/include/carobloom/gateway/settings.h
@@ -62,6 +62,8 @@
                            GPtrArray *faults);
 int gateway_settings_load(const char *path, gateway_settings_t **settings,
                           GPtrArray *faults);
+/* IP:PORT to listen on for other instances; freed with g_free. */
+char *gateway_settings_inner_listener(const gateway_settings_t *settings);
 void gateway_settings_destroy(gateway_settings_t *settings);
 
 #endif
