Tunnels are called, peers made and failures counted in one place each

Requests and reach probes opened tunnels with the same lines (helper_link_call); direct and tunnelled peers were made by twins (forward_peer); one predicate stood four times (failed_last); each failed connection counted the endpoints of its service twice. helper_record_opened and tunnel_data_head_write were called by nobody.

Checked: build, lint; reachability, parsers, endpoints, costs, placement, http, policy, limit_quota pass in the plain build.

--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -273,8 +273,6 @@
 /* Whether this instance is known to be cut off from a service. */
 gboolean reach_watch_is_confirmed(const reach_watch_t *watch,
                                   const char *service);
-/* A new name of a tunnel, freed with g_free. */
-char *reach_watch_tunnel_name(reach_watch_t *watch);
 void reach_watch_dump(const reach_watch_t *watch, GString *text);
 
 /* helper_link.c */
@@ -284,6 +282,20 @@
 helper_t *helper_link_pick(helper_link_t *link);
 helper_t *helper_link_find(helper_link_t *link, const char *address);
 guint helper_link_count(const helper_link_t *link);
+/* A request to an endpoint in a tunnel. */
+typedef struct {
+    http_peer_t *peer;    /* the tunnels to the endpoint */
+    const char *endpoint; /* id */
+    str_t request;        /* name of the request in the logs */
+    str_t bytes;
+    gboolean head_request;
+    gint64 open_us; /* for a new tunnel to be open */
+} tunnel_call_t;
+/* Sends it in a free tunnel, or in a new one through `helper`. Returns NULL if
+ * no connection is free. */
+client_call_t *helper_link_call(helper_link_t *link, const helper_t *helper,
+                                const tunnel_call_t *call,
+                                const client_call_ops_t *ops, void *user);
 /* Announces whether this instance opens tunnels for others. */
 void helper_link_set_can_help(helper_link_t *link, gboolean can_help);
 /* Adds the control instance at `address`, or announces this instance to it
--- a/carobloomd/gateway/forward_reach.c
+++ b/carobloomd/gateway/forward_reach.c
@@ -26,18 +26,6 @@
     return g_str_equal(http_exchange_head(f->exchange)->method, "HEAD");
 }
 
-static http_peer_t *
-tunnels_of(const forward_t *f, endpoint_t *endpoint)
-{
-    entry_t *e = f->entry;
-    if (endpoint->tunnels == NULL) {
-        http_peer_limits_t limits = forward_peer_limits(f, endpoint);
-        endpoint->tunnels = http_peer_create(
-            e->poller, e->timers, str_from_cstr(endpoint->address), &limits);
-    }
-    return endpoint->tunnels;
-}
-
 static void
 log_tunnelled(const forward_t *f, const endpoint_t *endpoint)
 {
@@ -57,22 +45,18 @@
                str_t bytes)
 {
     entry_t *e = f->entry;
-    http_peer_t *peer = tunnels_of(f, endpoint);
+    http_peer_t *peer = forward_peer(f, endpoint, &endpoint->tunnels);
     if (peer == NULL) {
         return FALSE;
     }
-    char *name = reach_watch_tunnel_name(e->reach);
-    tunnel_open_t open = {.from = e->settings->instance,
-                          .tunnel = name,
-                          .endpoint = endpoint->id,
-                          .token = helper->info.token};
-    http_tunnel_t tunnel = {.address = helper->info.address,
-                            .open = &open,
-                            .open_us = TUNNEL_OPEN_US};
+    tunnel_call_t setup = {.peer = peer,
+                           .endpoint = endpoint->id,
+                           .request = f->info.id,
+                           .bytes = bytes,
+                           .head_request = is_head_request(f),
+                           .open_us = TUNNEL_OPEN_US};
     f->call =
-        client_call_create_in_tunnel(peer, &tunnel, f->info.id, bytes,
-                                     is_head_request(f), &FORWARD_CALL_OPS, f);
-    g_free(name);
+        helper_link_call(e->helper_link, helper, &setup, &FORWARD_CALL_OPS, f);
     if (f->call == NULL) {
         return FALSE;
     }
@@ -115,7 +99,7 @@
         forget_direct_sends(f, endpoint);
         return TRUE;
     }
-    http_peer_t *peer = forward_peer(f, endpoint);
+    http_peer_t *peer = forward_peer(f, endpoint, &endpoint->connections);
     f->call = peer == NULL
                   ? NULL
                   : client_call_create(peer, bytes, is_head_request(f),
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -159,8 +159,8 @@
     memcpy(request->tried, f->tried, sizeof(request->tried));
 }
 
-http_peer_limits_t
-forward_peer_limits(const forward_t *f, const endpoint_t *endpoint)
+static http_peer_limits_t
+peer_limits(const forward_t *f, const endpoint_t *endpoint)
 {
     http_peer_limits_t limits = ENDPOINT_LIMITS;
     const service_t *service =
@@ -177,15 +177,15 @@
 }
 
 http_peer_t *
-forward_peer(const forward_t *f, endpoint_t *endpoint)
+forward_peer(const forward_t *f, const endpoint_t *endpoint, void **peer)
 {
-    entry_t *e = f->entry;
-    if (endpoint->connections == NULL) {
-        http_peer_limits_t limits = forward_peer_limits(f, endpoint);
-        endpoint->connections = http_peer_create(
-            e->poller, e->timers, str_from_cstr(endpoint->address), &limits);
+    const entry_t *e = f->entry;
+    if (*peer == NULL) {
+        http_peer_limits_t limits = peer_limits(f, endpoint);
+        *peer = http_peer_create(e->poller, e->timers,
+                                 str_from_cstr(endpoint->address), &limits);
     }
-    return endpoint->connections;
+    return *peer;
 }
 
 static GString *
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -160,11 +160,10 @@
 /* Rank of the request among all requests, 0 to 9; 0 is the most urgent. */
 gint forward_priority(const forward_t *f);
 void forward_send(forward_t *f);
-/* The direct connections to an endpoint. */
-http_peer_t *forward_peer(const forward_t *f, endpoint_t *endpoint);
-/* The bounds of connections to an endpoint. */
-http_peer_limits_t forward_peer_limits(const forward_t *f,
-                                       const endpoint_t *endpoint);
+/* The connections to an endpoint at `peer`, one of its two fields for them,
+ * created on first use. Returns NULL if its address is invalid. */
+http_peer_t *forward_peer(const forward_t *f, const endpoint_t *endpoint,
+                          void **peer);
 /* Sends the request to another endpoint if that is allowed. `received` says
  * whether the previous endpoint received the request; if so, the new send
  * counts against the repeat budget. Returns FALSE if the request was not
--- a/carobloomd/gateway/helper_link.c
+++ b/carobloomd/gateway/helper_link.c
@@ -45,6 +45,7 @@
     char *line_address;
     guint line_version;
     gboolean line_done; /* to be destroyed */
+    guint64 tunnels;    /* opened, for their names */
 };
 
 static void announce_tick(void *data);
@@ -84,6 +85,28 @@
     return helper_set_find(link->helpers, address);
 }
 
+client_call_t *
+helper_link_call(helper_link_t *link, const helper_t *helper,
+                 const tunnel_call_t *call, const client_call_ops_t *ops,
+                 void *user)
+{
+    const char *instance = link->entry->settings->instance;
+    char *name =
+        g_strdup_printf("%s/%" G_GUINT64_FORMAT, instance, ++link->tunnels);
+    tunnel_open_t open = {.from = (char *)instance,
+                          .tunnel = name,
+                          .endpoint = (char *)call->endpoint,
+                          .token = helper->info.token};
+    http_tunnel_t tunnel = {.address = helper->info.address,
+                            .open = &open,
+                            .open_us = call->open_us};
+    client_call_t *made = client_call_create_in_tunnel(
+        call->peer, &tunnel, call->request, call->bytes, call->head_request,
+        ops, user);
+    g_free(name);
+    return made;
+}
+
 static void
 on_announced(void *user, guint status, GBytes *body)
 {
--- a/carobloomd/gateway/reach_watch.c
+++ b/carobloomd/gateway/reach_watch.c
@@ -49,25 +49,30 @@
     guint64 probe_timer;
     guint cut_services;       /* assumed or confirmed */
     guint confirmed_services; /* of these */
-    guint64 tunnels;          /* opened, for their names */
 };
 
 static void probe_tick(void *data);
 
 /* ---- beginning and end of a cut ---- */
 
-/* Counts of all services. */
+/* Counts of one service, and of all. */
 typedef struct {
+    const char *service;
     gint64 now_us;
     reach_counts_t counts;
-} all_services_t;
+    reach_counts_t all;
+} counting_t;
 
 static void
 count_service(const char *service, const GPtrArray *endpoints, void *user)
 {
-    (void)service;
-    all_services_t *all = user;
-    reach_count(endpoints, all->now_us, &all->counts);
+    counting_t *counting = user;
+    reach_counts_t counts = {0};
+    reach_count(endpoints, counting->now_us, &counts);
+    reach_counts_add(&counting->all, &counts);
+    if (g_str_equal(service, counting->service)) {
+        counting->counts = counts;
+    }
 }
 
 static void
@@ -167,17 +172,14 @@
     entry_t *e = w->entry;
     gint64 now = entry_now(e);
     service_state_t *state = entry_service_state(e, endpoint->service);
-    reach_counts_t counts = {0};
-    all_services_t all = {.now_us = now};
+    counting_t counting = {.service = endpoint->service, .now_us = now};
     endpoint_record_unreached(endpoint, now);
     if (service_reach_is_cut(&state->reach)) {
         return;
     }
-    reach_count(directory_service(e->directory, endpoint->service), now,
-                &counts);
-    directory_each_service(e->directory, count_service, &all);
-    if (service_reach_begin(&state->reach, &counts, &all.counts)) {
-        cut_begin(w, endpoint->service, sign, &counts);
+    directory_each_service(e->directory, count_service, &counting);
+    if (service_reach_begin(&state->reach, &counting.counts, &counting.all)) {
+        cut_begin(w, endpoint->service, sign, &counting.counts);
     }
 }
 
@@ -287,7 +289,6 @@
     }
 }
 
-/* Any answer shows that the endpoint is reached. */
 static gboolean
 on_probe_opened(client_call_t *call, void *user)
 {
@@ -296,6 +297,7 @@
     return TRUE;
 }
 
+/* Any answer shows that the endpoint is reached. */
 static call_verdict_t
 on_probe_head(client_call_t *call, const http_head_t *head, void *user)
 {
@@ -376,17 +378,13 @@
         return;
     }
     g_strlcpy(probe->helper, helper->info.instance, sizeof(probe->helper));
-    char *name = reach_watch_tunnel_name(w);
-    tunnel_open_t open = {.from = w->entry->settings->instance,
-                          .tunnel = name,
-                          .endpoint = probe->endpoint,
-                          .token = helper->info.token};
-    http_tunnel_t tunnel = {.address = helper->info.address,
-                            .open = &open,
-                            .open_us = PROBE_TIMEOUT_US};
-    leg->call = client_call_create_in_tunnel(leg->peer, &tunnel, STR("probe"),
-                                             request, FALSE, &PROBE_OPS, leg);
-    g_free(name);
+    tunnel_call_t setup = {.peer = leg->peer,
+                           .endpoint = probe->endpoint,
+                           .request = STR("probe"),
+                           .bytes = request,
+                           .open_us = PROBE_TIMEOUT_US};
+    leg->call = helper_link_call(w->entry->helper_link, helper, &setup,
+                                 &PROBE_OPS, leg);
 }
 
 static void
@@ -463,13 +461,6 @@
     }
 }
 
-char *
-reach_watch_tunnel_name(reach_watch_t *w)
-{
-    return g_strdup_printf("%s/%" G_GUINT64_FORMAT,
-                           w->entry->settings->instance, ++w->tunnels);
-}
-
 /* ---- lifecycle ---- */
 
 reach_watch_t *
@@ -490,28 +481,32 @@
     g_free(w);
 }
 
+typedef struct {
+    entry_t *entry;
+    GString *text;
+} dump_t;
+
 static void
 dump_service(const char *service, const GPtrArray *endpoints, void *user)
 {
-    const reach_watch_t *w = ((void **)user)[0];
-    GString *text = ((void **)user)[1];
-    gint64 now = entry_now(w->entry);
-    const service_state_t *state = entry_service_state(w->entry, service);
+    const dump_t *dump = user;
+    gint64 now = entry_now(dump->entry);
+    const service_state_t *state = entry_service_state(dump->entry, service);
     reach_counts_t counts = {0};
     reach_count(endpoints, now, &counts);
-    g_string_append_printf(text, "service %s: %u usable, %u reached, %u not",
-                           service, counts.usable, counts.reached,
-                           counts.failed);
+    g_string_append_printf(
+        dump->text, "service %s: %u usable, %u reached, %u not", service,
+        counts.usable, counts.reached, counts.failed);
     if (service_reach_is_cut(&state->reach)) {
-        g_string_append_printf(text, ", cut off for %ld ms",
+        g_string_append_printf(dump->text, ", cut off for %ld ms",
                                (long)((now - state->reach.since_us) / MS));
     }
-    g_string_append_c(text, '\n');
+    g_string_append_c(dump->text, '\n');
 }
 
 void
 reach_watch_dump(const reach_watch_t *w, GString *text)
 {
-    void *user[] = {(void *)w, text};
-    directory_each_service(w->entry->directory, dump_service, user);
+    dump_t dump = {.entry = w->entry, .text = text};
+    directory_each_service(w->entry->directory, dump_service, &dump);
 }
--- a/carobloomd/http/tunnel.c
+++ b/carobloomd/http/tunnel.c
@@ -41,29 +41,17 @@
     *open = (tunnel_open_t){0};
 }
 
-static void
-head_write(GByteArray *out, tunnel_frame_t type, gsize length)
+void
+tunnel_frame_write(GByteArray *out, tunnel_frame_t type, str_t payload)
 {
-    guint32 size = GUINT32_TO_BE((guint32)length);
+    guint32 size = GUINT32_TO_BE((guint32)payload.length);
     guint8 head[HEAD_BYTES] = {(guint8)type};
     memcpy(head + 1, &size, sizeof(size));
     g_byte_array_append(out, head, HEAD_BYTES);
-}
-
-void
-tunnel_frame_write(GByteArray *out, tunnel_frame_t type, str_t payload)
-{
-    head_write(out, type, payload.length);
     g_byte_array_append(out, (const guint8 *)payload.data,
                         (guint)payload.length);
 }
 
-void
-tunnel_data_head_write(GByteArray *out, gsize length)
-{
-    head_write(out, TUNNEL_DATA, length);
-}
-
 void
 tunnel_reader_init(tunnel_reader_t *reader)
 {
--- a/include/carobloom/http/tunnel.h
+++ b/include/carobloom/http/tunnel.h
@@ -46,8 +46,6 @@
 
 /* Appends a frame. */
 void tunnel_frame_write(GByteArray *out, tunnel_frame_t type, str_t payload);
-/* Appends the head of a data frame whose `length` bytes follow. */
-void tunnel_data_head_write(GByteArray *out, gsize length);
 
 /* Decodes frames from pieces of a stream. */
 typedef struct {
--- a/include/carobloom/policy/helper_set.h
+++ b/include/carobloom/policy/helper_set.h
@@ -43,7 +43,6 @@
                           gint64 now_us);
 /* The helper at that address, or NULL. */
 helper_t *helper_set_find(const helper_set_t *set, const char *address);
-void helper_record_opened(helper_t *helper);
 /* It refused a tunnel, or did not answer. */
 void helper_record_failed(helper_t *helper, gint64 now_us);
 
--- a/include/carobloom/policy/reachability.h
+++ b/include/carobloom/policy/reachability.h
@@ -38,9 +38,11 @@
     gint64 first_failed_us; /* the earliest failure of these, or 0 */
 } reach_counts_t;
 
-/* Adds the endpoints (endpoint_t) of a service to the counts. */
+/* Counts the endpoints (endpoint_t) of a service. */
 void reach_count(const GPtrArray *endpoints, gint64 now_us,
                  reach_counts_t *counts);
+/* Adds the counts of one service to those of all. */
+void reach_counts_add(reach_counts_t *all, const reach_counts_t *service);
 /* Records that bytes arrived from the endpoint on a direct connection, or that
  * a direct connection failed or stayed silent. */
 void endpoint_record_reached(endpoint_t *endpoint, gint64 now_us);
--- a/policy/helper_set.c
+++ b/policy/helper_set.c
@@ -132,12 +132,6 @@
     return NULL;
 }
 
-void
-helper_record_opened(helper_t *helper)
-{
-    helper->backoff_us = 0;
-}
-
 void
 helper_record_failed(helper_t *helper, gint64 now_us)
 {
--- a/policy/reachability.c
+++ b/policy/reachability.c
@@ -12,11 +12,17 @@
     PROBES_OK_MIN = 3,
 };
 
+/* Whether the endpoint failed, and did not answer since. */
+static gboolean
+failed_last(const endpoint_t *e)
+{
+    return e->unreached_us != 0 && e->unreached_us >= e->reached_us;
+}
+
 static gboolean
 is_failed(const endpoint_t *e, gint64 now_us)
 {
-    return e->unreached_us != 0 && e->unreached_us >= e->reached_us &&
-           now_us - e->unreached_us < FAILED_AGE_US;
+    return failed_last(e) && now_us - e->unreached_us < FAILED_AGE_US;
 }
 
 void
@@ -42,6 +48,14 @@
     }
 }
 
+void
+reach_counts_add(reach_counts_t *all, const reach_counts_t *service)
+{
+    all->usable += service->usable;
+    all->reached += service->reached;
+    all->failed += service->failed;
+}
+
 void
 endpoint_record_reached(endpoint_t *e, gint64 now_us)
 {
@@ -80,7 +94,7 @@
 service_reach_avoids(const service_reach_t *r, const endpoint_t *e)
 {
     return r->since_us != 0 &&
-           (e->reached_us <= r->since_us || e->unreached_us >= e->reached_us);
+           (e->reached_us <= r->since_us || failed_last(e));
 }
 
 /* Whether the probe reached the endpoint directly. An engine whose slots are
@@ -129,7 +143,7 @@
 is_unreached(const service_reach_t *r, const endpoint_t *e, gint64 now_us)
 {
     return endpoint_usable(e, now_us) && e->unreached_us >= r->since_us &&
-           e->unreached_us >= e->reached_us;
+           failed_last(e);
 }
 
 static gboolean
@@ -167,7 +181,7 @@
 {
     for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
         endpoint_t *e = endpoints->pdata[i];
-        if (e->unreached_us != 0 && e->unreached_us >= e->reached_us) {
+        if (failed_last(e)) {
             e->backoff_until_us = 0;
             e->backoff_us = 0;
         }
