--- a/include/carobloom/policy/repeat_budget.h
+++ b/include/carobloom/policy/repeat_budget.h
@@ -25,8 +25,15 @@
     gint64 slot;
     guint firsts[REPEAT_BUDGET_SLOTS];
     guint repeats[REPEAT_BUDGET_SLOTS];
+    gint64 logged_us; /* when a refused repeat was last logged */
 } repeat_budget_t;
 
+/* The budget of this instance at a point in time. */
+typedef struct {
+    guint spent;
+    double allowed;
+} repeat_budget_state_t;
+
 /* Records the first send of a request. */
 void repeat_budget_record_first(repeat_budget_t *budget,
                                 const repeat_limits_t *limits, gint64 now_us);
@@ -35,5 +42,9 @@
 gboolean repeat_budget_take(repeat_budget_t *budget,
                             const repeat_limits_t *limits, guint instances,
                             gint64 now_us);
+/* Returns what this instance spent and may spend. */
+repeat_budget_state_t repeat_budget_state(repeat_budget_t *budget,
+                                          const repeat_limits_t *limits,
+                                          guint instances, gint64 now_us);
 
 #endif
--- a/policy/instance_count.c
+++ b/policy/instance_count.c
@@ -17,6 +17,13 @@
         c->window_start_us = now_us;
     }
     c->window_max = MAX(c->window_max, reported);
+    c->reported_us = now_us;
+}
+
+gint64
+instance_count_age_ms(const instance_count_t *c, gint64 now_us)
+{
+    return c->reported_us != 0 ? (now_us - c->reported_us) / 1000 : -1;
 }
 
 guint
--- a/policy/repeat_budget.c
+++ b/policy/repeat_budget.c
@@ -37,14 +37,24 @@
     b->firsts[b->slot % REPEAT_BUDGET_SLOTS]++;
 }
 
+repeat_budget_state_t
+repeat_budget_state(repeat_budget_t *b, const repeat_limits_t *limits,
+                    guint instances, gint64 now_us)
+{
+    advance(b, limits, now_us);
+    double whole =
+        limits->ratio * sum(b->firsts) + limits->slack / MAX(instances, 1);
+    return (repeat_budget_state_t){.spent = sum(b->repeats),
+                                   .allowed = whole * SAFETY_FRACTION};
+}
+
 gboolean
 repeat_budget_take(repeat_budget_t *b, const repeat_limits_t *limits,
                    guint instances, gint64 now_us)
 {
-    advance(b, limits, now_us);
-    double allowed =
-        limits->ratio * sum(b->firsts) + limits->slack / MAX(instances, 1);
-    if (sum(b->repeats) + 1 > allowed * SAFETY_FRACTION) {
+    repeat_budget_state_t state =
+        repeat_budget_state(b, limits, instances, now_us);
+    if (state.spent + 1 > state.allowed) {
         return FALSE;
     }
     b->repeats[b->slot % REPEAT_BUDGET_SLOTS]++;
