--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -55,10 +55,11 @@
         "\"metrics\":"
         "\"%s:%d\",\"founding\":%s,\"peers_port\":%d,\"seeds\":[%s],"
         "\"heartbeat_ms\":300,\"grace_s\":6,\"revoke_ms\":%d,"
-        "\"retry_slack\":500,\"crash_memory_s\":%u,\"memory_mb\":%u%s}}",
+        "\"retry_slack\":%u,\"crash_memory_s\":%u,\"memory_mb\":%u%s}}",
         p->name, p->folder, p->ip, p->bind, listeners, p->bind,
         FLEET_METRICS_PORT, p->founding ? "true" : "false", FLEET_PEERS_PORT,
-        seeds->str, FLEET_REVOKE_MS, f->crash_memory_s, f->memory_mb, duties);
+        seeds->str, FLEET_REVOKE_MS, f->retry_slack, f->crash_memory_s,
+        f->memory_mb, duties);
     g_free(duties);
     char *path = g_build_filename(p->folder, "settings.jsonc", NULL);
     g_file_set_contents(path, text, -1, NULL);
@@ -98,6 +99,7 @@
     f->slots = 8;
     f->crash_memory_s = 600;
     f->memory_mb = 256;
+    f->retry_slack = 500;
     f->folder = g_dir_make_tmp("carobloom-fleet-XXXXXX", NULL);
     f->net = (guint)getpid() * 7 + made++;
     for (guint i = 0; i < controls; i++) {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -61,6 +61,7 @@
     guint slots;               /* of each endpoint started from now on */
     guint crash_memory_s;      /* of the instances' settings */
     guint memory_mb;           /* the same */
+    guint retry_slack;         /* the same */
     fleet_process_t *platform; /* NULL: it asks for no duties */
 } fleet_t;
 
--- a/tests/fleet_load.c
+++ b/tests/fleet_load.c
@@ -43,10 +43,11 @@
         gint64 next_us = now_us + (gint64)load->interval_ms * MS;
         guint entry = (c->number + i) % load->fleet->entries;
         char *id = g_strdup_printf("e%u-c%u-%u", entry, c->number, i);
-        reply_t *reply = fleet_post(
-            fleet_entry(load->fleet, entry),
-            c->target != NULL ? c->target : load->target, id, FLEET_KEY,
-            load->fields != NULL ? load->fields : "", id);
+        const char *fields = c->fields != NULL ? c->fields : load->fields;
+        reply_t *reply =
+            fleet_post(fleet_entry(load->fleet, entry),
+                       c->target != NULL ? c->target : load->target, id,
+                       FLEET_KEY, fields != NULL ? fields : "", id);
         count_reply(c, reply, now_us);
         if (load->observe != NULL) {
             load->observe(load->user, entry, reply, now_us);
--- a/tests/fleet_load.h
+++ b/tests/fleet_load.h
@@ -29,6 +29,7 @@
     load_t *load;
     guint number;
     const char *target; /* NULL: that of the load */
+    const char *fields; /* the same */
     gint answered;
 } caller_t;
 
