Grants of repeats are ready at a start; none is lost for a request that can't be placed

Causes: a grantor that begins waits for what it can't know, also where nothing was ever sent; budgets began with a service's first request; an instance that ends kept its grants, which then counted as spent. Beside it a repeat was taken from the budget before it was known whether any endpoint could take the request.

The first leader of a system that has no configuration yet grants at once: no request can have been sent. Budgets are made for all services of the configuration. An instance that takes no more requests returns its grants. Own repeats, which expire at once, are reserved for urgent requests only where those come that often.

--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -257,6 +257,8 @@
         load_sums_reset(c);
     }
     c->view = *view;
+    c->others_led = c->others_led || (view->leader[0] != '\0' &&
+                                      strcmp(view->leader, c->self) != 0);
     if (view->in_quorum) {
         c->last_quorum_us = control_now(c);
     }
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -109,6 +109,8 @@
     limit_quota_t *limits;
     /* changes of limits up to here are logged and published */
     guint64 limits_published_cursor;
+    /* since the start of this process another instance was known to lead */
+    gboolean others_led;
     repeat_quota_t *repeats; /* NULL: another instance grants repeats */
     guint64 repeats_term;    /* in which this instance began to grant them */
     guint64 repeats_epoch;   /* random number of the same */
--- a/carobloomd/control/repeat_grants.c
+++ b/carobloomd/control/repeat_grants.c
@@ -33,7 +33,10 @@
         .ratio = settings->retry_ratio,
         .slack = settings->retry_slack,
     };
-    c->repeats = repeat_quota_create(&limits, grants_now());
+    /* Without a configuration entry instances send no requests. */
+    gboolean is_first = c->view.first_start && !c->others_led &&
+                        control_newest_version(c) == 0;
+    c->repeats = repeat_quota_create(&limits, is_first, grants_now());
     c->repeats_term = c->view.term;
     c->repeats_epoch = (guint64)g_random_int() << 32 | g_random_int();
     log_granting(c, "repeat_grants_begun");
@@ -66,7 +69,8 @@
                                     .incarnation = report->incarnation,
                                     .sequence = report->sequence,
                                     .age_us = report->age_ms * (gint64)MS,
-                                    .instances = report->instances};
+                                    .instances = report->instances,
+                                    .is_ending = report->is_ending};
     guint granted = 0;
     if (!repeat_quota_begin(c->repeats, &requester, now)) {
         return 0;
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -145,7 +145,7 @@
     if (state == NULL) {
         state = g_new0(service_state_t, 1);
         engine_model_init(&state->engine);
-        repeat_budget_init(&state->budget, g_rand_double(e->random));
+        state->budget = repeat_link_budget(e->repeat_link, service);
         g_hash_table_insert(e->services, g_strdup(service), state);
     }
     return state;
@@ -431,6 +431,9 @@
     if (since < MIN(DRAIN_NOTICE_US, grace_us / 2)) {
         return FALSE;
     }
+    if (!e->refusing) {
+        repeat_link_end(e->repeat_link);
+    }
     e->refusing = TRUE;
     http_server_unlisten(e->callers);
     http_server_close_idle(e->callers);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -57,7 +57,7 @@
 
 /* State of a service at this instance. */
 typedef struct {
-    repeat_budget_t budget;
+    repeat_budget_t *budget; /* of repeat_link */
     service_reach_t reach;
     service_brittle_t brittle;
     prompt_mix_t prompts;
@@ -310,8 +310,12 @@
 /* repeat_link.c */
 repeat_link_t *repeat_link_create(entry_t *entry);
 void repeat_link_destroy(repeat_link_t *link);
+/* Returns the budget of a service, which lives as long as the link. */
+repeat_budget_t *repeat_link_budget(repeat_link_t *link, const char *service);
+/* Returns all grants. To be called when no requests are taken any more. */
+void repeat_link_end(repeat_link_t *link);
 /* Records the first send of a request. */
-void repeat_link_record_first(repeat_link_t *link, service_state_t *state);
+void repeat_link_record_first(repeat_link_t *link, repeat_budget_t *budget);
 /* A request that is to be repeated, and why. */
 typedef struct {
     str_t request;
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -470,7 +470,7 @@
                               .pause_ms = f->route->pause_ms,
                               .priority = f->route->priority};
     prompt_mix_record(&f->service_state->prompts, sample, forward_now(f));
-    repeat_link_record_first(e->repeat_link, f->service_state);
+    repeat_link_record_first(e->repeat_link, f->service_state->budget);
     forward_send(f);
 }
 
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -80,25 +80,6 @@
     forward_send(f);
 }
 
-gboolean
-forward_try_repeat(forward_t *f, gboolean received, const char *reason)
-{
-    if (!may_repeat(f) || (received && !take_repeat_from_budget(f, reason))) {
-        return FALSE;
-    }
-    send_repeat(f, reason);
-    return TRUE;
-}
-
-void
-forward_repeat(forward_t *f, gboolean received, const char *reason)
-{
-    if (!forward_try_repeat(f, received, reason)) {
-        forward_detach_endpoint(f);
-        forward_fail(f, reason);
-    }
-}
-
 /* Orders by the priority of the route, and among routes of the same priority
  * by that of the team. In the opposite order engines preempted requests of an
  * urgent route for those of less urgent routes. */
@@ -281,6 +262,52 @@
     return placement_pick(endpoints, request, forward_now(f));
 }
 
+/* Records that no endpoint can take the request. */
+static void
+record_unplaced(forward_t *f, const placement_t *placement)
+{
+    f->service_state->turned_away++;
+    f->placement_counts = placement->counts;
+}
+
+/* Whether an endpoint can take the request. A repeat that is taken from the
+ * budget for one that can't be placed would be lost. */
+static gboolean
+can_be_placed(forward_t *f)
+{
+    placement_request_t request;
+    placement_t placement = choose_endpoint(f, &request);
+    if (placement.endpoint != NULL) {
+        return TRUE;
+    }
+    record_limit_demand(f, &placement);
+    record_unplaced(f, &placement);
+    return FALSE;
+}
+
+gboolean
+forward_try_repeat(forward_t *f, gboolean received, const char *reason)
+{
+    if (!may_repeat(f)) {
+        return FALSE;
+    }
+    if (received &&
+        (!can_be_placed(f) || !take_repeat_from_budget(f, reason))) {
+        return FALSE;
+    }
+    send_repeat(f, reason);
+    return TRUE;
+}
+
+void
+forward_repeat(forward_t *f, gboolean received, const char *reason)
+{
+    if (!forward_try_repeat(f, received, reason)) {
+        forward_detach_endpoint(f);
+        forward_fail(f, reason);
+    }
+}
+
 void
 forward_handle_silence(forward_t *f)
 {
@@ -323,8 +350,7 @@
     endpoint_t *endpoint = placement.endpoint;
     record_limit_demand(f, &placement);
     if (endpoint == NULL) {
-        f->service_state->turned_away++;
-        f->placement_counts = placement.counts;
+        record_unplaced(f, &placement);
         forward_return_probe(f);
         forward_fail(f, placement_reason(&f->placement_counts));
         return;
--- a/carobloomd/gateway/limit_link.c
+++ b/carobloomd/gateway/limit_link.c
@@ -521,7 +521,7 @@
 limit_tokens_t
 limit_link_tokens(const limit_link_t *link, const char *service)
 {
-    limit_tokens_t all = {0};
+    limit_tokens_t all = {.lifetime_us = LIMIT_GRANT_LIFETIME_MS * (gint64)MS};
     gint64 now = limit_link_now();
     for (guint i = 0; i < limit_count(link); i++) {
         const endpoint_t *e = endpoint_at(link, i);
--- a/carobloomd/gateway/repeat_link.c
+++ b/carobloomd/gateway/repeat_link.c
@@ -29,7 +29,7 @@
 
 struct repeat_link {
     entry_t *entry;
-    repeat_limits_t limits;
+    GHashTable *budgets; /* service -> repeat_budget_t */
     gint64 started_us;
     guint64 incarnation;
     guint64 sequence;
@@ -40,10 +40,34 @@
     gint64 sent_us;
     repeat_pace_t pace; /* as last told */
     gboolean is_answering;
+    gboolean is_ending;
 };
 
 static void on_due(void *data);
 
+static repeat_limits_t
+repeat_limits(const repeat_link_t *link)
+{
+    const gateway_settings_t *settings = link->entry->settings;
+    return (repeat_limits_t){
+        .window_us = (gint64)(settings->retry_window_s * G_USEC_PER_SEC),
+        .ratio = settings->retry_ratio,
+        .slack = settings->retry_slack,
+    };
+}
+
+repeat_budget_t *
+repeat_link_budget(repeat_link_t *link, const char *service)
+{
+    repeat_budget_t *budget = g_hash_table_lookup(link->budgets, service);
+    if (budget == NULL) {
+        budget = g_new0(repeat_budget_t, 1);
+        repeat_budget_init(budget, g_rand_double(link->entry->random));
+        g_hash_table_insert(link->budgets, g_strdup(service), budget);
+    }
+    return budget;
+}
+
 static void
 link_schedule(repeat_link_t *link, gint64 us)
 {
@@ -71,7 +95,7 @@
         log_grantor(link, "repeat_grantor_lost");
     }
     counter_add(counter_get("repeat_asks_failed_total", NULL, FALSE), 1);
-    link_schedule(link, RETRY_DELAY_US);
+    link_schedule(link, MAX(link->pace.needy_ms * (gint64)MS, RETRY_DELAY_US));
 }
 
 static gboolean
@@ -79,10 +103,9 @@
 {
     GHashTableIter iter;
     gpointer value;
-    g_hash_table_iter_init(&iter, link->entry->services);
+    g_hash_table_iter_init(&iter, link->budgets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (repeat_budget_is_needy(&((service_state_t *)value)->budget,
-                                   clock_boot_us())) {
+        if (repeat_budget_is_needy(value, clock_boot_us())) {
             return TRUE;
         }
     }
@@ -96,16 +119,14 @@
     return link->sent_us + ms * (gint64)MS;
 }
 
-/* Begins anew with a grantor that doesn't know this instance. */
 static void
-forget_grantor(repeat_link_t *link)
+drop_grants(repeat_link_t *link)
 {
     GHashTableIter iter;
     gpointer value;
-    link->epoch = 0;
-    g_hash_table_iter_init(&iter, link->entry->services);
+    g_hash_table_iter_init(&iter, link->budgets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        repeat_budget_drop_grants(&((service_state_t *)value)->budget);
+        repeat_budget_drop_grants(value);
     }
 }
 
@@ -116,7 +137,7 @@
     GHashTableIter iter;
     gpointer name;
     gpointer value;
-    g_hash_table_iter_init(&iter, link->entry->services);
+    g_hash_table_iter_init(&iter, link->budgets);
     while (g_hash_table_iter_next(&iter, &name, &value)) {
         guint64 service = hash_text(str_from_cstr(name));
         for (guint i = 0; i < answer->grants->len; i++) {
@@ -124,7 +145,7 @@
                 &g_array_index(answer->grants, repeat_grant_t, i);
             if (grant->service == service) {
                 repeat_budget_apply_grant(
-                    &((service_state_t *)value)->budget, grant, link->sent_us,
+                    value, grant, link->sent_us,
                     answer->pace.lifetime_ms * (gint64)MS, now);
             }
         }
@@ -147,7 +168,9 @@
     gboolean is_known = link->epoch == 0 || link->epoch == answer.epoch;
     link->pace = answer.pace;
     if (!is_known) {
-        forget_grantor(link);
+        /* It doesn't know this instance. */
+        link->epoch = 0;
+        drop_grants(link);
         repeat_answer_clear(&answer);
         link_schedule(link, 0);
         return;
@@ -173,29 +196,41 @@
 collect_items(repeat_link_t *link)
 {
     GArray *items = g_array_new(FALSE, FALSE, sizeof(repeat_item_t));
+    repeat_limits_t limits = repeat_limits(link);
     gint64 now = clock_boot_us();
     GHashTableIter iter;
     gpointer name;
     gpointer value;
-    g_hash_table_iter_init(&iter, link->entry->services);
+    g_hash_table_iter_init(&iter, link->budgets);
     while (items->len < REPEAT_SERVICES_MAX &&
            g_hash_table_iter_next(&iter, &name, &value)) {
-        repeat_budget_t *budget = &((service_state_t *)value)->budget;
         repeat_item_t item = {
             .request = {.service = hash_text(str_from_cstr(name))},
             .has_history = link->epoch == 0,
         };
-        repeat_budget_fill_request(budget, &item.request, now);
-        repeat_budget_history(budget, &link->limits, item.history, now);
+        repeat_budget_fill_request(value, &item.request, now);
+        repeat_budget_history(value, &limits, item.history, now);
         g_array_append_val(items, item);
     }
     return items;
 }
 
+/* Has grants ready before the first request of a service. */
+static void
+create_budgets(repeat_link_t *link)
+{
+    const GPtrArray *services = link->entry->config->services;
+    for (guint i = 0; i < services->len; i++) {
+        repeat_link_budget(link,
+                           ((const service_t *)services->pdata[i])->name);
+    }
+}
+
 static void
 request_grants(repeat_link_t *link)
 {
     const entry_t *e = link->entry;
+    create_budgets(link);
     link->sent_us = clock_boot_us();
     repeat_report_t report = {
         .from = e->settings->instance,
@@ -204,6 +239,7 @@
         .epoch = link->epoch,
         .age_ms = (guint32)((link->sent_us - link->started_us) / MS),
         .instances = instance_count_get(&e->sharing_instances),
+        .is_ending = link->is_ending,
         .items = collect_items(link),
     };
     GBytes *body = repeat_report_write(&report);
@@ -271,6 +307,7 @@
             const repeat_take_t *take)
 {
     const entry_t *e = link->entry;
+    repeat_limits_t limits = repeat_limits(link);
     gint64 now = clock_boot_us();
     if (now - budget->logged_us < REFUSED_LOG_INTERVAL_US ||
         !event_log_begin(EVENT_FAILURE, "repeat_refused")) {
@@ -281,8 +318,7 @@
     event_log_cstr("reason", take->reason);
     event_log_cstr("service", service);
     event_log_number("rank", take->rank);
-    event_log_number("left_own",
-                     repeat_budget_own(budget, &link->limits, now));
+    event_log_number("left_own", repeat_budget_own(budget, &limits, now));
     event_log_number("left_granted", repeat_budget_granted(budget, now));
     event_log_number("spent", budget->told_spent);
     event_log_number("allowed", budget->told_allowed);
@@ -296,34 +332,46 @@
 }
 
 void
-repeat_link_record_first(repeat_link_t *link, service_state_t *state)
+repeat_link_record_first(repeat_link_t *link, repeat_budget_t *budget)
 {
-    repeat_budget_record_first(&state->budget, &link->limits, clock_boot_us());
+    repeat_limits_t limits = repeat_limits(link);
+    repeat_budget_record_first(budget, &limits, clock_boot_us());
 }
 
 gboolean
 repeat_link_take(repeat_link_t *link, const char *service,
                  const repeat_take_t *take)
 {
-    repeat_budget_t *budget =
-        &entry_service_state(link->entry, service)->budget;
-    gboolean taken =
-        repeat_budget_take(budget, &link->limits, take->rank, clock_boot_us());
+    repeat_budget_t *budget = repeat_link_budget(link, service);
+    repeat_limits_t limits = repeat_limits(link);
+    gint64 now = clock_boot_us();
+    gboolean taken = repeat_budget_take(budget, &limits, take->rank, now);
     if (!taken) {
         counter_add(counter_get("repeats_refused_total", NULL, FALSE), 1);
         log_refused(link, service, budget, take);
     }
-    if (repeat_budget_is_needy(budget, clock_boot_us())) {
+    if (repeat_budget_is_needy(budget, now)) {
         request_soon(link);
     }
     return taken;
 }
 
+void
+repeat_link_end(repeat_link_t *link)
+{
+    link->is_ending = TRUE;
+    drop_grants(link);
+    if (link->is_answering && !inner_line_is_busy(link->line)) {
+        link_schedule(link, 0);
+    }
+}
+
 /* ---- create and destroy ---- */
 
 void
 repeat_link_dump(repeat_link_t *link, GString *text)
 {
+    repeat_limits_t limits = repeat_limits(link);
     gint64 now = clock_boot_us();
     GHashTableIter iter;
     gpointer name;
@@ -331,14 +379,14 @@
     g_string_append_printf(text, "repeats granted by %s%s\n",
                            link->address != NULL ? link->address : "none",
                            link->is_answering ? "" : ", does not answer");
-    g_hash_table_iter_init(&iter, link->entry->services);
+    g_hash_table_iter_init(&iter, link->budgets);
     while (g_hash_table_iter_next(&iter, &name, &value)) {
-        repeat_budget_t *b = &((service_state_t *)value)->budget;
+        repeat_budget_t *b = value;
         g_string_append_printf(
             text,
             "repeats of %s: %u own and %u granted left, %u first sends, %u "
             "repeats; of all instances %u of %u, told %ld ms ago\n",
-            (const char *)name, repeat_budget_own(b, &link->limits, now),
+            (const char *)name, repeat_budget_own(b, &limits, now),
             repeat_budget_granted(b, now), b->firsts,
             b->own_spent + b->granted_spent, b->told_spent, b->told_allowed,
             (long)(b->told_us != 0 ? (now - b->told_us) / MS : -1));
@@ -350,11 +398,8 @@
 {
     repeat_link_t *link = g_new0(repeat_link_t, 1);
     link->entry = e;
-    link->limits = (repeat_limits_t){
-        .window_us = (gint64)(e->settings->retry_window_s * G_USEC_PER_SEC),
-        .ratio = e->settings->retry_ratio,
-        .slack = e->settings->retry_slack,
-    };
+    link->budgets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     link->started_us = clock_boot_us();
     link->incarnation = (guint64)g_random_int() << 32 | g_random_int();
     link->pace = repeat_pace(1);
@@ -367,6 +412,7 @@
 {
     timers_cancel(link->entry->timers, link->timer);
     g_clear_pointer(&link->line, inner_line_destroy);
+    g_hash_table_unref(link->budgets);
     g_free(link->address);
     g_free(link);
 }
--- a/carobloomd/gateway/repeat_wire.c
+++ b/carobloomd/gateway/repeat_wire.c
@@ -4,7 +4,7 @@
 
 #define HISTORY_TYPE "a(uu)"
 #define ITEMS_TYPE "a(tuuuuuuuu" HISTORY_TYPE ")"
-#define REPORT_TYPE "(stttuu" ITEMS_TYPE ")"
+#define REPORT_TYPE "(stttuub" ITEMS_TYPE ")"
 #define GRANTS_TYPE "a(tuuuu)"
 #define ANSWER_TYPE "(tuuu" GRANTS_TYPE ")"
 
@@ -34,9 +34,10 @@
                               q->granted_spent, q->spent_age_ms, q->held,
                               q->wanted, history_variant(item));
     }
-    return codec_write(g_variant_new(
-        "(stttuu@" ITEMS_TYPE ")", r->from, r->incarnation, r->sequence,
-        r->epoch, r->age_ms, r->instances, g_variant_builder_end(&b)));
+    return codec_write(g_variant_new("(stttuub@" ITEMS_TYPE ")", r->from,
+                                     r->incarnation, r->sequence, r->epoch,
+                                     r->age_ms, r->instances, r->is_ending,
+                                     g_variant_builder_end(&b)));
 }
 
 /* Takes ownership of `list`, which is empty or has all slots. */
@@ -84,8 +85,9 @@
         return FALSE;
     }
     GVariant *items;
-    g_variant_get(v, "(stttuu@" ITEMS_TYPE ")", &r->from, &r->incarnation,
-                  &r->sequence, &r->epoch, &r->age_ms, &r->instances, &items);
+    g_variant_get(v, "(stttuub@" ITEMS_TYPE ")", &r->from, &r->incarnation,
+                  &r->sequence, &r->epoch, &r->age_ms, &r->instances,
+                  &r->is_ending, &items);
     g_variant_unref(v);
     r->items = g_array_new(FALSE, FALSE, sizeof(repeat_item_t));
     gboolean valid = items_read(items, r->items);
--- a/include/carobloom/gateway/repeat_wire.h
+++ b/include/carobloom/gateway/repeat_wire.h
@@ -27,6 +27,7 @@
     guint64 epoch;
     guint32 age_ms; /* since the start of the sender */
     guint32 instances;
+    gboolean is_ending;
     GArray *items; /* repeat_item_t */
 } repeat_report_t;
 
--- a/include/carobloom/policy/limit_share.h
+++ b/include/carobloom/policy/limit_share.h
@@ -25,7 +25,8 @@
 /* Granted sends that may be used now, not tokens of prompts. */
 typedef struct {
     guint count;
-    gint64 left_us; /* until the last of them expires */
+    gint64 left_us;     /* until the last of them expires */
+    gint64 lifetime_us; /* from a grant until it expires */
 } limit_tokens_t;
 
 /* Records a grant of `count` sends. */
--- a/include/carobloom/policy/repeat_budget.h
+++ b/include/carobloom/policy/repeat_budget.h
@@ -53,6 +53,7 @@
     guint granted;
     guint granted_last; /* the same after the last answer */
     gint64 granted_until_us;
+    gint64 granted_lifetime_us;
     /* totals since the start of the process; they wrap around */
     guint32 firsts;
     guint32 own_spent;
--- a/include/carobloom/policy/repeat_quota.h
+++ b/include/carobloom/policy/repeat_quota.h
@@ -23,9 +23,10 @@
 typedef struct {
     const char *name;
     guint64 incarnation;
-    guint64 sequence; /* of the request; one out of order gets no grants */
-    gint64 age_us;    /* since its start */
-    guint instances;  /* number of entry instances, as it knows */
+    guint64 sequence;   /* of the request; one out of order gets no grants */
+    gint64 age_us;      /* since its start */
+    guint instances;    /* number of entry instances, as it knows */
+    gboolean is_ending; /* it returns its grants and gets no more */
 } repeat_requester_t;
 
 /* Intervals at which instances send requests, and for how long grants are
@@ -39,8 +40,10 @@
 
 repeat_pace_t repeat_pace(guint instances);
 
+/* `is_first`: no request was sent before by any instance, so that there is
+ * nothing to wait for. */
 repeat_quota_t *repeat_quota_create(const repeat_limits_t *limits,
-                                    gint64 now_us);
+                                    gboolean is_first, gint64 now_us);
 void repeat_quota_destroy(repeat_quota_t *quota);
 /* Records that an instance sends requests to this grantor. To be called before
  * the requests of one message are handled. Returns FALSE if the message is out
--- a/policy/limit_share.c
+++ b/policy/limit_share.c
@@ -2,8 +2,6 @@
 
 #include <math.h>
 
-#include "carobloom/policy/endpoint_limit.h"
-
 static const double DECAY_S = 2;
 /* Counts over a shorter period are too few for an estimate. */
 static const double SPAN_MIN_S = 0.5;
@@ -14,9 +12,9 @@
 /* One send is reserved for each expected more urgent request. The expected
  * number is rounded up if its fraction exceeds this value, else down. */
 static const double ROUND_UP_FRACTION = 0.15;
-/* Minimum rate of more urgent requests, per second, at which they may get all
- * granted sends: one per lifetime of a grant. */
-static const double FREQUENT_RATE_MIN = 1000.0 / LIMIT_GRANT_LIFETIME_MS;
+/* Minimum number of more urgent requests in the lifetime of a grant at which
+ * they may get all granted sends. */
+static const double FREQUENT_COUNT_MIN = 1;
 
 static void
 decay(limit_share_t *s, gint64 now_us)
@@ -74,7 +72,9 @@
     double span_s = MAX(s->span_s, SPAN_MIN_S);
     double wanted = wanted_by_more_urgent(s, rank);
     double wanted_rate = wanted / span_s;
-    if (wanted >= s->granted_sends && wanted_rate >= FREQUENT_RATE_MIN) {
+    double lifetime_s = (double)tokens->lifetime_us / G_USEC_PER_SEC;
+    if (wanted >= s->granted_sends &&
+        wanted_rate * lifetime_s >= FREQUENT_COUNT_MIN) {
         return TRUE; /* more urgent requests would use all sends */
     }
     double left_s = (double)tokens->left_us / G_USEC_PER_SEC;
--- a/policy/repeat_budget.c
+++ b/policy/repeat_budget.c
@@ -79,25 +79,45 @@
     return now_us < b->granted_until_us ? b->granted : 0;
 }
 
-static limit_tokens_t
-usable(repeat_budget_t *b, const repeat_limits_t *limits, gint64 now_us)
+/* Whether an own repeat is left that isn't reserved for more urgent requests.
+ */
+static gboolean
+may_take_own(repeat_budget_t *b, const repeat_limits_t *limits, guint rank,
+             gint64 now_us)
 {
-    guint granted = repeat_budget_granted(b, now_us);
-    return (limit_tokens_t){
-        .count = repeat_budget_own(b, limits, now_us) + granted,
-        .left_us = granted > 0 ? b->granted_until_us - now_us
-                               : limits->window_us / REPEAT_OWN_LIFETIMES,
-    };
+    gint64 lifetime_us = limits->window_us / REPEAT_OWN_LIFETIMES;
+    limit_tokens_t tokens = {.count = repeat_budget_own(b, limits, now_us),
+                             .left_us = lifetime_us,
+                             .lifetime_us = lifetime_us};
+    return tokens.count > 0 &&
+           !limit_share_yields(&b->share, rank, &tokens, now_us);
+}
+
+/* The same of granted ones. */
+static gboolean
+may_take_granted(repeat_budget_t *b, guint rank, gint64 now_us)
+{
+    limit_tokens_t tokens = {.count = repeat_budget_granted(b, now_us),
+                             .left_us = b->granted_until_us - now_us,
+                             .lifetime_us = b->granted_lifetime_us};
+    return tokens.count > 0 &&
+           !limit_share_yields(&b->share, rank, &tokens, now_us);
 }
 
 gboolean
 repeat_budget_take(repeat_budget_t *b, const repeat_limits_t *limits,
                    guint rank, gint64 now_us)
 {
-    limit_tokens_t tokens = usable(b, limits, now_us);
     limit_share_record_wanted(&b->share, rank, now_us);
-    if (tokens.count == 0 ||
-        limit_share_yields(&b->share, rank, &tokens, now_us)) {
+    if (may_take_own(b, limits, rank, now_us)) {
+        b->own[b->own[0] > 0 ? 0 : 1]--; /* the first to expire */
+        b->own_spent++;
+    }
+    else if (may_take_granted(b, rank, now_us)) {
+        b->granted--;
+        b->granted_spent++;
+    }
+    else {
         b->unmet++;
         b->refused_us = now_us;
         return FALSE;
@@ -105,13 +125,6 @@
     history_slot(b, limits, now_us)->spent++;
     b->taken++;
     b->taken_us = now_us;
-    if (b->own[0] + b->own[1] > 0) {
-        b->own[b->own[0] > 0 ? 0 : 1]--; /* the first to expire */
-        b->own_spent++;
-        return TRUE;
-    }
-    b->granted--;
-    b->granted_spent++;
     return TRUE;
 }
 
@@ -172,6 +185,7 @@
     b->granted = MIN(held, grant->keep) + grant->granted;
     b->granted_last = b->granted;
     b->granted_until_us = sent_us + lifetime_us;
+    b->granted_lifetime_us = lifetime_us;
     b->unmet -= MIN(b->unmet, grant->granted);
     b->first_unreported_us = b->first_unsent_us;
     b->told_spent = grant->spent;
--- a/policy/repeat_quota.c
+++ b/policy/repeat_quota.c
@@ -444,7 +444,7 @@
     g->seen_us = now_us;
     g->wanted_us = request->wanted > 0 ? now_us : g->wanted_us;
     grant.keep = g->outstanding;
-    if (q->is_granting) {
+    if (q->is_granting && !requester->is_ending) {
         grantee_grant(q, s, g, request->wanted, &grant, now_us);
     }
     guint firsts = sum(s, s->firsts, 0, WINDOW_SLOTS - 1);
@@ -530,16 +530,18 @@
 }
 
 repeat_quota_t *
-repeat_quota_create(const repeat_limits_t *limits, gint64 now_us)
+repeat_quota_create(const repeat_limits_t *limits, gboolean is_first,
+                    gint64 now_us)
 {
     repeat_quota_t *q = g_new0(repeat_quota_t, 1);
     q->limits = *limits;
     q->started_us = now_us;
+    q->is_granting = is_first;
     q->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     q->services = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                         service_quota_free);
-    q->grants_from_us = known_from_us(q);
+    q->grants_from_us = is_first ? now_us : known_from_us(q);
     return q;
 }
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -82,6 +82,7 @@
     limits:*) options=--limits ;;
     rests:*) options=--rests ;;
     cuts:*) options=--cuts ;;
+    repeats:*) options=--repeats ;;
     esac
     if build/tests/soak --seed "$seed" --seconds "$seconds" $options \
         >soak.log 2>&1
--- a/tests/test_parsers.c
+++ b/tests/test_parsers.c
@@ -13,6 +13,7 @@
 #include "carobloom/common/jsonc.h"
 #include "carobloom/gateway/leaving_wire.h"
 #include "carobloom/gateway/limit_wire.h"
+#include "carobloom/gateway/repeat_wire.h"
 #include "carobloom/http/tunnel.h"
 #include "carobloom/policy/membership.h"
 #include "carobloom/policy/sse.h"
@@ -284,6 +285,85 @@
     g_array_unref(answer.grants);
 }
 
+static void
+parse_repeats(GBytes *bytes)
+{
+    repeat_report_t report;
+    repeat_answer_t answer;
+    if (repeat_report_read(bytes, &report)) {
+        repeat_report_clear(&report);
+    }
+    if (repeat_answer_read(bytes, &answer)) {
+        repeat_answer_clear(&answer);
+    }
+}
+
+/* Messages of instances about repeats are read back as written, with and
+ * without a history; a count of instances beyond the bound is refused. */
+static void
+test_repeat_messages(void)
+{
+    repeat_item_t items[2] = {
+        {.request = {.service = 7,
+                     .firsts = 10,
+                     .oldest_first_ms = 90,
+                     .newest_first_ms = 20,
+                     .own_spent = 1,
+                     .granted_spent = 2,
+                     .spent_age_ms = 30,
+                     .held = 3,
+                     .wanted = 4}},
+        {.request = {.service = 8}, .has_history = TRUE},
+    };
+    items[1].history[REPEAT_HISTORY_MAX - 1] =
+        (repeat_slot_t){.firsts = 5, .spent = 6};
+    repeat_grant_t grant = {
+        .service = 7, .granted = 1, .keep = 2, .spent = 3, .allowed = 4};
+    repeat_report_t report = {.from = (char *)"entry-1",
+                              .incarnation = 2,
+                              .sequence = 9,
+                              .epoch = 3,
+                              .age_ms = 4000,
+                              .instances = 6};
+    repeat_answer_t answer = {.epoch = 3, .pace = repeat_pace(6)};
+    repeat_report_t read;
+    repeat_answer_t read_answer;
+    report.items = g_array_new(FALSE, FALSE, sizeof(repeat_item_t));
+    g_array_append_vals(report.items, items, G_N_ELEMENTS(items));
+    answer.grants = g_array_new(FALSE, FALSE, sizeof(grant));
+    g_array_append_val(answer.grants, grant);
+    GBytes *written = repeat_report_write(&report);
+    CU_ASSERT_FATAL(repeat_report_read(written, &read));
+    CU_ASSERT_STRING_EQUAL(read.from, "entry-1");
+    CU_ASSERT(read.incarnation == 2 && read.sequence == 9 && read.epoch == 3);
+    CU_ASSERT(read.age_ms == 4000 && read.instances == 6);
+    CU_ASSERT_EQUAL_FATAL(read.items->len, 2);
+    const repeat_item_t *first = &g_array_index(read.items, repeat_item_t, 0);
+    const repeat_item_t *second = &g_array_index(read.items, repeat_item_t, 1);
+    CU_ASSERT(memcmp(&first->request, &items[0].request,
+                     sizeof(first->request)) == 0);
+    CU_ASSERT(!first->has_history && second->has_history);
+    CU_ASSERT(memcmp(second->history, items[1].history,
+                     sizeof(second->history)) == 0);
+    repeat_report_clear(&read);
+    parse_mutations(written, parse_repeats, 51);
+    g_bytes_unref(written);
+    written = repeat_answer_write(&answer);
+    CU_ASSERT_FATAL(repeat_answer_read(written, &read_answer));
+    CU_ASSERT(memcmp(read_answer.grants->data, &grant, sizeof(grant)) == 0);
+    CU_ASSERT(memcmp(&read_answer.pace, &answer.pace, sizeof(answer.pace)) ==
+              0);
+    repeat_answer_clear(&read_answer);
+    parse_mutations(written, parse_repeats, 52);
+    g_bytes_unref(written);
+    report.instances = REPEAT_INSTANCES_MAX + 1;
+    written = repeat_report_write(&report);
+    CU_ASSERT_FALSE(repeat_report_read(written, &read));
+    g_bytes_unref(written);
+    g_array_unref(report.items);
+    g_array_unref(answer.grants);
+}
+
 static void
 test_settings_faults(void)
 {
@@ -599,6 +679,7 @@
 static const test_case_t cases[] = {
     {"mutated input is refused or read", test_mutations},
     {"messages about limits", test_limit_messages},
+    {"messages about repeats", test_repeat_messages},
     {"reports of endpoints that leave", test_leaving_reports},
     {"frames of a tunnel", test_tunnel_frames},
     {"settings' faults have their place", test_settings_faults},
