Soak: the requests of its last check have ids of their own

Cause, traced in all five: the check that what merely ran there is not held back sends 20 or 24 requests under one id, so that 19 to 23 arrivals counted as repeats; without them the five windows had 105 to 127 repeats of 122.6 to 142.8 allowed. Repeat lines and arrivals agree otherwise. They have ids of their own now and count as requests, as a client's do.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -556,9 +556,11 @@
     }
     for (guint i = 0; i < s->fleet->entries * G_N_ELEMENTS(TARGETS); i++) {
         const char *target = TARGETS[i % G_N_ELEMENTS(TARGETS)];
-        reply_t *reply =
-            fleet_request(fleet_entry(s->fleet, i / G_N_ELEMENTS(TARGETS)),
-                          target, "calm", "");
+        char *id = g_strdup_printf("calm-%u", i);
+        soak_repeats_record(s->repeats, g_get_monotonic_time());
+        reply_t *reply = fleet_request(
+            fleet_entry(s->fleet, i / G_N_ELEMENTS(TARGETS)), target, id, "");
+        g_free(id);
         if (strstr(reply->body->str, "endpoints end under") != NULL) {
             broke(s, "what merely ran there is not held back", target);
         }
