Grants of repeats: the dump says when they begin; names

What the grantor answered of all instances is named so, the dump of the grantor says in how many milliseconds grants begin instead of that they don't yet, and a function that nobody called is gone. No change of what is decided.

--- a/carobloomd/gateway/repeat_link.c
+++ b/carobloomd/gateway/repeat_link.c
@@ -38,9 +38,9 @@
     inner_line_t *line;
     guint64 timer;
     gint64 sent_us;
-    repeat_pace_t pace; /* as last told */
-    gboolean is_answering;
-    gboolean is_ending;
+    repeat_pace_t pace;    /* from the last answer */
+    gboolean is_answering; /* the grantor answered the last request */
+    gboolean is_ending;    /* no more grants are wanted */
 };
 
 static void on_due(void *data);
@@ -320,10 +320,11 @@
     event_log_number("rank", take->rank);
     event_log_number("left_own", repeat_budget_own(budget, &limits, now));
     event_log_number("left_granted", repeat_budget_granted(budget, now));
-    event_log_number("spent", budget->told_spent);
-    event_log_number("allowed", budget->told_allowed);
-    event_log_number("told_age_ms",
-                     budget->told_us != 0 ? (now - budget->told_us) / MS : -1);
+    event_log_number("spent", budget->all_spent);
+    event_log_number("allowed", budget->all_allowed);
+    event_log_number("told_age_ms", budget->answered_us != 0
+                                        ? (now - budget->answered_us) / MS
+                                        : -1);
     event_log_number("instances", instance_count_get(&e->sharing_instances));
     event_log_number(
         "instances_age_ms",
@@ -385,11 +386,11 @@
         g_string_append_printf(
             text,
             "repeats of %s: %u own and %u granted left, %u first sends, %u "
-            "repeats; of all instances %u of %u, told %ld ms ago\n",
+            "repeats; of all instances %u of %u, %ld ms ago\n",
             (const char *)name, repeat_budget_own(b, &limits, now),
             repeat_budget_granted(b, now), b->firsts,
-            b->own_spent + b->granted_spent, b->told_spent, b->told_allowed,
-            (long)(b->told_us != 0 ? (now - b->told_us) / MS : -1));
+            b->own_spent + b->granted_spent, b->all_spent, b->all_allowed,
+            (long)(b->answered_us != 0 ? (now - b->answered_us) / MS : -1));
     }
 }
 
--- a/include/carobloom/policy/repeat_budget.h
+++ b/include/carobloom/policy/repeat_budget.h
@@ -70,11 +70,11 @@
     limit_share_t share;
     repeat_slot_t history[REPEAT_HISTORY_MAX]; /* by slot modulo its size */
     gint64 history_slot;
-    /* of all instances, as last told by the grantor */
-    guint32 told_spent;
-    guint32 told_allowed;
-    gint64 told_us;   /* 0: never */
-    gint64 logged_us; /* when a refused repeat was last logged */
+    /* of all instances in the last window, from the grantor's last answer */
+    guint32 all_spent;
+    guint32 all_allowed;
+    gint64 answered_us; /* time of that answer; 0: none yet */
+    gint64 logged_us;   /* when a refused repeat was last logged */
 } repeat_budget_t;
 
 /* What an instance reports to the grantor, and wants of it. */
--- a/include/carobloom/policy/repeat_quota.h
+++ b/include/carobloom/policy/repeat_quota.h
@@ -61,8 +61,6 @@
 /* Counts expired grants as spent, and forgets instances and services without a
  * recent request. To be called several times per second. */
 void repeat_quota_expire(repeat_quota_t *quota, gint64 now_us);
-/* The time from which on grants are given, as known now. */
-gint64 repeat_quota_grants_from_us(const repeat_quota_t *quota);
 /* The number of instances that the quota counts with. */
 guint repeat_quota_instances(const repeat_quota_t *quota);
 /* Appends one diagnostic line per service. */
--- a/policy/repeat_budget.c
+++ b/policy/repeat_budget.c
@@ -1,7 +1,5 @@
 #include "carobloom/policy/repeat_budget.h"
 
-#include <string.h>
-
 /* For so long after a repeat was refused grants are requested for it. */
 enum { NEED_US = 2 * 1000 * 1000 };
 
@@ -188,9 +186,9 @@
     b->granted_lifetime_us = lifetime_us;
     b->unmet -= MIN(b->unmet, grant->granted);
     b->first_unreported_us = b->first_unsent_us;
-    b->told_spent = grant->spent;
-    b->told_allowed = grant->allowed;
-    b->told_us = now_us;
+    b->all_spent = grant->spent;
+    b->all_allowed = grant->allowed;
+    b->answered_us = now_us;
     limit_share_record_granted(&b->share, grant->granted, now_us);
 }
 
--- a/policy/repeat_quota.c
+++ b/policy/repeat_quota.c
@@ -1,7 +1,6 @@
 #include "carobloom/policy/repeat_quota.h"
 
 #include <math.h>
-#include <string.h>
 
 #include "carobloom/policy/instance_count.h"
 
@@ -495,12 +494,6 @@
     update_granting(q, now_us);
 }
 
-gint64
-repeat_quota_grants_from_us(const repeat_quota_t *q)
-{
-    return q->grants_from_us;
-}
-
 guint
 repeat_quota_instances(const repeat_quota_t *q)
 {
@@ -520,12 +513,14 @@
             text,
             "repeats of %016" G_GINT64_MODIFIER
             "x: %u first sends and %u repeats in the last window, %u granted, "
-            "%.0f available, %u instances, %u want grants, %s\n",
+            "%.0f available, %u instances, %u want grants, grants begin in "
+            "%ld "
+            "ms\n",
             s->service, sum(s, s->firsts, 0, WINDOW_SLOTS - 1),
             sum(s, s->spent, 0, WINDOW_SLOTS - 1), s->outstanding,
             MAX(budget_left(q, s) - s->outstanding, 0),
             g_hash_table_size(s->grantees), s->wanting,
-            q->is_granting ? "granting" : "earlier repeats not known yet");
+            (long)(q->is_granting ? 0 : (q->grants_from_us - now_us) / MS));
     }
 }
 
