--- a/tests/fleet_repeats.c
+++ b/tests/fleet_repeats.c
@@ -73,9 +73,10 @@
     return bounds[1] - bounds[0];
 }
 
-repeats_window_t
-repeats_in_window(const GArray *repeats, const GArray *requests,
-                  const repeats_rule_t *rule, gint64 from_us)
+/* The window that begins at `from_us`. */
+static repeats_window_t
+window_from(const GArray *repeats, const GArray *requests,
+            const repeats_rule_t *rule, gint64 from_us)
 {
     gint64 window_us = REPEATS_WINDOW_MS * 1000;
     guint asked = 0;
@@ -91,15 +92,26 @@
     };
 }
 
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+    gint64 x = *(const gint64 *)a;
+    gint64 y = *(const gint64 *)b;
+    return x < y ? -1 : x > y;
+}
+
 repeats_window_t
-repeats_worst(const GArray *repeats, const GArray *requests,
+repeats_worst(const GArray *repeats, GArray *requests,
               const repeats_rule_t *rule)
 {
-    repeats_window_t worst = {.allowed = G_MAXDOUBLE};
+    repeats_window_t worst = {.allowed = rule->slack};
+    g_array_sort(requests, compare_times);
     for (guint i = 0; i < repeats->len; i++) {
-        repeats_window_t w = repeats_in_window(
-            repeats, requests, rule, g_array_index(repeats, gint64, i));
-        if (w.repeats - w.allowed > worst.repeats - worst.allowed) {
+        repeats_window_t w = window_from(repeats, requests, rule,
+                                         g_array_index(repeats, gint64, i));
+        gboolean is_worse =
+            w.repeats - w.allowed > worst.repeats - worst.allowed;
+        if (worst.repeats == 0 || is_worse) {
             worst = w;
         }
     }
--- a/tests/fleet_repeats.h
+++ b/tests/fleet_repeats.h
@@ -22,14 +22,10 @@
 /* Returns the times (gint64, us) of arrivals beyond the first of each request
  * at all endpoints, in order; to be unref'd. */
 GArray *fleet_repeat_times(const fleet_t *fleet);
-/* Returns the window in which repeats exceed what is allowed by most. Both
- * arrays hold times (gint64, us) in order; `requests` those at which clients
- * sent requests. */
-repeats_window_t repeats_worst(const GArray *repeats, const GArray *requests,
+/* Returns the window in which repeats exceed what is allowed by most, or one
+ * without repeats. `requests` holds the times (gint64, us) at which clients
+ * sent requests, and is sorted. */
+repeats_window_t repeats_worst(const GArray *repeats, GArray *requests,
                                const repeats_rule_t *rule);
-/* Returns the window that begins at `from_us`. */
-repeats_window_t repeats_in_window(const GArray *repeats,
-                                   const GArray *requests,
-                                   const repeats_rule_t *rule, gint64 from_us);
 
 #endif
--- a/tests/soak_repeats.c
+++ b/tests/soak_repeats.c
@@ -54,14 +54,6 @@
     }
 }
 
-static gint
-compare_times(gconstpointer a, gconstpointer b)
-{
-    gint64 x = *(const gint64 *)a;
-    gint64 y = *(const gint64 *)b;
-    return x < y ? -1 : x > y;
-}
-
 gboolean
 soak_repeats_kept(soak_repeats_t *r)
 {
@@ -69,7 +61,6 @@
         return TRUE;
     }
     GArray *repeats = fleet_repeat_times(r->fleet);
-    g_array_sort(r->requests, compare_times);
     repeats_window_t worst = repeats_worst(repeats, r->requests, &RULE);
     printf("worst window: %u repeats of %.1f allowed\n", worst.repeats,
            worst.allowed);
--- a/tests/test_repeats.c
+++ b/tests/test_repeats.c
@@ -162,14 +162,6 @@
     }
 }
 
-static gint
-compare_times(gconstpointer a, gconstpointer b)
-{
-    gint64 x = *(const gint64 *)a;
-    gint64 y = *(const gint64 *)b;
-    return x < y ? -1 : x > y;
-}
-
 typedef struct {
     const repeat_case_t *setup;
     gboolean up;
@@ -194,7 +186,6 @@
         load_stop(&p.load, p.threads);
     }
     GArray *repeats = fleet_repeat_times(f);
-    g_array_sort(p.requests, compare_times);
     outcome->worst = repeats_worst(repeats, p.requests, &RULE);
     g_array_unref(repeats);
     g_array_unref(p.requests);
