Limits of repeats are read from the settings in one place

The grantor and the entry instance built the same limits from the same three settings. gateway_settings_repeat_limits serves both. The history of a window is copied only into the request that sends it, not for each. No change of what is decided or sent.

--- a/carobloomd/control/repeat_grants.c
+++ b/carobloomd/control/repeat_grants.c
@@ -27,12 +27,7 @@
 static void
 begin_granting(control_t *c)
 {
-    const gateway_settings_t *settings = c->settings;
-    repeat_limits_t limits = {
-        .window_us = (gint64)(settings->retry_window_s * G_USEC_PER_SEC),
-        .ratio = settings->retry_ratio,
-        .slack = settings->retry_slack,
-    };
+    repeat_limits_t limits = gateway_settings_repeat_limits(c->settings);
     /* Without a configuration entry instances send no requests. */
     gboolean is_first = c->view.first_start && !c->others_led &&
                         control_newest_version(c) == 0;
--- a/carobloomd/gateway/repeat_link.c
+++ b/carobloomd/gateway/repeat_link.c
@@ -48,12 +48,7 @@
 static repeat_limits_t
 repeat_limits(const repeat_link_t *link)
 {
-    const gateway_settings_t *settings = link->entry->settings;
-    return (repeat_limits_t){
-        .window_us = (gint64)(settings->retry_window_s * G_USEC_PER_SEC),
-        .ratio = settings->retry_ratio,
-        .slack = settings->retry_slack,
-    };
+    return gateway_settings_repeat_limits(link->entry->settings);
 }
 
 repeat_budget_t *
@@ -209,7 +204,9 @@
             .has_history = link->epoch == 0,
         };
         repeat_budget_fill_request(value, &item.request, now);
-        repeat_budget_history(value, &limits, item.history, now);
+        if (item.has_history) {
+            repeat_budget_history(value, &limits, item.history, now);
+        }
         g_array_append_val(items, item);
     }
     return items;
--- a/carobloomd/gateway/settings.c
+++ b/carobloomd/gateway/settings.c
@@ -203,6 +203,16 @@
     return g_strdup_printf("%s:%d", ip, (int)s->peers_port);
 }
 
+repeat_limits_t
+gateway_settings_repeat_limits(const gateway_settings_t *s)
+{
+    return (repeat_limits_t){
+        .window_us = (gint64)(s->retry_window_s * G_USEC_PER_SEC),
+        .ratio = s->retry_ratio,
+        .slack = s->retry_slack,
+    };
+}
+
 void
 gateway_settings_destroy(gateway_settings_t *s)
 {
--- a/include/carobloom/gateway/settings.h
+++ b/include/carobloom/gateway/settings.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "carobloom/common/str.h"
+#include "carobloom/policy/repeat_budget.h"
 
 enum {
     GATEWAY_SETTINGS_OK = 0,
@@ -64,6 +65,8 @@
                           GPtrArray *faults);
 /* IP:PORT to listen on for other instances; freed with g_free. */
 char *gateway_settings_inner_listener(const gateway_settings_t *settings);
+repeat_limits_t
+gateway_settings_repeat_limits(const gateway_settings_t *settings);
 void gateway_settings_destroy(gateway_settings_t *settings);
 
 #endif
