Late timers run only after the sockets were read

What callers saw: an instance that did not run for a while answered 504 "time is up", or broke a stream off, though the whole answer of the endpoint lay in its socket. By reading, the same holds after a long event, such as a large configuration, and for the other timeouts: connections that were made (250 ms), tunnels, health checks, leases, and idle connections of callers on which a request waited.

Cause: in a turn of the main loop the timers ran before the sockets: the task's source came first, and the poller ran due timers between taking events from the kernel and handling them.

Now the poller comes first and only brings the clock up to date, before each event; a task whose timers are late first takes the events that wait, in a bounded number of turns, so that a connection is accepted and its bytes are read as well.

Evidence: test_stalls with the wiring as it was failed in five of six cases, all but the one in which nothing arrives; "an instance that did not run delivers answers" in test_gateway, with gateway.c as it was, gave 504, 504 and two streams broken off, twice of two runs. Both pass now.

--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -51,11 +51,19 @@
 static const task_ops_t TASK_OPS = {
     .name = "gateway", .mailbox_bound = MAILBOX_MAX, .handle = gateway_handle};
 
+/* Brings the clock up to date. Timers run after the events, since a timeout
+ * must not give up what has arrived. */
 static void
 on_poller_turn(void *data)
 {
     gateway_t *g = data;
-    timers_advance(task_timers(g->task), g_get_monotonic_time());
+    timers_set_now(task_timers(g->task), g_get_monotonic_time());
+}
+
+static void
+catch_up(void *data)
+{
+    poller_catch_up(data);
 }
 
 static gboolean
@@ -197,7 +205,7 @@
 on_drain_poll(gpointer data)
 {
     gateway_t *g = data;
-    timers_advance(task_timers(g->task), g_get_monotonic_time());
+    on_poller_turn(g);
     if ((g->entry == NULL || entry_idle(g->entry)) &&
         (g->control == NULL || control_idle(g->control))) {
         g_main_loop_quit(g->loop);
@@ -245,11 +253,13 @@
 static gboolean
 gateway_start(gateway_t *g, const gateway_settings_t *s)
 {
-    g->task = task_create(&TASK_OPS, g, g_main_context_default());
+    /* Sources of one context take turns in the order of their creation. */
     g->poller = poller_create(g_main_context_default(), on_poller_turn, g);
     if (g->poller == NULL) {
         return FALSE;
     }
+    g->task = task_create(&TASK_OPS, g, g_main_context_default());
+    task_set_catch_up(g->task, catch_up, g->poller);
     if (is_set(s->callers)) {
         g->entry = entry_create(s, g->task, g->poller);
         if (g->entry == NULL) {
--- a/common/poller.c
+++ b/common/poller.c
@@ -4,6 +4,8 @@
 
 /* Events taken from the kernel at once; more wait for the next turn. */
 enum { EVENTS_A_TURN = 128 };
+/* Bounds poller_catch_up while new events keep arriving. */
+enum { CATCH_UP_TURNS = 8 };
 
 struct poller {
     int fd;
@@ -35,24 +37,31 @@
     return g_source_query_unix_fd(source, self->tag) != 0;
 }
 
-static gboolean
-poller_dispatch(GSource *source, GSourceFunc fn, gpointer data)
+/* Returns the number of events. */
+static int
+take_events(poller_t *poller)
 {
-    (void)fn;
-    (void)data;
-    poller_t *poller = ((poller_source_t *)source)->poller;
     struct epoll_event events[EVENTS_A_TURN];
     int count = epoll_wait(poller->fd, events, EVENTS_A_TURN, 0);
     poller->dispatching = TRUE;
-    poller->turn(poller->data);
     for (int i = 0; i < count; i++) {
         poll_watch_t *watch = events[i].data.ptr;
+        poller->turn(poller->data);
         if (watch->fn != NULL) {
             watch->fn(events[i].events, watch->data);
         }
     }
     poller->dispatching = FALSE;
     g_ptr_array_set_size(poller->dead, 0);
+    return count;
+}
+
+static gboolean
+poller_dispatch(GSource *source, GSourceFunc fn, gpointer data)
+{
+    (void)fn;
+    (void)data;
+    take_events(((poller_source_t *)source)->poller);
     return G_SOURCE_CONTINUE;
 }
 
@@ -89,6 +98,13 @@
     g_free(poller);
 }
 
+void
+poller_catch_up(poller_t *poller)
+{
+    for (int i = 0; i < CATCH_UP_TURNS && take_events(poller) > 0; i++) {
+    }
+}
+
 poll_watch_t *
 poll_watch_create(poller_t *poller, int fd, guint32 events, poll_fn_t fn,
                   void *data)
--- a/common/task.c
+++ b/common/task.c
@@ -14,6 +14,8 @@
     GThread *thread;
     GAsyncQueue *mailbox;
     timers_t *timers;
+    void (*catch_up)(void *data); /* before late timers; may be NULL */
+    void *catch_up_data;
     GSource *source;
     void (*begin)(void *state);
     void (*end)(void *state);
@@ -21,7 +23,10 @@
     gint stopped;
 };
 
-enum { MESSAGES_A_TURN = 256 };
+enum {
+    MESSAGES_A_TURN = 256,
+    LATE_US = 10 * 1000, /* by which a timer is late */
+};
 
 static gboolean
 source_prepare(GSource *source, gint *timeout_ms)
@@ -49,13 +54,25 @@
     return source_prepare(source, &timeout_ms);
 }
 
+static void
+run_timers(task_t *task)
+{
+    gint64 now = g_get_monotonic_time();
+    if (task->catch_up != NULL &&
+        now - timers_next(task->timers) >= (gint64)LATE_US) {
+        task->catch_up(task->catch_up_data);
+        now = g_get_monotonic_time();
+    }
+    timers_advance(task->timers, now);
+}
+
 static gboolean
 source_dispatch(GSource *source, GSourceFunc fn, gpointer data)
 {
     (void)fn;
     (void)data;
     task_t *task = ((task_source_t *)source)->task;
-    timers_advance(task->timers, g_get_monotonic_time());
+    run_timers(task);
     for (int i = 0; i < MESSAGES_A_TURN; i++) {
         message_t *message = g_async_queue_try_pop(task->mailbox);
         if (message == NULL) {
@@ -149,6 +166,13 @@
     g_free(task);
 }
 
+void
+task_set_catch_up(task_t *task, void (*catch_up)(void *data), void *data)
+{
+    task->catch_up = catch_up;
+    task->catch_up_data = data;
+}
+
 int
 task_send(task_t *task, message_t *message)
 {
--- a/common/timers.c
+++ b/common/timers.c
@@ -81,11 +81,17 @@
     g_sequence_remove(at);
 }
 
+void
+timers_set_now(timers_t *timers, gint64 now_us)
+{
+    timers->now_us = MAX(timers->now_us, now_us);
+}
+
 guint
 timers_advance(timers_t *timers, gint64 now_us)
 {
     guint ran = 0;
-    timers->now_us = MAX(timers->now_us, now_us);
+    timers_set_now(timers, now_us);
     for (;;) {
         GSequenceIter *first = g_sequence_get_begin_iter(timers->queue);
         if (g_sequence_iter_is_end(first)) {
--- a/include/carobloom/common/poller.h
+++ b/include/carobloom/common/poller.h
@@ -14,14 +14,17 @@
 /* `events` are EPOLLIN, EPOLLOUT, EPOLLERR, EPOLLHUP. */
 typedef void (*poll_fn_t)(guint32 events, void *data);
 
-/* Called before each batch of events, to bring the owner's clock up to
- * date. */
+/* Called before each event, to bring the owner's clock up to date: the event
+ * before may have taken long. */
 typedef void (*poll_turn_fn_t)(void *data);
 
 /* NULL when the kernel gives no epoll set. */
 poller_t *poller_create(GMainContext *context, poll_turn_fn_t turn,
                         void *data);
 void poller_destroy(poller_t *poller);
+/* Takes events that wait already, also those that taking them brings, such as
+ * bytes on a connection that was accepted. Does not block. */
+void poller_catch_up(poller_t *poller);
 /* Watches a descriptor, which stays the caller's; NULL when refused. */
 poll_watch_t *poll_watch_create(poller_t *poller, int fd, guint32 events,
                                 poll_fn_t fn, void *data);
--- a/include/carobloom/common/timers.h
+++ b/include/carobloom/common/timers.h
@@ -17,6 +17,8 @@
 guint64 timers_subscribe(timers_t *timers, gint64 delay_us, gint64 period_us,
                          timer_fn_t fn, void *data);
 void timers_cancel(timers_t *timers, guint64 id);
+/* Moves the clock to `now_us` and runs nothing. */
+void timers_set_now(timers_t *timers, gint64 now_us);
 /* Runs what is due at `now_us`, in order of time; returns how many ran. */
 guint timers_advance(timers_t *timers, gint64 now_us);
 /* The next due time, or G_MAXINT64. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -230,6 +230,78 @@
     fleet_destroy(f);
 }
 
+/* ---- an instance that did not run for a while ---- */
+
+typedef struct {
+    const char *name;
+    const char *target;
+    gboolean is_stream;
+} paused_case_t;
+
+static const paused_case_t PAUSED_CASES[] = {
+    {"plain", "/safe/slow", FALSE},
+    {"unsafe", "/once/slow", FALSE},
+    {"stream", "/stream/1", TRUE},
+    {"a stream that may not go on", "/fragile/stream/1", TRUE},
+};
+
+typedef struct {
+    fleet_t *fleet;
+    const paused_case_t *c;
+    reply_t *reply;
+} paused_client_t;
+
+/* The deadline passes while the instance does not run, after the endpoint has
+ * answered. */
+static gpointer
+paused_client(gpointer data)
+{
+    paused_client_t *client = data;
+    char *fields = g_strdup_printf("Request-Id: paused\r\n"
+                                   "Authorization: Bearer %s\r\n"
+                                   "Deadline-Ms: 700\r\n",
+                                   FLEET_KEY);
+    client->reply =
+        fleet_call(fleet_entry(client->fleet, 0)->ip, FLEET_CALLERS_PORT,
+                   "GET", client->c->target, fields, "", 5000);
+    g_free(fields);
+    return NULL;
+}
+
+static void
+paused_case(fleet_t *f, const paused_case_t *c)
+{
+    enum { BEGUN_MS = 80, PAUSE_MS = 1000 };
+    paused_client_t client = {.fleet = f, .c = c};
+    GThread *thread = g_thread_new("client", paused_client, &client);
+    fleet_sleep(BEGUN_MS);
+    fleet_signal(fleet_entry(f, 0), SIGSTOP);
+    fleet_sleep(PAUSE_MS);
+    fleet_signal(fleet_entry(f, 0), SIGCONT);
+    g_thread_join(thread);
+    const reply_t *reply = client.reply;
+    gboolean passed = reply->status == 200 && reply->complete &&
+                      (!c->is_stream || is_stream(reply, 1, EVENTS));
+    if (!passed) {
+        printf("%s: status %u, complete %d: %s\n", c->name, reply->status,
+               reply->complete, reply->body->str);
+    }
+    CU_ASSERT(passed);
+    reply_free(client.reply);
+}
+
+/* Guards against giving up an answer that has arrived: an instance that did
+ * not run for a while delivers it, though the time is up meanwhile. */
+static void
+test_paused_entry(void)
+{
+    fleet_t *f = fleet_of(1, 1, 1);
+    for (gsize i = 0; i < G_N_ELEMENTS(PAUSED_CASES); i++) {
+        paused_case(f, &PAUSED_CASES[i]);
+    }
+    fleet_destroy(f);
+}
+
 /* ---- planned work ---- */
 
 static void
@@ -828,6 +900,7 @@
     {"a stream that may not go on", test_fragile_stream},
     {"a silent endpoint without another", test_silent_single_endpoint},
     {"endpoints lost amid streams", test_endpoint_lost},
+    {"an instance that did not run delivers answers", test_paused_entry},
     {"an entry instance drains", test_entry_drains},
     {"an endpoint drains", test_endpoint_drains},
     {"an endpoint starts again under its id", test_endpoint_restarts},
--- /dev/null
+++ b/tests/test_stalls.c
@@ -0,0 +1,246 @@
+/* A process that did not run for a while, or was busy with one thing: timeouts
+ * give up nothing that arrived in the meantime. */
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "carobloom/common/poller.h"
+#include "carobloom/common/task.h"
+#include "check.h"
+
+enum {
+    MS = 1000,
+    TIMEOUT_US = 40 * MS,
+    STALL_US = 120 * MS, /* well beyond the timeout */
+    WAIT_US = 2000 * MS,
+};
+
+typedef struct {
+    poller_t *poller;
+    task_t *task;
+    GMainContext *context;
+    int awaited[2]; /* the second end is watched for the answer */
+    int busy[2];    /* the second end is watched by the busy callback */
+    poll_watch_t *awaited_watch;
+    poll_watch_t *busy_watch;
+    gboolean answered;
+    gboolean gave_up;
+} stalled_t;
+
+static void
+ignore_message(void *state, message_t *message)
+{
+    (void)state;
+    (void)message;
+}
+
+static const task_ops_t TASK_OPS = {
+    .name = "stalled", .mailbox_bound = 1, .handle = ignore_message};
+
+static void
+on_turn(void *data)
+{
+    const stalled_t *s = data;
+    timers_set_now(task_timers(s->task), g_get_monotonic_time());
+}
+
+static void
+catch_up(void *data)
+{
+    poller_catch_up(data);
+}
+
+static void
+on_answer(guint32 events, void *data)
+{
+    (void)events;
+    stalled_t *s = data;
+    char byte;
+    s->answered |= read(s->awaited[1], &byte, 1) == 1 && !s->gave_up;
+}
+
+static void
+on_timeout(void *data)
+{
+    stalled_t *s = data;
+    s->gave_up = !s->answered;
+}
+
+static void
+send_answer(const stalled_t *s)
+{
+    CU_ASSERT_EQUAL(write(s->awaited[0], "a", 1), 1);
+}
+
+static void
+watch_answer(stalled_t *s)
+{
+    s->awaited_watch =
+        poll_watch_create(s->poller, s->awaited[1], EPOLLIN, on_answer, s);
+}
+
+/* ---- what keeps the process busy ---- */
+
+static void
+stall_between_turns(stalled_t *s)
+{
+    watch_answer(s);
+    send_answer(s);
+    g_usleep(STALL_US);
+}
+
+static void
+on_busy_event(guint32 events, void *data)
+{
+    (void)events;
+    stalled_t *s = data;
+    g_clear_pointer(&s->busy_watch, poll_watch_destroy);
+    send_answer(s);
+    g_usleep(STALL_US);
+}
+
+static void
+stall_in_event(stalled_t *s)
+{
+    watch_answer(s);
+    s->busy_watch =
+        poll_watch_create(s->poller, s->busy[1], EPOLLIN, on_busy_event, s);
+    CU_ASSERT_EQUAL(write(s->busy[0], "b", 1), 1);
+}
+
+static void
+on_busy_timer(void *data)
+{
+    send_answer(data);
+    g_usleep(STALL_US);
+}
+
+static void
+stall_in_timer(stalled_t *s)
+{
+    watch_answer(s);
+    timers_subscribe(task_timers(s->task), MS, 0, on_busy_timer, s);
+}
+
+static gboolean
+on_busy_source(gpointer data)
+{
+    send_answer(data);
+    g_usleep(STALL_US);
+    return G_SOURCE_REMOVE;
+}
+
+/* A source of the main context that the poller knows nothing of, such as a
+ * signal. */
+static void
+stall_in_source(stalled_t *s)
+{
+    GSource *source = g_idle_source_new();
+    g_source_set_priority(source, G_PRIORITY_DEFAULT);
+    g_source_set_callback(source, on_busy_source, s, NULL);
+    g_source_attach(source, s->context);
+    g_source_unref(source);
+    watch_answer(s);
+}
+
+static void
+on_connection(guint32 events, void *data)
+{
+    (void)events;
+    stalled_t *s = data;
+    g_clear_pointer(&s->busy_watch, poll_watch_destroy);
+    watch_answer(s);
+}
+
+/* The answer is seen only once another event was taken, as that of a
+ * connection which has to be accepted first. */
+static void
+stall_before_accept(stalled_t *s)
+{
+    s->busy_watch =
+        poll_watch_create(s->poller, s->busy[1], EPOLLIN, on_connection, s);
+    CU_ASSERT_EQUAL(write(s->busy[0], "b", 1), 1);
+    send_answer(s);
+    g_usleep(STALL_US);
+}
+
+static void
+no_answer(stalled_t *s)
+{
+    watch_answer(s);
+}
+
+typedef struct {
+    const char *name;
+    void (*stall)(stalled_t *s);
+    gboolean answered;
+} stall_case_t;
+
+static const stall_case_t STALL_CASES[] = {
+    {"between two turns", stall_between_turns, TRUE},
+    {"in an event", stall_in_event, TRUE},
+    {"in a timer", stall_in_timer, TRUE},
+    {"in another source", stall_in_source, TRUE},
+    {"before a connection is accepted", stall_before_accept, TRUE},
+    {"nothing arrives", no_answer, FALSE},
+};
+
+static void
+stalled_open(stalled_t *s)
+{
+    *s = (stalled_t){.context = g_main_context_new()};
+    s->poller = poller_create(s->context, on_turn, s);
+    s->task = task_create(&TASK_OPS, s, s->context);
+    task_set_catch_up(s->task, catch_up, s->poller);
+    CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, s->awaited), 0);
+    CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, s->busy), 0);
+}
+
+static void
+stalled_close(stalled_t *s)
+{
+    g_clear_pointer(&s->awaited_watch, poll_watch_destroy);
+    g_clear_pointer(&s->busy_watch, poll_watch_destroy);
+    poller_destroy(s->poller);
+    task_destroy(s->task);
+    g_main_context_unref(s->context);
+    for (int i = 0; i < 2; i++) {
+        close(s->awaited[i]);
+        close(s->busy[i]);
+    }
+}
+
+static void
+stall_case(const stall_case_t *c)
+{
+    stalled_t s;
+    stalled_open(&s);
+    timers_subscribe(task_timers(s.task), TIMEOUT_US, 0, on_timeout, &s);
+    c->stall(&s);
+    gint64 until = g_get_monotonic_time() + WAIT_US;
+    while (!s.answered && !s.gave_up && g_get_monotonic_time() < until) {
+        g_main_context_iteration(s.context, TRUE);
+    }
+    if (s.answered != c->answered) {
+        printf("%s: answered %d, gave up %d\n", c->name, s.answered,
+               s.gave_up);
+    }
+    CU_ASSERT_EQUAL(s.answered, c->answered);
+    CU_ASSERT_EQUAL(s.gave_up, !c->answered);
+    stalled_close(&s);
+}
+
+/* Guards against timeouts that give up what has arrived: a process that did
+ * not run reads its sockets before it runs the timers that are late. */
+static void
+test_late_timers(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(STALL_CASES); i++) {
+        stall_case(&STALL_CASES[i]);
+    }
+}
+
+static const test_case_t CASES[] = {
+    {"late timers give up nothing that has arrived", test_late_timers},
+};
+
+CHECK_MAIN("stalls", CASES)
