No connection is closed over a request that has arrived

What callers saw: a connection reset without an answer although they had sent their whole request, when an instance that ends closed its idle connections or its listener, or when an idle time was over; 408 where the rest of a request had arrived within its time.

Cause: the server judged by what it had read. Bytes that lay in the socket, or connections that waited at the listener, counted as nothing, and closing over them resets the connection. The process also ended while a request was only partly read.

Now a connection with unread bytes is read before it is closed or refused, the listener takes the connections that wait before it is closed, and an instance ends when no connection of a caller is left, or at the end of its grace.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -450,7 +450,7 @@
     e->refusing = TRUE;
     http_server_unlisten(e->callers);
     http_server_close_idle(e->callers);
-    return http_server_exchanges(e->callers) == 0 &&
+    return http_server_connections(e->callers) == 0 &&
            tunnel_server_count(e->tunnel_server) == 0;
 }
 
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -13,6 +13,7 @@
 enum {
     ACCEPTS_A_TURN = 64,
     LINGER_US = 500 * 1000, /* for a client to read a refusal before a close */
+    READ_FIRST_US = 1000,   /* for bytes that arrived before a timeout */
 };
 
 typedef enum {
@@ -58,6 +59,7 @@
 
 static void connection_feed(http_exchange_t *c, str_t bytes);
 static void connection_arm(http_exchange_t *c);
+static void connection_expired(void *data);
 
 /* ---- the life of a connection ---- */
 
@@ -164,6 +166,14 @@
     return result == READER_ERROR_OWNER ? c->refusal : 400;
 }
 
+static void
+set_timer(http_exchange_t *c, gint64 delay_us)
+{
+    timers_t *timers = c->server->timers;
+    timers_cancel(timers, c->timer);
+    c->timer = timers_subscribe(timers, delay_us, 0, connection_expired, c);
+}
+
 static void
 connection_expired(void *data)
 {
@@ -182,6 +192,10 @@
         connection_arm(c);
         return;
     }
+    if (!stream_socket_is_quiet(c->socket)) {
+        set_timer(c, READ_FIRST_US);
+        return;
+    }
     if (c->reader.started) {
         connection_refuse(c, 408);
         return;
@@ -200,9 +214,7 @@
     if (c->state == CONNECTION_CLOSING) {
         delay = LINGER_US;
     }
-    timers_cancel(server->timers, c->timer);
-    c->timer =
-        timers_subscribe(server->timers, delay, 0, connection_expired, c);
+    set_timer(c, delay);
 }
 
 /* The request is whole: the owner gets it. */
@@ -345,23 +357,29 @@
     connection_arm(c);
 }
 
+/* Returns FALSE if no connection waits. */
+static gboolean
+accept_one(http_server_t *server)
+{
+    int fd = accept4(server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+        return FALSE;
+    }
+    if (server->count >= server->limits.connections) {
+        counter_add(counter_get("http_connections_over_total", NULL, FALSE),
+                    1);
+        close(fd);
+        return TRUE;
+    }
+    connection_create(server, fd);
+    return TRUE;
+}
+
 static void
 on_acceptable(guint32 events, void *data)
 {
     (void)events;
-    http_server_t *server = data;
-    for (int i = 0; i < ACCEPTS_A_TURN; i++) {
-        int fd = accept4(server->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) {
-            return;
-        }
-        if (server->count >= server->limits.connections) {
-            counter_add(
-                counter_get("http_connections_over_total", NULL, FALSE), 1);
-            close(fd);
-            continue;
-        }
-        connection_create(server, fd);
+    for (int i = 0; i < ACCEPTS_A_TURN && accept_one(data); i++) {
     }
 }
 
@@ -388,8 +406,8 @@
     return server;
 }
 
-void
-http_server_unlisten(http_server_t *server)
+static void
+close_listener(http_server_t *server)
 {
     if (server->watch != NULL) {
         g_clear_pointer(&server->watch, poll_watch_destroy);
@@ -397,10 +415,19 @@
     }
 }
 
+void
+http_server_unlisten(http_server_t *server)
+{
+    /* The kernel resets what waits there when the listener is closed. */
+    while (server->watch != NULL && accept_one(server)) {
+    }
+    close_listener(server);
+}
+
 void
 http_server_destroy(http_server_t *server)
 {
-    http_server_unlisten(server);
+    close_listener(server);
     GList *next;
     for (GList *l = server->connections; l != NULL; l = next) {
         next = l->next;
@@ -434,7 +461,8 @@
     for (GList *l = server->connections; l != NULL; l = next) {
         http_exchange_t *c = l->data;
         next = l->next;
-        if (c->state == CONNECTION_READING && !c->reader.started) {
+        if (c->state == CONNECTION_READING && !c->reader.started &&
+            stream_socket_is_quiet(c->socket)) {
             connection_close(c);
         }
     }
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -45,9 +45,10 @@
                             const http_limits_t *limits);
 /* From now on answers carry "Connection: close". */
 void http_server_drain(http_server_t *server);
-/* Stops taking connections. */
+/* Stops taking connections, once those that wait already are taken. */
 void http_server_unlisten(http_server_t *server);
-/* Closes connections with no request on them, not even a part. */
+/* Closes connections with no request on them, not even a part that was not
+ * read yet. */
 void http_server_close_idle(http_server_t *server);
 guint http_server_connections(const http_server_t *server);
 guint http_server_exchanges(const http_server_t *server);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -766,6 +766,86 @@
     site_close(&site);
 }
 
+/* ---- requests that have arrived but were not read yet ---- */
+
+/* Sends a part of a request and runs the site until it was read. */
+static void
+send_read(site_t *site, int fd, const char *bytes)
+{
+    send(fd, bytes, strlen(bytes), MSG_NOSIGNAL);
+    for (int i = 0; i < 20; i++) {
+        g_main_context_iteration(site->loop.context, FALSE);
+        g_usleep(1000);
+    }
+}
+
+static void
+drain_and_close_idle(site_t *site)
+{
+    http_server_drain(site->server);
+    http_server_close_idle(site->server);
+}
+
+static void
+unlisten(site_t *site)
+{
+    http_server_unlisten(site->server);
+    http_server_close_idle(site->server);
+}
+
+static void
+pass_idle_time(site_t *site)
+{
+    timers_advance(site->loop.timers,
+                   g_get_monotonic_time() + SITE_LIMITS.idle_us);
+}
+
+static void
+pass_head_time(site_t *site)
+{
+    timers_advance(site->loop.timers,
+                   g_get_monotonic_time() + SITE_LIMITS.head_us);
+}
+
+typedef struct {
+    const char *name;
+    const char *read;   /* of the request; NULL: not even accepted */
+    const char *unread; /* the rest, when `happens` is called */
+    void (*happens)(site_t *site);
+} unread_case_t;
+
+static const unread_case_t UNREAD_CASES[] = {
+    {"idle connections are closed", "", GET "\r\n", drain_and_close_idle},
+    {"the listener is closed", NULL, GET "\r\n", unlisten},
+    {"the idle time is over", "", GET "\r\n", pass_idle_time},
+    {"the time for a request is over", GET, "\r\n", pass_head_time},
+};
+
+/* Guards against closing a connection over a request that has arrived. */
+static void
+test_unread_request(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(UNREAD_CASES); i++) {
+        const unread_case_t *c = &UNREAD_CASES[i];
+        site_t site;
+        site_open(&site);
+        int fd = site_connect(&site);
+        if (c->read != NULL) {
+            send_read(&site, fd, c->read);
+        }
+        send(fd, c->unread, strlen(c->unread), MSG_NOSIGNAL);
+        c->happens(&site);
+        GString *text = site_read(&site, fd, "\r\n\r\n");
+        if (strstr(text->str, "200 OK") == NULL) {
+            printf("%s: %s\n", c->name, text->str);
+        }
+        CU_ASSERT_PTR_NOT_NULL(strstr(text->str, "200 OK"));
+        g_string_free(text, TRUE);
+        close(fd);
+        site_close(&site);
+    }
+}
+
 /* An answer broken off does not look whole: the client sees no end mark. */
 static void
 test_abort(void)
@@ -798,6 +878,7 @@
     {"what clients do is answered", test_serve},
     {"a client that leaves is told once", test_client_leaves},
     {"draining closes in order", test_drain},
+    {"a request that has arrived is answered", test_unread_request},
     {"an answer broken off is not whole", test_abort},
 };
 
