An answer that is on its way isn't cut off

What callers saw: an answer that ended early, with the connection closed, where they read slowly or late: 0.5 s after its last byte was written if the connection was to be closed (asked for by the caller, HTTP/1.0, or an instance that ends), at the idle time if it was kept, and at once when an instance that ends closed what it took for idle.

Cause: only the wait for the next request counted. The time that lets a client read a refusal before the close bounded whole answers too.

Now a connection stays while its client takes a part of the answer at least every 4 s, after which the kernel gives it up as well.

Evidence: in test_http all five cases of "an answer is whole for a client that reads late" got 3.9 of 12 MB before, read from 1.5 s on; in test_gateway "callers that read late from an instance that ends" got 3.9 of 8 MB, all four readers. Both pass now.

--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -14,6 +14,9 @@
     ACCEPTS_A_TURN = 64,
     LINGER_US = 500 * 1000, /* for a client to read a refusal before a close */
     READ_FIRST_US = 1000,   /* for bytes that arrived before a timeout */
+    /* A client that takes none of its answer for so long has left. The kernel
+     * gives up such a connection after the same time. */
+    UNREAD_US = 4000 * 1000,
 };
 
 typedef enum {
@@ -33,6 +36,8 @@
     connection_state_t state;
     gint64 started_us;
     gint64 activity_us;
+    gsize backlog;   /* of the answer, when it was last looked at */
+    gint64 taken_us; /* when the client was last seen to take a part of it */
     guint64 timer;
     gboolean chunked_answer;
     gboolean close_after;
@@ -174,6 +179,19 @@
     c->timer = timers_subscribe(timers, delay_us, 0, connection_expired, c);
 }
 
+/* Whether an answer is on its way to a client that still takes it. */
+static gboolean
+is_answer_being_taken(http_exchange_t *c)
+{
+    gint64 now = timers_now(c->server->timers);
+    gsize backlog = stream_socket_backlog(c->socket);
+    if (backlog != c->backlog) {
+        c->backlog = backlog;
+        c->taken_us = now;
+    }
+    return backlog > 0 && now - c->taken_us < (gint64)UNREAD_US;
+}
+
 static void
 connection_expired(void *data)
 {
@@ -183,6 +201,10 @@
     gint64 limit =
         c->reader.started ? server->limits.head_us : server->limits.idle_us;
     gint64 since = c->reader.started ? c->started_us : c->activity_us;
+    if (is_answer_being_taken(c)) {
+        connection_arm(c);
+        return;
+    }
     if (c->state == CONNECTION_CLOSING) {
         connection_close(c);
         return;
@@ -462,6 +484,7 @@
         http_exchange_t *c = l->data;
         next = l->next;
         if (c->state == CONNECTION_READING && !c->reader.started &&
+            stream_socket_backlog(c->socket) == 0 &&
             stream_socket_is_quiet(c->socket)) {
             connection_close(c);
         }
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -47,8 +47,8 @@
 void http_server_drain(http_server_t *server);
 /* Stops taking connections, once those that wait already are taken. */
 void http_server_unlisten(http_server_t *server);
-/* Closes connections with no request on them, not even a part that was not
- * read yet. */
+/* Closes connections with nothing on them: no request, not even a part that
+ * was not read yet, and no answer that the client has not taken yet. */
 void http_server_close_idle(http_server_t *server);
 guint http_server_connections(const http_server_t *server);
 guint http_server_exchanges(const http_server_t *server);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -816,6 +816,54 @@
     fleet_destroy(f);
 }
 
+/* Bytes that come until the connection closes, or `length`. */
+static gsize
+read_up_to(GSocketConnection *connection, gsize length)
+{
+    static char buffer[64 * 1024];
+    gsize total = 0;
+    gssize count = 1;
+    while (total < length && count > 0) {
+        count = g_input_stream_read(
+            g_io_stream_get_input_stream(G_IO_STREAM(connection)), buffer,
+            sizeof(buffer), NULL, NULL);
+        total += (gsize)MAX(count, 0);
+    }
+    return total;
+}
+
+/* Guards against an instance that ends before its callers have read their
+ * answers, those to requests from before the SIGTERM and after it. */
+static void
+test_late_readers_drained(void)
+{
+    enum { READERS = 4, ANSWER_BYTES = 8 * 1024 * 1024, READ_AFTER_MS = 3000 };
+    GSocketConnection *readers[READERS];
+    fleet_t *f = fleet_of(1, 1, 1);
+    fleet_process_t *entry = fleet_entry(f, 0);
+    for (guint i = 0; i < READERS; i++) {
+        char id[32];
+        if (i == READERS / 2) {
+            fleet_signal(entry, SIGTERM);
+        }
+        g_snprintf(id, sizeof(id), "late-%u", i);
+        readers[i] = connect_silent_reader(entry, id);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(readers[i]);
+        fleet_sleep(150);
+    }
+    fleet_sleep(READ_AFTER_MS);
+    for (guint i = 0; i < READERS; i++) {
+        gsize count = read_up_to(readers[i], ANSWER_BYTES);
+        if (count < ANSWER_BYTES) {
+            printf("reader %u: %zu bytes\n", i, count);
+        }
+        CU_ASSERT(count >= ANSWER_BYTES);
+        g_clear_object(&readers[i]);
+    }
+    CU_ASSERT_EQUAL(fleet_wait_exit(entry), 0);
+    fleet_destroy(f);
+}
+
 /* Guards against accepting withdrawn keys: without control instances an entry
  * instance serves for a while, and then refuses requests that need a key,
  * since the key may have been withdrawn. */
@@ -915,6 +963,8 @@
     {"what is invalid is refused", test_invalid_refused},
     {"two operators, one version", test_same_version},
     {"callers that do not read", test_slow_readers},
+    {"callers that read late from an instance that ends",
+     test_late_readers_drained},
     {"no word from control", test_unconfirmed},
     {"bytes are counted by kind of message", test_traffic},
 };
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -846,6 +846,91 @@
     }
 }
 
+/* ---- answers to clients that read late ---- */
+
+enum { LARGE_BYTES = 12 * 1024 * 1024, READ_LATE_US = 1500 * 1000 };
+
+typedef struct {
+    const char *name;
+    const char *fields; /* of the request */
+    gboolean drains;    /* before the answer */
+    gboolean closes;    /* idle connections are closed after the answer */
+} late_case_t;
+
+static const late_case_t LATE_CASES[] = {
+    {"the client asked for a close", "Connection: close\r\n", FALSE, FALSE},
+    {"the server drains", "", TRUE, FALSE},
+    {"the server drains and closes", "", TRUE, TRUE},
+    {"the answer began before the drain", "", FALSE, TRUE},
+    {"the idle time is over meanwhile", "", FALSE, FALSE},
+};
+
+/* Reads what comes until the head and `length` bytes, or the close. */
+static gsize
+read_bytes(site_t *site, int fd, gsize length)
+{
+    static char buffer[64 * 1024];
+    gsize total = 0;
+    gint64 until = g_get_monotonic_time() + WAIT_US;
+    while (total < length && g_get_monotonic_time() < until) {
+        g_main_context_iteration(site->loop.context, FALSE);
+        timers_advance(site->loop.timers, g_get_monotonic_time());
+        ssize_t count = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (count == 0 || (count < 0 && errno != EAGAIN)) {
+            break;
+        }
+        total += (gsize)MAX(count, 0);
+    }
+    return total;
+}
+
+/* The client does not read for a while. */
+static void
+run_unread(site_t *site, gboolean closes)
+{
+    gint64 until = g_get_monotonic_time() + READ_LATE_US;
+    while (g_get_monotonic_time() < until) {
+        g_main_context_iteration(site->loop.context, FALSE);
+        timers_advance(site->loop.timers, g_get_monotonic_time());
+        if (closes) {
+            http_server_close_idle(site->server);
+        }
+        g_usleep(500);
+    }
+}
+
+/* Guards against cutting off an answer that its client has not read yet. */
+static void
+test_late_reader(void)
+{
+    char *body = g_strnfill(LARGE_BYTES, 'x');
+    for (gsize i = 0; i < G_N_ELEMENTS(LATE_CASES); i++) {
+        const late_case_t *c = &LATE_CASES[i];
+        site_t site;
+        site_open(&site);
+        int fd = site_connect(&site);
+        char *request =
+            g_strconcat("GET /hold HTTP/1.1\r\n", c->fields, "\r\n", NULL);
+        send(fd, request, strlen(request), MSG_NOSIGNAL);
+        CU_ASSERT(site_until(&site, &site.requests, 1));
+        if (c->drains) {
+            http_server_drain(site.server);
+        }
+        http_exchange_answer(site.held, 200, STR(""),
+                             (str_t){.data = body, .length = LARGE_BYTES});
+        run_unread(&site, c->closes);
+        gsize count = read_bytes(&site, fd, LARGE_BYTES);
+        if (count < LARGE_BYTES) {
+            printf("%s: %zu bytes\n", c->name, count);
+        }
+        CU_ASSERT(count >= LARGE_BYTES);
+        g_free(request);
+        close(fd);
+        site_close(&site);
+    }
+    g_free(body);
+}
+
 /* An answer broken off does not look whole: the client sees no end mark. */
 static void
 test_abort(void)
@@ -879,6 +964,7 @@
     {"a client that leaves is told once", test_client_leaves},
     {"draining closes in order", test_drain},
     {"a request that has arrived is answered", test_unread_request},
+    {"an answer is whole for a client that reads late", test_late_reader},
     {"an answer broken off is not whole", test_abort},
 };
 
