A smaller limit for bodies holds from the next request on

What callers saw: 413 for a request that was allowed when they sent it, where a configuration with a smaller limit came into force while its body was on the way.

Cause: each piece of a body was compared with the limit in force at that moment. Now the limit is that of the moment at which the head was read.

Evidence: two cases of "a change amid a request" in test_http got 413 before, with and without a length; both get 200 now. A drain amid a body was sound.

--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -32,6 +32,7 @@
     stream_socket_t *socket;
     http_reader_t reader;
     GByteArray *body;
+    gsize body_max;     /* the limit when the request's head arrived */
     GByteArray *unread; /* bytes after the request, for the next one */
     connection_state_t state;
     gint64 started_us;
@@ -105,7 +106,8 @@
     http_exchange_t *c = user;
     const http_head_t *head = &c->reader.head;
     str_t expect;
-    if (head->has_length && head->length > c->server->limits.body_max) {
+    c->body_max = c->server->limits.body_max;
+    if (head->has_length && head->length > c->body_max) {
         c->refusal = 413;
         return -1;
     }
@@ -122,7 +124,7 @@
 {
     http_exchange_t *c = user;
     http_server_t *server = c->server;
-    if (c->body->len + bytes.length > server->limits.body_max) {
+    if (c->body->len + bytes.length > c->body_max) {
         c->refusal = 413;
         return -1;
     }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -846,6 +846,79 @@
     }
 }
 
+/* ---- changes while a request is read ---- */
+
+static void
+make_limits_smaller(site_t *site)
+{
+    http_limits_t limits = SITE_LIMITS;
+    limits.body_max = 8;
+    http_server_set_limits(site->server, &limits);
+}
+
+static void
+drain(site_t *site)
+{
+    http_server_drain(site->server);
+}
+
+typedef struct {
+    const char *name;
+    const char *before;
+    void (*happens)(site_t *site);
+    const char *after;
+    guint answers;
+} change_case_t;
+
+#define POST_CHUNKED "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define TWENTY "14\r\naaaaaaaaaaaaaaaaaaaa\r\n"
+
+static const change_case_t CHANGE_CASES[] = {
+    {"a smaller limit amid a body", POST_CHUNKED TWENTY, make_limits_smaller,
+     TWENTY "0\r\n\r\n", 1},
+    {"a smaller limit amid a body of known length",
+     "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\naaaaa", make_limits_smaller,
+     "aaaaa", 1},
+    {"a drain amid a body", POST_CHUNKED TWENTY, drain, "0\r\n\r\n", 1},
+};
+
+static guint
+count_of(const char *text, const char *part)
+{
+    guint count = 0;
+    for (const char *at = text; (at = strstr(at, part)) != NULL; at++) {
+        count++;
+    }
+    return count;
+}
+
+/* Guards against refusing, or not answering, what was allowed when it was
+ * sent. */
+static void
+test_change_amid_request(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(CHANGE_CASES); i++) {
+        const change_case_t *c = &CHANGE_CASES[i];
+        site_t site;
+        site_open(&site);
+        int fd = site_connect(&site);
+        send_read(&site, fd, c->before);
+        c->happens(&site);
+        send(fd, c->after, strlen(c->after), MSG_NOSIGNAL);
+        GString *text = site_read(&site, fd, NULL);
+        guint answers = count_of(text->str, "200 OK");
+        guint closes = count_of(text->str, "Connection: close");
+        if (answers != c->answers) {
+            printf("%s: %u answers: %s\n", c->name, answers, text->str);
+        }
+        CU_ASSERT_EQUAL(answers, c->answers);
+        CU_ASSERT_EQUAL(closes, c->happens == drain ? 1 : 0);
+        g_string_free(text, TRUE);
+        close(fd);
+        site_close(&site);
+    }
+}
+
 /* ---- answers to clients that read late ---- */
 
 enum { LARGE_BYTES = 12 * 1024 * 1024, READ_LATE_US = 1500 * 1000 };
@@ -964,6 +1037,7 @@
     {"a client that leaves is told once", test_client_leaves},
     {"draining closes in order", test_drain},
     {"a request that has arrived is answered", test_unread_request},
+    {"a change amid a request", test_change_amid_request},
     {"an answer is whole for a client that reads late", test_late_reader},
     {"an answer broken off is not whole", test_abort},
 };
