A server that drains answers requests that it has read

What callers saw: of two requests sent at once on a connection, the second got no answer if the first one's came while the instance was ending.

Cause: while draining, each answer carried "Connection: close", also where the next request was in memory already, which was then dropped. Now the last answer carries it.

--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -43,7 +43,8 @@
 guint16 http_server_port(const http_server_t *server);
 void http_server_set_limits(http_server_t *server,
                             const http_limits_t *limits);
-/* From now on answers carry "Connection: close". */
+/* From now on answers carry "Connection: close", unless the next request on
+ * their connection was read already. */
 void http_server_drain(http_server_t *server);
 /* Stops taking connections, once those that wait already are taken. */
 void http_server_unlisten(http_server_t *server);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -880,6 +880,10 @@
      "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\naaaaa", make_limits_smaller,
      "aaaaa", 1},
     {"a drain amid a body", POST_CHUNKED TWENTY, drain, "0\r\n\r\n", 1},
+    {"a drain before two requests at once", "", drain, GET "\r\n" GET "\r\n",
+     2},
+    {"a drain before three requests at once", "", drain,
+     GET "\r\n" GET "\r\n" GET "\r\n", 3},
 };
 
 static guint
@@ -893,7 +897,7 @@
 }
 
 /* Guards against refusing, or not answering, what was allowed when it was
- * sent. */
+ * sent. Only the last answer of a server that drains closes the connection. */
 static void
 test_change_amid_request(void)
 {
