Tests: endpoints that fall silent and go on, with real processes

An endpoint that is silent for a second or so and goes on would finish what it runs. Requests are taken from it and sent to others, and end when the others can't serve them. No test had an endpoint fall silent while the others refuse, rest, answer with errors, break off or crash.

The stand-in has longer streams (/long), a fault of all requests (a file, as for rests), and answers streams with an error where that is the fault.

--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -18,6 +18,8 @@
     MS = 1000,
     EVENT_US = 20 * MS,
     EVENTS = 12,
+    LONG_EVENT_US = 100 * MS, /* of a path with /long */
+    LONG_EVENTS = 24,
     LINGER_US = 1500 * MS, /* served on after the goodbye was heard */
     WORK_US = 15 * MS,
     SLOW_WORK_US = 200 * MS,  /* of a path with /slow: for faults to meet it */
@@ -66,6 +68,7 @@
     char *rest_path;
     char *leaving_path;
     char *brittle_path;
+    char *fault_path; /* of all requests that name none */
     GArray
         *refused;   /* gint64; when it turned requests away for want of room */
     GQueue waiting; /* waiting_t, for a slot of a brittle endpoint */
@@ -93,6 +96,7 @@
     guint64 timer;
     guint64 event; /* the next */
     guint64 events;
+    gint64 event_us; /* between two */
     fault_t fault;
 } run_t;
 
@@ -106,12 +110,36 @@
 
 static void run_begin(endpoint_t *e, http_exchange_t *exchange, fault_t fault);
 
+static fault_t
+fault_named(str_t name)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(FAULT_NAMES); i++) {
+        if (str_equal(name, str_from_cstr(FAULT_NAMES[i]))) {
+            return (fault_t)i;
+        }
+    }
+    return FAULT_NONE;
+}
+
+/* The fault of all requests that name none. */
+static fault_t
+fault_of_all(const endpoint_t *e)
+{
+    char *text = NULL;
+    if (!g_file_get_contents(e->fault_path, &text, NULL, NULL)) {
+        return FAULT_NONE;
+    }
+    fault_t fault = fault_named(str_from_cstr(text));
+    g_free(text);
+    return fault;
+}
+
 static fault_t
 fault_of(const endpoint_t *e, const http_head_t *head)
 {
     str_t value;
     if (!http_head_find(head, "Fault", &value)) {
-        return FAULT_NONE;
+        return fault_of_all(e);
     }
     gssize at = str_find(value, STR("@"), 0);
     if (at >= 0) {
@@ -120,12 +148,7 @@
         }
         value.length = (gsize)at;
     }
-    for (guint i = 0; i < G_N_ELEMENTS(FAULT_NAMES); i++) {
-        if (str_equal(value, str_from_cstr(FAULT_NAMES[i]))) {
-            return (fault_t)i;
-        }
-    }
-    return FAULT_NONE;
+    return fault_named(value);
 }
 
 static void
@@ -319,7 +342,8 @@
     http_exchange_write(exchange, str_from_cstr(text));
     g_free(text);
     run->event++;
-    run->timer = timers_subscribe(e->timers, EVENT_US, 0, stream_step, run);
+    run->timer =
+        timers_subscribe(e->timers, run->event_us, 0, stream_step, run);
 }
 
 static void
@@ -332,13 +356,18 @@
                        &last)) {
         http_number(last, &number);
     }
+    gboolean is_long =
+        str_find(http_head_target(http_exchange_head(run->exchange)),
+                 STR("/long"), 0) >= 0;
     run->event = number + 1;
-    run->events = EVENTS;
+    run->events = is_long ? LONG_EVENTS : EVENTS;
+    run->event_us = is_long ? LONG_EVENT_US : EVENT_US;
     char *fields =
         answer_fields(e, run->exchange, "Content-Type: text/event-stream\r\n");
     http_exchange_begin(run->exchange, 200, str_from_cstr(fields));
     g_free(fields);
-    run->timer = timers_subscribe(e->timers, EVENT_US, 0, stream_step, run);
+    run->timer =
+        timers_subscribe(e->timers, run->event_us, 0, stream_step, run);
 }
 
 static void
@@ -360,7 +389,7 @@
         timers_subscribe(e->timers, CRASH_US, 0, crash, e);
     }
     str_t target = http_head_target(http_exchange_head(exchange));
-    if (str_find(target, STR("/stream/"), 0) >= 0) {
+    if (str_find(target, STR("/stream/"), 0) >= 0 && fault != FAULT_ERROR) {
         stream_begin(run);
         return;
     }
@@ -725,6 +754,7 @@
     endpoint.brittle_path = g_strconcat(log->filename[0], ".brittle", NULL);
     endpoint.limit_path = g_strconcat(log->filename[0], ".limit", NULL);
     endpoint.rest_path = g_strconcat(log->filename[0], ".rest", NULL);
+    endpoint.fault_path = g_strconcat(log->filename[0], ".fault", NULL);
     endpoint.leaving_path = g_strconcat(log->filename[0], ".leaving", NULL);
     if (endpoint.log == NULL || endpoint.arrivals == NULL) {
         fprintf(stderr, "can not write %s\n", log->filename[0]);
@@ -739,6 +769,7 @@
     g_array_unref(endpoint.refused);
     g_free(endpoint.rest_path);
     g_free(endpoint.leaving_path);
+    g_free(endpoint.fault_path);
     g_strfreev(endpoint.controls);
     arg_freetable(table, G_N_ELEMENTS(table));
     return code;
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -435,8 +435,8 @@
 
 static const reader_ops_t TAKE = {.head = take_head, .body = take_body};
 
-static int
-connect_to(const char *ip, guint port, int wait_ms)
+int
+fleet_connect(const char *ip, guint port, int wait_ms)
 {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons((guint16)port)};
@@ -458,12 +458,17 @@
 {
     http_reader_t reader;
     char buffer[16384];
-    gint64 until = g_get_monotonic_time() + (gint64)wait_ms * 1000;
+    gint64 last_us = g_get_monotonic_time();
+    gint64 until = last_us + (gint64)wait_ms * 1000;
     reader_result_t result = READER_OK;
     http_reader_init(&reader, FALSE, 65536, &TAKE, reply);
     while (result == READER_OK && !reader.complete &&
            g_get_monotonic_time() < until) {
         ssize_t count = recv(fd, buffer, sizeof(buffer), 0);
+        gint64 now_us = g_get_monotonic_time();
+        reply->longest_wait_ms =
+            MAX(reply->longest_wait_ms, (int)((now_us - last_us) / 1000));
+        last_us = now_us;
         if (count == 0) {
             http_reader_end(&reader);
         }
@@ -488,12 +493,11 @@
 }
 
 reply_t *
-fleet_call(const char *ip, guint port, const char *method, const char *target,
-           const char *fields, const char *body, int wait_ms)
+fleet_call_on(int fd, const char *method, const char *target,
+              const char *fields, const char *body, int wait_ms)
 {
     reply_t *reply = g_new0(reply_t, 1);
     reply->body = g_string_new(NULL);
-    int fd = connect_to(ip, port, wait_ms);
     if (fd < 0) {
         reply->fields = g_strdup("");
         return reply;
@@ -513,7 +517,18 @@
     }
     g_free(text);
     read_reply(reply, fd, wait_ms);
-    close(fd);
+    return reply;
+}
+
+reply_t *
+fleet_call(const char *ip, guint port, const char *method, const char *target,
+           const char *fields, const char *body, int wait_ms)
+{
+    int fd = fleet_connect(ip, port, wait_ms);
+    reply_t *reply = fleet_call_on(fd, method, target, fields, body, wait_ms);
+    if (fd >= 0) {
+        close(fd);
+    }
     return reply;
 }
 
@@ -522,7 +537,7 @@
                char *answer, gsize size)
 {
     enum { EXCHANGE_MS = 2000 };
-    int fd = connect_to(ip, port, EXCHANGE_MS);
+    int fd = fleet_connect(ip, port, EXCHANGE_MS);
     gsize at = 0;
     ssize_t count;
     if (fd < 0 || send(fd, bytes, length, MSG_NOSIGNAL) != (ssize_t)length) {
@@ -784,6 +799,12 @@
     set_mode(p, ".rest", text);
 }
 
+void
+fleet_fault(const fleet_process_t *p, const char *name)
+{
+    set_mode(p, ".fault", name);
+}
+
 void
 fleet_leaving(const fleet_process_t *p, const char *text)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -70,7 +70,8 @@
     guint status;      /* 0: nothing */
     gboolean complete; /* by its framing */
     gboolean sealed;
-    char *fields; /* "name: value" lines */
+    int longest_wait_ms; /* for bytes, from when the request was sent */
+    char *fields;        /* "name: value" lines */
     GString *body;
 } reply_t;
 
@@ -124,6 +125,10 @@
 reply_t *fleet_call(const char *ip, guint port, const char *method,
                     const char *target, const char *fields, const char *body,
                     int wait_ms);
+/* The same in parts, for several calls on one connection; -1: none. */
+int fleet_connect(const char *ip, guint port, int wait_ms);
+reply_t *fleet_call_on(int connection, const char *method, const char *target,
+                       const char *fields, const char *body, int wait_ms);
 void reply_free(reply_t *reply);
 /* Sends bytes and reads up to `size` of what comes back, until the other side
  * closes. Returns how many came, or -1. */
@@ -158,6 +163,8 @@
  * what it says of leaving. */
 void fleet_rest(const fleet_process_t *endpoint, const char *text);
 void fleet_leaving(const fleet_process_t *endpoint, const char *text);
+/* The same for the fault of all requests that name none. */
+void fleet_fault(const fleet_process_t *endpoint, const char *name);
 /* The same for how many requests it turns away in a second before it falls. */
 void fleet_brittle(const fleet_process_t *endpoint, const char *text);
 /* Something that an endpoint logged. */
