A pause for a slow caller is not taken for the endpoint's silence

What callers saw: a stream that was read slowly or late ran on two endpoints, and was broken off where the second one refused it.

Cause: while the caller is behind, the instance does not read from the endpoint; its own pause counted as the endpoint's silence. At the deadline the endpoint was reported as unreached as well.

Now nothing counts while reading is paused, and the timeout begins anew when it is resumed.

Evidence: "a stream whose caller reads late" in test_gateway, before: each of three streams of 12 MB that are read from 3 s on ran twice; where the other endpoint refused, one of three was broken off. Both cases pass now.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -343,7 +343,7 @@
 static gint64
 silence_deadline_us(const forward_t *f)
 {
-    if (f->call == NULL || !route_repeatable(f->route) ||
+    if (f->call == NULL || f->paused || !route_repeatable(f->route) ||
         f->runs + 1 >= f->route->max_attempts) {
         return G_MAXINT64;
     }
@@ -509,6 +509,8 @@
     forward_t *f = http_exchange_data(exchange);
     if (f != NULL && f->paused && f->call != NULL) {
         f->paused = FALSE;
+        f->last_silent_us = forward_now(f);
         client_call_read(f->call, TRUE);
+        forward_set_timer(f);
     }
 }
--- a/carobloomd/gateway/forward_reach.c
+++ b/carobloomd/gateway/forward_reach.c
@@ -188,7 +188,7 @@
 is_endpoint_silent(const forward_t *f)
 {
     gint64 since_us = MAX(f->sent_us, f->last_byte_us);
-    return f->endpoint->reached_us <= since_us &&
+    return !f->paused && f->endpoint->reached_us <= since_us &&
            forward_now(f) - since_us >= (gint64)SILENCE_CHECK_MIN_US;
 }
 
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -369,6 +369,7 @@
     f->not_run = FALSE;
     f->is_abandoned = FALSE;
     f->asked_rest = FALSE;
+    f->paused = FALSE;
     event_stream_reset(&f->events);
     gboolean called = forward_call(
         f, endpoint, (str_t){.data = bytes->str, .length = bytes->len});
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -27,6 +27,8 @@
     HUGE_BYTES = 17 * 1024 * 1024, /* of FAULT_HUGE: over an entry's bounds */
     HUGE_EVENT_BYTES = 300 * 1024,
     LARGE_BYTES = 8 * 1024 * 1024, /* of a path with /large */
+    LARGE_EVENTS = 60,             /* of a stream there */
+    LARGE_EVENT_BYTES = 200 * 1024,
     CRASH_US = 20 * MS, /* of FAULT_CRASH: from the start of the run */
     BRITTLE_GRACE_US = 3000 * MS, /* until nothing waits any more */
     BRITTLE_WAITING_MAX = 24,     /* until then */
@@ -97,6 +99,7 @@
     guint64 event; /* the next */
     guint64 events;
     gint64 event_us; /* between two */
+    gboolean is_large;
     fault_t fault;
 } run_t;
 
@@ -166,6 +169,13 @@
     return id;
 }
 
+static gboolean
+is_large(http_exchange_t *exchange)
+{
+    str_t target = http_head_target(http_exchange_head(exchange));
+    return str_find(target, STR("/large"), 0) >= 0;
+}
+
 static void
 log_moment(const endpoint_t *e, const char *what, str_t request)
 {
@@ -274,9 +284,6 @@
     }
     run_free(run);
     str_t id = request_id(exchange);
-    gboolean is_large =
-        str_find(http_head_target(http_exchange_head(exchange)), STR("/large"),
-                 0) >= 0;
     char *body = g_strdup_printf("answer to %.*s by %s", (int)id.length,
                                  id.data, e->id);
     char *fields;
@@ -300,7 +307,7 @@
         answer(e, exchange, 200, "", body);
         break;
     default:
-        if (is_large) {
+        if (is_large(exchange)) {
             g_free(body);
             body = g_strnfill(LARGE_BYTES, 'x');
         }
@@ -332,9 +339,10 @@
         http_exchange_finish(exchange);
         return;
     }
-    char *filler = run->fault == FAULT_HUGE && half
-                       ? g_strnfill(HUGE_EVENT_BYTES, 'x')
-                       : g_strdup("");
+    gsize filler_bytes = run->fault == FAULT_HUGE && half ? HUGE_EVENT_BYTES
+                         : run->is_large                  ? LARGE_EVENT_BYTES
+                                                          : 0;
+    char *filler = g_strnfill(filler_bytes, 'x');
     char *text = g_strdup_printf("id: %" G_GUINT64_FORMAT
                                  "\ndata: w%" G_GUINT64_FORMAT "%s\n\n",
                                  run->event, run->event, filler);
@@ -360,7 +368,10 @@
         str_find(http_head_target(http_exchange_head(run->exchange)),
                  STR("/long"), 0) >= 0;
     run->event = number + 1;
-    run->events = is_long ? LONG_EVENTS : EVENTS;
+    run->is_large = is_large(run->exchange);
+    run->events = run->is_large ? LARGE_EVENTS
+                  : is_long     ? LONG_EVENTS
+                                : EVENTS;
     run->event_us = is_long ? LONG_EVENT_US : EVENT_US;
     char *fields =
         answer_fields(e, run->exchange, "Content-Type: text/event-stream\r\n");
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -754,7 +754,8 @@
 /* Connects a client that sends a request and reads nothing. Returns NULL if
  * the connection fails. */
 static GSocketConnection *
-connect_silent_reader(const fleet_process_t *entry, const char *id)
+connect_silent_reader(const fleet_process_t *entry, const char *target,
+                      const char *id)
 {
     GSocketClient *client = g_socket_client_new();
     GSocketConnection *connection = g_socket_client_connect_to_host(
@@ -763,11 +764,10 @@
     if (connection == NULL) {
         return NULL;
     }
-    char *text =
-        g_strdup_printf("GET /safe/large HTTP/1.1\r\nHost: h.example\r\n"
-                        "Request-Id: %s\r\nDeadline-Ms: 8000\r\n"
-                        "Authorization: Bearer %s\r\n\r\n",
-                        id, FLEET_KEY);
+    char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h.example\r\n"
+                                 "Request-Id: %s\r\nDeadline-Ms: 8000\r\n"
+                                 "Authorization: Bearer %s\r\n\r\n",
+                                 target, id, FLEET_KEY);
     g_output_stream_write_all(
         g_io_stream_get_output_stream(G_IO_STREAM(connection)), text,
         strlen(text), NULL, NULL, NULL);
@@ -791,7 +791,7 @@
     for (guint i = 0; i < READERS; i++) {
         char id[32];
         g_snprintf(id, sizeof(id), "slow-%u", i);
-        readers[i] = connect_silent_reader(entry, id);
+        readers[i] = connect_silent_reader(entry, "/safe/large", id);
         CU_ASSERT_PTR_NOT_NULL(readers[i]);
         fleet_sleep(150);
     }
@@ -847,7 +847,7 @@
             fleet_signal(entry, SIGTERM);
         }
         g_snprintf(id, sizeof(id), "late-%u", i);
-        readers[i] = connect_silent_reader(entry, id);
+        readers[i] = connect_silent_reader(entry, "/safe/large", id);
         CU_ASSERT_PTR_NOT_NULL_FATAL(readers[i]);
         fleet_sleep(150);
     }
@@ -864,6 +864,80 @@
     fleet_destroy(f);
 }
 
+/* Reads until the end of the chunked answer or the close. Returns the number
+ * of events, or 0 if one is missing, comes twice, or the answer is not
+ * whole. */
+static guint
+read_events(GSocketConnection *connection)
+{
+    static char buffer[64 * 1024];
+    GString *text = g_string_new(NULL);
+    gssize count = 1;
+    while (count > 0 && !g_str_has_suffix(text->str, "\r\n0\r\n\r\n")) {
+        count = g_input_stream_read(
+            g_io_stream_get_input_stream(G_IO_STREAM(connection)), buffer,
+            sizeof(buffer), NULL, NULL);
+        g_string_append_len(text, buffer, MAX(count, 0));
+    }
+    guint events = 0;
+    gboolean in_order = count > 0;
+    for (const char *at = text->str; (at = strstr(at, "id: ")) != NULL; at++) {
+        in_order &= g_ascii_strtoull(at + 4, NULL, 10) == ++events;
+    }
+    g_string_free(text, TRUE);
+    return in_order ? events : 0;
+}
+
+/* Guards against taking an endpoint for silent while this instance does not
+ * read from it, because the caller reads late. With `others_refuse` no other
+ * endpoint would take the stream up. */
+static void
+late_reader_of_stream(gboolean others_refuse)
+{
+    enum {
+        LARGE_EVENTS = 60,
+        BEGUN_MS = 300,
+        READ_AFTER_MS = 2700,
+        STREAMS = 3
+    };
+    GSocketConnection *readers[STREAMS];
+    fleet_t *f = fleet_of(1, 1, 2);
+    for (guint i = 0; i < STREAMS; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "behind-%u", i);
+        readers[i] =
+            connect_silent_reader(fleet_entry(f, 0), "/stream/large", id);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(readers[i]);
+    }
+    fleet_sleep(BEGUN_MS);
+    for (guint i = 0; others_refuse && i < 2; i++) {
+        fleet_rest(fleet_endpoint(f, i), "1");
+    }
+    fleet_sleep(READ_AFTER_MS);
+    for (guint i = 0; i < STREAMS; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "behind-%u", i);
+        guint events = read_events(readers[i]);
+        guint runs = fleet_ran(f, "run", id);
+        if (events != LARGE_EVENTS || runs != 1) {
+            printf("%s: %u events, %u runs\n", id, events, runs);
+        }
+        CU_ASSERT_EQUAL(events, LARGE_EVENTS);
+        CU_ASSERT_EQUAL(runs, 1);
+        CU_ASSERT_EQUAL(fleet_ran(f, "gone", id), 0);
+        g_clear_object(&readers[i]);
+    }
+    CU_ASSERT_EQUAL(fleet_counter(fleet_entry(f, 0), "repeats_total"), 0);
+    fleet_destroy(f);
+}
+
+static void
+test_late_reader_of_stream(void)
+{
+    late_reader_of_stream(FALSE);
+    late_reader_of_stream(TRUE);
+}
+
 /* Guards against accepting withdrawn keys: without control instances an entry
  * instance serves for a while, and then refuses requests that need a key,
  * since the key may have been withdrawn. */
@@ -963,6 +1037,7 @@
     {"what is invalid is refused", test_invalid_refused},
     {"two operators, one version", test_same_version},
     {"callers that do not read", test_slow_readers},
+    {"a stream whose caller reads late", test_late_reader_of_stream},
     {"callers that read late from an instance that ends",
      test_late_readers_drained},
     {"no word from control", test_unconfirmed},
