A silent endpoint keeps its request until another has taken it up

What callers saw: where an endpoint was silent for a while and the others refused, rested, failed or crashed, a stream that had begun was broken off, and a request without an answer yet got 502, though the silent endpoint would have finished both.

Cause: after the silence timeout the call to the silent endpoint was cancelled and the request sent elsewhere. If that one did not answer, nothing was left that could. The second choice of an endpoint was also drawn anew after the cancellation and could find none (502 "all places are taken").

After a refusal the request returns to the silent endpoint.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -102,8 +102,8 @@
         event_log_number("longest_pause_ms", f->longest_pause_us / MS);
     }
     if (f->sends > 0) {
-        event_log_number("found_running", f->running_at_send);
-        event_log_number("found_waiting", f->waiting_tokens_at_send);
+        event_log_number("found_running", f->send->running_at_send);
+        event_log_number("found_waiting", f->send->waiting_tokens_at_send);
     }
     event_log_end();
 }
@@ -139,28 +139,74 @@
     histogram_add(whole, (double)(forward_now(f) - f->started_us) / 1e6);
 }
 
+request_send_t *
+request_send_create(forward_t *f)
+{
+    request_send_t *s = g_new0(request_send_t, 1);
+    s->request = f;
+    s->fields = g_string_new(NULL);
+    s->body = g_byte_array_new();
+    event_stream_init(&s->events);
+    return s;
+}
+
+void
+request_send_free(request_send_t *s)
+{
+    if (s->call != NULL) {
+        client_call_cancel(s->call);
+    }
+    request_send_detach(s);
+    if (s->fields != NULL) {
+        g_string_free(s->fields, TRUE);
+    }
+    s->request->entry->buffered_bytes -= s->body->len;
+    g_byte_array_unref(s->body);
+    event_stream_clear(&s->events);
+    g_free(s);
+}
+
 void
-forward_end_prefill(forward_t *f)
+request_send_end_prefill(request_send_t *s)
 {
-    endpoint_end_prefill(f->endpoint, f->info.prompt_tokens,
-                         f->waiting_tokens);
-    f->waiting_tokens = 0;
+    endpoint_end_prefill(s->endpoint, s->request->info.prompt_tokens,
+                         s->waiting_tokens);
+    s->waiting_tokens = 0;
 }
 
 void
-forward_detach_endpoint(forward_t *f)
+request_send_detach(request_send_t *s)
 {
-    forward_release_helper(f);
-    if (f->endpoint == NULL) {
+    forward_t *f = s->request;
+    request_send_release_helper(s);
+    if (f->taken_up_by == s) {
+        f->taken_up_by = NULL;
+    }
+    if (s->endpoint == NULL) {
         return;
     }
-    directory_remove_request(f->entry->directory, f->endpoint,
+    directory_remove_request(f->entry->directory, s->endpoint,
                              f->info.prompt_tokens);
-    slot_link_end(f->entry->slot_link, f->endpoint,
-                  f->is_abandoned || f->call != NULL);
-    forward_end_prefill(f);
-    f->call = NULL;
-    f->endpoint = NULL;
+    slot_link_end(f->entry->slot_link, s->endpoint,
+                  s->is_abandoned || s->call != NULL);
+    request_send_end_prefill(s);
+    s->call = NULL;
+    s->endpoint = NULL;
+}
+
+void
+request_send_cancel(request_send_t *s)
+{
+    if (s->call == NULL) {
+        return;
+    }
+    if (client_call_sent(s->call)) {
+        s->request->runs++;
+        request_send_count_interrupted(s);
+    }
+    client_call_cancel(s->call);
+    s->is_abandoned = TRUE;
+    s->call = NULL;
 }
 
 void
@@ -174,10 +220,11 @@
 }
 
 void
-forward_count_interrupted_run(forward_t *f)
+request_send_count_interrupted(request_send_t *s)
 {
-    double waited_ms = (double)(forward_now(f) - f->sent_us) / MS;
-    double tokens = (double)f->waiting_tokens_at_send + f->waiting_tokens;
+    forward_t *f = s->request;
+    double waited_ms = (double)(forward_now(f) - s->sent_us) / MS;
+    double tokens = (double)s->waiting_tokens_at_send + s->waiting_tokens;
     if (f->info.prompt_tokens == 0 ||
         waited_ms >=
             engine_model_first_ms(&f->service_state->engine, tokens)) {
@@ -193,17 +240,10 @@
     if (f->service_state != NULL) {
         slot_link_end_wait(&f->service_state->slots, &f->waiter);
     }
-    if (f->call != NULL) {
-        client_call_cancel(f->call);
-    }
-    forward_detach_endpoint(f);
+    forward_cancel_silent(f);
+    g_clear_pointer(&f->silent, g_ptr_array_unref);
+    request_send_free(f->send);
     e->requests_in_flight--;
-    if (f->fields != NULL) {
-        g_string_free(f->fields, TRUE);
-    }
-    f->entry->buffered_bytes -= f->body->len;
-    g_byte_array_unref(f->body);
-    event_stream_clear(&f->events);
     g_clear_pointer(&f->config, route_config_unref);
     g_free(f);
 }
@@ -291,6 +331,10 @@
 forward_fail(forward_t *f, const char *reason)
 {
     http_exchange_t *exchange = f->exchange;
+    if (forward_return_to_silent(f)) {
+        return;
+    }
+    forward_cancel_silent(f);
     if (f->head_sent) {
         log_outcome(f, 502, reason);
         count_outcome(f, 502);
@@ -307,10 +351,10 @@
 forward_deliver(forward_t *f)
 {
     http_exchange_t *exchange = f->exchange;
-    GString *fields = g_steal_pointer(&f->fields);
-    GByteArray *body = g_byte_array_ref(f->body);
-    guint status = f->status;
-    if (status < 500 && !f->not_run) {
+    GString *fields = g_steal_pointer(&f->send->fields);
+    GByteArray *body = g_byte_array_ref(f->send->body);
+    guint status = f->send->status;
+    if (status < 500 && !f->send->not_run) {
         forward_record_answered(f);
     }
     log_outcome(f, status, "answered");
@@ -329,8 +373,8 @@
 {
     http_exchange_t *exchange = f->exchange;
     forward_record_answered(f);
-    log_outcome(f, f->status, "answered");
-    count_outcome(f, f->status);
+    log_outcome(f, f->send->status, "answered");
+    count_outcome(f, f->send->status);
     http_exchange_set_data(exchange, NULL);
     forward_free(f);
     http_exchange_finish(exchange);
@@ -343,17 +387,27 @@
 static gint64
 silence_deadline_us(const forward_t *f)
 {
-    if (f->call == NULL || f->paused || !route_repeatable(f->route) ||
-        f->runs + 1 >= f->route->max_attempts) {
+    const request_send_t *s = f->send;
+    if (s->call == NULL || s->paused || !route_repeatable(f->route) ||
+        forward_possible_runs(f) + 1 >= f->route->max_attempts) {
         return G_MAXINT64;
     }
     if (f->has_event) {
-        gint64 since = MAX(f->last_byte_us, f->sent_us);
-        return MAX(since, f->last_silent_us) + STREAM_SILENCE_US;
+        gint64 since = MAX(s->last_byte_us, s->sent_us);
+        return MAX(since, s->silent_from_us) + STREAM_SILENCE_US;
     }
     gint64 silence_us = MAX(SILENCE_TARGETS * f->route->target_ms * MS,
                             (gint64)SILENCE_MIN_US);
-    return MAX(f->sent_us, f->last_silent_us) + silence_us;
+    return MAX(s->sent_us, s->silent_from_us) + silence_us;
+}
+
+static void
+each_send(forward_t *f, void (*visit)(request_send_t *s))
+{
+    visit(f->send);
+    for (guint i = 0; f->silent != NULL && i < f->silent->len; i++) {
+        visit(f->silent->pdata[i]);
+    }
 }
 
 static void
@@ -363,18 +417,15 @@
     gint64 now = forward_now(f);
     f->timer = 0;
     if (now >= f->deadline_us) {
-        if (f->call != NULL) {
-            forward_record_silence(f);
-            f->runs += client_call_sent(f->call);
-            forward_count_interrupted_run(f);
-            forward_record_abandoned(f);
-            client_call_cancel(f->call);
-            f->is_abandoned = TRUE;
-            f->call = NULL;
-        }
+        request_send_record_silence(f->send);
+        each_send(f, request_send_record_abandoned);
+        request_send_cancel(f->send);
         forward_fail(f, "time is up");
         return;
     }
+    if (f->taken_up_by != NULL && now >= f->handover_us) {
+        request_send_choose(f->taken_up_by);
+    }
     if (f->waiter.is_waiting && now >= f->slot_wait_until_us) {
         forward_give_up_slot(f);
         return;
@@ -383,8 +434,8 @@
         forward_handle_silence(f);
         return;
     }
-    if (now >= forward_silence_check_us(f)) {
-        forward_check_silence(f);
+    if (now >= request_send_silence_check_us(f->send)) {
+        request_send_check_silence(f->send);
     }
     forward_set_timer(f);
 }
@@ -394,7 +445,10 @@
 {
     entry_t *e = f->entry;
     gint64 until = MIN(MIN(f->deadline_us, silence_deadline_us(f)),
-                       forward_silence_check_us(f));
+                       request_send_silence_check_us(f->send));
+    if (f->taken_up_by != NULL) {
+        until = MIN(until, f->handover_us);
+    }
     if (f->waiter.is_waiting) {
         until = MIN(until, f->slot_wait_until_us);
     }
@@ -457,9 +511,7 @@
     f->entry = e;
     f->exchange = exchange;
     f->started_us = http_exchange_started(exchange);
-    f->fields = g_string_new(NULL);
-    f->body = g_byte_array_new();
-    event_stream_init(&f->events);
+    f->send = request_send_create(f);
     platform_request_decode(http_exchange_head(exchange), &f->info);
     http_exchange_set_data(exchange, f);
     e->requests_in_flight++;
@@ -487,6 +539,15 @@
     forward_send(f);
 }
 
+static void
+leave_endpoint(request_send_t *s)
+{
+    if (s->call != NULL && client_call_sent(s->call)) {
+        request_send_count_interrupted(s);
+    }
+    request_send_record_abandoned(s);
+}
+
 void
 forward_gone(http_exchange_t *exchange)
 {
@@ -494,10 +555,7 @@
     if (f == NULL) {
         return;
     }
-    if (f->call != NULL && client_call_sent(f->call)) {
-        forward_count_interrupted_run(f);
-    }
-    forward_record_abandoned(f);
+    each_send(f, leave_endpoint);
     log_outcome(f, 499, "the caller left");
     count_outcome(f, 499);
     forward_free(f);
@@ -507,10 +565,11 @@
 forward_drained(http_exchange_t *exchange)
 {
     forward_t *f = http_exchange_data(exchange);
-    if (f != NULL && f->paused && f->call != NULL) {
-        f->paused = FALSE;
-        f->last_silent_us = forward_now(f);
-        client_call_read(f->call, TRUE);
-        forward_set_timer(f);
+    if (f == NULL || !f->send->paused || f->send->call == NULL) {
+        return;
     }
+    f->send->paused = FALSE;
+    f->send->silent_from_us = forward_now(f);
+    forward_set_timer(f);
+    client_call_read(f->send->call, TRUE);
 }
--- a/carobloomd/gateway/forward_reach.c
+++ b/carobloomd/gateway/forward_reach.c
@@ -33,8 +33,8 @@
     if (event_log_begin(EVENT_ROUTINE, "tunnelled")) {
         event_log_text("request", f->info.id);
         event_log_cstr("endpoint", endpoint->id);
-        event_log_cstr("helper", client_call_tunnel_address(f->call));
-        event_log_cstr("tunnel", client_call_tunnel_name(f->call));
+        event_log_cstr("helper", client_call_tunnel_address(f->send->call));
+        event_log_cstr("tunnel", client_call_tunnel_name(f->send->call));
         event_log_end();
     }
 }
@@ -45,6 +45,7 @@
                str_t bytes)
 {
     entry_t *e = f->entry;
+    request_send_t *s = f->send;
     http_peer_t *peer = forward_peer(f, endpoint, &endpoint->tunnels);
     if (peer == NULL) {
         return FALSE;
@@ -55,21 +56,21 @@
                            .bytes = bytes,
                            .head_request = is_head_request(f),
                            .open_us = TUNNEL_OPEN_US};
-    f->call =
-        helper_link_call(e->helper_link, helper, &setup, &FORWARD_CALL_OPS, f);
-    if (f->call == NULL) {
+    s->call =
+        helper_link_call(e->helper_link, helper, &setup, &FORWARD_CALL_OPS, s);
+    if (s->call == NULL) {
         return FALSE;
     }
     /* The call may have taken a free tunnel through another helper, which
      * need not be among the known ones any more. */
-    f->in_tunnel = TRUE;
-    f->helper =
-        helper_link_find(e->helper_link, client_call_tunnel_address(f->call));
-    if (f->helper != NULL) {
-        f->helper->tunnels++;
+    s->in_tunnel = TRUE;
+    s->helper =
+        helper_link_find(e->helper_link, client_call_tunnel_address(s->call));
+    if (s->helper != NULL) {
+        s->helper->tunnels++;
     }
-    traffic_count_into(e->traffic, f->call, TRAFFIC_TUNNELS,
-                       f->helper != NULL ? f->helper->info.data_centre : NULL);
+    traffic_count_into(e->traffic, s->call, TRAFFIC_TUNNELS,
+                       s->helper != NULL ? s->helper->info.data_centre : NULL);
     log_tunnelled(f, endpoint);
     return TRUE;
 }
@@ -78,7 +79,7 @@
 static void
 forget_direct_sends(forward_t *f, const endpoint_t *endpoint)
 {
-    if (!f->tunnelled && f->runs == 0) {
+    if (!f->tunnelled && forward_possible_runs(f) == 0) {
         f->tried[0] = endpoint;
         f->tried_count = 1;
     }
@@ -89,8 +90,9 @@
 forward_call(forward_t *f, endpoint_t *endpoint, str_t bytes)
 {
     entry_t *e = f->entry;
-    f->is_silent = FALSE;
-    f->silence_recorded = FALSE;
+    request_send_t *s = f->send;
+    s->is_silent = FALSE;
+    s->silence_recorded = FALSE;
     const helper_t *helper =
         !f->direct_only && reach_watch_avoids(e->reach, endpoint)
             ? helper_link_pick(e->helper_link)
@@ -100,49 +102,49 @@
         return TRUE;
     }
     http_peer_t *peer = forward_peer(f, endpoint, &endpoint->connections);
-    f->call = peer == NULL
+    s->call = peer == NULL
                   ? NULL
                   : client_call_create(peer, bytes, is_head_request(f),
-                                       &FORWARD_CALL_OPS, f);
-    if (f->call == NULL) {
+                                       &FORWARD_CALL_OPS, s);
+    if (s->call == NULL) {
         return FALSE;
     }
-    traffic_count_into(e->traffic, f->call, TRAFFIC_ENDPOINT_REQUESTS,
+    traffic_count_into(e->traffic, s->call, TRAFFIC_ENDPOINT_REQUESTS,
                        endpoint->data_centre);
     return TRUE;
 }
 
 void
-forward_release_helper(forward_t *f)
+request_send_release_helper(request_send_t *s)
 {
-    if (f->helper != NULL) {
-        f->helper->tunnels--;
-        f->helper = NULL;
+    if (s->helper != NULL) {
+        s->helper->tunnels--;
+        s->helper = NULL;
     }
-    f->in_tunnel = FALSE;
+    s->in_tunnel = FALSE;
 }
 
 void
 forward_handle_tunnel_failure(forward_t *f)
 {
+    helper_t *helper = f->send->helper;
     counter_add(counter_get("tunnels_failed_total", NULL, FALSE), 1);
     if (event_log_begin(EVENT_FAILURE, "tunnel_failed")) {
         event_log_text("request", f->info.id);
         event_log_cstr("endpoint", f->last_endpoint);
-        event_log_cstr("helper",
-                       f->helper != NULL ? f->helper->info.address : "");
+        event_log_cstr("helper", helper != NULL ? helper->info.address : "");
         event_log_end();
     }
-    if (f->helper != NULL) {
-        helper_record_failed(f->helper, forward_now(f));
+    if (helper != NULL) {
+        helper_record_failed(helper, forward_now(f));
     }
     f->tunnels_failed++;
     f->direct_only = f->tunnels_failed >= TUNNELS_FAILED_MAX;
     /* Neither the endpoint nor the request is to blame. */
     f->sends--;
     f->tried_count -= f->tried_count > 0;
-    forward_return_probe(f);
-    forward_detach_endpoint(f);
+    request_send_return_probe(f->send);
+    request_send_detach(f->send);
     if (forward_now(f) >= f->deadline_us) {
         forward_fail(f, "no tunnel to the endpoint");
         return;
@@ -151,7 +153,7 @@
 }
 
 gboolean
-forward_record_unreached(forward_t *f, call_failure_t failure)
+request_send_record_unreached(request_send_t *s, call_failure_t failure)
 {
     static const char *const SIGNS[] = {
         [CALL_FAILED_UNSENT] = "no connection",
@@ -161,53 +163,54 @@
         [CALL_FAILED_SYNTAX] = NULL,
         [CALL_FAILED_TUNNEL] = NULL,
     };
-    entry_t *e = f->entry;
-    if (f->in_tunnel || f->endpoint == NULL || SIGNS[failure] == NULL) {
+    reach_watch_t *reach = s->request->entry->reach;
+    if (s->in_tunnel || s->endpoint == NULL || SIGNS[failure] == NULL) {
         return FALSE;
     }
-    reach_watch_record_failure(e->reach, f->endpoint, SIGNS[failure]);
-    return reach_watch_is_confirmed(e->reach, f->service) &&
-           reach_watch_avoids(e->reach, f->endpoint);
+    reach_watch_record_failure(reach, s->endpoint, SIGNS[failure]);
+    return reach_watch_is_confirmed(reach, s->request->service) &&
+           reach_watch_avoids(reach, s->endpoint);
 }
 
 gint64
-forward_silence_check_us(const forward_t *f)
+request_send_silence_check_us(const request_send_t *s)
 {
-    if (f->call == NULL || f->in_tunnel || f->silence_recorded ||
-        f->last_byte_us >= f->sent_us) {
+    if (s->call == NULL || s->in_tunnel || s->silence_recorded ||
+        s->last_byte_us >= s->sent_us) {
         return G_MAXINT64;
     }
     gint64 silence_us =
-        MAX(f->route->target_ms * MS, (gint64)SILENCE_CHECK_MIN_US);
-    return f->sent_us + silence_us + (f->is_silent ? SILENCE_RECHECK_US : 0);
+        MAX(s->request->route->target_ms * MS, (gint64)SILENCE_CHECK_MIN_US);
+    return s->sent_us + silence_us + (s->is_silent ? SILENCE_RECHECK_US : 0);
 }
 
 /* The endpoint has sent nothing, to any request of this instance, for a while.
  */
 static gboolean
-is_endpoint_silent(const forward_t *f)
+is_endpoint_silent(const request_send_t *s)
 {
-    gint64 since_us = MAX(f->sent_us, f->last_byte_us);
-    return !f->paused && f->endpoint->reached_us <= since_us &&
-           forward_now(f) - since_us >= (gint64)SILENCE_CHECK_MIN_US;
+    gint64 since_us = MAX(s->sent_us, s->last_byte_us);
+    return !s->paused && s->endpoint->reached_us <= since_us &&
+           forward_now(s->request) - since_us >= (gint64)SILENCE_CHECK_MIN_US;
 }
 
 void
-forward_record_silence(forward_t *f)
+request_send_record_silence(request_send_t *s)
 {
-    if (!f->in_tunnel && f->endpoint != NULL && !f->silence_recorded &&
-        is_endpoint_silent(f)) {
-        f->silence_recorded = TRUE;
-        reach_watch_record_failure(f->entry->reach, f->endpoint, "silent");
+    if (!s->in_tunnel && s->endpoint != NULL && !s->silence_recorded &&
+        is_endpoint_silent(s)) {
+        s->silence_recorded = TRUE;
+        reach_watch_record_failure(s->request->entry->reach, s->endpoint,
+                                   "silent");
     }
 }
 
 void
-forward_check_silence(forward_t *f)
+request_send_check_silence(request_send_t *s)
 {
-    if (f->is_silent) {
-        forward_record_silence(f);
-        f->silence_recorded = TRUE;
+    if (s->is_silent) {
+        request_send_record_silence(s);
+        s->silence_recorded = TRUE;
     }
-    f->is_silent = TRUE;
+    s->is_silent = TRUE;
 }
--- a/carobloomd/gateway/forward_runs.c
+++ b/carobloomd/gateway/forward_runs.c
@@ -34,27 +34,29 @@
 }
 
 static run_stage_t
-run_stage(forward_t *f)
+run_stage(request_send_t *s)
 {
+    forward_t *f = s->request;
     gint64 now = forward_now(f);
     if (run_history_is_answered(&f->entry->history, forward_fingerprint(f),
                                 now)) {
         return RUN_ANSWERED;
     }
-    if (f->event_received && now - f->endpoint_first_event_us > LONG_RUN_US) {
+    if (s->event_received && now - s->first_event_us > LONG_RUN_US) {
         return RUN_LONG;
     }
-    return f->is_probe ? RUN_PROBE : RUN_BEGINNING;
+    return s->is_probe ? RUN_PROBE : RUN_BEGINNING;
 }
 
 /* Describes the request's run at its endpoint, for the detection of
  * crashes. */
 static watched_run_t
-watched_run(forward_t *f)
+watched_run(request_send_t *s)
 {
     return (watched_run_t){
-        .run = {.fingerprint = forward_fingerprint(f), .stage = run_stage(f)},
-        .sent_us = f->sent_us,
+        .run = {.fingerprint = forward_fingerprint(s->request),
+                .stage = run_stage(s)},
+        .sent_us = s->sent_us,
     };
 }
 
@@ -77,20 +79,21 @@
                          ? NULL
                          : quarantine_find(quarantine, forward_fingerprint(f),
                                            forward_now(f));
-    f->is_probe = FALSE;
+    f->send->is_probe = FALSE;
     if (f->quarantined != NULL &&
         quarantine_take_probe(quarantine, f->fingerprint, forward_now(f))) {
         f->quarantined = NULL;
-        f->is_probe = TRUE;
+        f->send->is_probe = TRUE;
     }
     return f->quarantined != NULL;
 }
 
 void
-forward_return_probe(forward_t *f)
+request_send_return_probe(request_send_t *s)
 {
-    if (f->is_probe) {
-        f->is_probe = FALSE;
+    const forward_t *f = s->request;
+    if (s->is_probe) {
+        s->is_probe = FALSE;
         quarantine_return_probe(f->entry->quarantine, f->fingerprint);
     }
 }
@@ -99,11 +102,11 @@
 forward_begin_probe(forward_t *f, const endpoint_t *endpoint)
 {
     entry_t *e = f->entry;
-    if (!f->is_probe) {
+    if (!f->send->is_probe) {
         return TRUE;
     }
     if (crash_watch_has_break(e->crashes, endpoint)) {
-        forward_return_probe(f);
+        request_send_return_probe(f->send);
         f->quarantined =
             quarantine_find(e->quarantine, f->fingerprint, forward_now(f));
         return FALSE;
@@ -124,7 +127,7 @@
     entry_t *e = f->entry;
     guint64 fingerprint = forward_fingerprint(f);
     run_history_record_answered(&e->history, fingerprint, forward_now(f));
-    if (run_history_take_cut(&e->history, fingerprint) || f->is_probe) {
+    if (run_history_take_cut(&e->history, fingerprint) || f->send->is_probe) {
         crash_link_report_answered(e->crash_link, fingerprint);
     }
 }
@@ -142,41 +145,41 @@
 /* Bytes that arrive after a broken connection show that the endpoint still
  * runs. */
 void
-forward_record_bytes(forward_t *f)
+request_send_record_bytes(request_send_t *s)
 {
-    f->last_byte_us = forward_now(f);
-    if (f->endpoint != NULL && !f->in_tunnel) {
-        endpoint_record_reached(f->endpoint, f->last_byte_us);
+    crash_watch_t *watch = s->request->entry->crashes;
+    s->last_byte_us = forward_now(s->request);
+    if (s->endpoint != NULL && !s->in_tunnel) {
+        endpoint_record_reached(s->endpoint, s->last_byte_us);
     }
-    if (f->endpoint != NULL &&
-        crash_watch_has_unexplained(f->entry->crashes)) {
-        crash_watch_record_bytes(f->entry->crashes, f->endpoint);
+    if (s->endpoint != NULL && crash_watch_has_unexplained(watch)) {
+        crash_watch_record_bytes(watch, s->endpoint);
     }
 }
 
 /* A refused connection is evidence of a crash, a broken one only a reason to
  * look for evidence: the crash watch decides. */
 void
-forward_record_failure(forward_t *f, call_failure_t failure)
+request_send_record_failure(request_send_t *s, call_failure_t failure)
 {
-    crash_watch_t *watch = f->entry->crashes;
-    if (f->endpoint == NULL) {
+    crash_watch_t *watch = s->request->entry->crashes;
+    if (s->endpoint == NULL) {
         return;
     }
     if (failure == CALL_FAILED_REFUSED) {
-        crash_watch_record_refused(watch, f->endpoint, !f->in_tunnel);
+        crash_watch_record_refused(watch, s->endpoint, !s->in_tunnel);
     }
     if (failure == CALL_FAILED_SENT || failure == CALL_FAILED_CUT) {
-        crash_watch_record_break(watch, f->endpoint, watched_run(f));
+        crash_watch_record_break(watch, s->endpoint, watched_run(s));
     }
 }
 
 /* An abandoned request may still crash the endpoint that runs it. */
 void
-forward_record_abandoned(forward_t *f)
+request_send_record_abandoned(request_send_t *s)
 {
-    if (f->call != NULL && f->endpoint != NULL && client_call_sent(f->call)) {
-        crash_watch_record_abandoned(f->entry->crashes, f->endpoint,
-                                     watched_run(f));
+    if (s->call != NULL && s->endpoint != NULL && client_call_sent(s->call)) {
+        crash_watch_record_abandoned(s->request->entry->crashes, s->endpoint,
+                                     watched_run(s));
     }
 }
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -39,8 +39,9 @@
 static gboolean
 may_repeat(const forward_t *f)
 {
-    if (f->runs > 0 &&
-        (!route_repeatable(f->route) || f->runs >= f->route->max_attempts)) {
+    guint runs = forward_possible_runs(f);
+    if (runs > 0 &&
+        (!route_repeatable(f->route) || runs >= f->route->max_attempts)) {
         return FALSE;
     }
     if (f->head_sent && !f->route->resumable) {
@@ -65,13 +66,15 @@
 static void
 send_repeat(forward_t *f, const char *reason)
 {
-    forward_detach_endpoint(f);
+    request_send_detach(f->send);
     if (event_log_begin(EVENT_FAILURE, "repeat")) {
         event_log_text("request", f->info.id);
         event_log_cstr("reason", reason);
         event_log_cstr("endpoint", f->last_endpoint);
         event_log_number("sends", f->sends);
         event_log_number("runs", f->runs);
+        event_log_number("silent_sends",
+                         f->silent != NULL ? f->silent->len : 0);
         event_log_number("elapsed_ms", (forward_now(f) - f->started_us) / MS);
         forward_log_fingerprint(f);
         event_log_end();
@@ -234,17 +237,18 @@
                 const placement_request_t *request)
 {
     endpoint_t *endpoint = placement->endpoint;
-    f->endpoint = endpoint;
+    request_send_t *s = f->send;
+    s->endpoint = endpoint;
     g_strlcpy(f->last_endpoint, endpoint->id, sizeof(f->last_endpoint));
-    f->event_received = FALSE;
-    f->running_at_send = endpoint_running(endpoint);
-    f->slot_rule = request->slot_rule.kind;
-    f->waiting_tokens_at_send = endpoint_waiting_tokens(endpoint);
-    f->waiting_tokens = placement->read_tokens;
+    s->event_received = FALSE;
+    s->running_at_send = endpoint_running(endpoint);
+    s->slot_rule = request->slot_rule.kind;
+    s->waiting_tokens_at_send = endpoint_waiting_tokens(endpoint);
+    s->waiting_tokens = placement->read_tokens;
     directory_add_request(f->entry->directory, endpoint, f->info.prompt_tokens,
-                          f->waiting_tokens);
+                          s->waiting_tokens);
     slot_link_begin(f->entry->slot_link, &f->service_state->slots, endpoint);
-    f->service_state->read_tokens += f->waiting_tokens;
+    f->service_state->read_tokens += s->waiting_tokens;
     report_parts(f, placement, request);
     for (guint i = 0; i < request->part_count; i++) {
         directory_record_part(f->entry->directory, endpoint,
@@ -304,7 +308,7 @@
 forward_repeat(forward_t *f, gboolean received, const char *reason)
 {
     if (!forward_try_repeat(f, received, reason)) {
-        forward_detach_endpoint(f);
+        request_send_detach(f->send);
         forward_fail(f, reason);
     }
 }
@@ -314,21 +318,19 @@
 {
     static const char REASON[] = "the endpoint is silent";
     placement_request_t request;
-    forward_record_silence(f);
-    if (f->helper != NULL) {
-        helper_record_failed(f->helper, forward_now(f));
+    request_send_t *s = f->send;
+    request_send_record_silence(s);
+    if (s->helper != NULL) {
+        helper_record_failed(s->helper, forward_now(f));
     }
-    forward_record_outcome(f, ENDPOINT_BROKEN);
+    request_send_record_outcome(s, ENDPOINT_BROKEN);
     if (choose_endpoint(f, &request).endpoint == NULL || !may_repeat(f) ||
         !take_repeat_from_budget(f, REASON)) {
-        f->last_silent_us = forward_now(f);
+        s->silent_from_us = forward_now(f);
         forward_set_timer(f);
         return;
     }
-    f->runs += client_call_sent(f->call);
-    forward_count_interrupted_run(f);
-    client_call_cancel(f->call);
-    f->call = NULL;
+    forward_keep_silent(f);
     send_repeat(f, REASON);
 }
 
@@ -346,12 +348,13 @@
         refuse_quarantined(f);
         return;
     }
+    request_send_t *s = f->send;
     placement_request_t request;
     placement_t placement = choose_endpoint(f, &request);
     endpoint_t *endpoint = placement.endpoint;
     record_limit_demand(f, &placement);
     if (endpoint == NULL) {
-        forward_return_probe(f);
+        request_send_return_probe(s);
         if (forward_wait_for_slot(f, &request, &placement.counts)) {
             return;
         }
@@ -366,19 +369,19 @@
     GString *bytes = request_bytes(f, &placement);
     f->tried[f->tried_count++ % PLACEMENT_TRIED_MAX] = endpoint;
     f->sends++;
-    f->not_run = FALSE;
-    f->is_abandoned = FALSE;
-    f->asked_rest = FALSE;
-    f->paused = FALSE;
-    event_stream_reset(&f->events);
+    s->not_run = FALSE;
+    s->is_abandoned = FALSE;
+    s->asked_rest = FALSE;
+    s->paused = FALSE;
+    event_stream_reset(&s->events);
     gboolean called = forward_call(
         f, endpoint, (str_t){.data = bytes->str, .length = bytes->len});
     g_string_free(bytes, TRUE);
-    f->sent_us = forward_now(f);
-    f->limit_sent_us = limit_link_now();
+    s->sent_us = forward_now(f);
+    s->limit_sent_us = limit_link_now();
     if (!called) {
         endpoint_record_outcome(endpoint, ENDPOINT_FULL, forward_now(f));
-        forward_return_probe(f);
+        request_send_return_probe(s);
         forward_repeat(f, FALSE, "no connection to the endpoint is free");
         return;
     }
