A silent endpoint that takes a stream up isn't hedged again at once

What happened: a silent endpoint sent the head of its stream, the other sends were cancelled 0.2 s later, and in the same moment the request was sent to a third endpoint, whose head would cancel the one that had just spoken.

Cause: the silence timeout of the chosen send still counted from its sending. Now it begins when the send is chosen.

--- a/carobloomd/gateway/forward_hedge.c
+++ b/carobloomd/gateway/forward_hedge.c
@@ -155,6 +155,7 @@
         g_ptr_array_add(f->silent, f->send);
         set_send(f, s);
     }
+    s->silent_from_us = forward_now(f);
     log_hedge(f, "send_chosen", s,
               was_silent ? "the silent endpoint goes on"
                          : "another endpoint answers");
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -45,12 +45,15 @@
     FAULT_LATE,  /* answers after several objectives */
     FAULT_HUGE,  /* more in one answer or event than anyone may hold */
     FAULT_CRASH, /* the whole process ends as it begins to run it */
+    FAULT_EARLY, /* no fault: a stream's head and the first line of its first
+                    event come at once, the rest of it later */
 } fault_t;
 
 static const char *const FAULT_NAMES[] = {
-    [FAULT_NONE] = "none", [FAULT_RESET] = "reset", [FAULT_CUT] = "cut",
-    [FAULT_FULL] = "full", [FAULT_ERROR] = "error", [FAULT_MUTE] = "mute",
-    [FAULT_LATE] = "late", [FAULT_HUGE] = "huge",   [FAULT_CRASH] = "crash",
+    [FAULT_NONE] = "none",   [FAULT_RESET] = "reset", [FAULT_CUT] = "cut",
+    [FAULT_FULL] = "full",   [FAULT_ERROR] = "error", [FAULT_MUTE] = "mute",
+    [FAULT_LATE] = "late",   [FAULT_HUGE] = "huge",   [FAULT_CRASH] = "crash",
+    [FAULT_EARLY] = "early",
 };
 
 typedef struct {
@@ -100,6 +103,7 @@
     guint64 events;
     gint64 event_us; /* between two */
     gboolean is_large;
+    gboolean begun; /* the first line of the next event was sent */
     fault_t fault;
 } run_t;
 
@@ -346,8 +350,10 @@
     char *text = g_strdup_printf("id: %" G_GUINT64_FORMAT
                                  "\ndata: w%" G_GUINT64_FORMAT "%s\n\n",
                                  run->event, run->event, filler);
+    gsize sent = run->begun ? strcspn(text, "\n") + 1 : 0;
+    run->begun = FALSE;
     g_free(filler);
-    http_exchange_write(exchange, str_from_cstr(text));
+    http_exchange_write(exchange, str_tail(str_from_cstr(text), sent));
     g_free(text);
     run->event++;
     run->timer =
@@ -377,6 +383,13 @@
         answer_fields(e, run->exchange, "Content-Type: text/event-stream\r\n");
     http_exchange_begin(run->exchange, 200, str_from_cstr(fields));
     g_free(fields);
+    if (run->fault == FAULT_EARLY) {
+        char *text =
+            g_strdup_printf("id: %" G_GUINT64_FORMAT "\n", run->event);
+        http_exchange_write(run->exchange, str_from_cstr(text));
+        g_free(text);
+        run->begun = TRUE;
+    }
     run->timer =
         timers_subscribe(e->timers, run->event_us, 0, stream_step, run);
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -302,6 +302,108 @@
     fleet_destroy(f);
 }
 
+/* ---- requests that are open at several endpoints ---- */
+
+enum {
+    SILENT_ENDPOINTS = 3,
+};
+
+/* A request at endpoints that are all stopped. */
+typedef struct {
+    fleet_t *fleet;
+    const char *target;
+    const char *fields;
+    reply_t *reply;
+    GThread *thread;
+} silent_client_t;
+
+static gpointer
+silent_client(gpointer data)
+{
+    silent_client_t *client = data;
+    client->reply = fleet_request(fleet_entry(client->fleet, 0),
+                                  client->target, "s", client->fields);
+    return NULL;
+}
+
+static void
+signal_endpoints(fleet_t *f, int signal)
+{
+    for (guint i = 0; i < SILENT_ENDPOINTS; i++) {
+        fleet_signal(fleet_endpoint(f, i), signal);
+    }
+}
+
+static void
+silent_client_start(silent_client_t *client)
+{
+    signal_endpoints(client->fleet, SIGSTOP);
+    client->thread = g_thread_new("client", silent_client, client);
+}
+
+/* Expects a whole stream of the stand-in's /long. */
+static void
+silent_client_end(silent_client_t *client)
+{
+    enum { LONG_EVENTS = 24 };
+    signal_endpoints(client->fleet, SIGCONT);
+    g_thread_join(client->thread);
+    CU_ASSERT_EQUAL(client->reply->status, 200);
+    CU_ASSERT(client->reply->complete);
+    CU_ASSERT(is_stream(client->reply, 1, LONG_EVENTS));
+    reply_free(client->reply);
+}
+
+/* Waits until the entry instance has sent its request to a second endpoint.
+ * Returns the first one. */
+static fleet_process_t *
+wait_hedged(fleet_t *f)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    const char *line = NULL;
+    char *log = NULL;
+    while (line == NULL && g_get_monotonic_time() < until) {
+        g_clear_pointer(&log, g_free);
+        fleet_sleep(10);
+        g_file_get_contents(fleet_entry(f, 0)->log, &log, NULL, NULL);
+        line = log != NULL ? strstr(log, "\"event\":\"repeat\"") : NULL;
+    }
+    fleet_process_t *first = NULL;
+    for (guint i = 0; line != NULL && i < SILENT_ENDPOINTS; i++) {
+        fleet_process_t *e = fleet_endpoint(f, i);
+        char *text = g_strdup_printf("\"endpoint\":\"%s.", e->name);
+        const char *at = strstr(line, text);
+        if (at != NULL && at < line + strcspn(line, "\n")) {
+            first = e;
+        }
+        g_free(text);
+    }
+    g_free(log);
+    return first;
+}
+
+/* Guards against hedging a request anew at once when the silent endpoint has
+ * taken it up again: it sent the head of its stream, and no event yet. */
+static void
+test_taken_up_again(void)
+{
+    enum { HEAD_MS = 50, PAUSE_MS = 600 };
+    fleet_t *f = fleet_of(1, 1, SILENT_ENDPOINTS);
+    silent_client_t client = {
+        .fleet = f, .target = "/stream/long", .fields = "Fault: early\r\n"};
+    silent_client_start(&client);
+    fleet_process_t *first = wait_hedged(f);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(first);
+    fleet_signal(first, SIGCONT);
+    fleet_sleep(HEAD_MS);
+    fleet_signal(first, SIGSTOP);
+    fleet_sleep(PAUSE_MS);
+    CU_ASSERT_EQUAL(fleet_counter(fleet_entry(f, 0), "requests_hedged_total"),
+                    1);
+    silent_client_end(&client);
+    fleet_destroy(f);
+}
+
 /* ---- planned work ---- */
 
 static void
@@ -1023,6 +1125,7 @@
     {"a silent endpoint without another", test_silent_single_endpoint},
     {"endpoints lost amid streams", test_endpoint_lost},
     {"an instance that did not run delivers answers", test_paused_entry},
+    {"a stream that a silent endpoint takes up again", test_taken_up_again},
     {"an entry instance drains", test_entry_drains},
     {"an endpoint drains", test_endpoint_drains},
     {"an endpoint starts again under its id", test_endpoint_restarts},
