A second silent endpoint is noticed after the first one refused

What happened: of two silent endpoints of a request with two attempts, the first went on and refused; the request then waited for the second until its deadline, though it could be sent to a third.

Cause: both attempts counted as taken while the two were silent, so that no silence timeout was set; the refusal did not set the timer anew.

--- a/carobloomd/gateway/forward_hedge.c
+++ b/carobloomd/gateway/forward_hedge.c
@@ -112,6 +112,8 @@
         log_hedge(f, "silent_send_ended", s, reason);
         g_ptr_array_remove(f->silent, s);
         request_send_free(s);
+        /* If it was refused, there may be room for another send. */
+        forward_set_timer(f);
         return TRUE;
     }
     return forward_try_repeat(f, received, reason) ||
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -306,6 +306,7 @@
 
 enum {
     SILENT_ENDPOINTS = 3,
+    HEDGED_MS = 3 * 300, /* three times the latency target */
 };
 
 /* A request at endpoints that are all stopped. */
@@ -404,6 +405,39 @@
     fleet_destroy(f);
 }
 
+/* Guards against waiting until the deadline for an endpoint that is silent,
+ * after an earlier one has refused the request: it may be hedged again. */
+static void
+test_hedged_after_refusal(void)
+{
+    fleet_t *f = fleet_of(1, 1, SILENT_ENDPOINTS);
+    char *text = fleet_config(2, NULL);
+    char **parts = g_strsplit(text, "\"MaxAttempts\":3", -1);
+    char *two_attempts = g_strjoinv("\"MaxAttempts\":2", parts);
+    CU_ASSERT_EQUAL(fleet_put(f, two_attempts, 0), 200);
+    fleet_sleep(500);
+    silent_client_t client = {
+        .fleet = f, .target = "/stream/long", .fields = ""};
+    silent_client_start(&client);
+    fleet_process_t *first = wait_hedged(f);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(first);
+    fleet_sleep(HEDGED_MS / 2);
+    fleet_fault(first, "full");
+    fleet_signal(first, SIGCONT);
+    gint64 until = g_get_monotonic_time() + 2 * (gint64)HEDGED_MS * 1000;
+    guint64 hedged = 0;
+    while (hedged < 2 && g_get_monotonic_time() < until) {
+        fleet_sleep(20);
+        hedged = fleet_counter(fleet_entry(f, 0), "requests_hedged_total");
+    }
+    CU_ASSERT_EQUAL(hedged, 2);
+    silent_client_end(&client);
+    g_free(two_attempts);
+    g_strfreev(parts);
+    g_free(text);
+    fleet_destroy(f);
+}
+
 /* ---- planned work ---- */
 
 static void
@@ -1126,6 +1160,7 @@
     {"endpoints lost amid streams", test_endpoint_lost},
     {"an instance that did not run delivers answers", test_paused_entry},
     {"a stream that a silent endpoint takes up again", test_taken_up_again},
+    {"a silent endpoint after one that refused", test_hedged_after_refusal},
     {"an entry instance drains", test_entry_drains},
     {"an endpoint drains", test_endpoint_drains},
     {"an endpoint starts again under its id", test_endpoint_restarts},
