Test: settings are read again amid streams

Settings written in place, in twelve steps, with a SIGHUP after each, beside 24 streams, then the same between two SIGTERMs: no stream ends early, the instance stays ready and ends in order.

--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -463,6 +463,63 @@
     fleet_destroy(f);
 }
 
+/* Writes the first bytes of a file over it, in place, as an editor does that
+ * is not done yet. */
+static void
+write_in_place(const char *path, const char *text, gsize length)
+{
+    FILE *file = fopen(path, "w");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(file);
+    CU_ASSERT_EQUAL(fwrite(text, 1, length, file), length);
+    fclose(file);
+}
+
+/* Has the instances read their settings while these are written: each time a
+ * longer part, at last the whole file. */
+static void
+reload_entries(fleet_t *f)
+{
+    enum { PARTS = 12, PAUSE_MS = 15 };
+    for (guint i = 0; i < f->entries; i++) {
+        fleet_process_t *entry = fleet_entry(f, i);
+        char *path = g_build_filename(entry->folder, "settings.jsonc", NULL);
+        char *text = NULL;
+        gsize length = 0;
+        CU_ASSERT_FATAL(g_file_get_contents(path, &text, &length, NULL));
+        for (gsize part = 0; part <= PARTS; part++) {
+            write_in_place(path, text, length * part / PARTS);
+            fleet_signal(entry, SIGHUP);
+            fleet_sleep(PAUSE_MS);
+        }
+        g_free(text);
+        g_free(path);
+    }
+}
+
+static void
+reload_and_drain(fleet_t *f)
+{
+    term_entry(f);
+    reload_entries(f);
+    term_entry(f);
+}
+
+/* Guards against requests that end because the settings are read again, half
+ * written or whole, also while an instance ends. */
+static void
+test_reload(void)
+{
+    fleet_t *f = fleet_of(1, 2, 2);
+    CU_ASSERT_EQUAL(streams_completed(f, "reload", reload_entries), CLIENTS);
+    CU_ASSERT(fleet_wait_ready(fleet_entry(f, 0)));
+    CU_ASSERT_EQUAL(streams_completed(f, "both", reload_and_drain), CLIENTS);
+    CU_ASSERT_EQUAL(fleet_wait_exit(fleet_entry(f, 0)), 0);
+    reply_t *reply = fleet_request(fleet_entry(f, 1), "/safe/1", "after", "");
+    CU_ASSERT_EQUAL(reply->status, 200);
+    reply_free(reply);
+    fleet_destroy(f);
+}
+
 /* Guards against sending requests to an endpoint that is known to drain: 200
  * ms after its draining state was received, none may reach the endpoint. */
 static void
@@ -1162,6 +1219,7 @@
     {"a stream that a silent endpoint takes up again", test_taken_up_again},
     {"a silent endpoint after one that refused", test_hedged_after_refusal},
     {"an entry instance drains", test_entry_drains},
+    {"settings are read again amid streams", test_reload},
     {"an endpoint drains", test_endpoint_drains},
     {"an endpoint starts again under its id", test_endpoint_restarts},
     {"other writers name no endpoint", test_forged_heartbeats},
