The limit for heads holds from the next request on

What callers saw: 431, which is final, on a kept connection for a head that the configuration in force allows, where the connection was made under a smaller limit; a head beyond the limit in force was taken there as well.

Cause: a connection kept the limit of the moment at which it was accepted.

Evidence: two of three cases of "a change between two requests" in test_http failed before (431 under the larger limit, 200 under the smaller one) and pass now.

--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -258,6 +258,9 @@
 {
     gsize used = 0;
     gboolean first = !c->reader.started;
+    if (first) {
+        c->reader.head_max = c->server->limits.head_max;
+    }
     reader_result_t result = http_reader_feed(&c->reader, bytes, &used);
     if (first && c->reader.started) {
         c->started_us = timers_now(c->server->timers);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -923,6 +923,51 @@
     }
 }
 
+typedef struct {
+    const char *name;
+    gsize head_max; /* after a request on the same connection */
+    const char *status;
+} head_limit_case_t;
+
+static const head_limit_case_t HEAD_LIMIT_CASES[] = {
+    {"the same", 512, "431"},
+    {"larger", 1024, "200 OK"},
+    {"smaller", 4, "431"},
+};
+
+/* Guards against the limits of the time at which a connection was made: the
+ * limits in force hold for the next request on a kept connection. */
+static void
+test_head_limit_changes(void)
+{
+    char *filler = g_strnfill(600, 'a');
+    char *large = g_strconcat(GET "X: ", filler, "\r\n\r\n", NULL);
+    for (gsize i = 0; i < G_N_ELEMENTS(HEAD_LIMIT_CASES); i++) {
+        const head_limit_case_t *c = &HEAD_LIMIT_CASES[i];
+        http_limits_t limits = SITE_LIMITS;
+        site_t site;
+        site_open(&site);
+        int fd = site_connect(&site);
+        send(fd, GET "\r\n", strlen(GET "\r\n"), MSG_NOSIGNAL);
+        g_string_free(site_read(&site, fd, "\r\n\r\n"), TRUE);
+        limits.head_max = c->head_max;
+        http_server_set_limits(site.server, &limits);
+        const char *bytes =
+            c->head_max < SITE_LIMITS.head_max ? GET "\r\n" : large;
+        send(fd, bytes, strlen(bytes), MSG_NOSIGNAL);
+        GString *text = site_read(&site, fd, "\r\n\r\n");
+        if (strstr(text->str, c->status) == NULL) {
+            printf("%s: %s\n", c->name, text->str);
+        }
+        CU_ASSERT_PTR_NOT_NULL(strstr(text->str, c->status));
+        g_string_free(text, TRUE);
+        close(fd);
+        site_close(&site);
+    }
+    g_free(large);
+    g_free(filler);
+}
+
 /* ---- answers to clients that read late ---- */
 
 enum { LARGE_BYTES = 12 * 1024 * 1024, READ_LATE_US = 1500 * 1000 };
@@ -1042,6 +1087,7 @@
     {"draining closes in order", test_drain},
     {"a request that has arrived is answered", test_unread_request},
     {"a change amid a request", test_change_amid_request},
+    {"a change between two requests", test_head_limit_changes},
     {"an answer is whole for a client that reads late", test_late_reader},
     {"an answer broken off is not whole", test_abort},
 };
