Soak: endpoints fall silent and go on; lost answers are found

Beside the faults that the soak draws anyway, the operator changes routes, services, timeouts, limits of callers and keys in quick succession, two at a time and with invalid ones; instances get SIGHUP, and a settings file is half written for a moment.

Clients that keep connections open send plain, unsafe and streamed requests, resumable or not, of up to two seconds of events. Each one has to get its endpoint's whole answer or a refusal that is true. A run that was ended before another one had spoken is no excuse.

--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -104,6 +104,7 @@
     gint64 event_us; /* between two */
     gboolean is_large;
     gboolean begun; /* the first line of the next event was sent */
+    gboolean spoke;
     fault_t fault;
 } run_t;
 
@@ -288,14 +289,20 @@
     }
     run_free(run);
     str_t id = request_id(exchange);
+    if (fault != FAULT_RESET && fault != FAULT_CUT) {
+        log_moment(e, "spoke", id);
+        log_moment(e, "done", id);
+    }
     char *body = g_strdup_printf("answer to %.*s by %s", (int)id.length,
                                  id.data, e->id);
     char *fields;
     switch (fault) {
     case FAULT_RESET:
+        log_moment(e, "broke", id);
         http_exchange_abort(exchange);
         break;
     case FAULT_CUT:
+        log_moment(e, "broke", id);
         fields = answer_fields(e, exchange, "");
         http_exchange_begin(exchange, 200, str_from_cstr(fields));
         http_exchange_write(exchange, str_from_cstr("half"));
@@ -333,12 +340,14 @@
     }
     if ((run->fault == FAULT_RESET || run->fault == FAULT_CUT) && half) {
         http_exchange_write(exchange, STR("id: 99\ndata: half an"));
+        log_moment(e, "broke", request_id(exchange));
         run_free(run);
         http_exchange_abort(exchange);
         return;
     }
     if (run->event > run->events) {
         log_run(e, "end", request_id(exchange));
+        log_moment(e, "done", request_id(exchange));
         run_free(run);
         http_exchange_finish(exchange);
         return;
@@ -355,6 +364,10 @@
     g_free(filler);
     http_exchange_write(exchange, str_tail(str_from_cstr(text), sent));
     g_free(text);
+    if (!run->spoke) {
+        run->spoke = TRUE;
+        log_moment(e, "spoke", request_id(exchange));
+    }
     run->event++;
     run->timer =
         timers_subscribe(e->timers, run->event_us, 0, stream_step, run);
@@ -409,6 +422,7 @@
     http_exchange_set_data(exchange, run);
     e->running++;
     log_run(e, "run", request_id(exchange));
+    log_moment(e, "ran", request_id(exchange));
     if (fault == FAULT_CRASH) {
         timers_subscribe(e->timers, CRASH_US, 0, crash, e);
     }
@@ -533,6 +547,7 @@
     }
     if (run != NULL) {
         log_run(user, "gone", request_id(exchange));
+        log_moment(user, "gone", request_id(exchange));
         run_free(run);
     }
 }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -212,10 +212,11 @@
     char *address = g_strdup_printf("%s:%d", p->ip, FLEET_ENDPOINT_PORT);
     char *listen = g_strdup_printf("%s:%d", p->bind, FLEET_ENDPOINT_PORT);
     char *slots = g_strdup_printf("%u", f->slots);
-    const char *argv[] = {ENDPOINT,      "--id",      id,     "--address",
-                          address,       "--service", "a",    "--controls",
-                          controls->str, "--slots",   slots,  "--listen",
-                          listen,        "--log",     p->log, NULL};
+    const char *service = p->service != NULL ? p->service : "a";
+    const char *argv[] = {ENDPOINT,      "--id",      id,      "--address",
+                          address,       "--service", service, "--controls",
+                          controls->str, "--slots",   slots,   "--listen",
+                          listen,        "--log",     p->log,  NULL};
     p->process = spawn(p, argv);
     g_free(id);
     g_free(address);
@@ -487,6 +488,7 @@
     }
     reply->status = reader.in_head ? 0 : reader.head.status;
     reply->complete = reader.complete;
+    reply->keep_alive = reader.complete && reader.head.keep_alive;
     reply->sealed = http_head_find(&reader.head, "Response-Seal", &value);
     reply->fields = g_string_free(fields, FALSE);
     http_reader_clear(&reader);
@@ -532,6 +534,21 @@
     return reply;
 }
 
+reply_t *
+fleet_call_kept(int *fd, const char *ip, guint port, const char *target,
+                const char *fields, int wait_ms)
+{
+    if (*fd < 0) {
+        *fd = fleet_connect(ip, port, wait_ms);
+    }
+    reply_t *reply = fleet_call_on(*fd, "GET", target, fields, "", wait_ms);
+    if (*fd >= 0 && !reply->keep_alive) {
+        close(*fd);
+        *fd = -1;
+    }
+    return reply;
+}
+
 gssize
 fleet_exchange(const char *ip, guint port, const char *bytes, gsize length,
                char *answer, gsize size)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -48,6 +48,7 @@
                              nothing, see faulty_system.c */
     guint starts;
     char *id; /* that an endpoint goes by; NULL: a new one each start */
+    const char *service; /* that an endpoint is of; NULL: "a" */
 } fleet_process_t;
 
 typedef struct {
@@ -71,6 +72,7 @@
     gboolean complete; /* by its framing */
     gboolean sealed;
     int longest_wait_ms; /* for bytes, from when the request was sent */
+    gboolean keep_alive; /* the connection may be used again */
     char *fields;        /* "name: value" lines */
     GString *body;
 } reply_t;
@@ -129,6 +131,10 @@
 int fleet_connect(const char *ip, guint port, int wait_ms);
 reply_t *fleet_call_on(int connection, const char *method, const char *target,
                        const char *fields, const char *body, int wait_ms);
+/* A GET on a connection that stays open: `*fd` is -1 when there is none. It is
+ * closed, and -1 again, unless the reply allows another call on it. */
+reply_t *fleet_call_kept(int *fd, const char *ip, guint port,
+                         const char *target, const char *fields, int wait_ms);
 void reply_free(reply_t *reply);
 /* Sends bytes and reads up to `size` of what comes back, until the other side
  * closes. Returns how many came, or -1. */
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -85,6 +85,7 @@
     cuts:*) options=--cuts ;;
     repeats:*) options=--repeats ;;
     brittle:*) options="--brittle --entries 6 --clients 24" ;;
+    silences:*) options="--silences --entries 4 --endpoints 6 --clients 16" ;;
     esac
     if build/tests/soak --seed "$seed" --seconds "$seconds" $options \
         >soak.log 2>&1
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -8,11 +8,14 @@
 
 #include "fleet.h"
 #include "fleet_cut.h"
+#include "soak_answers.h"
 #include "soak_brittle.h"
+#include "soak_changes.h"
 #include "soak_cuts.h"
 #include "soak_limits.h"
 #include "soak_repeats.h"
 #include "soak_rests.h"
+#include "soak_silences.h"
 
 enum {
     CLIENTS_MAX = 64,
@@ -66,6 +69,9 @@
     soak_cuts_t *cuts;                   /* NULL: no instance is cut off */
     soak_repeats_t *repeats;             /* NULL: no request asks for faults */
     soak_brittle_t *brittle;             /* NULL: no endpoint is brittle */
+    soak_silences_t *silences;           /* NULL: no endpoint falls silent */
+    soak_changes_t *changes;             /* NULL: one small change at a time */
+    soak_answers_t *answers;             /* NULL: lost answers do not count */
 } soak_t;
 
 static int
@@ -198,19 +204,34 @@
     }
 }
 
+/* Returns the version of the next change. */
+static gint
+change_once(soak_t *s, gint version, GRand *random)
+{
+    char *text = fleet_config((guint64)version, NULL);
+    guint first = (guint)g_rand_int_range(random, 0, (gint)s->fleet->controls);
+    if (fleet_put(s->fleet, text, first) == 200) {
+        g_atomic_int_set(&s->acked, version);
+    }
+    g_free(text);
+    return version + 1;
+}
+
 static gpointer
 operator_run(gpointer data)
 {
     soak_t *s = data;
     GRand *random = g_rand_new_with_seed(s->seed + 1000);
-    for (gint version = 2; !g_atomic_int_get(&s->stop); version++) {
-        char *text = fleet_config((guint64)version, NULL);
-        guint first =
-            (guint)g_rand_int_range(random, 0, (gint)s->fleet->controls);
-        if (fleet_put(s->fleet, text, first) == 200) {
-            g_atomic_int_set(&s->acked, version);
+    gint version = 2;
+    while (!g_atomic_int_get(&s->stop)) {
+        gint acked = g_atomic_int_get(&s->acked);
+        if (s->changes != NULL) {
+            version = soak_changes_make(s->changes, version, &acked);
+            g_atomic_int_set(&s->acked, acked);
+        }
+        else {
+            version = change_once(s, version, random);
         }
-        g_free(text);
         for (guint i = 0; i < s->fleet->controls; i++) {
             read_back(s, i);
         }
@@ -222,6 +243,14 @@
 
 /* ---- faults ---- */
 
+/* A process is disturbed, so that promises on it do not hold for a while. */
+static void
+excuse(soak_t *s, const fleet_process_t *p, disturbance_t kind, int ms)
+{
+    soak_rests_excuse(s->rests, p, ms);
+    soak_answers_excuse(s->answers, p, kind, ms);
+}
+
 /* Something to be undone later. */
 typedef struct {
     int at_ms;
@@ -257,7 +286,7 @@
         return (undo_t){0};
     }
     say(s, "kill", p->name);
-    soak_rests_excuse(s->rests, p, down);
+    excuse(s, p, DISTURBED_ABRUPTLY, down);
     fleet_signal(p, SIGCONT);
     fleet_kill(p);
     gint64 now = g_get_monotonic_time();
@@ -280,7 +309,12 @@
         return (undo_t){0};
     }
     say(s, "stop", p->name);
-    soak_rests_excuse(s->rests, p, down);
+    if (p->role == FLEET_ENDPOINT) {
+        soak_rests_excuse(s->rests, p, down);
+    }
+    else {
+        excuse(s, p, DISTURBED_ABRUPTLY, down);
+    }
     fleet_signal(p, SIGSTOP);
     return (undo_t){
         .at_ms = since_ms(s) + down, .process = p, .stopped = TRUE};
@@ -294,7 +328,7 @@
         return (undo_t){0};
     }
     say(s, "terminate", p->name);
-    soak_rests_excuse(s->rests, p, TERM_MS);
+    excuse(s, p, DISTURBED_BY_TERM, TERM_MS);
     fleet_signal(p, SIGTERM);
     return (undo_t){.at_ms = since_ms(s) + TERM_MS, .process = p};
 }
@@ -314,7 +348,7 @@
                              proxy_mode_name(mode), NULL);
     say(s, "link", text);
     g_free(text);
-    soak_rests_excuse(s->rests, &s->fleet->processes[at], down);
+    excuse(s, &s->fleet->processes[at], DISTURBED_ABRUPTLY, down);
     proxy_set(proxy, mode);
     return (undo_t){.at_ms = since_ms(s) + down, .proxy = proxy};
 }
@@ -357,7 +391,7 @@
     gint64 ms = g_rand_int_range(s->random, 300, 6000);
     if (p->role != FLEET_ENDPOINT) {
         say(s, "suspended", p->name);
-        soak_rests_excuse(s->rests, p, 0);
+        excuse(s, p, DISTURBED_ABRUPTLY, 0);
         p->ahead_us += ms * 1000;
         fleet_set_faults(p);
     }
@@ -405,7 +439,11 @@
     if (undo->stopped) {
         return;
     }
-    fleet_kill(undo->process); /* if it drained too slowly to have ended */
+    if (fleet_is_running(undo->process)) {
+        /* It drained too slowly to have ended, or the schedule is over. */
+        excuse(s, undo->process, DISTURBED_ABRUPTLY, 0);
+    }
+    fleet_kill(undo->process);
     fleet_start(s->fleet, undo->process);
 }
 
@@ -445,6 +483,7 @@
 {
     gint64 until_us = g_get_monotonic_time() + (gint64)ms * 1000;
     while (g_get_monotonic_time() < until_us) {
+        soak_answers_step(s->answers);
         tend_endpoints(s);
         fleet_sleep(10);
     }
@@ -456,12 +495,14 @@
     GArray *undos = g_array_new(FALSE, FALSE, sizeof(undo_t));
     int next = 500;
     while (since_ms(s) < seconds * 1000) {
+        soak_answers_step(s->answers);
         undo_due(s, undos, FALSE);
         tend_endpoints(s);
         soak_limits_step(s->limits);
         soak_rests_step(s->rests);
         soak_cuts_step(s->cuts);
         soak_brittle_step(s->brittle);
+        soak_silences_step(s->silences);
         if (since_ms(s) >= next) {
             gint kinds =
                 (gint)G_N_ELEMENTS(FAULTS) - (s->fleet->platform == NULL);
@@ -479,6 +520,10 @@
     soak_rests_end(s->rests);
     soak_cuts_end(s->cuts);
     soak_brittle_end(s->brittle);
+    soak_silences_end(s->silences);
+    while (!soak_answers_stop(s->answers)) {
+        wait_calm(s, 10);
+    }
     g_array_unref(undos);
 }
 
@@ -605,7 +650,8 @@
 static int
 soak_run(guint32 seed, int seconds, guint controls, guint entries,
          guint endpoints, guint clients, gboolean duties, gboolean limits,
-         gboolean rests, gboolean cuts, gboolean repeats, gboolean brittle)
+         gboolean rests, gboolean cuts, gboolean repeats, gboolean brittle,
+         gboolean silences)
 {
     soak_t s = {.seed = seed, .random = g_rand_new_with_seed(seed)};
     client_t all[CLIENTS_MAX];
@@ -620,6 +666,9 @@
     s.rests = rests ? soak_rests_create(s.fleet, seed) : NULL;
     s.repeats = repeats ? soak_repeats_create(s.fleet) : NULL;
     s.brittle = brittle ? soak_brittle_create(s.fleet, seed) : NULL;
+    s.silences = silences ? soak_silences_create(s.fleet, seed) : NULL;
+    s.changes = silences ? soak_changes_create(s.fleet, seed) : NULL;
+    s.answers = silences ? soak_answers_create(s.fleet, seed, clients) : NULL;
     fleet_proxies_create(s.fleet, s.proxies);
     s.cuts = cuts ? soak_cuts_create(s.fleet, s.proxies, seed) : NULL;
     s.started_us = g_get_monotonic_time();
@@ -637,6 +686,7 @@
                        .random = g_rand_new_with_seed(seed * CLIENTS_MAX + i)};
         threads[i] = g_thread_new("client", client_run, &all[i]);
     }
+    soak_answers_start(s.answers);
     GThread *operator= g_thread_new("operator", operator_run, &s);
     GThread *crasher = g_thread_new("crasher", crasher_run, &s);
     run_schedule(&s, seconds);
@@ -663,6 +713,12 @@
     if (!soak_brittle_kept(s.brittle)) {
         broke(&s, "brittle endpoints stand", "see above");
     }
+    if (!soak_changes_kept(s.changes)) {
+        broke(&s, "invalid changes are refused", "see above");
+    }
+    if (soak_answers_lost(s.answers) > 0) {
+        broke(&s, "whole requests are answered or refused", "see above");
+    }
     gboolean fails = s.repeats != NULL; /* four of five requests ask for it */
     if (!fails && s.served * 100 < s.asked * SERVED_LEAST) {
         broke(&s, "serves on", "too few were served");
@@ -675,6 +731,9 @@
     soak_cuts_destroy(s.cuts);
     soak_repeats_destroy(s.repeats);
     soak_brittle_destroy(s.brittle);
+    soak_silences_destroy(s.silences);
+    soak_changes_destroy(s.changes);
+    soak_answers_destroy(s.answers);
     fleet_destroy_keep(s.fleet, s.broken > 0);
     proxies_stop();
     g_ptr_array_unref(s.told);
@@ -705,10 +764,14 @@
     struct arg_lit *brittle = arg_lit0(NULL, "brittle",
                                        "endpoints fall over when they turn "
                                        "too many requests away");
+    struct arg_lit *silences =
+        arg_lit0(NULL, "silences",
+                 "endpoints fall silent and go on, and changes come in quick "
+                 "succession; all requests are answered or refused");
     struct arg_end *end = arg_end(10);
     void *table[] = {seed,      count,   seconds, controls, entries,
                      endpoints, clients, duties,  limits,   rests,
-                     cuts,      repeats, brittle, end};
+                     cuts,      repeats, brittle, silences, end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -719,14 +782,14 @@
     int failed = 0;
     int many = OR(count, 1);
     for (int i = 0; i < many; i++) {
-        failed +=
-            soak_run((guint32)(OR(seed, 1) + i), OR(seconds, 15),
-                     (guint)CLAMP(OR(controls, 3), 1, 9),
-                     (guint)CLAMP(OR(entries, 3), 1, 24),
-                     (guint)CLAMP(OR(endpoints, 4), 1, 24),
-                     (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX),
-                     duties->count > 0, limits->count > 0, rests->count > 0,
-                     cuts->count > 0, repeats->count > 0, brittle->count > 0);
+        failed += soak_run(
+            (guint32)(OR(seed, 1) + i), OR(seconds, 15),
+            (guint)CLAMP(OR(controls, 3), 1, 9),
+            (guint)CLAMP(OR(entries, 3), 1, 24),
+            (guint)CLAMP(OR(endpoints, 4), 1, 24),
+            (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX), duties->count > 0,
+            limits->count > 0, rests->count > 0, cuts->count > 0,
+            repeats->count > 0, brittle->count > 0, silences->count > 0);
     }
 #undef OR
     arg_freetable(table, G_N_ELEMENTS(table));
