Catching up on events is bounded in time

Cause: before late timers run, events that wait are taken in up to eight turns; where each event takes long, that held the timers back without a bound. Now no turn begins after 50 ms. test_stalls has a case of events that take long.

--- a/common/poller.c
+++ b/common/poller.c
@@ -4,8 +4,9 @@
 
 /* Events taken from the kernel at once; more wait for the next turn. */
 enum { EVENTS_A_TURN = 128 };
-/* Bounds poller_catch_up while new events keep arriving. */
-enum { CATCH_UP_TURNS = 8 };
+/* Bounds of poller_catch_up while new events keep arriving: what waits for it
+ * is late already. */
+enum { CATCH_UP_TURNS = 8, CATCH_UP_US = 50 * 1000 };
 
 struct poller {
     int fd;
@@ -101,7 +102,10 @@
 void
 poller_catch_up(poller_t *poller)
 {
-    for (int i = 0; i < CATCH_UP_TURNS && take_events(poller) > 0; i++) {
+    gint64 until = g_get_monotonic_time() + CATCH_UP_US;
+    int turns = 0;
+    while (take_events(poller) > 0 && ++turns < CATCH_UP_TURNS &&
+           g_get_monotonic_time() < until) {
     }
 }
 
--- a/tests/test_stalls.c
+++ b/tests/test_stalls.c
@@ -169,6 +169,27 @@
     watch_answer(s);
 }
 
+static void
+on_endless_event(guint32 events, void *data)
+{
+    (void)events;
+    const stalled_t *s = data;
+    char byte;
+    CU_ASSERT_EQUAL(read(s->busy[1], &byte, 1), 1);
+    CU_ASSERT_EQUAL(write(s->busy[0], &byte, 1), 1);
+}
+
+/* Timers run although events never end. */
+static void
+endless_events(stalled_t *s)
+{
+    watch_answer(s);
+    s->busy_watch =
+        poll_watch_create(s->poller, s->busy[1], EPOLLIN, on_endless_event, s);
+    CU_ASSERT_EQUAL(write(s->busy[0], "b", 1), 1);
+    g_usleep(STALL_US);
+}
+
 typedef struct {
     const char *name;
     void (*stall)(stalled_t *s);
@@ -182,6 +203,7 @@
     {"in another source", stall_in_source, TRUE},
     {"before a connection is accepted", stall_before_accept, TRUE},
     {"nothing arrives", no_answer, FALSE},
+    {"other events never end", endless_events, FALSE},
 };
 
 static void
