A request that returns to a silent endpoint forgets its quarantine

What happened: a repeat was refused since the request was quarantined by then, and the request returned to the silent endpoint. If it ended after the quarantine had, without a new attempt in between, the line on its end read the freed entry of the quarantine: the instance may end.

Cause: a request that was refused as quarantined used to end at once, so that the pointer to the entry stayed valid.

--- a/carobloomd/gateway/forward_hedge.c
+++ b/carobloomd/gateway/forward_hedge.c
@@ -79,6 +79,7 @@
     request_send_free(f->send);
     set_send(f, g_ptr_array_steal_index(f->silent, 0));
     f->send->silent_from_us = forward_now(f);
+    f->quarantined = NULL; /* its entry may end before the request */
     counter_add(counter_get("requests_returned_total", NULL, FALSE), 1);
     log_hedge(f, "request_returned", f->send, "no other endpoint answered");
     forward_set_timer(f);
--- a/tests/test_crashing.c
+++ b/tests/test_crashing.c
@@ -588,6 +588,94 @@
     fleet_destroy(p.fleet);
 }
 
+/* ---- a request that is open at a silent endpoint ---- */
+
+typedef struct {
+    const fleet_process_t *entry;
+    const char *target;
+    reply_t *reply;
+} silent_caller_t;
+
+static gpointer
+call_silent(gpointer data)
+{
+    enum { DEADLINE_MS = 14000 };
+    silent_caller_t *c = data;
+    char *fields = g_strdup_printf("Request-Id: silent\r\nAuthorization: "
+                                   "Bearer %s\r\nDeadline-Ms: %d\r\n"
+                                   "Fault: mute\r\n",
+                                   FLEET_KEY, DEADLINE_MS);
+    c->reply = fleet_call(c->entry->ip, FLEET_CALLERS_PORT, "POST", c->target,
+                          fields, "body", DEADLINE_MS + 2000);
+    g_free(fields);
+    return NULL;
+}
+
+/* Routes with a silence timeout of 3 s, and time for a whole quarantine. */
+static char *
+patient_config(void)
+{
+    char *text = fleet_config(2, NULL);
+    char **parts =
+        g_strsplit(text, "\"TimeoutMs\":6000,\"TargetLatencyMs\":300", -1);
+    char *patient =
+        g_strjoinv("\"TimeoutMs\":15000,\"TargetLatencyMs\":1000", parts);
+    g_strfreev(parts);
+    g_free(text);
+    return patient;
+}
+
+/* Kills the endpoints that had no request, so that none can take a repeat. */
+static void
+kill_idle_endpoints(fleet_t *f, guint count)
+{
+    for (guint i = 0; i < count; i++) {
+        GArray *arrivals = fleet_arrivals(fleet_endpoint(f, i));
+        if (arrivals->len == 0) {
+            fleet_kill(fleet_endpoint(f, i));
+        }
+        g_array_unref(arrivals);
+    }
+}
+
+/* Guards against using a quarantine after its end: the request was quarantined
+ * while a silent endpoint had it, its repeat was refused for that, and it
+ * outlives the quarantine. */
+static void
+test_quarantined_while_silent(void)
+{
+    enum { MEMORY_S = 10, FIVE = 5, SENT_MS = 300, HEDGED_MS = 7000 };
+    guint64 returned = 0;
+    fleet_t *f = fleet_create(1, 1, FIVE);
+    f->crash_memory_s = MEMORY_S;
+    CU_ASSERT_FATAL(fleet_up(f, 1));
+    char *text = patient_config();
+    CU_ASSERT_EQUAL(fleet_put(f, text, 0), 200);
+    g_free(text);
+    fleet_sleep(500);
+    silent_caller_t c = {.entry = fleet_entry(f, 0), .target = "/safe/x"};
+    GThread *thread = g_thread_new("silent", call_silent, &c);
+    fleet_sleep(SENT_MS);
+    reply_free(fleet_post(c.entry, c.target, "crash", FLEET_KEY,
+                          "Fault: crash\r\n", "body"));
+    for (int ms = 0; ms < HEDGED_MS && returned == 0; ms += 20) {
+        fleet_sleep(20);
+        returned = fleet_counter(c.entry, "requests_returned_total");
+    }
+    CU_ASSERT_EQUAL(returned, 1);
+    kill_idle_endpoints(f, FIVE);
+    g_thread_join(thread);
+    CU_ASSERT_EQUAL(c.reply->status, 504);
+    reply_free(c.reply);
+    fleet_sleep(1000); /* until the line is written */
+    char *log = NULL;
+    CU_ASSERT(g_file_get_contents(c.entry->log, &log, NULL, NULL));
+    CU_ASSERT_PTR_NOT_NULL(strstr(log, "\"status\":504"));
+    CU_ASSERT_PTR_NULL(strstr(log, "held_since_ms"));
+    g_free(log);
+    fleet_destroy(f);
+}
+
 static const test_case_t CASES[] = {
     {"what is taken for the end of an endpoint", test_ends},
     {"a request that crashes endpoints is held back", test_crashing},
@@ -596,6 +684,8 @@
     {"ends for other reasons", test_killed},
     {"an answered probe releases the request at once", test_answered_probe},
     {"no probe meets an endpoint that just ended", test_probe_after_break},
+    {"a request held back while a silent endpoint has it",
+     test_quarantined_while_silent},
 };
 
 CHECK_MAIN("crashing", CASES)
