Memory of a connection doesn't grow with all that was sent

A client or endpoint that reads on, but is behind all the time, made the instance keep every byte ever sent on the connection: sent bytes were dropped only at the moment at which none was left. The bounds on memory count only what is left, so nothing stopped it, and a process over its memory is killed with all its requests. Streams of callers are paused at 128 KB until they are drained, so it takes one that stays behind by less.

Now sent bytes are dropped once they are most of the array.

--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -271,12 +271,24 @@
     stream_socket_destroy(s);
 }
 
+/* Drops sent bytes once they are most of the array, so that each byte is moved
+ * once on average. */
+static void
+drop_sent(stream_socket_t *s)
+{
+    if (s->out_at > s->out->len / 2) {
+        g_byte_array_remove_range(s->out, 0, (guint)s->out_at);
+        s->out_at = 0;
+    }
+}
+
 void
 stream_socket_write(stream_socket_t *s, str_t bytes)
 {
     if (s->out == NULL) {
         s->out = g_byte_array_new();
     }
+    drop_sent(s);
     g_byte_array_append(s->out, (const guint8 *)bytes.data,
                         (guint)bytes.length);
     if (s->sum != NULL) {
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1053,6 +1053,56 @@
     g_free(body);
 }
 
+/* Resident memory of this process, in bytes. */
+static gsize
+resident_bytes(void)
+{
+    char *text = NULL;
+    gsize pages = 0;
+    if (g_file_get_contents("/proc/self/statm", &text, NULL, NULL)) {
+        pages = g_ascii_strtoull(strchr(text, ' '), NULL, 10);
+    }
+    g_free(text);
+    return pages * (gsize)sysconf(_SC_PAGESIZE);
+}
+
+/* Guards against memory that grows with all that was ever sent: the client
+ * reads on, but is behind all the time. */
+static void
+test_reader_always_behind(void)
+{
+    enum {
+        PIECE_BYTES = 32 * 1024,
+        BEHIND_BYTES = 4 * 1024 * 1024,
+        SENT_BYTES = 192 * 1024 * 1024,
+        GROWTH_MAX = 48 * 1024 * 1024,
+    };
+    static char piece[PIECE_BYTES];
+    site_t site;
+    site_open(&site);
+    int fd = site_connect(&site);
+    send(fd, "GET /hold HTTP/1.1\r\n\r\n", 22, MSG_NOSIGNAL);
+    CU_ASSERT(site_until(&site, &site.requests, 1));
+    http_exchange_begin(site.held, 200, STR(""));
+    gsize before = resident_bytes();
+    gsize sent = 0;
+    while (sent < SENT_BYTES) {
+        while (http_exchange_backlog(site.held) <= BEHIND_BYTES) {
+            http_exchange_write(site.held,
+                                (str_t){.data = piece, .length = PIECE_BYTES});
+            sent += PIECE_BYTES;
+        }
+        CU_ASSERT_FATAL(read_bytes(&site, fd, 1) > 0);
+    }
+    gsize growth = resident_bytes() - MIN(before, resident_bytes());
+    if (growth > GROWTH_MAX) {
+        printf("%zu MB more; ", growth / 1024 / 1024);
+    }
+    CU_ASSERT(growth < GROWTH_MAX);
+    close(fd);
+    site_close(&site);
+}
+
 /* An answer broken off does not look whole: the client sees no end mark. */
 static void
 test_abort(void)
@@ -1089,6 +1139,7 @@
     {"a change amid a request", test_change_amid_request},
     {"a change between two requests", test_head_limit_changes},
     {"an answer is whole for a client that reads late", test_late_reader},
+    {"a client that is always behind", test_reader_always_behind},
     {"an answer broken off is not whole", test_abort},
 };
 
