--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -302,6 +302,93 @@
     fleet_destroy(f);
 }
 
+static gboolean
+wait_in_force(fleet_t *f, guint64 version)
+{
+    char target[48];
+    g_snprintf(target, sizeof(target), "/extra-%lu/1", (unsigned long)version);
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    for (guint i = 0; i < f->entries;) {
+        reply_t *reply = fleet_request(fleet_entry(f, i), target, "probe", "");
+        i += reply->status == 200;
+        reply_free(reply);
+        if (g_get_monotonic_time() > until) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+/* A request on a connection that is kept. Returns the status, 0 if the
+ * connection is closed without an answer. */
+static guint
+kept_request(GSocketConnection *connection, const char *id)
+{
+    static const char STATUS_LINE[] = "HTTP/1.1 ";
+    char buffer[4096] = "";
+    char *text = g_strdup_printf(
+        "GET /safe/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\n"
+        "Deadline-Ms: 8000\r\nAuthorization: Bearer %s\r\n\r\n",
+        id, FLEET_KEY);
+    GIOStream *stream = G_IO_STREAM(connection);
+    g_output_stream_write_all(g_io_stream_get_output_stream(stream), text,
+                              strlen(text), NULL, NULL, NULL);
+    g_free(text);
+    gssize count = g_input_stream_read(g_io_stream_get_input_stream(stream),
+                                       buffer, sizeof(buffer) - 1, NULL, NULL);
+    return count > 0 && g_str_has_prefix(buffer, STATUS_LINE)
+               ? (guint)g_ascii_strtoull(buffer + strlen(STATUS_LINE), NULL,
+                                         10)
+               : 0;
+}
+
+static gpointer
+continue_later(gpointer entry)
+{
+    enum { PAUSE_MS = 600 };
+    fleet_sleep(PAUSE_MS);
+    fleet_signal(entry, SIGCONT);
+    return NULL;
+}
+
+/* Guards against closing a kept connection over a request that came within its
+ * idle time, but was not read, since the instance did not run. */
+static void
+test_paused_entry_with_kept_connection(void)
+{
+    enum { ROUNDS = 4, IDLE_MS = 300 };
+    fleet_t *f = fleet_of(1, 1, 1);
+    char *config = fleet_config(2, NULL);
+    char **parts = g_strsplit(config, "{\"Version\":2,", 2);
+    char *limited = g_strconcat("{\"Version\":2,\"Limits\":{"
+                                "\"IdleTimeoutMs\":600},",
+                                parts[1], NULL);
+    CU_ASSERT_EQUAL(fleet_put(f, limited, 0), 200);
+    CU_ASSERT(wait_in_force(f, 2));
+    GSocketClient *client = g_socket_client_new();
+    for (int i = 0; i < ROUNDS; i++) {
+        char id[32];
+        GSocketConnection *connection = g_socket_client_connect_to_host(
+            client, fleet_entry(f, 0)->ip, FLEET_CALLERS_PORT, NULL, NULL);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(connection);
+        g_snprintf(id, sizeof(id), "first-%d", i);
+        CU_ASSERT_EQUAL(kept_request(connection, id), 200);
+        fleet_sleep(IDLE_MS);
+        fleet_signal(fleet_entry(f, 0), SIGSTOP);
+        GThread *thread =
+            g_thread_new("continue", continue_later, fleet_entry(f, 0));
+        g_snprintf(id, sizeof(id), "second-%d", i);
+        CU_ASSERT_EQUAL(kept_request(connection, id), 200);
+        g_thread_join(thread);
+        g_object_unref(connection);
+    }
+    g_object_unref(client);
+    g_strfreev(parts);
+    g_free(config);
+    g_free(limited);
+    fleet_destroy(f);
+}
+
 /* ---- requests that are open at several endpoints ---- */
 
 enum {
@@ -753,23 +840,6 @@
     fleet_destroy(f);
 }
 
-static gboolean
-wait_in_force(fleet_t *f, guint64 version)
-{
-    char target[48];
-    g_snprintf(target, sizeof(target), "/extra-%lu/1", (unsigned long)version);
-    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
-    for (guint i = 0; i < f->entries;) {
-        reply_t *reply = fleet_request(fleet_entry(f, i), target, "probe", "");
-        i += reply->status == 200;
-        reply_free(reply);
-        if (g_get_monotonic_time() > until) {
-            return FALSE;
-        }
-    }
-    return TRUE;
-}
-
 static guint
 put_version(fleet_t *f, guint64 version, guint first)
 {
@@ -1216,6 +1286,8 @@
     {"a silent endpoint without another", test_silent_single_endpoint},
     {"endpoints lost amid streams", test_endpoint_lost},
     {"an instance that did not run delivers answers", test_paused_entry},
+    {"an instance that did not run keeps connections",
+     test_paused_entry_with_kept_connection},
     {"a stream that a silent endpoint takes up again", test_taken_up_again},
     {"a silent endpoint after one that refused", test_hedged_after_refusal},
     {"an entry instance drains", test_entry_drains},
