An instance that did not run takes no engine for silent

What callers saw: streams broken off, or repeated elsewhere, after the instance itself had not run for as long as the class's silence_ms, though the engine's events lay in the socket.

Cause: on the path of classes and engines the silence was measured by the clock, and its timer runs before the sockets are read. Now checks are counted, which this instance makes only while it runs.

--- a/carobloomd/request/attempt.c
+++ b/carobloomd/request/attempt.c
@@ -27,7 +27,7 @@
     gboolean is_stream;
     gboolean reading;
     gboolean ended;
-    gint64 progress_us;
+    guint quiet_checks; /* in a row, since the last progress */
     gint64 first_us;
     gint64 last_us;
     guint tokens;
@@ -187,7 +187,7 @@
                                                      result, &error);
     a->reading = FALSE;
     if (a->request != NULL && !a->ended) {
-        a->progress_us = g_get_monotonic_time();
+        a->quiet_checks = 0;
         if (bytes == NULL) {
             fail(a, error->message);
         }
@@ -275,7 +275,7 @@
         soup_session_send_finish(SOUP_SESSION(source), result, &error);
     a->stream = stream;
     if (a->request != NULL && !a->ended) {
-        a->progress_us = g_get_monotonic_time();
+        a->quiet_checks = 0;
         if (stream == NULL) {
             fail(a, error->message);
         }
@@ -297,17 +297,18 @@
     }
 }
 
+/* Counts checks instead of time: while this instance itself does not run, what
+ * arrives is not read, and no check is made. */
 static void
 check_silence(void *data)
 {
     attempt_t *a = data;
-    gint64 silent_us = g_get_monotonic_time() - a->progress_us;
     /* While the caller is slow, nothing is read: that is no silence. */
     if (!request_can_take(a->request)) {
-        a->progress_us = g_get_monotonic_time();
+        a->quiet_checks = 0;
         return;
     }
-    if (silent_us > a->request->class_info->silence_ms * 1000) {
+    if (++a->quiet_checks > CHECKS_A_SILENCE) {
         counter_add(counter_get("silent_attempts_total", NULL, FALSE), 1);
         fail(a, "silent too long");
     }
@@ -325,7 +326,6 @@
         .text = g_string_new(NULL),
         .batch = g_string_new(NULL),
         .said = g_string_new(NULL),
-        .progress_us = g_get_monotonic_time(),
     };
     sse_init(&a->sse);
     g_snprintf(a->id, sizeof(a->id), "%s-%u", request->name,
@@ -345,7 +345,7 @@
     }
     else {
         /* A protocol or address unknown here: told as broken by the timer. */
-        a->progress_us = 0;
+        a->quiet_checks = CHECKS_A_SILENCE;
     }
     return a;
 }
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -225,6 +225,63 @@
     }
 }
 
+/* ---- an instance that does not run for a while ---- */
+
+static void
+pause_instance(guint open, void *data)
+{
+    enum { PAUSE_MS = 2000 };
+    strike_t *s = data;
+    (void)open;
+    if (--s->after == 0) {
+        site_signal(s->site, 0, SIGSTOP);
+        sleep_ms(PAUSE_MS);
+        site_signal(s->site, 0, SIGCONT);
+    }
+}
+
+/* The sample with a class that takes endpoints for silent after a second. */
+static char *
+impatient_sample(void)
+{
+    char *sample = site_sample();
+    char **parts = g_strsplit(sample, "\"name\": \"counter\",", 2);
+    char *text =
+        g_strjoinv("\"name\": \"counter\", \"silence_ms\": 1000,", parts);
+    g_strfreev(parts);
+    g_free(sample);
+    return text;
+}
+
+/* Guards against taking an engine for silent whose events lie in the socket,
+ * because the instance did not run. */
+static void
+test_pause_is_no_silence(void)
+{
+    enum { CHATS = 20 };
+    site_t *site = site_up(1, 0);
+    char *text = impatient_sample();
+    answer_t *answer =
+        site_submit(site, 0, "silence", site_version(site, 0), text);
+    CU_ASSERT_EQUAL(answer->status, 200);
+    answer_free(answer);
+    g_free(text);
+    engine_t *a = engine_start(site, "a", "draft-7b", "model",
+                               "--slots=60 --token-us=30000");
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 60));
+    chat_t *chats = chats_create(CHATS, 1, 60, "counter");
+    strike_t strike = {.site = site, .after = 30};
+    guint whole;
+    chats_run(site, chats, CHATS, pause_instance, &strike);
+    CU_ASSERT(strike.after <= 0);
+    CU_ASSERT_EQUAL(count_wrong(chats, CHATS, &whole), 0);
+    CU_ASSERT_EQUAL(whole, CHATS);
+    CU_ASSERT_EQUAL(site_metric(site, 0, "silent_attempts_total"), 0);
+    g_free(chats);
+    engine_destroy(a);
+    site_destroy(site);
+}
+
 /* ---- drain ---- */
 
 static void
@@ -509,6 +566,8 @@
     {"an engine killed amid streams", test_engine_killed},
     {"an engine frozen amid streams", test_engine_frozen},
     {"a leaver gets nothing", test_leaver_gets_nothing},
+    {"an instance that did not run takes no engine for silent",
+     test_pause_is_no_silence},
     {"drain cuts nothing", test_drain_cuts_nothing},
     {"a key runs at most once", test_key_runs_at_most_once},
     {"read and close goes out once", test_read_and_close_goes_out_once},
