A server that drains answers a request that has arrived behind another

What callers saw: of two requests sent one after the other on a connection, the second got no answer if it lay in the socket when the first was answered.

Cause: only what had been read counted as the next request.

Evidence: "a second request that was not read" in test_http, plain build: one answer of two before, two of two runs; both after.

--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -557,8 +557,9 @@
 answer_start(http_exchange_t *c, guint status, str_t fields)
 {
     GString *text = g_string_sized_new(256 + fields.length);
-    /* A request that was read already gets its answer first. */
-    c->close_after |= c->server->draining && c->unread->len == 0;
+    /* A request that has arrived already gets its answer first. */
+    c->close_after |= c->server->draining && c->unread->len == 0 &&
+                      stream_socket_is_quiet(c->socket);
     g_string_append_printf(text, "HTTP/1.1 %u %s\r\n", status,
                            http_reason(status));
     g_string_append_len(text, fields.data, (gssize)fields.length);
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -44,7 +44,7 @@
 void http_server_set_limits(http_server_t *server,
                             const http_limits_t *limits);
 /* From now on answers carry "Connection: close", unless the next request on
- * their connection was read already. */
+ * their connection has arrived already. */
 void http_server_drain(http_server_t *server);
 /* Stops taking connections, once those that wait already are taken. */
 void http_server_unlisten(http_server_t *server);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -968,6 +968,27 @@
     g_free(filler);
 }
 
+/* Guards against closing over a request that arrived while the one before it
+ * was handled, and that is not read yet when that one is answered. */
+static void
+test_unread_second_request(void)
+{
+    site_t site;
+    site_open(&site);
+    int fd = site_connect(&site);
+    send_read(&site, fd, "GET /hold HTTP/1.1\r\n\r\n");
+    CU_ASSERT_EQUAL_FATAL(site.requests, 1);
+    http_server_drain(site.server);
+    send(fd, GET "\r\n", strlen(GET "\r\n"), MSG_NOSIGNAL);
+    http_exchange_answer(site.held, 200, STR(""), STR("first"));
+    GString *text = site_read(&site, fd, NULL);
+    CU_ASSERT_EQUAL(count_of(text->str, "200 OK"), 2);
+    CU_ASSERT_EQUAL(count_of(text->str, "Connection: close"), 1);
+    g_string_free(text, TRUE);
+    close(fd);
+    site_close(&site);
+}
+
 /* ---- answers to clients that read late ---- */
 
 enum { LARGE_BYTES = 12 * 1024 * 1024, READ_LATE_US = 1500 * 1000 };
@@ -1138,6 +1159,7 @@
     {"a request that has arrived is answered", test_unread_request},
     {"a change amid a request", test_change_amid_request},
     {"a change between two requests", test_head_limit_changes},
+    {"a second request that was not read", test_unread_second_request},
     {"an answer is whole for a client that reads late", test_late_reader},
     {"a client that is always behind", test_reader_always_behind},
     {"an answer broken off is not whole", test_abort},
