--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -427,7 +427,10 @@
         timers_subscribe(e->timers, CRASH_US, 0, crash, e);
     }
     str_t target = http_head_target(http_exchange_head(exchange));
-    if (str_find(target, STR("/stream/"), 0) >= 0 && fault != FAULT_ERROR) {
+    gboolean is_long = str_find(target, STR("/long"), 0) >= 0;
+    /* Only long streams are answered with an error. */
+    if (str_find(target, STR("/stream/"), 0) >= 0 &&
+        !(is_long && fault == FAULT_ERROR)) {
         stream_begin(run);
         return;
     }
