Endpoints that refused are asked again while another is silent

What callers saw: a request that had returned to its silent endpoint waited for it until the deadline, although the endpoints that had refused it for a moment could take it again.

Cause: endpoints that were tried are not chosen again; before, a request ended once all had refused. Now those that refused are forgotten on the return. A repeat that is refused also does not go to a third endpoint any more when a silent one has begun its stream.

Evidence: "endpoints that refused are asked again while one is silent" in test_gateway, plain build: 504 before; 200 in three of three runs after.

--- a/carobloomd/gateway/forward_hedge.c
+++ b/carobloomd/gateway/forward_hedge.c
@@ -70,6 +70,19 @@
     f->send = request_send_create(f);
 }
 
+/* Endpoints that refused the request for a moment may be asked again; those
+ * that have it may not. */
+static void
+forget_refusals(forward_t *f)
+{
+    f->tried_count = 0;
+    f->tried[f->tried_count++] = f->send->endpoint;
+    for (guint i = 0; i < silent_count(f); i++) {
+        const request_send_t *s = f->silent->pdata[i];
+        f->tried[f->tried_count++ % PLACEMENT_TRIED_MAX] = s->endpoint;
+    }
+}
+
 gboolean
 forward_return_to_silent(forward_t *f)
 {
@@ -80,6 +93,7 @@
     set_send(f, g_ptr_array_steal_index(f->silent, 0));
     f->send->silent_from_us = forward_now(f);
     f->quarantined = NULL; /* its entry may end before the request */
+    forget_refusals(f);
     counter_add(counter_get("requests_returned_total", NULL, FALSE), 1);
     log_hedge(f, "request_returned", f->send, "no other endpoint answered");
     forward_set_timer(f);
@@ -117,6 +131,10 @@
         forward_set_timer(f);
         return TRUE;
     }
+    if (f->taken_up_by != NULL && f->taken_up_by != s) {
+        request_send_choose(f->taken_up_by);
+        return TRUE;
+    }
     return forward_try_repeat(f, received, reason) ||
            forward_return_to_silent(f);
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -525,6 +525,47 @@
     fleet_destroy(f);
 }
 
+/* Sets the fault of all endpoints but one. */
+static void
+fault_others(fleet_t *f, const fleet_process_t *but, const char *fault)
+{
+    for (guint i = 0; i < SILENT_ENDPOINTS; i++) {
+        if (fleet_endpoint(f, i) != but) {
+            fleet_fault(fleet_endpoint(f, i), fault);
+        }
+    }
+}
+
+/* Guards against waiting for a silent endpoint until the deadline, because the
+ * others refused the request for a moment. */
+static void
+test_asked_again_after_refusals(void)
+{
+    fleet_t *f = fleet_of(1, 1, SILENT_ENDPOINTS);
+    silent_client_t client = {
+        .fleet = f, .target = "/safe/slow", .fields = ""};
+    silent_client_start(&client);
+    fleet_process_t *silent = wait_hedged(f);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(silent);
+    fault_others(f, silent, "full");
+    for (guint i = 0; i < SILENT_ENDPOINTS; i++) {
+        if (fleet_endpoint(f, i) != silent) {
+            fleet_signal(fleet_endpoint(f, i), SIGCONT);
+        }
+    }
+    gint64 until = g_get_monotonic_time() + (gint64)HEDGED_MS * 1000;
+    while (fleet_counter(fleet_entry(f, 0), "requests_returned_total") == 0 &&
+           g_get_monotonic_time() < until) {
+        fleet_sleep(10);
+    }
+    fault_others(f, silent, NULL);
+    g_thread_join(client.thread);
+    CU_ASSERT_EQUAL(client.reply->status, 200);
+    fleet_signal(silent, SIGCONT);
+    reply_free(client.reply);
+    fleet_destroy(f);
+}
+
 /* ---- planned work ---- */
 
 static void
@@ -1290,6 +1331,8 @@
      test_paused_entry_with_kept_connection},
     {"a stream that a silent endpoint takes up again", test_taken_up_again},
     {"a silent endpoint after one that refused", test_hedged_after_refusal},
+    {"endpoints that refused are asked again while one is silent",
+     test_asked_again_after_refusals},
     {"an entry instance drains", test_entry_drains},
     {"settings are read again amid streams", test_reload},
     {"an endpoint drains", test_endpoint_drains},
