--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -304,15 +304,6 @@
     return TRUE;
 }
 
-void
-forward_repeat(forward_t *f, gboolean received, const char *reason)
-{
-    if (!forward_try_repeat(f, received, reason)) {
-        request_send_detach(f->send);
-        forward_fail(f, reason);
-    }
-}
-
 void
 forward_handle_silence(forward_t *f)
 {
@@ -382,7 +373,8 @@
     if (!called) {
         endpoint_record_outcome(endpoint, ENDPOINT_FULL, forward_now(f));
         request_send_return_probe(s);
-        forward_repeat(f, FALSE, "no connection to the endpoint is free");
+        request_send_continue(s, FALSE,
+                              "no connection to the endpoint is free");
         return;
     }
     if (endpoint->limit != NULL) {
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -198,9 +198,6 @@
  * sent. */
 gboolean forward_try_repeat(forward_t *f, gboolean received,
                             const char *reason);
-/* Like forward_try_repeat, but ends the request with an error if it can't be
- * repeated. */
-void forward_repeat(forward_t *f, gboolean received, const char *reason);
 /* Sends the request of a silent endpoint to another endpoint as well. */
 void forward_handle_silence(forward_t *f);
 
