--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -422,9 +422,24 @@
     }
 }
 
+/* Waits until the entry instance knows all endpoints. */
+static gboolean
+wait_endpoints_known(const fleet_process_t *entry)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    while (fleet_counter(entry, "endpoints") != SILENT_ENDPOINTS) {
+        if (g_get_monotonic_time() > until) {
+            return FALSE;
+        }
+        fleet_sleep(20);
+    }
+    return TRUE;
+}
+
 static void
 silent_client_start(silent_client_t *client)
 {
+    CU_ASSERT_FATAL(wait_endpoints_known(fleet_entry(client->fleet, 0)));
     signal_endpoints(client->fleet, SIGSTOP);
     client->thread = g_thread_new("client", silent_client, client);
 }
@@ -442,21 +457,16 @@
     reply_free(client->reply);
 }
 
-/* Waits until the entry instance has sent its request to a second endpoint.
- * Returns the first one. */
+/* The endpoint that the first repeat left, by the log of the entry instance;
+ * NULL: there is no such line yet. */
 static fleet_process_t *
-wait_hedged(fleet_t *f)
+first_endpoint(fleet_t *f)
 {
-    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
-    const char *line = NULL;
-    char *log = NULL;
-    while (line == NULL && g_get_monotonic_time() < until) {
-        g_clear_pointer(&log, g_free);
-        fleet_sleep(10);
-        g_file_get_contents(fleet_entry(f, 0)->log, &log, NULL, NULL);
-        line = log != NULL ? strstr(log, "\"event\":\"repeat\"") : NULL;
-    }
     fleet_process_t *first = NULL;
+    char *log = NULL;
+    g_file_get_contents(fleet_entry(f, 0)->log, &log, NULL, NULL);
+    const char *line =
+        log != NULL ? strstr(log, "\"event\":\"repeat\"") : NULL;
     for (guint i = 0; line != NULL && i < SILENT_ENDPOINTS; i++) {
         fleet_process_t *e = fleet_endpoint(f, i);
         char *text = g_strdup_printf("\"endpoint\":\"%s.", e->name);
@@ -470,12 +480,41 @@
     return first;
 }
 
+/* Waits until the entry instance has sent its request to a second endpoint.
+ * Returns the first one. */
+static fleet_process_t *
+wait_hedged(fleet_t *f)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    fleet_process_t *first = NULL;
+    while (first == NULL && g_get_monotonic_time() < until) {
+        fleet_sleep(10);
+        first = first_endpoint(f);
+    }
+    return first;
+}
+
+/* Waits until a request has arrived at the endpoint, its first one. */
+static void
+wait_arrived(const fleet_process_t *endpoint)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    guint count = 0;
+    while (count == 0 && g_get_monotonic_time() < until) {
+        fleet_sleep(2);
+        GArray *arrivals = fleet_arrivals(endpoint);
+        count = arrivals->len;
+        g_array_unref(arrivals);
+    }
+    CU_ASSERT_FATAL(count > 0);
+}
+
 /* Guards against hedging a request anew at once when the silent endpoint has
  * taken it up again: it sent the head of its stream, and no event yet. */
 static void
 test_taken_up_again(void)
 {
-    enum { HEAD_MS = 50, PAUSE_MS = 600 };
+    enum { HEAD_MS = 20, PAUSE_MS = 600 };
     fleet_t *f = fleet_of(1, 1, SILENT_ENDPOINTS);
     silent_client_t client = {
         .fleet = f, .target = "/stream/long", .fields = "Fault: early\r\n"};
@@ -483,6 +522,7 @@
     fleet_process_t *first = wait_hedged(f);
     CU_ASSERT_PTR_NOT_NULL_FATAL(first);
     fleet_signal(first, SIGCONT);
+    wait_arrived(first);
     fleet_sleep(HEAD_MS);
     fleet_signal(first, SIGSTOP);
     fleet_sleep(PAUSE_MS);
