Requests that were given up don't arrive any more

What callers saw: nothing; endpoints saw requests up to 2.4 s after their callers had left, after the deadline, or after another endpoint had answered, and worked on them.

Cause, three of one class: giving a request up was taken for its end. - The connection of a cancelled call was closed in order. Callers are checked before each send, once a connection stands, and before bytes that waited for room. - While more lay behind a request than is read ahead, a close was not noticed. It is now told apart from what was sent before it.

client_call_reset went: client_call_cancel does it. A call whose owner says no is withdrawn (CALL_FAILED_WITHDRAWN) instead of unsent, which blamed the endpoint. Counter: requests_withdrawn_total.

--- a/carobloomd/control/duty_calls.c
+++ b/carobloomd/control/duty_calls.c
@@ -47,11 +47,11 @@
     done(user, status);
 }
 
-/* Resets the connection of a call, which then ends without a response. */
+/* Cancels a call, which then ends without a response. */
 static void
 call_drop(duty_call_t *d)
 {
-    client_call_reset(d->call);
+    client_call_cancel(d->call);
     call_end(d, 0);
 }
 
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -548,19 +548,39 @@
     request_send_record_abandoned(s);
 }
 
-void
-forward_gone(http_exchange_t *exchange)
+/* Gives the request up since its caller has left. */
+static void
+give_up(forward_t *f)
 {
-    forward_t *f = http_exchange_data(exchange);
-    if (f == NULL) {
-        return;
-    }
     each_send(f, leave_endpoint);
     log_outcome(f, 499, "the caller left");
     count_outcome(f, 499);
     forward_free(f);
 }
 
+void
+forward_gone(http_exchange_t *exchange)
+{
+    forward_t *f = http_exchange_data(exchange);
+    if (f != NULL) {
+        give_up(f);
+    }
+}
+
+gboolean
+forward_give_up_if_left(forward_t *f)
+{
+    http_exchange_t *exchange = f->exchange;
+    if (!http_exchange_has_left(exchange)) {
+        return FALSE;
+    }
+    counter_add(counter_get("requests_withdrawn_total", NULL, FALSE), 1);
+    http_exchange_set_data(exchange, NULL);
+    give_up(f);
+    http_exchange_abort(exchange);
+    return TRUE;
+}
+
 void
 forward_drained(http_exchange_t *exchange)
 {
--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -453,6 +453,15 @@
     forward_deliver(f);
 }
 
+/* The connection to the endpoint may have taken a while. */
+static gboolean
+on_may_send(client_call_t *call, void *user)
+{
+    (void)call;
+    const request_send_t *s = user;
+    return !http_exchange_has_left(s->request->exchange);
+}
+
 static void
 on_answer_failed(client_call_t *call, call_failure_t failure, void *user)
 {
@@ -467,6 +476,11 @@
     (void)call;
     request_send_t *s = user;
     s->call = NULL;
+    if (failure == CALL_FAILED_WITHDRAWN) {
+        request_send_return_probe(s);
+        forward_give_up_if_left(s->request);
+        return;
+    }
     if (failure == CALL_FAILED_TUNNEL) {
         forward_handle_tunnel_failure(s->request);
         return;
@@ -489,7 +503,8 @@
     request_send_continue(s, received, REASONS[failure]);
 }
 
-const client_call_ops_t FORWARD_CALL_OPS = {.head = on_answer_head,
+const client_call_ops_t FORWARD_CALL_OPS = {.may_send = on_may_send,
+                                            .head = on_answer_head,
                                             .body = on_answer_body,
                                             .done = on_answer_done,
                                             .failed = on_answer_failed};
--- a/carobloomd/gateway/forward_reach.c
+++ b/carobloomd/gateway/forward_reach.c
@@ -162,6 +162,7 @@
         [CALL_FAILED_CUT] = "an answer broke off",
         [CALL_FAILED_SYNTAX] = NULL,
         [CALL_FAILED_TUNNEL] = NULL,
+        [CALL_FAILED_WITHDRAWN] = NULL,
     };
     reach_watch_t *reach = s->request->entry->reach;
     if (s->in_tunnel || s->endpoint == NULL || SIGNS[failure] == NULL) {
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -335,6 +335,9 @@
 void
 forward_send(forward_t *f)
 {
+    if (forward_give_up_if_left(f)) {
+        return;
+    }
     if (forward_is_quarantined(f)) {
         refuse_quarantined(f);
         return;
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -115,6 +115,9 @@
 /* Sets the timer for the deadline or the silence timeout, whichever is
  * first. */
 void forward_set_timer(forward_t *f);
+/* Gives the request up if its caller has left, also where this was not told
+ * yet. Returns TRUE if so; the request is freed. */
+gboolean forward_give_up_if_left(forward_t *f);
 
 request_send_t *request_send_create(forward_t *f);
 /* Cancels the call if it is under way. */
--- a/carobloomd/gateway/tunnel_server.c
+++ b/carobloomd/gateway/tunnel_server.c
@@ -98,7 +98,7 @@
 static void
 tunnel_reset(served_tunnel_t *t)
 {
-    stream_socket_reset_on_close(t->near);
+    stream_socket_reset_on_close(t->near, TRUE);
     tunnel_destroy(t);
 }
 
@@ -296,6 +296,8 @@
         tunnel_refuse(t, TUNNEL_REFUSAL_BUSY);
         return;
     }
+    /* When the other instance gives a request up, so does the endpoint. */
+    stream_socket_reset_on_close(t->far, TRUE);
     stream_socket_count(t->far, &t->server->buffered);
     t->timer = timers_subscribe(e->timers, CONNECT_US, 0, far_expired, t);
 }
@@ -377,6 +379,14 @@
     tunnel_destroy(user);
 }
 
+static gboolean
+near_hung_up(void *user, gboolean reset)
+{
+    (void)reset;
+    tunnel_destroy(user);
+    return TRUE;
+}
+
 static void
 near_connected(void *user)
 {
@@ -386,7 +396,8 @@
 static const stream_socket_ops_t NEAR_OPS = {.connected = near_connected,
                                              .bytes = near_bytes,
                                              .drained = near_drained,
-                                             .closed = near_closed};
+                                             .closed = near_closed,
+                                             .hung_up = near_hung_up};
 
 static void
 open_expired(void *data)
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -34,6 +34,7 @@
     gboolean skipping; /* the answer on hand is for another request */
     gboolean answered; /* a head was taken */
     gboolean keep;     /* may be used again */
+    gboolean complete; /* the answer is whole */
     gboolean head_request;
     gboolean in_reader; /* callbacks of the reader are on the stack */
     gboolean cancelled; /* within them */
@@ -67,10 +68,22 @@
     g_free(tunnel);
 }
 
+/* Whether the server still has, or will get, any part of a request that was
+ * given up. */
+static gboolean
+is_given_up(const client_call_t *call)
+{
+    return call->busy &&
+           (!call->complete || stream_socket_backlog(call->socket) > 0);
+}
+
 static void
 call_free(client_call_t *call)
 {
     http_peer_t *peer = call->peer;
+    if (!is_given_up(call)) {
+        stream_socket_reset_on_close(call->socket, FALSE);
+    }
     if (call->busy) {
         peer->busy = g_list_delete_link(peer->busy, call->link);
         peer->busy_count--;
@@ -195,6 +208,7 @@
     if (more) {
         call->keep = FALSE; /* bytes after an answer belong to nobody */
     }
+    call->complete = TRUE;
     call->ops->done(call, call->user);
     call_release(call);
 }
@@ -257,7 +271,7 @@
     timers_cancel(call->peer->timers, call->timer);
     call->timer = 0;
     if (!may_send(call)) {
-        call_fail(call, CALL_FAILED_UNSENT);
+        call_fail(call, CALL_FAILED_WITHDRAWN);
         return;
     }
     stream_socket_take_sent(call->socket); /* of the open frame */
@@ -410,7 +424,7 @@
     timers_cancel(call->peer->timers, call->timer);
     call->timer = 0;
     if (!may_send(call)) {
-        call_fail(call, CALL_FAILED_UNSENT);
+        call_fail(call, CALL_FAILED_WITHDRAWN);
         return;
     }
     gboolean sound = stream_socket_flush(call->socket);
@@ -420,10 +434,22 @@
     }
 }
 
+static gboolean
+on_may_write(void *user)
+{
+    client_call_t *call = user;
+    if (!call->busy || is_opening(call) || may_send(call)) {
+        return TRUE;
+    }
+    call_fail(call, CALL_FAILED_WITHDRAWN);
+    return FALSE;
+}
+
 static const stream_socket_ops_t SOCKET_OPS = {.connected = on_connected,
                                                .bytes = on_bytes,
                                                .drained = on_drained,
-                                               .closed = on_closed};
+                                               .closed = on_closed,
+                                               .may_write = on_may_write};
 
 static void
 connect_expired(void *data)
@@ -516,6 +542,8 @@
         g_free(call);
         return NULL;
     }
+    /* Also if this process is killed. */
+    stream_socket_reset_on_close(call->socket, TRUE);
     call->busy = TRUE;
     call->connecting = TRUE;
     http_reader_init(&call->reader, FALSE, peer->limits.head_max, &READER_OPS,
@@ -562,6 +590,7 @@
     call->sent = FALSE;
     call->skipping = FALSE;
     call->answered = FALSE;
+    call->complete = FALSE;
     call->keep = TRUE;
     call->length = length;
     call->traffic = NULL;
@@ -669,13 +698,6 @@
     call_free(call);
 }
 
-void
-client_call_reset(client_call_t *call)
-{
-    stream_socket_reset_on_close(call->socket);
-    client_call_cancel(call);
-}
-
 gboolean
 client_call_sent(const client_call_t *call)
 {
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -322,8 +322,23 @@
     connection_close(c);
 }
 
-static const stream_socket_ops_t SOCKET_OPS = {
-    .bytes = on_bytes, .drained = on_drained, .closed = on_closed};
+/* A client that leaves amid an exchange is noticed behind all that it sent. A
+ * request that came before the close is still read: the owner may want it. */
+static gboolean
+on_hung_up(void *user, gboolean reset)
+{
+    const http_exchange_t *c = user;
+    if (c->state != CONNECTION_ANSWERING && !reset) {
+        return FALSE;
+    }
+    on_closed(user, 0);
+    return TRUE;
+}
+
+static const stream_socket_ops_t SOCKET_OPS = {.bytes = on_bytes,
+                                               .drained = on_drained,
+                                               .closed = on_closed,
+                                               .hung_up = on_hung_up};
 
 /* The answer is written: the connection takes the next request or ends. */
 static void
@@ -639,6 +654,12 @@
     connection_free(c);
 }
 
+gboolean
+http_exchange_has_left(const http_exchange_t *c)
+{
+    return stream_socket_has_hung_up(c->socket);
+}
+
 gsize
 http_exchange_backlog(const http_exchange_t *c)
 {
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,7 +32,8 @@
     int refused; /* errno of a connection that failed at once */
     gboolean reading;
     gboolean sent;
-    gsize *sum; /* of its owner's, of the bytes in line, or NULL */
+    gboolean hung_up; /* the owner was told */
+    gsize *sum;       /* of its owner's, of the bytes in line, or NULL */
 };
 
 gboolean
@@ -113,6 +115,9 @@
     if (s->reading && !s->connecting) {
         events |= EPOLLIN;
     }
+    if (s->ops->hung_up != NULL && !s->hung_up) {
+        events |= EPOLLRDHUP;
+    }
     poll_watch_set(s->watch, events);
 }
 
@@ -153,6 +158,9 @@
 static void
 handle_writable(stream_socket_t *s)
 {
+    if (s->ops->may_write != NULL && !s->ops->may_write(s->user)) {
+        return;
+    }
     if (!stream_socket_flush(s)) {
         s->ops->closed(s->user, EPIPE);
         return;
@@ -162,10 +170,28 @@
     }
 }
 
+/* Returns TRUE if the socket was destroyed. */
+static gboolean
+handle_hang_up(stream_socket_t *s, guint32 events)
+{
+    if (s->hung_up || !(events & (EPOLLRDHUP | EPOLLERR | EPOLLHUP))) {
+        return FALSE;
+    }
+    s->hung_up = TRUE;
+    if (s->ops->hung_up(s->user, (events & (EPOLLERR | EPOLLHUP)) != 0)) {
+        return TRUE;
+    }
+    update_watch(s); /* it would be told again and again */
+    return FALSE;
+}
+
 static void
 handle_events(guint32 events, void *data)
 {
     stream_socket_t *s = data;
+    if (s->ops->hung_up != NULL && handle_hang_up(s, events)) {
+        return;
+    }
     if (s->connecting) {
         handle_connected(s);
     }
@@ -193,8 +219,11 @@
                            .user = user,
                            .connecting = connecting,
                            .reading = TRUE};
-    s->watch = poll_watch_create(poller, fd, connecting ? EPOLLOUT : EPOLLIN,
-                                 handle_events, s);
+    guint32 events = connecting ? EPOLLOUT : EPOLLIN;
+    if (ops->hung_up != NULL) {
+        events |= EPOLLRDHUP;
+    }
+    s->watch = poll_watch_create(poller, fd, events, handle_events, s);
     if (s->watch == NULL) {
         close(fd);
         g_clear_pointer(&s, g_free);
@@ -258,16 +287,16 @@
 }
 
 void
-stream_socket_reset_on_close(stream_socket_t *s)
+stream_socket_reset_on_close(stream_socket_t *s, gboolean on)
 {
-    struct linger linger = {.l_onoff = 1, .l_linger = 0};
+    struct linger linger = {.l_onoff = on, .l_linger = 0};
     setsockopt(s->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
 
 void
 stream_socket_reset(stream_socket_t *s)
 {
-    stream_socket_reset_on_close(s);
+    stream_socket_reset_on_close(s, TRUE);
     stream_socket_destroy(s);
 }
 
@@ -347,6 +376,13 @@
     return count < 0 && errno == EAGAIN;
 }
 
+gboolean
+stream_socket_has_hung_up(const stream_socket_t *s)
+{
+    struct pollfd poll_fd = {.fd = s->fd, .events = POLLRDHUP};
+    return s->hung_up || poll(&poll_fd, 1, 0) > 0;
+}
+
 void
 stream_socket_read(stream_socket_t *s, gboolean on)
 {
--- a/include/carobloom/http/client.h
+++ b/include/carobloom/http/client.h
@@ -15,20 +15,22 @@
 typedef struct client_call client_call_t;
 
 typedef enum {
-    CALL_FAILED_UNSENT,  /* no byte of it left */
-    CALL_FAILED_REFUSED, /* the same: nobody listens at the address */
-    CALL_FAILED_SENT,    /* no answer; it may have run */
-    CALL_FAILED_CUT,     /* the answer began and broke off */
-    CALL_FAILED_SYNTAX,  /* what came is no answer */
-    CALL_FAILED_TUNNEL,  /* no tunnel could be opened; no byte of it left */
+    CALL_FAILED_UNSENT,    /* no byte of it left */
+    CALL_FAILED_REFUSED,   /* the same: nobody listens at the address */
+    CALL_FAILED_SENT,      /* no answer; it may have run */
+    CALL_FAILED_CUT,       /* the answer began and broke off */
+    CALL_FAILED_SYNTAX,    /* what came is no answer */
+    CALL_FAILED_TUNNEL,    /* no tunnel could be opened; no byte of it left */
+    CALL_FAILED_WITHDRAWN, /* `may_send` said no; it has not left whole */
 } call_failure_t;
 
 typedef enum { CALL_TAKE, CALL_SKIP, CALL_REFUSE } call_verdict_t;
 
 /* What the owner is told. The call is gone after `done` and `failed`. */
 typedef struct {
-    /* Asked right before its first byte is written, however long the
-     * connection took; FALSE fails the call as unsent. NULL: always. */
+    /* Asked right before its bytes are written to a new connection, however
+     * long that took, and before those that had to wait for room. FALSE
+     * withdraws the call. NULL: always. */
     gboolean (*may_send)(client_call_t *call, void *user);
     /* A head came. CALL_SKIP passes over an answer to another request that
      * came late on this connection. */
@@ -88,11 +90,10 @@
 
 /* Counts its bytes, and those of its answer as they come. */
 void client_call_count(client_call_t *call, const http_traffic_t *traffic);
-/* Ends a call and its connection without a word to the owner. */
+/* Ends a call and its connection without a word to the owner. The connection
+ * is reset, so that the server does not read what it has not read yet: a link
+ * that is cut and heals later delivers none of it. */
 void client_call_cancel(client_call_t *call);
-/* The same, and what was written but has not arrived is not sent again: a
- * connection that is cut and heals later delivers none of it. */
-void client_call_reset(client_call_t *call);
 /* Whether a byte of it may have left. */
 gboolean client_call_sent(const client_call_t *call);
 /* Stops and resumes reading the answer. */
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -76,6 +76,9 @@
 /* Breaks the connection off, so that what was sent is not taken for whole.
  * Ends the exchange. */
 void http_exchange_abort(http_exchange_t *exchange);
+/* Whether the client has left, as far as the kernel knows by now. The owner is
+ * told in its turn. */
+gboolean http_exchange_has_left(const http_exchange_t *exchange);
 /* Bytes written but not yet taken by the kernel. */
 gsize http_exchange_backlog(const http_exchange_t *exchange);
 
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -24,6 +24,13 @@
     void (*drained)(void *user);
     /* The peer closed (`error` 0) or the connection failed with an errno. */
     void (*closed)(void *user, int error);
+    /* The peer has closed its side, or reset the connection, while bytes that
+     * it sent before may not be read yet. Returns TRUE if the socket was
+     * destroyed. NULL: those bytes are read first, `closed` comes after. */
+    gboolean (*hung_up)(void *user, gboolean reset);
+    /* Asked before bytes that waited are sent. Returns FALSE if the socket was
+     * destroyed instead. NULL: they are always sent. */
+    gboolean (*may_write)(void *user);
 } stream_socket_ops_t;
 
 /* Parses "a.b.c.d:port". */
@@ -42,8 +49,9 @@
                                        void *user);
 /* Closes it; unsent bytes are lost. */
 void stream_socket_destroy(stream_socket_t *socket);
-/* Its end, whenever it comes, will be a reset. */
-void stream_socket_reset_on_close(stream_socket_t *socket);
+/* Whether its end, however it comes, is a reset: what was sent but has not
+ * been read by the peer is then lost, also on a link that is held up. */
+void stream_socket_reset_on_close(stream_socket_t *socket, gboolean on);
 /* Closes with a reset, so that the peer can not take what it has for all. */
 void stream_socket_reset(stream_socket_t *socket);
 /* Puts bytes in line; `stream_socket_flush` sends them. */
@@ -59,6 +67,9 @@
 /* Whether the peer has neither sent anything nor closed, as far as the kernel
  * knows by now. */
 gboolean stream_socket_is_quiet(const stream_socket_t *socket);
+/* Whether the peer has closed its side or reset the connection, as far as the
+ * kernel knows by now; bytes that it sent before may not be read yet. */
+gboolean stream_socket_has_hung_up(const stream_socket_t *socket);
 void stream_socket_read(stream_socket_t *socket, gboolean on);
 
 #endif
--- a/tests/fleet_cut.c
+++ b/tests/fleet_cut.c
@@ -19,6 +19,7 @@
     [CUT_LIVE_ON] = {"live on", PROXY_REFUSE, "refused"},
     [CUT_SILENT] = {"silent", PROXY_SILENT, NULL},
     [CUT_ONE_WAY] = {"one way", PROXY_CUT_FROM, NULL},
+    [CUT_HOLD] = {"held up", PROXY_HOLD, "hang"},
 };
 
 const char *
--- a/tests/fleet_cut.h
+++ b/tests/fleet_cut.h
@@ -22,6 +22,9 @@
     CUT_SILENT,  /* open and new ones are silent */
     CUT_ONE_WAY, /* what the endpoints send is lost */
     CUT_KINDS,
+    /* What is sent on open connections is held up until the end of the cut,
+     * new ones are not accepted. */
+    CUT_HOLD = CUT_KINDS,
 } cut_kind_t;
 
 const char *cut_kind_name(cut_kind_t kind);
--- a/tests/proxy.c
+++ b/tests/proxy.c
@@ -15,6 +15,7 @@
     [PROXY_RESET] = "reset",       [PROXY_CUT_TO] = "cut-to",
     [PROXY_CUT_FROM] = "cut-from", [PROXY_SILENT] = "silent",
     [PROXY_STALE] = "stale",       [PROXY_REFUSE] = "refuse",
+    [PROXY_HOLD] = "hold",
 };
 
 /* A mode, and whether it took effect. */
@@ -40,7 +41,9 @@
     pair_t *pair;
     stream_socket_t *socket;
     gboolean closed;
-    gboolean lossy; /* bytes that came from there were lost */
+    gboolean lossy;   /* bytes that came from there were lost */
+    gboolean reset;   /* it was closed by a reset */
+    GByteArray *held; /* NULL: nothing that came from there is held up */
 } end_t;
 
 struct pair {
@@ -110,6 +113,8 @@
         }
         ends[i]->socket = NULL;
     }
+    g_clear_pointer(&pair->near.held, g_byte_array_unref);
+    g_clear_pointer(&pair->far.held, g_byte_array_unref);
     pair->proxy->pairs = g_list_remove(pair->proxy->pairs, pair);
     pair->over = TRUE;
     if (pair->late == 0) {
@@ -125,6 +130,22 @@
            mode == (to_far ? PROXY_CUT_TO : PROXY_CUT_FROM);
 }
 
+static gboolean
+is_held(const pair_t *pair)
+{
+    return mode_of(pair) == PROXY_HOLD;
+}
+
+static void
+hold(end_t *from, str_t bytes)
+{
+    if (from->held == NULL) {
+        from->held = g_byte_array_new();
+    }
+    g_byte_array_append(from->held, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
+}
+
 static void
 pass(pair_t *pair, gboolean to_far, str_t bytes)
 {
@@ -160,6 +181,10 @@
         end->lossy = TRUE; /* nothing may come after a gap */
         return;
     }
+    if (is_held(pair) || end->held != NULL) {
+        hold(end, bytes);
+        return;
+    }
     /* Once a piece is late those after it must not overtake it. */
     if (mode_of(pair) != PROXY_DELAY && pair->late == 0) {
         pass(pair, to_far, bytes);
@@ -184,6 +209,15 @@
         end->closed = TRUE;
         return;
     }
+    if (end->socket != NULL && (is_held(pair) || end->held != NULL)) {
+        g_clear_pointer(&end->socket, stream_socket_destroy);
+        end->closed = TRUE;
+        end->reset = error != 0;
+        if (end->reset) {
+            g_clear_pointer(&end->held, g_byte_array_unref);
+        }
+        return;
+    }
     pair_destroy(pair, error != 0);
 }
 
@@ -233,6 +267,30 @@
     }
 }
 
+/* Passes on what was held up. Returns FALSE if the pair is gone. */
+static gboolean
+release(pair_t *pair)
+{
+    end_t *ends[] = {&pair->near, &pair->far};
+    gboolean closed = FALSE;
+    gboolean reset = FALSE;
+    for (int i = 0; i < 2; i++) {
+        GByteArray *held = g_steal_pointer(&ends[i]->held);
+        if (held != NULL) {
+            pass(pair, i == 0,
+                 (str_t){.data = (const char *)held->data,
+                         .length = held->len});
+            g_byte_array_unref(held);
+        }
+        closed |= ends[i]->closed;
+        reset |= ends[i]->reset;
+    }
+    if (closed) {
+        pair_destroy(pair, reset);
+    }
+    return !closed;
+}
+
 /* What a change of mode does to open connections of a source. */
 static void
 source_turn(proxy_t *proxy, source_t *source)
@@ -242,12 +300,13 @@
     if ((gint)mode == source->done) {
         return;
     }
+    gboolean was_held = source->done == PROXY_HOLD;
     source->done = (gint)mode;
     GList *next;
     for (GList *l = proxy->pairs; l != NULL; l = next) {
         pair_t *pair = l->data;
         next = l->next;
-        if (ip != 0 && ip != pair->ip) {
+        if ((ip != 0 && ip != pair->ip) || (was_held && !release(pair))) {
             continue;
         }
         gboolean ended = pair->near.closed || pair->far.closed ||
--- a/tests/proxy.h
+++ b/tests/proxy.h
@@ -17,6 +17,9 @@
     PROXY_MODES,    /* drawn by the soak */
     /* Connections open by now live on; new ones are reset. */
     PROXY_REFUSE = PROXY_MODES,
+    /* What comes from either side is held up, and passed on with the next
+     * mode, unless the side that sent it has reset its connection. */
+    PROXY_HOLD,
 } proxy_mode_t;
 
 typedef struct proxy proxy_t;
