Empty lines don't keep a connection open

What callers saw: nothing; a caller that sends empty lines without end, one now and then, held a connection of the instance beyond the idle limit.

Cause: any byte counted as activity, also the empty lines that a server has to skip before a request. Idle time now runs from the last answer, or from the accept, to the first byte of a request; the limit of a request begins there.

--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -36,8 +36,8 @@
     GByteArray *unread; /* bytes after the request, for the next one */
     connection_state_t state;
     gint64 started_us;
-    gint64 activity_us;
-    gsize backlog;   /* of the answer, when it was last looked at */
+    gint64 idle_since_us; /* empty lines before a request change nothing */
+    gsize backlog;        /* of the answer, when it was last looked at */
     gint64 taken_us; /* when the client was last seen to take a part of it */
     guint64 timer;
     gboolean chunked_answer;
@@ -202,7 +202,7 @@
     c->timer = 0;
     gint64 limit =
         c->reader.started ? server->limits.head_us : server->limits.idle_us;
-    gint64 since = c->reader.started ? c->started_us : c->activity_us;
+    gint64 since = c->reader.started ? c->started_us : c->idle_since_us;
     if (is_answer_being_taken(c)) {
         connection_arm(c);
         return;
@@ -284,7 +284,6 @@
 on_bytes(void *user, str_t bytes)
 {
     http_exchange_t *c = user;
-    c->activity_us = timers_now(c->server->timers);
     if (c->state == CONNECTION_READING) {
         connection_feed(c, bytes);
         return;
@@ -364,7 +363,7 @@
         return;
     }
     http_reader_reset(&c->reader);
-    c->activity_us = timers_now(server->timers);
+    c->idle_since_us = timers_now(server->timers);
     if (c->unread->len > 0) {
         GByteArray *bytes = c->unread;
         c->unread = g_byte_array_new();
@@ -390,7 +389,7 @@
     stream_socket_count(c->socket, &server->unread);
     c->body = g_byte_array_new();
     c->unread = g_byte_array_new();
-    c->activity_us = timers_now(server->timers);
+    c->idle_since_us = timers_now(server->timers);
     http_reader_init(&c->reader, TRUE, server->limits.head_max, &READER_OPS,
                      c);
     server->connections = g_list_prepend(server->connections, c);
