Bytes without end before an answer, or in one, end the call

What callers saw: a request at an endpoint that sends interim heads or answers to other requests without end waited until its deadline, while its instance read at full speed: 1.4 GB of interim heads, 25 GB of one late answer in 5 s on a loopback connection. Answers to probes, to calls of the platform and to messages between control instances had no bound either but time.

Cause: what was skipped was counted nowhere, and owners that ignore a body did not count it. A call now fails as no answer once 1 MiB came before its head, and a peer has a bound on the body of an answer (body_max) where the owner has none.

--- a/carobloomd/control/duty_calls.c
+++ b/carobloomd/control/duty_calls.c
@@ -17,6 +17,7 @@
     .idle_us = 2 * G_USEC_PER_SEC,
     .idle_max = 4,
     .head_max = 8192,
+    .body_max = 65536,
 };
 
 typedef struct {
--- a/carobloomd/control/peer_messages.c
+++ b/carobloomd/control/peer_messages.c
@@ -40,6 +40,7 @@
     .idle_us = 2 * G_USEC_PER_SEC,
     .idle_max = 4,
     .head_max = 4096,
+    .body_max = 65536,
 };
 
 /* Another control instance. */
--- a/carobloomd/gateway/reach_watch.c
+++ b/carobloomd/gateway/reach_watch.c
@@ -14,12 +14,14 @@
     PROBE_TIMEOUT_US = 500 * MS,
     PROBE_CONNECT_US = 250 * MS,
     PROBE_HEAD_MAX = 16384,
+    PROBE_BODY_MAX = 65536,
     LOGGED_ENDPOINTS_MAX = 4,
     HELPER_NAME_MAX = 64,
 };
 
 static const http_peer_limits_t PROBE_LIMITS = {.connect_us = PROBE_CONNECT_US,
-                                                .head_max = PROBE_HEAD_MAX};
+                                                .head_max = PROBE_HEAD_MAX,
+                                                .body_max = PROBE_BODY_MAX};
 typedef struct probe probe_t;
 
 /* One way of a probe. */
--- a/carobloomd/gateway/tunnel_server.c
+++ b/carobloomd/gateway/tunnel_server.c
@@ -321,8 +321,10 @@
 handle_piece(served_tunnel_t *t, const tunnel_piece_t *piece)
 {
     gboolean begins = piece->open != NULL;
-    if (piece->malformed || (begins && t->open.from != NULL) ||
-        (!begins && t->open.from == NULL && piece->data->len > 0)) {
+    gboolean has_begun = t->open.from != NULL;
+    if (piece->malformed || (begins && has_begun) ||
+        (!begins && !has_begun &&
+         (piece->data->len > 0 || piece->request != NULL))) {
         tunnel_reset(t);
         return;
     }
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -9,7 +9,12 @@
  * its word less this, for the time the next request is on its way. */
 static const gint64 IDLE_MARGIN_US = 600 * 1000;
 
-enum { REQUEST_NAME_MAX = 128 }; /* bytes of a request's id in a tunnel */
+enum {
+    REQUEST_NAME_MAX = 128, /* bytes of a request's id in a tunnel */
+    /* Bytes that may come before the head of the answer: interim responses,
+     * and late answers to other requests. */
+    BEFORE_ANSWER_MAX = 1024 * 1024,
+};
 
 /* A connection through another instance. */
 typedef struct {
@@ -43,6 +48,8 @@
     const client_call_ops_t *ops;
     void *user;
     gsize length;                  /* of the request */
+    gsize before_answer;           /* bytes that came before its head */
+    gsize body_length;             /* of the answer, so far */
     const http_traffic_t *traffic; /* NULL: not counted */
     tunnel_t *tunnel;              /* NULL: a direct connection */
 };
@@ -172,9 +179,15 @@
 on_answer_body(void *user, str_t bytes)
 {
     client_call_t *call = user;
-    if (!call->skipping) {
-        call->ops->body(call, bytes, call->user);
+    gsize body_max = call->peer->limits.body_max;
+    if (call->skipping) {
+        return 0;
+    }
+    call->body_length += bytes.length;
+    if (body_max > 0 && call->body_length > body_max) {
+        return -1;
     }
+    call->ops->body(call, bytes, call->user);
     return call->cancelled ? -1 : 0;
 }
 
@@ -351,6 +364,14 @@
     if (call->traffic != NULL) {
         counter_add(call->traffic->received, (gint64)bytes.length);
     }
+    if (!call->answered) {
+        call->before_answer += bytes.length;
+    }
+    if (call->before_answer > BEFORE_ANSWER_MAX) {
+        call_fail(call,
+                  is_opening(call) ? CALL_FAILED_TUNNEL : CALL_FAILED_SYNTAX);
+        return;
+    }
     if (call->tunnel != NULL) {
         tunnel_feed(call, bytes);
         return;
@@ -593,6 +614,8 @@
     call->complete = FALSE;
     call->keep = TRUE;
     call->length = length;
+    call->before_answer = 0;
+    call->body_length = 0;
     call->traffic = NULL;
     call->head_request = head_request;
     call->reader.no_body = head_request;
--- a/include/carobloom/http/client.h
+++ b/include/carobloom/http/client.h
@@ -53,6 +53,7 @@
     guint idle_max;    /* kept connections */
     guint connections; /* of one peer in all; 0 for no bound */
     gsize head_max;
+    gsize body_max; /* of an answer; 0: bounded by the owner of the call */
 } http_peer_limits_t;
 
 /* NULL unless `address` is IP:PORT. */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -10,6 +10,7 @@
 #include "carobloom/http/reader.h"
 #include "carobloom/http/server.h"
 #include "check.h"
+#include "loop.h"
 
 enum { WAIT_US = 5 * 1000 * 1000, FUZZ_ROUNDS = 20000 };
 
@@ -167,48 +168,6 @@
 
 /* ---- a loop to run things in ---- */
 
-typedef struct {
-    GMainContext *context;
-    poller_t *poller;
-    timers_t *timers;
-} loop_t;
-
-static void
-on_turn(void *data)
-{
-    timers_advance(((loop_t *)data)->timers, g_get_monotonic_time());
-}
-
-static void
-loop_open(loop_t *loop)
-{
-    loop->context = g_main_context_new();
-    loop->timers = timers_create(g_get_monotonic_time());
-    loop->poller = poller_create(loop->context, on_turn, loop);
-}
-
-static void
-loop_close(loop_t *loop)
-{
-    poller_destroy(loop->poller);
-    timers_destroy(loop->timers);
-    g_main_context_unref(loop->context);
-}
-
-/* Runs until `*done` or the bound; FALSE at the bound. */
-static gboolean
-loop_until(loop_t *loop, const gboolean *done)
-{
-    gint64 until = g_get_monotonic_time() + WAIT_US;
-    while (!*done && g_get_monotonic_time() < until) {
-        if (!g_main_context_iteration(loop->context, FALSE)) {
-            g_usleep(500);
-        }
-        timers_advance(loop->timers, g_get_monotonic_time());
-    }
-    return *done;
-}
-
 /* ---- calling faulty servers ---- */
 
 typedef enum { THEN_KEEP, THEN_CLOSE, THEN_RESET } then_t;
