A request without a key does not end the instance

What callers saw: a request without an Authorization field, or with an empty one, on a route that needs a key ended the entry instance, and with it all requests on it.

Cause: the copy of an empty string of length 0 without data is NULL (g_strndup), and its length was asked for. str_dup returns an empty string now, and the look-up of a team uses it.

--- a/carobloomd/version/route_config.c
+++ b/carobloomd/version/route_config.c
@@ -252,7 +252,7 @@
 const team_t *
 route_config_team(const route_config_t *config, str_t key)
 {
-    char *text = g_strndup(key.data, key.length);
+    char *text = str_dup(key);
     const team_t *team = strlen(text) == key.length
                              ? g_hash_table_lookup(config->by_key, text)
                              : NULL;
--- a/common/str.c
+++ b/common/str.c
@@ -56,5 +56,5 @@
 char *
 str_dup(str_t s)
 {
-    return g_strndup(s.data, s.length);
+    return s.length > 0 ? g_strndup(s.data, s.length) : g_strdup("");
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1095,6 +1095,25 @@
     fleet_destroy(f);
 }
 
+/* Guards against a request without a key that ends the instance. */
+static void
+test_no_key(void)
+{
+    static const char *const FIELDS[] = {
+        "", "Authorization: \r\n", "Authorization: Bearer\r\n",
+        "Authorization: Bearer \r\n", "Authorization: Basic x\r\n"};
+    fleet_t *f = fleet_of(1, 1, 1);
+    const fleet_process_t *entry = fleet_entry(f, 0);
+    for (gsize i = 0; i < G_N_ELEMENTS(FIELDS); i++) {
+        reply_t *reply = fleet_call(entry->ip, FLEET_CALLERS_PORT, "GET",
+                                    "/safe/1", FIELDS[i], "", 3000);
+        CU_ASSERT_EQUAL(reply->status, 401);
+        reply_free(reply);
+    }
+    CU_ASSERT(fleet_is_running(entry));
+    fleet_destroy(f);
+}
+
 /* Connects a client that sends a request and reads nothing. Returns NULL if
  * the connection fails. */
 static GSocketConnection *
@@ -1387,6 +1406,7 @@
     {"a control instance is replaced", test_control_replaced},
     {"what is invalid is refused", test_invalid_refused},
     {"two operators, one version", test_same_version},
+    {"a request without a key ends the instance", test_no_key},
     {"callers that do not read", test_slow_readers},
     {"a stream whose caller reads late", test_late_reader_of_stream},
     {"callers that read late from an instance that ends",
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -249,6 +249,7 @@
     CU_ASSERT_PTR_NOT_NULL(route_config_team(config, STR("k2")));
     CU_ASSERT_PTR_NULL(route_config_team(config, STR("k3")));
     CU_ASSERT_PTR_NULL(route_config_team(config, STR("k2\0x")));
+    CU_ASSERT_PTR_NULL(route_config_team(config, (str_t){0}));
     route_config_unref(config);
 }
 
