Soak: endpoints, the platform and clients that send without end

--endless: endpoints and the platform answer without end, and clients send noise, heads and bodies without end to each listener of entry and control instances. Instances have to stay within their memory, beside all that the soak judges otherwise.

--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -37,23 +37,26 @@
 
 typedef enum {
     FAULT_NONE,
-    FAULT_RESET, /* runs it and breaks off without an answer */
-    FAULT_CUT,   /* an answer that ends early */
-    FAULT_FULL,  /* refused, not run */
-    FAULT_ERROR, /* its own failure */
-    FAULT_MUTE,  /* runs it and says nothing */
-    FAULT_LATE,  /* answers after several objectives */
-    FAULT_HUGE,  /* more in one answer or event than anyone may hold */
-    FAULT_CRASH, /* the whole process ends as it begins to run it */
-    FAULT_EARLY, /* no fault: a stream's head and the first line of its first
-                    event come at once, the rest of it later */
+    FAULT_RESET,   /* runs it and breaks off without an answer */
+    FAULT_CUT,     /* an answer that ends early */
+    FAULT_FULL,    /* refused, not run */
+    FAULT_ERROR,   /* its own failure */
+    FAULT_MUTE,    /* runs it and says nothing */
+    FAULT_LATE,    /* answers after several objectives */
+    FAULT_HUGE,    /* more in one answer or event than anyone may hold */
+    FAULT_CRASH,   /* the whole process ends as it begins to run it */
+    FAULT_ENDLESS, /* an answer, or an event, that never ends */
+    FAULT_EARLY,   /* no fault: a stream's head and the first line of its first
+                      event come at once, the rest of it later */
 } fault_t;
 
 static const char *const FAULT_NAMES[] = {
-    [FAULT_NONE] = "none",   [FAULT_RESET] = "reset", [FAULT_CUT] = "cut",
-    [FAULT_FULL] = "full",   [FAULT_ERROR] = "error", [FAULT_MUTE] = "mute",
-    [FAULT_LATE] = "late",   [FAULT_HUGE] = "huge",   [FAULT_CRASH] = "crash",
-    [FAULT_EARLY] = "early",
+    [FAULT_NONE] = "none",       [FAULT_RESET] = "reset",
+    [FAULT_CUT] = "cut",         [FAULT_FULL] = "full",
+    [FAULT_ERROR] = "error",     [FAULT_MUTE] = "mute",
+    [FAULT_LATE] = "late",       [FAULT_HUGE] = "huge",
+    [FAULT_CRASH] = "crash",     [FAULT_EARLY] = "early",
+    [FAULT_ENDLESS] = "endless",
 };
 
 typedef struct {
@@ -373,6 +376,33 @@
         timers_subscribe(e->timers, run->event_us, 0, stream_step, run);
 }
 
+/* Goes on until the caller closes the connection. */
+static void
+endless_step(void *data)
+{
+    run_t *run = data;
+    enum { PIECE_BYTES = 64 * 1024, STEP_US = MS };
+    if (http_exchange_backlog(run->exchange) == 0) {
+        char *piece = g_strnfill(PIECE_BYTES, 'x');
+        http_exchange_write(run->exchange, str_from_cstr(piece));
+        g_free(piece);
+    }
+    run->timer =
+        timers_subscribe(run->endpoint->timers, STEP_US, 0, endless_step, run);
+}
+
+static void
+endless_begin(run_t *run, gboolean is_stream)
+{
+    char *fields =
+        answer_fields(run->endpoint, run->exchange,
+                      is_stream ? "Content-Type: text/event-stream\r\n" : "");
+    http_exchange_begin(run->exchange, 200, str_from_cstr(fields));
+    http_exchange_write(run->exchange, is_stream ? STR("data: ") : STR("x"));
+    g_free(fields);
+    endless_step(run);
+}
+
 static void
 stream_begin(run_t *run)
 {
@@ -428,6 +458,10 @@
     }
     str_t target = http_head_target(http_exchange_head(exchange));
     gboolean is_long = str_find(target, STR("/long"), 0) >= 0;
+    if (fault == FAULT_ENDLESS) {
+        endless_begin(run, str_find(target, STR("/stream/"), 0) >= 0);
+        return;
+    }
     /* Only long streams are answered with an error. */
     if (str_find(target, STR("/stream/"), 0) >= 0 &&
         !(is_long && fault == FAULT_ERROR)) {
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -5,7 +5,7 @@
  * that the platform forbids: a token lower than seen before, a token of two
  * holders, holder, other, holder within a bound, and figures of a window that
  * differ from those taken before. The file named by --mode says how it
- * answers from now on: ok, slow, silent, refuse or busy. */
+ * answers from now on: ok, slow, silent, refuse, busy or endless. */
 #include <argtable2.h>
 #include <jansson.h>
 #include <signal.h>
@@ -168,6 +168,31 @@
     http_exchange_set_data(exchange, slow);
 }
 
+/* Goes on until the caller closes the connection. */
+static void
+endless_step(void *data)
+{
+    slow_t *slow = data;
+    enum { PIECE_BYTES = 64 * 1024, STEP_US = MS };
+    if (http_exchange_backlog(slow->exchange) == 0) {
+        char *piece = g_strnfill(PIECE_BYTES, 'x');
+        http_exchange_write(slow->exchange, str_from_cstr(piece));
+        g_free(piece);
+    }
+    slow->timer = timers_subscribe(slow->platform->timers, STEP_US, 0,
+                                   endless_step, slow);
+}
+
+static void
+answer_endlessly(platform_t *p, http_exchange_t *exchange)
+{
+    slow_t *slow = g_new0(slow_t, 1);
+    *slow = (slow_t){.platform = p, .exchange = exchange};
+    http_exchange_set_data(exchange, slow);
+    http_exchange_begin(exchange, 500, STR(""));
+    endless_step(slow);
+}
+
 static char *
 mode_now(const platform_t *p)
 {
@@ -227,6 +252,9 @@
     else if (strcmp(mode, "busy") == 0) {
         answer(exchange, 429);
     }
+    else if (strcmp(mode, "endless") == 0) {
+        answer_endlessly(p, exchange);
+    }
     else if (strcmp(mode, "silent") != 0) {
         take_call(p, exchange, mode);
     }
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -12,6 +12,7 @@
 #include "soak_brittle.h"
 #include "soak_changes.h"
 #include "soak_cuts.h"
+#include "soak_endless.h"
 #include "soak_limits.h"
 #include "soak_repeats.h"
 #include "soak_rests.h"
@@ -72,6 +73,7 @@
     soak_repeats_t *repeats;             /* NULL: no request asks for faults */
     soak_brittle_t *brittle;             /* NULL: no endpoint is brittle */
     soak_silences_t *silences;           /* NULL: no endpoint falls silent */
+    soak_endless_t *endless;             /* NULL: nothing sends without end */
     soak_changes_t *changes;             /* NULL: one small change at a time */
     soak_answers_t *answers;             /* NULL: lost answers do not count */
 } soak_t;
@@ -513,6 +515,7 @@
         soak_cuts_step(s->cuts);
         soak_brittle_step(s->brittle);
         soak_silences_step(s->silences);
+        soak_endless_step(s->endless);
         if (since_ms(s) >= next) {
             undo_t undo = draw_fault(s)(s);
             if (undo.at_ms > 0) {
@@ -529,6 +532,7 @@
     soak_cuts_end(s->cuts);
     soak_brittle_end(s->brittle);
     soak_silences_end(s->silences);
+    soak_endless_end(s->endless);
     while (!soak_answers_stop(s->answers)) {
         wait_calm(s, 10);
     }
@@ -648,6 +652,20 @@
 
 /* ---- life ---- */
 
+/* Bytes without end leave an instance within its memory. */
+static void
+check_memory(soak_t *s)
+{
+    guint peak_mb = soak_endless_peak_mb(s->endless);
+    if (s->endless == NULL) {
+        return;
+    }
+    printf("%6d memory: %u MB at most\n", since_ms(s), peak_mb);
+    if (peak_mb >= s->fleet->memory_mb) {
+        broke(s, "memory", "an instance used more than it has");
+    }
+}
+
 static void
 told_free(gpointer data)
 {
@@ -659,7 +677,7 @@
 soak_run(guint32 seed, int seconds, guint controls, guint entries,
          guint endpoints, guint clients, gboolean duties, gboolean limits,
          gboolean rests, gboolean cuts, gboolean repeats, gboolean brittle,
-         gboolean silences, gboolean planned)
+         gboolean silences, gboolean planned, gboolean endless)
 {
     soak_t s = {.seed = seed,
                 .random = g_rand_new_with_seed(seed),
@@ -679,6 +697,7 @@
     s.silences = silences ? soak_silences_create(s.fleet, seed) : NULL;
     s.changes = silences ? soak_changes_create(s.fleet, seed) : NULL;
     s.answers = silences ? soak_answers_create(s.fleet, seed, clients) : NULL;
+    s.endless = endless ? soak_endless_create(s.fleet, seed) : NULL;
     fleet_proxies_create(s.fleet, s.proxies);
     s.cuts = cuts ? soak_cuts_create(s.fleet, s.proxies, seed) : NULL;
     s.started_us = g_get_monotonic_time();
@@ -713,6 +732,7 @@
         g_thread_join(crasher);
     }
     check_runs(&s);
+    check_memory(&s);
     check_duties(&s);
     if (!soak_limits_kept(s.limits)) {
         broke(&s, "limits of endpoints are kept", "see above");
@@ -745,6 +765,7 @@
     soak_repeats_destroy(s.repeats);
     soak_brittle_destroy(s.brittle);
     soak_silences_destroy(s.silences);
+    soak_endless_destroy(s.endless);
     soak_changes_destroy(s.changes);
     soak_answers_destroy(s.answers);
     fleet_destroy_keep(s.fleet, s.broken > 0);
@@ -785,10 +806,14 @@
         arg_lit0(NULL, "planned",
                  "no faults but SIGTERM, and no request that crashes "
                  "endpoints");
+    struct arg_lit *endless =
+        arg_lit0(NULL, "endless",
+                 "endpoints, the platform and clients send "
+                 "without end");
     struct arg_end *end = arg_end(10);
     void *table[] = {seed,    count,    seconds, controls, entries, endpoints,
                      clients, duties,   limits,  rests,    cuts,    repeats,
-                     brittle, silences, planned, end};
+                     brittle, silences, planned, endless,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -799,15 +824,15 @@
     int failed = 0;
     int many = OR(count, 1);
     for (int i = 0; i < many; i++) {
-        failed +=
-            soak_run((guint32)(OR(seed, 1) + i), OR(seconds, 15),
-                     (guint)CLAMP(OR(controls, 3), 1, 9),
-                     (guint)CLAMP(OR(entries, 3), 1, 24),
-                     (guint)CLAMP(OR(endpoints, 4), 1, 24),
-                     (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX),
-                     duties->count > 0, limits->count > 0, rests->count > 0,
-                     cuts->count > 0, repeats->count > 0, brittle->count > 0,
-                     silences->count > 0, planned->count > 0);
+        failed += soak_run(
+            (guint32)(OR(seed, 1) + i), OR(seconds, 15),
+            (guint)CLAMP(OR(controls, 3), 1, 9),
+            (guint)CLAMP(OR(entries, 3), 1, 24),
+            (guint)CLAMP(OR(endpoints, 4), 1, 24),
+            (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX), duties->count > 0,
+            limits->count > 0, rests->count > 0, cuts->count > 0,
+            repeats->count > 0, brittle->count > 0, silences->count > 0,
+            planned->count > 0, endless->count > 0);
     }
 #undef OR
     arg_freetable(table, G_N_ELEMENTS(table));
