Soak: clients that leave before they are answered

--leaving: eight clients send requests past the proxies, leave after 20 to 900 ms by a close or a reset, and the endpoints' logs are judged: nothing of their requests may arrive over 0.5 s later. Links that lose the close itself excuse their endpoint.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -84,6 +84,7 @@
     rests:*) options=--rests ;;
     cuts:*) options=--cuts ;;
     repeats:*) options=--repeats ;;
+    leaving:*) options="--silences --leaving" ;;
     endless:*) options="--endless --duties" ;;
     brittle:*) options="--brittle --entries 6 --clients 24" ;;
     silences:*) options="--silences --entries 4 --endpoints 6 --clients 16" ;;
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -13,6 +13,7 @@
 #include "soak_changes.h"
 #include "soak_cuts.h"
 #include "soak_endless.h"
+#include "soak_leaving.h"
 #include "soak_limits.h"
 #include "soak_repeats.h"
 #include "soak_rests.h"
@@ -74,6 +75,7 @@
     soak_brittle_t *brittle;             /* NULL: no endpoint is brittle */
     soak_silences_t *silences;           /* NULL: no endpoint falls silent */
     soak_endless_t *endless;             /* NULL: nothing sends without end */
+    soak_leaving_t *leaving;             /* NULL: no client leaves early */
     soak_changes_t *changes;             /* NULL: one small change at a time */
     soak_answers_t *answers;             /* NULL: lost answers do not count */
 } soak_t;
@@ -353,6 +355,7 @@
     say(s, "link", text);
     g_free(text);
     excuse(s, &s->fleet->processes[at], DISTURBED_ABRUPTLY, down);
+    soak_leaving_excuse(s->leaving, &s->fleet->processes[at], down);
     proxy_set(proxy, mode);
     return (undo_t){.at_ms = since_ms(s) + down, .proxy = proxy};
 }
@@ -652,6 +655,20 @@
 
 /* ---- life ---- */
 
+/* Nothing of a request reaches an endpoint after its client has left. */
+static void
+check_leaving(soak_t *s)
+{
+    soak_leaving_verdict_t verdict = soak_leaving_check(s->leaving);
+    if (s->leaving != NULL) {
+        printf("%6d left: %u clients, %u requests at endpoints, %u late\n",
+               since_ms(s), verdict.left, verdict.arrived, verdict.late);
+    }
+    if (verdict.late > 0) {
+        broke(s, "left", verdict.example);
+    }
+}
+
 /* Bytes without end leave an instance within its memory. */
 static void
 check_memory(soak_t *s)
@@ -677,7 +694,8 @@
 soak_run(guint32 seed, int seconds, guint controls, guint entries,
          guint endpoints, guint clients, gboolean duties, gboolean limits,
          gboolean rests, gboolean cuts, gboolean repeats, gboolean brittle,
-         gboolean silences, gboolean planned, gboolean endless)
+         gboolean silences, gboolean planned, gboolean endless,
+         gboolean leaving)
 {
     soak_t s = {.seed = seed,
                 .random = g_rand_new_with_seed(seed),
@@ -697,6 +715,7 @@
     s.silences = silences ? soak_silences_create(s.fleet, seed) : NULL;
     s.changes = silences ? soak_changes_create(s.fleet, seed) : NULL;
     s.answers = silences ? soak_answers_create(s.fleet, seed, clients) : NULL;
+    s.leaving = leaving ? soak_leaving_create(s.fleet, seed) : NULL;
     s.endless = endless ? soak_endless_create(s.fleet, seed) : NULL;
     fleet_proxies_create(s.fleet, s.proxies);
     s.cuts = cuts ? soak_cuts_create(s.fleet, s.proxies, seed) : NULL;
@@ -716,6 +735,7 @@
         threads[i] = g_thread_new("client", client_run, &all[i]);
     }
     soak_answers_start(s.answers);
+    soak_leaving_start(s.leaving);
     GThread *operator= g_thread_new("operator", operator_run, &s);
     GThread *crasher =
         planned ? NULL : g_thread_new("crasher", crasher_run, &s);
@@ -723,6 +743,7 @@
     check_recovered(&s);
     check_held(&s);
     g_atomic_int_set(&s.stop, 1);
+    soak_leaving_stop(s.leaving);
     for (guint i = 0; i < clients; i++) {
         g_thread_join(threads[i]);
         g_rand_free(all[i].random);
@@ -732,6 +753,7 @@
         g_thread_join(crasher);
     }
     check_runs(&s);
+    check_leaving(&s);
     check_memory(&s);
     check_duties(&s);
     if (!soak_limits_kept(s.limits)) {
@@ -766,6 +788,7 @@
     soak_brittle_destroy(s.brittle);
     soak_silences_destroy(s.silences);
     soak_endless_destroy(s.endless);
+    soak_leaving_destroy(s.leaving);
     soak_changes_destroy(s.changes);
     soak_answers_destroy(s.answers);
     fleet_destroy_keep(s.fleet, s.broken > 0);
@@ -810,10 +833,13 @@
         arg_lit0(NULL, "endless",
                  "endpoints, the platform and clients send "
                  "without end");
+    struct arg_lit *leaving =
+        arg_lit0(NULL, "leaving",
+                 "clients leave before they are answered (not with --cuts)");
     struct arg_end *end = arg_end(10);
     void *table[] = {seed,    count,    seconds, controls, entries, endpoints,
                      clients, duties,   limits,  rests,    cuts,    repeats,
-                     brittle, silences, planned, endless,  end};
+                     brittle, silences, planned, endless,  leaving, end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -832,7 +858,7 @@
             (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX), duties->count > 0,
             limits->count > 0, rests->count > 0, cuts->count > 0,
             repeats->count > 0, brittle->count > 0, silences->count > 0,
-            planned->count > 0, endless->count > 0);
+            planned->count > 0, endless->count > 0, leaving->count > 0);
     }
 #undef OR
     arg_freetable(table, G_N_ELEMENTS(table));
