Requests are answered when their instance ends

What callers saw: at the end of an instance's grace, requests that had no answer yet got a closed connection, and their log line was 499, "the caller left".

Cause: the server closed its connections and told the owner of each exchange that its client was gone. Exchanges are ended before: 503 if nothing of the request was sent, 502 or 504 otherwise, and their calls are reset.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -439,6 +439,7 @@
     gint64 since = entry_now(e) - e->drain_us;
     gint64 grace_us = (gint64)(e->settings->grace_s * G_USEC_PER_SEC);
     if (since > grace_us - DRAIN_MARGIN_US) {
+        http_server_end_exchanges(e->callers, forward_end);
         return TRUE;
     }
     if (since < MIN(DRAIN_NOTICE_US, grace_us / 2)) {
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -332,6 +332,8 @@
 /* forward.c */
 void forward_create(entry_t *entry, http_exchange_t *exchange);
 void forward_gone(http_exchange_t *exchange);
+/* Ends a request that has no answer when its instance ends. */
+void forward_end(http_exchange_t *exchange);
 void forward_drained(http_exchange_t *exchange);
 
 #endif
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -567,6 +567,20 @@
     }
 }
 
+void
+forward_end(http_exchange_t *exchange)
+{
+    forward_t *f = http_exchange_data(exchange);
+    if (f == NULL) {
+        http_exchange_abort(exchange);
+        return;
+    }
+    each_send(f, request_send_record_abandoned);
+    forward_cancel_silent(f);
+    request_send_cancel(f->send);
+    forward_fail(f, "this instance is ending");
+}
+
 gboolean
 forward_give_up_if_left(forward_t *f)
 {
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -510,6 +510,28 @@
     }
 }
 
+static http_exchange_t *
+find_exchange(const http_server_t *server)
+{
+    for (GList *l = server->connections; l != NULL; l = l->next) {
+        http_exchange_t *c = l->data;
+        if (c->state == CONNECTION_ANSWERING) {
+            return c;
+        }
+    }
+    return NULL;
+}
+
+void
+http_server_end_exchanges(const http_server_t *server,
+                          void (*end)(http_exchange_t *exchange))
+{
+    http_exchange_t *c;
+    while ((c = find_exchange(server)) != NULL) {
+        end(c);
+    }
+}
+
 guint
 http_server_connections(const http_server_t *server)
 {
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -51,6 +51,10 @@
 /* Closes connections with nothing on them: no request, not even a part that
  * was not read yet, and no answer that the client has not taken yet. */
 void http_server_close_idle(http_server_t *server);
+/* Ends all exchanges under way: `end` has to end the one that it is given, and
+ * may end others. */
+void http_server_end_exchanges(const http_server_t *server,
+                               void (*end)(http_exchange_t *exchange));
 guint http_server_connections(const http_server_t *server);
 guint http_server_exchanges(const http_server_t *server);
 /* Bytes of answers held for clients that have not taken them. */
--- a/tests/test_abandoned.c
+++ b/tests/test_abandoned.c
@@ -615,6 +615,7 @@
     guint late;    /* arrived later than they may */
     guint runs;
     guint went_on;    /* runs that lasted longer than they may */
+    guint unanswered; /* at their deadline, or later */
     gint64 latest_us; /* arrival after the end of a request */
     GString *details;
 } outcome_t;
@@ -711,6 +712,19 @@
     }
 }
 
+/* Callers that stay have an answer at their deadline at the latest. */
+static void
+judge_answer(outcome_t *o, const request_t *r)
+{
+    int deadline_ms =
+        r->setup->deadline_ms != 0 ? r->setup->deadline_ms : DEADLINE_MS;
+    gint64 bound_us = r->send_us + (gint64)(deadline_ms + GIVEN_UP_MS) * MS;
+    if (r->setup->stays && (r->status == 0 || r->over_us > bound_us)) {
+        o->unanswered++;
+        add_detail(o, r, "was answered", r->over_us - r->send_us);
+    }
+}
+
 static void
 run_case(gpointer data, gpointer user)
 {
@@ -725,6 +739,7 @@
     }
     for (guint i = 0; i < s.requests->len; i++) {
         o->over += ((const request_t *)s.requests->pdata[i])->over_us != 0;
+        judge_answer(o, s.requests->pdata[i]);
     }
     for (guint i = 0; i < ENDPOINTS; i++) {
         judge_endpoint(o, &s, fleet_endpoint(s.fleet, i));
@@ -774,13 +789,14 @@
            "%d ms), went on %u; ",
            o->over, o->arrived, o->runs, o->late, (int)(o->latest_us / MS),
            o->went_on);
-    if (o->late + o->went_on > 0) {
+    if (o->late + o->went_on + o->unanswered > 0) {
         printf("\n%s", o->details->str);
     }
     CU_ASSERT_TRUE(o->up);
     CU_ASSERT_EQUAL(o->over, REQUESTS);
     CU_ASSERT_EQUAL(o->late, 0);
     CU_ASSERT_EQUAL(o->went_on, 0);
+    CU_ASSERT_EQUAL(o->unanswered, 0);
     g_string_free(o->details, TRUE);
 }
 
