--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/resource.h>
 
+#include "carobloom/http/tunnel.h"
 #include "check.h"
 #include "fleet.h"
 
@@ -1114,6 +1115,26 @@
     fleet_destroy(f);
 }
 
+/* Guards against a helper that takes frames of a tunnel that is not open. */
+static void
+test_frame_before_open(void)
+{
+    enum { CLOSED_US = 500 * 1000 };
+    static const char NAME[] = "a request";
+    fleet_t *f = fleet_of(1, 1, 1);
+    const fleet_process_t *entry = fleet_entry(f, 0);
+    char answer[16];
+    GByteArray *frame = g_byte_array_new();
+    tunnel_frame_write(frame, TUNNEL_REQUEST, STR(NAME));
+    gint64 begun_us = g_get_monotonic_time();
+    fleet_exchange(entry->ip, FLEET_PEERS_PORT, (const char *)frame->data,
+                   frame->len, answer, sizeof(answer));
+    CU_ASSERT(g_get_monotonic_time() - begun_us < CLOSED_US);
+    CU_ASSERT_EQUAL(fleet_counter(entry, "tunnel_requests_served_total"), 0);
+    g_byte_array_unref(frame);
+    fleet_destroy(f);
+}
+
 /* Connects a client that sends a request and reads nothing. Returns NULL if
  * the connection fails. */
 static GSocketConnection *
@@ -1407,6 +1428,8 @@
     {"what is invalid is refused", test_invalid_refused},
     {"two operators, one version", test_same_version},
     {"a request without a key ends the instance", test_no_key},
+    {"a helper takes frames of a tunnel that is not open",
+     test_frame_before_open},
     {"callers that do not read", test_slow_readers},
     {"a stream whose caller reads late", test_late_reader_of_stream},
     {"callers that read late from an instance that ends",
