One way to withdraw a call, and to tell which events are watched

No change of behaviour. The check of the owner and the failure stood in three places of the client; the events that a socket wants were worked out again when it is created. test_http, test_endless and test_abandoned pass, format and clang-tidy of both files are clean; the whole script was not run again.

--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -269,6 +269,18 @@
            call->ops->may_send(call, call->user);
 }
 
+/* Returns TRUE if the owner does not want the call to be sent any more; it is
+ * gone then. */
+static gboolean
+withdraw_if_unwanted(client_call_t *call)
+{
+    if (may_send(call)) {
+        return FALSE;
+    }
+    call_fail(call, CALL_FAILED_WITHDRAWN);
+    return TRUE;
+}
+
 static void
 write_array(stream_socket_t *socket, const GByteArray *bytes)
 {
@@ -283,8 +295,7 @@
     tunnel_t *tunnel = call->tunnel;
     timers_cancel(call->peer->timers, call->timer);
     call->timer = 0;
-    if (!may_send(call)) {
-        call_fail(call, CALL_FAILED_WITHDRAWN);
+    if (withdraw_if_unwanted(call)) {
         return;
     }
     stream_socket_take_sent(call->socket); /* of the open frame */
@@ -444,8 +455,7 @@
     }
     timers_cancel(call->peer->timers, call->timer);
     call->timer = 0;
-    if (!may_send(call)) {
-        call_fail(call, CALL_FAILED_WITHDRAWN);
+    if (withdraw_if_unwanted(call)) {
         return;
     }
     gboolean sound = stream_socket_flush(call->socket);
@@ -459,11 +469,7 @@
 on_may_write(void *user)
 {
     client_call_t *call = user;
-    if (!call->busy || is_opening(call) || may_send(call)) {
-        return TRUE;
-    }
-    call_fail(call, CALL_FAILED_WITHDRAWN);
-    return FALSE;
+    return !call->busy || is_opening(call) || !withdraw_if_unwanted(call);
 }
 
 static const stream_socket_ops_t SOCKET_OPS = {.connected = on_connected,
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -105,8 +105,8 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
-static void
-update_watch(stream_socket_t *s)
+static guint32
+wanted_events(const stream_socket_t *s)
 {
     guint32 events = 0;
     if (s->connecting || (s->out != NULL && s->out->len > s->out_at)) {
@@ -118,7 +118,13 @@
     if (s->ops->hung_up != NULL && !s->hung_up) {
         events |= EPOLLRDHUP;
     }
-    poll_watch_set(s->watch, events);
+    return events;
+}
+
+static void
+update_watch(stream_socket_t *s)
+{
+    poll_watch_set(s->watch, wanted_events(s));
 }
 
 static void
@@ -219,11 +225,8 @@
                            .user = user,
                            .connecting = connecting,
                            .reading = TRUE};
-    guint32 events = connecting ? EPOLLOUT : EPOLLIN;
-    if (ops->hung_up != NULL) {
-        events |= EPOLLRDHUP;
-    }
-    s->watch = poll_watch_create(poller, fd, events, handle_events, s);
+    s->watch =
+        poll_watch_create(poller, fd, wanted_events(s), handle_events, s);
     if (s->watch == NULL) {
         close(fd);
         g_clear_pointer(&s, g_free);
