A signal during a start ended the instance or was lost

Callers and operators saw an instance that was gone right after its start, or a change of its settings that SIGHUP should have put in force and did not. Cause: SIGHUP, SIGINT, SIGTERM and SIGUSR1 had their default action, which ends a process, until the handlers were installed after the start; one that the parent process held back stayed blocked for good. Change: the first step of main holds them, they are released once the handlers are there. The time that the loader takes can only be covered by the parent; the tests' fleet now starts its instances with SIGHUP blocked, and the soak no longer keeps SIGHUP back after a start.

--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -9,6 +9,7 @@
 #include "carobloom/common/event_log.h"
 #include "carobloom/common/fields.h"
 #include "carobloom/common/log.h"
+#include "carobloom/common/signals.h"
 #include "carobloom/control/control.h"
 #include "carobloom/gateway/entry.h"
 #include "carobloom/gateway/metrics.h"
@@ -320,6 +321,7 @@
         g_unix_signal_add(SIGINT, on_terminate, &g);
         g_unix_signal_add(SIGHUP, on_hangup, &g);
         g_unix_signal_add(SIGUSR1, on_dump, &g);
+        signals_release();
         g_timeout_add_seconds(SETTINGS_POLL_S, on_settings_poll, &g);
         g_timeout_add_seconds(TRAFFIC_LOG_S, on_traffic_log, NULL);
         g_main_loop_run(g.loop);
--- a/carobloomd/process/main.c
+++ b/carobloomd/process/main.c
@@ -6,6 +6,7 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/common/fields.h"
 #include "carobloom/common/log.h"
+#include "carobloom/common/signals.h"
 #include "carobloom/connection/http.h"
 #include "carobloom/gateway/gateway.h"
 #include "carobloom/gateway/settings.h"
@@ -323,6 +324,7 @@
         g_unix_signal_add(SIGTERM, on_terminate, &d);
         g_unix_signal_add(SIGINT, on_terminate, &d);
         g_unix_signal_add(SIGUSR1, on_dump, &d);
+        signals_release();
         daemon_start(&d);
         log_info(LOG_PART_PROCESS, "Instance %s of %s runs.",
                  settings->instance, settings->data_centre);
@@ -337,6 +339,7 @@
 int
 main(int argc, char **argv)
 {
+    signals_hold();
     options_t options = options_parse(argc, argv);
     if (!options.run) {
         return options.exit_code;
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -174,6 +174,17 @@
            prlimit((pid_t)atoi(id), RLIMIT_FSIZE, &limit, NULL) == 0;
 }
 
+/* As a supervisor does that may send SIGHUP before the program is loaded. */
+static void
+hold_hangups(gpointer data)
+{
+    sigset_t held;
+    (void)data;
+    sigemptyset(&held);
+    sigaddset(&held, SIGHUP);
+    sigprocmask(SIG_BLOCK, &held, NULL);
+}
+
 static GSubprocess *
 spawn(const fleet_process_t *p, const char *const *argv)
 {
@@ -191,6 +202,7 @@
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_SOURCE", p->bind, TRUE);
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_CUT_PORT", cut_port,
                                  TRUE);
+    g_subprocess_launcher_set_child_setup(launcher, hold_hangups, NULL, NULL);
     g_free(cut_port);
     g_free(faults);
     GSubprocess *process = g_subprocess_launcher_spawnv(launcher, argv, NULL);
--- a/tests/soak_silences.c
+++ b/tests/soak_silences.c
@@ -218,7 +218,7 @@
         begin_half(s, fleet_entry(s->fleet, entry), now);
     }
     for (guint i = 0; i < instances; i++) {
-        if (g_rand_int_range(s->random, 0, 2) == 0 && has_started(s, i, now)) {
+        if (g_rand_int_range(s->random, 0, 2) == 0) {
             fleet_signal(&s->fleet->processes[i], SIGHUP);
         }
     }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "carobloom/http/tunnel.h"
 #include "check.h"
@@ -689,6 +690,41 @@
     fleet_destroy(f);
 }
 
+/* Whether the instance read its settings again because of a signal. */
+static gboolean
+reloads_by_signal(const fleet_process_t *entry)
+{
+    char *text = NULL;
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    gboolean found = FALSE;
+    while (!found && g_get_monotonic_time() < until) {
+        g_file_get_contents(entry->log, &text, NULL, NULL);
+        found = text != NULL && strstr(text, "\"cause\":\"signal\"") != NULL;
+        g_clear_pointer(&text, g_free);
+        fleet_sleep(10);
+    }
+    return found;
+}
+
+/* Guards against a SIGHUP during a start that ends the instance or is lost. */
+static void
+test_reload_during_start(void)
+{
+    static const guint DELAYS_MS[] = {0, 1, 2, 4, 6, 8, 10, 20, 50, 100};
+    fleet_t *f = fleet_create(1, 1, 1);
+    fleet_process_t *entry = fleet_entry(f, 0);
+    for (gsize i = 0; i < G_N_ELEMENTS(DELAYS_MS); i++) {
+        fleet_start(f, entry);
+        fleet_sleep(DELAYS_MS[i]);
+        fleet_signal(entry, SIGHUP);
+        CU_ASSERT(reloads_by_signal(entry));
+        CU_ASSERT(fleet_is_running(entry));
+        fleet_kill(entry);
+        CU_ASSERT_EQUAL(unlink(entry->log), 0);
+    }
+    fleet_destroy(f);
+}
+
 /* Guards against sending requests to an endpoint that is known to drain: 200
  * ms after its draining state was received, none may reach the endpoint. */
 static void
@@ -1415,6 +1451,8 @@
      test_asked_again_after_refusals},
     {"an entry instance drains", test_entry_drains},
     {"settings are read again amid streams", test_reload},
+    {"a SIGHUP during a start ends the instance or is lost",
+     test_reload_during_start},
     {"an endpoint drains", test_endpoint_drains},
     {"an endpoint starts again under its id", test_endpoint_restarts},
     {"other writers name no endpoint", test_forged_heartbeats},
