A settings file completed while it was read stayed out of force

Operators saw settings that were written in place and not in force until the next change: the instance read half of the file, refused it, and then took the time of the whole file for that of the half. Times also have the grain of the kernel's clock tick, so that two writes may share one. Change: the look every two seconds compares a hash of the file, which is taken before the file is read. A change amid the reading shows at the next look, at the cost of one more reading.

--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -3,7 +3,6 @@
 #include <glib-unix.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/stat.h>
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
@@ -15,6 +14,7 @@
 #include "carobloom/gateway/metrics.h"
 #include "carobloom/gateway/settings.h"
 #include "carobloom/gateway/traffic.h"
+#include "carobloom/policy/rendezvous.h"
 
 enum {
     EXIT_OK = 0,
@@ -28,8 +28,10 @@
 
 typedef struct {
     const char *path;
-    gint64 file_mtime_ns; /* of the settings file in force */
-    GPtrArray *settings;  /* all that were read; the last one is in force */
+    /* Of the settings file, taken before it was read: a change amid the
+     * reading shows at the next look. */
+    guint64 file_hash;
+    GPtrArray *settings; /* all that were read; the last one is in force */
     GMainLoop *loop;
     task_t *task;
     poller_t *poller;
@@ -122,14 +124,18 @@
     gateway_settings_destroy(data);
 }
 
-static gint64
-file_mtime_ns(const char *path)
+/* A hash of the file's bytes; 0 if they can't be read. */
+static guint64
+file_hash(const char *path)
 {
-    struct stat info;
-    if (stat(path, &info) != 0) {
+    char *text = NULL;
+    gsize length = 0;
+    if (!g_file_get_contents(path, &text, &length, NULL)) {
         return 0;
     }
-    return (gint64)info.st_mtim.tv_sec * 1000000000 + info.st_mtim.tv_nsec;
+    guint64 hash = hash_text((str_t){.data = text, .length = length});
+    g_free(text);
+    return hash;
 }
 
 static gateway_settings_t *
@@ -155,8 +161,8 @@
 static void
 reload(gateway_t *g, const char *cause)
 {
+    g->file_hash = file_hash(g->path);
     gateway_settings_t *settings = settings_read(g->path);
-    g->file_mtime_ns = file_mtime_ns(g->path);
     if (event_log_begin(EVENT_STATE, "reload")) {
         event_log_cstr("cause", cause);
         event_log_cstr("outcome", settings ? "in force" : "refused");
@@ -185,8 +191,8 @@
 on_settings_poll(gpointer data)
 {
     gateway_t *g = data;
-    gint64 mtime_ns = file_mtime_ns(g->path);
-    if (mtime_ns != 0 && mtime_ns != g->file_mtime_ns) {
+    guint64 hash = file_hash(g->path);
+    if (hash != 0 && hash != g->file_hash) {
         reload(g, "file");
     }
     return G_SOURCE_CONTINUE;
@@ -299,12 +305,11 @@
 int
 gateway_run(const char *path)
 {
-    gateway_t g = {.path = path};
+    gateway_t g = {.path = path, .file_hash = file_hash(path)};
     gateway_settings_t *settings = settings_read(path);
     if (settings == NULL) {
         return EXIT_SETTINGS;
     }
-    g.file_mtime_ns = file_mtime_ns(path);
     g.settings = g_ptr_array_new_with_free_func(settings_free);
     g_ptr_array_add(g.settings, settings);
     event_log_start(settings->instance);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -725,6 +725,72 @@
     fleet_destroy(f);
 }
 
+/* How often the instance has put settings in force that it read again. */
+static guint
+count_reloads(const fleet_process_t *entry)
+{
+    char *text = NULL;
+    guint count = 0;
+    g_file_get_contents(entry->log, &text, NULL, NULL);
+    for (const char *at = text; at != NULL; count++) {
+        at = strstr(at, "\"outcome\":\"in force\"");
+        if (at == NULL) {
+            break;
+        }
+        at++;
+    }
+    g_free(text);
+    return count;
+}
+
+/* Has the instance read half of its settings, and completes these so much
+ * later; whether they are in force in time. */
+static gboolean
+completes_settings(fleet_process_t *entry, const char *text, gsize length,
+                   guint delay_ms)
+{
+    enum { IN_FORCE_MS = 5000 };
+    char *path = g_build_filename(entry->folder, "settings.jsonc", NULL);
+    guint before = count_reloads(entry);
+    gint64 until = g_get_monotonic_time() + IN_FORCE_MS * 1000;
+    write_in_place(path, text, length - 100);
+    fleet_signal(entry, SIGHUP);
+    fleet_sleep(delay_ms);
+    write_in_place(path, text, length);
+    while (count_reloads(entry) == before && g_get_monotonic_time() < until) {
+        fleet_sleep(10);
+    }
+    g_free(path);
+    return count_reloads(entry) > before;
+}
+
+/* Guards against a change of the settings that is missed because the file was
+ * completed while it was read. */
+static void
+test_completed_settings(void)
+{
+    enum { COMMENT_LINES = 100000 };
+    static const guint DELAYS_MS[] = {0, 2, 4, 8, 16, 32};
+    fleet_t *f = fleet_of(1, 1, 1);
+    fleet_process_t *entry = fleet_entry(f, 0);
+    char *path = g_build_filename(entry->folder, "settings.jsonc", NULL);
+    char *plain = NULL;
+    CU_ASSERT_FATAL(g_file_get_contents(path, &plain, NULL, NULL));
+    GString *text = g_string_new(NULL); /* takes a while to be read */
+    for (guint i = 0; i < COMMENT_LINES; i++) {
+        g_string_append(text, "// a comment of some length\n");
+    }
+    g_string_append(text, plain);
+    for (gsize i = 0; i < G_N_ELEMENTS(DELAYS_MS); i++) {
+        CU_ASSERT(
+            completes_settings(entry, text->str, text->len, DELAYS_MS[i]));
+    }
+    g_string_free(text, TRUE);
+    g_free(plain);
+    g_free(path);
+    fleet_destroy(f);
+}
+
 /* Guards against sending requests to an endpoint that is known to drain: 200
  * ms after its draining state was received, none may reach the endpoint. */
 static void
@@ -1451,6 +1517,8 @@
      test_asked_again_after_refusals},
     {"an entry instance drains", test_entry_drains},
     {"settings are read again amid streams", test_reload},
+    {"settings completed while they are read are not put in force",
+     test_completed_settings},
     {"a SIGHUP during a start ends the instance or is lost",
      test_reload_during_start},
     {"an endpoint drains", test_endpoint_drains},
