--- a/tests/run.sh
+++ b/tests/run.sh
@@ -15,6 +15,15 @@
          /FAILED$/ { if (name != "") print name; name = "" }'
 }
 
+# What the failed cases printed, from a program's output: the last lines of
+# each.
+failed_output() {
+    awk '/^ *Test: / { count = 0 }
+         { lines[count++ % 20] = substr($0, 1, 200) }
+         /FAILED$/ { for (i = (count > 20 ? count - 20 : 0); i < count; i++)
+                         print lines[i % 20]; count = 0 }'
+}
+
 # How many of the failed cases of program $1, named on standard input, are
 # known; these are printed to standard error.
 count_known() {
@@ -55,6 +64,7 @@
     known=$((known + red))
     [ "${4:-0}" -eq 0 ] || failures="$failures
 $1: $(printf '%s\n' "$output" | failed_cases | tr '\n' ';')
+$(printf '%s\n' "$output" | failed_output)
 $(printf '%s\n' "$output" | grep -E '^ +[0-9]+\. .*:[0-9]+ +- ')"
     passed=$((passed + ${3:-0}))
     failed=$((failed + ${4:-0} - red))
