The product's own path let given-up requests arrive at engines

Change: connections of the session end with a reset (SO_LINGER 0 once they are connected). A connection whose call is complete has nothing left to deliver.

The stand-in engine can announce another address than it listens at (--announce).

--- a/carobloomd/connection/http.c
+++ b/carobloomd/connection/http.c
@@ -224,6 +224,37 @@
     }
 }
 
+/* What is still on its way of a call that is given up is not delivered: its
+ * connection is reset. */
+static void
+on_network_event(SoupMessage *message, GSocketClientEvent event,
+                 GIOStream *stream, gpointer data)
+{
+    static const struct linger RESET = {.l_onoff = 1, .l_linger = 0};
+    (void)message;
+    (void)data;
+    if (event != G_SOCKET_CLIENT_CONNECTED ||
+        !G_IS_SOCKET_CONNECTION(stream)) {
+        return;
+    }
+    GSocket *socket =
+        g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
+    if (setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &RESET,
+                   sizeof(RESET)) != 0) {
+        log_warn(LOG_PART_HTTP, "A connection can't be reset: %s.",
+                 g_strerror(errno));
+    }
+}
+
+static void
+on_request_queued(SoupSession *session, SoupMessage *message, gpointer data)
+{
+    (void)session;
+    (void)data;
+    g_signal_connect(message, "network-event", G_CALLBACK(on_network_event),
+                     NULL);
+}
+
 void
 http_begin(void *state)
 {
@@ -233,6 +264,8 @@
         ENDPOINT_CONNECTIONS, "timeout", 0, "idle-timeout", ENDPOINT_IDLE_S,
         /* The default one asks a pool of threads for each connection. */
         "proxy-resolver", NULL, NULL);
+    g_signal_connect(http->session, "request-queued",
+                     G_CALLBACK(on_request_queued), NULL);
     http->hangups = hangups_create(task_context(http->task), request_hung_up);
     soup_session_remove_feature_by_type(http->session,
                                         SOUP_TYPE_CONTENT_DECODER);
--- a/standin/announce.c
+++ b/standin/announce.c
@@ -36,7 +36,7 @@
     }
     json_t *body = json_pack(
         "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b, s:i}", "address",
-        s->address, "serves", s->serves, "kind", s->kind, "protocol",
+        s->announced, "serves", s->serves, "kind", s->kind, "protocol",
         strcmp(s->kind, "model") == 0 ? "openai" : "plain", "version",
         s->version, "role", s->role, "slots", s->slots, "interval_ms",
         s->interval_ms, "running", (int)s->running, "fencing", s->fencing,
@@ -60,7 +60,7 @@
 {
     s->silent = TRUE;
     json_t *body =
-        json_pack("{s:s, s:s}", "address", s->address, "serves", s->serves);
+        json_pack("{s:s, s:s}", "address", s->announced, "serves", s->serves);
     for (int i = 0; s->platforms[i]; i++) {
         tell(s, s->platforms[i], "/endpoints/goodbye", body);
     }
--- a/standin/main.c
+++ b/standin/main.c
@@ -55,6 +55,9 @@
         s->address =
             g_strdup_printf("%s:%d", host, g_uri_get_port(uris->data));
         g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+        if (s->announced == NULL) {
+            s->announced = g_strdup(s->address);
+        }
         printf("%s\n", s->address);
         fflush(stdout);
     }
@@ -85,6 +88,8 @@
 {
     struct arg_str *address =
         arg_str0("l", "listen", "IP:PORT", "listen here");
+    struct arg_str *announced = arg_str0(NULL, "announce", "IP:PORT",
+                                         "announce this instead of --listen");
     struct arg_str *platform = arg_strn("p", "platform", "IP:PORT", 0, 400,
                                         "announce to this instance");
     struct arg_str *serves =
@@ -102,8 +107,9 @@
         arg_lit0(NULL, "fencing", "check fencing numbers");
     struct arg_lit *help = arg_lit0("h", "help", "show this help");
     struct arg_end *end = arg_end(20);
-    void *table[] = {address, platform, serves,   kind,    log,  slots, token,
-                     first,   tokens,   interval, fencing, help, end};
+    void *table[] = {address,  announced, platform, serves, kind,
+                     log,      slots,     token,    first,  tokens,
+                     interval, fencing,   help,     end};
     if (arg_parse(argc, argv, table) > 0 || help->count > 0) {
         arg_print_errors(stderr, end, "carobloom-standin");
         arg_print_glossary(stderr, table, "  %-24s %s\n");
@@ -116,6 +122,7 @@
     }
     standin_t s = {
         .address = g_strdup(address->count ? address->sval[0] : "127.0.0.1:0"),
+        .announced = announced->count ? g_strdup(announced->sval[0]) : NULL,
         .platforms = g_strv_builder_end(list),
         .serves = g_strdup(serves->count ? serves->sval[0] : "draft-7b"),
         .kind = g_strdup(kind->count ? kind->sval[0] : "model"),
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -23,6 +23,7 @@
 
 typedef struct {
     char *address;
+    char *announced;  /* the address that callers are told */
     char **platforms; /* announces to these, in turn when one fails */
     char *serves;
     char *kind;
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -5,6 +5,7 @@
 
 #include "check.h"
 #include "harness.h"
+#include "proxy.h"
 
 enum { STREAMS = 200 };
 
@@ -483,26 +484,77 @@
     site_destroy(site);
 }
 
-/* A caller that leaves cancels the engine's work at once. */
-static void
-test_caller_leaving_cancels(void)
+static GSocketConnection *
+send_chat(site_t *site)
 {
-    site_t *site = site_up(1, 0);
-    engine_t *a =
-        engine_start(site, "a", "draft-7b", "model", "--token-us=50000");
-    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 16));
-    GSocketClient *client = g_socket_client_new();
-    GSocketConnection *c = g_socket_client_connect_to_host(
-        client, "127.0.0.1", (guint16)site->instances[0].callers, NULL, NULL);
     static const char body[] =
         "{\"model\":\"draft-7b\",\"stream\":true,\"max_tokens\":400,"
         "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
-    char *head = g_strdup_printf(
+    GSocketClient *client = g_socket_client_new();
+    GSocketConnection *c = g_socket_client_connect_to_host(
+        client, "127.0.0.1", (guint16)site->instances[0].callers, NULL, NULL);
+    char *request = g_strdup_printf(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: "
         "Bearer workshop-key\r\nContent-Length: %zu\r\n\r\n%s",
         strlen(body), body);
     g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(c)),
-                              head, strlen(head), NULL, NULL, NULL);
+                              request, strlen(request), NULL, NULL, NULL);
+    g_free(request);
+    g_object_unref(client);
+    return c;
+}
+
+/* Guards against a request that is held up on its way and reaches the engine
+ * after its caller left. */
+static void
+test_left_request_does_not_arrive(void)
+{
+    enum { CALLERS = 8, HELD_MS = 300, ARRIVE_MS = 1000 };
+    site_t *site = site_up(1, 0);
+    char *listens = g_strdup_printf("127.0.0.1:%d", free_port());
+    char *announces = g_strdup_printf("127.0.0.1:%d", free_port());
+    char *options =
+        g_strdup_printf("--listen=%s --announce=%s", listens, announces);
+    GSocketConnection *callers[CALLERS];
+    proxies_start();
+    proxy_t *proxy = proxy_create(announces, listens);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(proxy);
+    engine_t *a = engine_start(site, "a", "draft-7b", "model", options);
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 16));
+    proxy_set(proxy, PROXY_HOLD);
+    for (guint i = 0; i < CALLERS; i++) {
+        callers[i] = send_chat(site);
+    }
+    sleep_ms(HELD_MS);
+    for (guint i = 0; i < CALLERS; i++) {
+        g_io_stream_close(G_IO_STREAM(callers[i]), NULL, NULL);
+        g_object_unref(callers[i]);
+    }
+    sleep_ms(HELD_MS);
+    proxy_set(proxy, PROXY_PASS);
+    sleep_ms(ARRIVE_MS);
+    CU_ASSERT_EQUAL(engine_count(a, "run", NULL), 0);
+    GSocketConnection *stays = send_chat(site);
+    sleep_ms(ARRIVE_MS);
+    CU_ASSERT_EQUAL(engine_count(a, "run", NULL), 1);
+    g_object_unref(stays);
+    engine_destroy(a);
+    proxies_stop();
+    g_free(options);
+    g_free(announces);
+    g_free(listens);
+    site_destroy(site);
+}
+
+/* A caller that leaves cancels the engine's work at once. */
+static void
+test_caller_leaving_cancels(void)
+{
+    site_t *site = site_up(1, 0);
+    engine_t *a =
+        engine_start(site, "a", "draft-7b", "model", "--token-us=50000");
+    CU_ASSERT_FATAL(site_wait_slots(site, "draft-7b", 16));
+    GSocketConnection *c = send_chat(site);
     for (int i = 0; i < 100 && engine_count(a, "run", NULL) == 0; i++) {
         sleep_ms(50);
     }
@@ -515,9 +567,7 @@
     gint64 took_ms = (g_get_monotonic_time() - left) / 1000;
     printf("cancelled after %d ms; ", (int)took_ms);
     CU_ASSERT_EQUAL(engine_count(a, "cancelled", NULL), 1);
-    g_free(head);
     g_object_unref(c);
-    g_object_unref(client);
     engine_destroy(a);
     site_destroy(site);
 }
@@ -573,6 +623,8 @@
     {"read and close goes out once", test_read_and_close_goes_out_once},
     {"not-run means not run", test_not_run_means_not_run},
     {"a caller leaving cancels", test_caller_leaving_cancels},
+    {"a request arrives after its caller left",
+     test_left_request_does_not_arrive},
     {"an instance killed", test_instance_killed},
 };
 
