Tests: stand-ins keep their files in memory

By the kept logs endpoint-5 stood still for 2.07 s between two lines, from the arrival of the request to its first run, and the other endpoints until the same moment; the instances did not, took the endpoints for silent, rightly, and hedged. Between these lines the stand-in writes its log; the kernel counted about a second of waits for the disk in that minute. That the log waited for the disk is an inference: eight runs beside heavy writes (waits for the disk in 30 of 100 s) passed. The stand-ins' folders are in /dev/shm now where it exists. No check changes; the instances keep their disks.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -83,13 +83,26 @@
                   ? g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
                                     1 + f->net % 250, 101 + f->count)
                   : g_strdup(p->ip);
-    p->folder = g_build_filename(f->folder, p->name, NULL);
+    p->folder = g_build_filename(
+        role >= FLEET_ENDPOINT ? f->standins : f->folder, p->name, NULL);
     p->log = g_build_filename(p->folder, "log", NULL);
     g_mkdir(p->folder, 0700);
     f->count++;
     return p;
 }
 
+/* In memory: a stand-in whose log waits for the disk would answer late. */
+static char *
+create_standins_folder(void)
+{
+    char *folder = g_strdup("/dev/shm/carobloom-fleet-XXXXXX");
+    if (g_mkdtemp(folder) != NULL) {
+        return folder;
+    }
+    g_free(folder);
+    return g_dir_make_tmp("carobloom-fleet-XXXXXX", NULL);
+}
+
 static fleet_t *
 create(guint controls, guint entries, guint endpoints, gboolean proxied)
 {
@@ -101,6 +114,7 @@
     f->memory_mb = 256;
     f->retry_slack = 500;
     f->folder = g_dir_make_tmp("carobloom-fleet-XXXXXX", NULL);
+    f->standins = create_standins_folder();
     f->net = (guint)getpid() * 7 + made++;
     for (guint i = 0; i < controls; i++) {
         fleet_add(f, FLEET_CONTROL)->founding = TRUE;
@@ -421,11 +435,13 @@
     }
     if (!keep) {
         remove_tree(f->folder);
+        remove_tree(f->standins);
     }
     else {
-        printf("kept %s\n", f->folder);
+        printf("kept %s and %s\n", f->folder, f->standins);
     }
     g_free(f->folder);
+    g_free(f->standins);
     g_free(f);
 }
 
