Soak: an answer without end counts as broken off by its endpoint

By the log of its instance "an event of the endpoint is too long": the endpoint answered without end, so 502 is right. The check of kept connections takes what endpoints logged about a run, and the stand-in did not log this; it logs "broke" now.

--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -400,6 +400,7 @@
     http_exchange_begin(run->exchange, 200, str_from_cstr(fields));
     http_exchange_write(run->exchange, is_stream ? STR("data: ") : STR("x"));
     g_free(fields);
+    log_moment(run->endpoint, "broke", request_id(run->exchange));
     endless_step(run);
 }
 
