Crash log: an end of an endpoint names the prompt parts that ran there

Callers saw one kind of request fail in waves while engines ended one after the other; one request in the incident's lines was held, the others were each at one or two ends. The lines identify requests by their whole content, so they don't tell whether these had something in common. Each interrupted run now carries the parts of its prompt but the last, and `endpoint_ended` counts them and names those that most runs had. All parts are read for it, also those beyond the 16 that placement looks at. No logic changes.

--- a/carobloomd/gateway/crash_link.c
+++ b/carobloomd/gateway/crash_link.c
@@ -117,9 +117,7 @@
             continue;
         }
         endpoint_end_t end;
-        endpoint_end_init(&end, record->end.endpoint, record->end.started_ms);
-        g_array_append_vals(end.runs, record->end.runs->data,
-                            record->end.runs->len);
+        endpoint_end_copy(&end, &record->end);
         g_array_append_val(report->ends, end);
     }
 }
@@ -321,10 +319,9 @@
 crash_link_report_end(crash_link_t *link, const endpoint_end_t *end)
 {
     crash_record_t *record = record_add(link, RECORD_END);
-    endpoint_end_init(&record->end, end->endpoint, end->started_ms);
+    endpoint_end_copy(&record->end, end);
     for (guint i = 0; i < end->runs->len; i++) {
         interrupted_run_t run = g_array_index(end->runs, interrupted_run_t, i);
-        endpoint_end_add(&record->end, run);
         run_history_record_cut(&link->entry->history, run.fingerprint,
                                record->recorded_us);
     }
@@ -342,7 +339,7 @@
 crash_link_report_leaving(crash_link_t *link, const endpoint_t *e)
 {
     crash_record_t *record = record_add(link, RECORD_LEAVING);
-    endpoint_end_init(&record->end, e->id, e->started_ms);
+    endpoint_end_init(&record->end, e->id, e->service, e->started_ms);
     wake_all(link);
 }
 
--- a/carobloomd/gateway/crash_watch.c
+++ b/carobloomd/gateway/crash_watch.c
@@ -30,8 +30,9 @@
     /* A request whose caller left within this time before a break counts as
      * running there. */
     ABANDONED_LIFETIME_US = 1000 * MS,
-    ABANDONED_MAX = 64,  /* abandoned runs; the oldest is overwritten */
-    LOGGED_RUNS_MAX = 8, /* fingerprints per log line */
+    ABANDONED_MAX = 64,   /* abandoned runs; the oldest is overwritten */
+    LOGGED_RUNS_MAX = 8,  /* fingerprints per log line */
+    LOGGED_PARTS_MAX = 8, /* prompt parts per log line */
     BREAKS_MAX = 1024, /* at one time: as many as a large site has endpoints */
 };
 
@@ -39,7 +40,6 @@
  * endpoint ended. */
 typedef struct {
     endpoint_end_t end;
-    char *service;
     char *address;
     gint64 broke_us;
     const char *evidence; /* of the endpoint's end; NULL: none yet */
@@ -86,7 +86,6 @@
     break_t *b = data;
     connection_close(b);
     endpoint_end_clear(&b->end);
-    g_free(b->service);
     g_free(b->address);
     g_free(b);
 }
@@ -106,6 +105,9 @@
 {
     timers_cancel(w->setup.timers, w->timer);
     g_hash_table_unref(w->breaks);
+    for (guint i = 0; i < ABANDONED_MAX; i++) {
+        g_clear_pointer(&w->abandoned[i].run.run.parts, g_array_unref);
+    }
     g_free(w);
 }
 
@@ -148,9 +150,8 @@
     break_t *b = g_new0(break_t, 1);
     b->watch = w;
     b->broke_us = watch_now(w);
-    b->service = g_strdup(e->service);
     b->address = g_strdup(e->address);
-    endpoint_end_init(&b->end, e->id, e->started_ms);
+    endpoint_end_init(&b->end, e->id, e->service, e->started_ms);
     g_hash_table_insert(w->breaks, g_memdup2(&e->hash, sizeof(e->hash)), b);
     w->unexplained++;
     add_abandoned(b, e->hash);
@@ -190,8 +191,13 @@
 crash_watch_record_abandoned(crash_watch_t *w, const endpoint_t *e,
                              watched_run_t run)
 {
-    w->abandoned[w->abandoned_next] = (abandoned_run_t){
+    abandoned_run_t *abandoned = &w->abandoned[w->abandoned_next];
+    g_clear_pointer(&abandoned->run.run.parts, g_array_unref);
+    *abandoned = (abandoned_run_t){
         .endpoint = e->hash, .at_us = watch_now(w), .run = run};
+    if (run.run.parts != NULL) {
+        g_array_ref(run.run.parts);
+    }
     w->abandoned_next = (w->abandoned_next + 1) % ABANDONED_MAX;
 }
 
@@ -289,6 +295,62 @@
 
 /* ---- reports ---- */
 
+typedef struct {
+    guint64 id;
+    guint runs;
+} part_count_t;
+
+static gint
+by_runs(gconstpointer a, gconstpointer b)
+{
+    const part_count_t *x = a;
+    const part_count_t *y = b;
+    return x->runs > y->runs ? -1 : x->runs < y->runs;
+}
+
+/* Counts the interrupted runs that had each prompt part, the most first. */
+static GArray *
+count_parts(const GArray *runs)
+{
+    GArray *counts = g_array_new(FALSE, FALSE, sizeof(part_count_t));
+    GHashTable *at = g_hash_table_new(g_int64_hash, g_int64_equal);
+    for (guint i = 0; i < runs->len; i++) {
+        const GArray *parts = g_array_index(runs, interrupted_run_t, i).parts;
+        for (guint k = 0; parts != NULL && k < parts->len; k++) {
+            guint64 *id = &g_array_index(parts, guint64, k);
+            gpointer index;
+            if (!g_hash_table_lookup_extended(at, id, NULL, &index)) {
+                part_count_t count = {.id = *id};
+                index = GUINT_TO_POINTER(counts->len);
+                g_hash_table_insert(at, id, index);
+                g_array_append_val(counts, count);
+            }
+            g_array_index(counts, part_count_t, GPOINTER_TO_UINT(index))
+                .runs++;
+        }
+    }
+    g_hash_table_unref(at);
+    g_array_sort(counts, by_runs);
+    return counts;
+}
+
+/* Appends "ID:RUNS,..." of the parts that most runs had. */
+static void
+log_parts(const GArray *runs)
+{
+    GArray *counts = count_parts(runs);
+    GString *list = g_string_new(NULL);
+    for (guint i = 0; i < MIN(counts->len, LOGGED_PARTS_MAX); i++) {
+        const part_count_t *count = &g_array_index(counts, part_count_t, i);
+        g_string_append_printf(list, "%s%" G_GINT64_MODIFIER "x:%u",
+                               i > 0 ? "," : "", count->id, count->runs);
+    }
+    event_log_number("parts", counts->len);
+    event_log_cstr("most_parts", list->str);
+    g_string_free(list, TRUE);
+    g_array_unref(counts);
+}
+
 static void
 log_end(const break_t *b)
 {
@@ -305,12 +367,13 @@
     }
     event_log_cstr("endpoint", b->end.endpoint);
     event_log_number("started_ms", b->end.started_ms);
-    event_log_cstr("service", b->service);
+    event_log_cstr("service", b->end.service);
     event_log_cstr("evidence", b->evidence);
     event_log_number("since_break_ms",
                      (watch_now(b->watch) - b->broke_us) / MS);
     event_log_number("cut_requests", runs->len);
     event_log_cstr("fingerprints", list->str);
+    log_parts(runs);
     event_log_end();
     g_string_free(list, TRUE);
 }
@@ -360,7 +423,7 @@
     if (b->evidence == NULL || age_us < REPORT_DELAY_US) {
         return FALSE;
     }
-    if (b->is_own && !w->setup.reaches(w->setup.user, b->service)) {
+    if (b->is_own && !w->setup.reaches(w->setup.user, b->end.service)) {
         return TRUE;
     }
     report_end(b);
--- a/carobloomd/gateway/crash_watch.h
+++ b/carobloomd/gateway/crash_watch.h
@@ -32,7 +32,8 @@
     void *user;
 } crash_watch_setup_t;
 
-/* A request that was sent to an endpoint. */
+/* A request that was sent to an endpoint. The watch takes references to its
+ * parts. */
 typedef struct {
     interrupted_run_t run;
     gint64 sent_us; /* when the request was sent to the endpoint */
--- a/carobloomd/gateway/crash_wire.c
+++ b/carobloomd/gateway/crash_wire.c
@@ -87,7 +87,7 @@
     while (valid && g_variant_iter_next(&iter, "(&sx@a(ty))", &endpoint,
                                         &started_ms, &runs)) {
         endpoint_end_t end;
-        endpoint_end_init(&end, endpoint, started_ms);
+        endpoint_end_init(&end, endpoint, "", started_ms);
         valid = runs_read(runs, &end);
         g_array_append_val(r->ends, end);
     }
--- a/carobloomd/gateway/forward_runs.c
+++ b/carobloomd/gateway/forward_runs.c
@@ -33,6 +33,20 @@
     return f->fingerprint;
 }
 
+/* Returns the parts of the prompt but the last, which belongs to the request
+ * or to its session alone. NULL if there are none; free it with g_array_unref.
+ */
+static GArray *
+shared_parts(const forward_t *f)
+{
+    GArray *parts = NULL;
+    if (f->info.part_count > 1) {
+        parts = platform_request_part_ids(http_exchange_head(f->exchange));
+        g_array_set_size(parts, parts->len - 1);
+    }
+    return parts;
+}
+
 static run_stage_t
 run_stage(request_send_t *s)
 {
@@ -48,14 +62,15 @@
     return s->is_probe ? RUN_PROBE : RUN_BEGINNING;
 }
 
-/* Describes the request's run at its endpoint, for the detection of
- * crashes. */
+/* Describes the request's run at its endpoint, for the detection of crashes.
+ * The caller releases the parts. */
 static watched_run_t
 watched_run(request_send_t *s)
 {
     return (watched_run_t){
         .run = {.fingerprint = forward_fingerprint(s->request),
-                .stage = run_stage(s)},
+                .stage = run_stage(s),
+                .parts = shared_parts(s->request)},
         .sent_us = s->sent_us,
     };
 }
@@ -170,7 +185,9 @@
         crash_watch_record_refused(watch, s->endpoint, !s->in_tunnel);
     }
     if (failure == CALL_FAILED_SENT || failure == CALL_FAILED_CUT) {
-        crash_watch_record_break(watch, s->endpoint, watched_run(s));
+        watched_run_t run = watched_run(s);
+        crash_watch_record_break(watch, s->endpoint, run);
+        g_clear_pointer(&run.run.parts, g_array_unref);
     }
 }
 
@@ -179,7 +196,9 @@
 request_send_record_abandoned(request_send_t *s)
 {
     if (s->call != NULL && s->endpoint != NULL && client_call_sent(s->call)) {
+        watched_run_t run = watched_run(s);
         crash_watch_record_abandoned(s->request->entry->crashes, s->endpoint,
-                                     watched_run(s));
+                                     run);
+        g_clear_pointer(&run.run.parts, g_array_unref);
     }
 }
--- a/tests/test_crash_ledger.c
+++ b/tests/test_crash_ledger.c
@@ -61,7 +61,7 @@
 test_end(void)
 {
     endpoint_end_t end;
-    endpoint_end_init(&end, "e", 5);
+    endpoint_end_init(&end, "e", "a", 5);
     CU_ASSERT(endpoint_end_add(&end, (interrupted_run_t){1, RUN_BEGINNING}));
     CU_ASSERT(endpoint_end_add(&end, (interrupted_run_t){2, RUN_LONG}));
     CU_ASSERT(!endpoint_end_add(&end, (interrupted_run_t){1, RUN_LONG}));
@@ -223,7 +223,7 @@
            gint64 now_us)
 {
     endpoint_end_t end;
-    endpoint_end_init(&end, endpoint, 0);
+    endpoint_end_init(&end, endpoint, "a", 0);
     for (const char *c = letters; *c != '\0'; c++) {
         interrupted_run_t run = {.fingerprint = letter_fingerprint(*c),
                                  .stage = c[1] == '\''  ? RUN_ANSWERED
@@ -315,7 +315,7 @@
         char name[32];
         endpoint_end_t end;
         g_snprintf(name, sizeof(name), "e%u", i);
-        endpoint_end_init(&end, name, 5);
+        endpoint_end_init(&end, name, "a", 5);
         for (guint j = 0; j < RUNS; j++) {
             endpoint_end_add(&end, (interrupted_run_t){next++, RUN_BEGINNING});
         }
@@ -351,7 +351,7 @@
             char name[32];
             endpoint_end_t end;
             g_snprintf(name, sizeof(name), "e%u.%u", i, j);
-            endpoint_end_init(&end, name, 0);
+            endpoint_end_init(&end, name, "a", 0);
             endpoint_end_add(&end, (interrupted_run_t){i + 1, RUN_BEGINNING});
             crash_ledger_record_end(l, &end, now_us);
             endpoint_end_clear(&end);
@@ -518,7 +518,7 @@
     char name[16];
     endpoint_end_t end;
     g_snprintf(name, sizeof(name), "e%u", number);
-    endpoint_end_init(&end, name, 0);
+    endpoint_end_init(&end, name, "a", 0);
     if (cause != NULL) {
         endpoint_end_add(&end, *cause);
     }
@@ -711,7 +711,7 @@
     endpoint_end_t end;
     guint64 answered = 77;
     crash_report_init(report);
-    endpoint_end_init(&end, "e1", 1234);
+    endpoint_end_init(&end, "e1", "a", 1234);
     endpoint_end_add(&end, (interrupted_run_t){5, RUN_BEGINNING});
     endpoint_end_add(&end, (interrupted_run_t){6, RUN_LONG});
     g_array_append_val(report->ends, end);
