A prompt part that crashes endpoints is quarantined, whatever its requests hold

What callers saw: of one kind of request nine in ten failed while engines ended one after the other, 40 in each of two waves; sound requests of the other kinds on these engines failed with them. Cause: endpoints that end were explained by whole requests alone. Each request with the part had a fingerprint of its own, so none came to three ends. Class: knowledge keyed by an identity that is narrower than what is to blame. Change: runs that a crash interrupts name the parts of their prompts but the last, and a part at a service is a suspect as a request is, in the same ledgers, with the same probes. What is held is what the evidence singles out: a part and a request with it, or two parts that come together, are told apart by the ends that they explain; parts at two ends are watched, so that every instance reports answers; confirmed by five ends or two probes; probed again after 30 s at most until two probes have failed. Suspects are evaluated in an order that is the same at all control instances. A request that is held takes no repeat from the budget.

--- a/carobloomd/control/crash_reports.c
+++ b/carobloomd/control/crash_reports.c
@@ -17,6 +17,18 @@
     SAVE_MAX_INTERVAL_US = 30000 * MS,
 };
 
+static void
+count_order(const quarantine_order_t *order)
+{
+    if (order->left_us > 0 && !order->watch_only) {
+        counter_add(counter_get(quarantine_order_is_part(order)
+                                    ? "parts_held_total"
+                                    : "requests_held_total",
+                                NULL, FALSE),
+                    1);
+    }
+}
+
 /* Logs and publishes new quarantine orders. */
 static void
 publish_orders(control_t *c)
@@ -29,9 +41,7 @@
     for (guint i = 0; i < orders->len; i++) {
         const quarantine_order_t *order =
             &g_array_index(orders, quarantine_order_t, i);
-        if (order->left_us > 0) {
-            counter_add(counter_get("requests_held_total", NULL, FALSE), 1);
-        }
+        count_order(order);
         quarantine_order_log(order, "");
     }
     g_array_unref(orders);
@@ -70,8 +80,10 @@
     crash_ledger_evaluate(c->crashes, control_now(c));
     publish_orders(c);
     save_orders(c);
+    guint parts = crash_ledger_quarantined_parts(c->crashes);
     counter_set(counter_get("requests_held", NULL, TRUE),
-                crash_ledger_quarantined(c->crashes));
+                crash_ledger_quarantined(c->crashes) - parts);
+    counter_set(counter_get("parts_held", NULL, TRUE), parts);
     counter_set(counter_get("requests_suspect", NULL, TRUE),
                 crash_ledger_suspects(c->crashes));
 }
--- a/carobloomd/gateway/crash_link.c
+++ b/carobloomd/gateway/crash_link.c
@@ -7,6 +7,7 @@
 #include "carobloom/gateway/inner_line.h"
 #include "carobloom/gateway/leaving_wire.h"
 #include "carobloom/gateway/order_log.h"
+#include "carobloom/policy/fingerprint.h"
 #include "entry_state.h"
 
 enum {
@@ -97,6 +98,7 @@
             guint64 *up_to)
 {
     guint runs = 0;
+    guint parts = 0;
     for (GList *i = link->records.head; i != NULL; i = i->next) {
         const crash_record_t *record = i->data;
         if (record->number <= after) {
@@ -106,9 +108,12 @@
             return;
         }
         runs += record->kind == RECORD_END ? record->end.runs->len : 0;
+        parts += record->end.part_count;
+        gboolean full =
+            runs > CRASH_REPORT_RUNS_MAX || parts > CRASH_REPORT_PARTS_MAX;
         if (report->ends->len == CRASH_REPORT_ENDS_MAX ||
             report->answered->len == CRASH_REPORT_ANSWERED_MAX ||
-            (report->ends->len > 0 && runs > CRASH_REPORT_RUNS_MAX)) {
+            (report->ends->len > 0 && full)) {
             return;
         }
         *up_to = record->number;
@@ -315,6 +320,16 @@
     }
 }
 
+static void
+record_parts_cut(entry_t *e, const char *service, const GArray *parts)
+{
+    for (guint i = 0; parts != NULL && i < parts->len; i++) {
+        guint64 part = part_fingerprint(str_from_cstr(service),
+                                        g_array_index(parts, guint64, i));
+        run_history_record_cut(&e->part_history, part, entry_now(e));
+    }
+}
+
 void
 crash_link_report_end(crash_link_t *link, const endpoint_end_t *end)
 {
@@ -324,6 +339,7 @@
         interrupted_run_t run = g_array_index(end->runs, interrupted_run_t, i);
         run_history_record_cut(&link->entry->history, run.fingerprint,
                                record->recorded_us);
+        record_parts_cut(link->entry, end->service, run.parts);
     }
     wake_all(link);
 }
@@ -386,6 +402,19 @@
 
 /* ---- quarantine orders ---- */
 
+/* Returns whether this instance got an answer that clears the suspect: to the
+ * request a moment ago, or with the part since the first end. */
+static gboolean
+was_answered(const entry_t *e, const quarantine_order_t *order)
+{
+    gint64 now = entry_now(e);
+    return quarantine_order_is_part(order)
+               ? run_history_is_answered_since(&e->part_history,
+                                               order->fingerprint,
+                                               now - order->since_us)
+               : run_history_is_answered(&e->history, order->fingerprint, now);
+}
+
 void
 crash_link_apply_orders(crash_link_t *link, const GArray *orders,
                         const char *control)
@@ -399,11 +428,10 @@
                                    now)) {
             quarantine_order_log(order, control);
         }
-        if (order->left_us > 0 &&
-            run_history_is_answered(&e->history, order->fingerprint, now)) {
+        if (order->left_us > 0 && was_answered(e, order)) {
+            quarantine_take_answer(e->quarantine, order->fingerprint);
             crash_link_report_answered(link, order->fingerprint);
         }
     }
-    counter_set(counter_get("requests_held", NULL, TRUE),
-                quarantine_count(e->quarantine));
+    entry_count_quarantined(e);
 }
--- a/carobloomd/gateway/crash_wire.c
+++ b/carobloomd/gateway/crash_wire.c
@@ -2,7 +2,8 @@
 
 #include "carobloom/common/codec.h"
 
-#define ENDS_TYPE "a(sxa(ty))"
+#define RUNS_TYPE "a(tyat)"
+#define ENDS_TYPE "a(ssx" RUNS_TYPE ")"
 #define REPORT_TYPE "(" ENDS_TYPE "at)"
 #define FILE_TYPE "(x" QUARANTINE_ORDERS_TYPE ")"
 
@@ -27,16 +28,25 @@
     g_clear_pointer(&r->answered, g_array_unref);
 }
 
+static GVariant *
+fingerprints_variant(const GArray *list)
+{
+    return g_variant_new_fixed_array(
+        G_VARIANT_TYPE_UINT64, list != NULL ? list->data : NULL,
+        list != NULL ? list->len : 0, sizeof(guint64));
+}
+
 static GVariant *
 runs_variant(const GArray *runs)
 {
     GVariantBuilder b;
-    g_variant_builder_init(&b, G_VARIANT_TYPE("a(ty)"));
+    g_variant_builder_init(&b, G_VARIANT_TYPE(RUNS_TYPE));
     for (guint i = 0; i < runs->len; i++) {
         const interrupted_run_t *run =
             &g_array_index(runs, interrupted_run_t, i);
-        g_variant_builder_add(&b, "(ty)", run->fingerprint,
-                              (guchar)run->stage);
+        g_variant_builder_add(&b, "(ty@at)", run->fingerprint,
+                              (guchar)run->stage,
+                              fingerprints_variant(run->parts));
     }
     return g_variant_builder_end(&b);
 }
@@ -48,14 +58,29 @@
     g_variant_builder_init(&ends, G_VARIANT_TYPE(ENDS_TYPE));
     for (guint i = 0; i < r->ends->len; i++) {
         const endpoint_end_t *end = &g_array_index(r->ends, endpoint_end_t, i);
-        g_variant_builder_add(&ends, "(sx@a(ty))", end->endpoint,
-                              end->started_ms, runs_variant(end->runs));
+        g_variant_builder_add(&ends, "(ssx@" RUNS_TYPE ")", end->endpoint,
+                              end->service, end->started_ms,
+                              runs_variant(end->runs));
     }
-    GVariant *answered =
-        g_variant_new_fixed_array(G_VARIANT_TYPE_UINT64, r->answered->data,
-                                  r->answered->len, sizeof(guint64));
     return codec_write(g_variant_new("(@" ENDS_TYPE "@at)",
-                                     g_variant_builder_end(&ends), answered));
+                                     g_variant_builder_end(&ends),
+                                     fingerprints_variant(r->answered)));
+}
+
+/* Returns a new array, or NULL for an empty list. */
+static GArray *
+parts_read(GVariant *list)
+{
+    gsize count;
+    GArray *parts = NULL;
+    const guint64 *ids =
+        g_variant_get_fixed_array(list, &count, sizeof(guint64));
+    if (count > 0) {
+        parts = g_array_new(FALSE, FALSE, sizeof(guint64));
+        g_array_append_vals(parts, ids, (guint)count);
+    }
+    g_variant_unref(list);
+    return parts;
 }
 
 /* Returns FALSE if a stage is invalid or there are too many runs. */
@@ -65,12 +90,16 @@
     GVariantIter iter;
     guint64 fingerprint;
     guchar stage;
+    GVariant *parts;
     gboolean valid = g_variant_iter_init(&iter, list) <= ENDPOINT_RUNS_MAX;
-    while (valid && g_variant_iter_next(&iter, "(ty)", &fingerprint, &stage)) {
+    while (valid && g_variant_iter_next(&iter, "(ty@at)", &fingerprint, &stage,
+                                        &parts)) {
+        interrupted_run_t run = {.fingerprint = fingerprint,
+                                 .stage = (run_stage_t)stage,
+                                 .parts = parts_read(parts)};
         valid = stage < RUN_STAGE_COUNT;
-        endpoint_end_add(end,
-                         (interrupted_run_t){.fingerprint = fingerprint,
-                                             .stage = (run_stage_t)stage});
+        endpoint_end_add(end, run);
+        g_clear_pointer(&run.parts, g_array_unref);
     }
     g_variant_unref(list);
     return valid;
@@ -81,13 +110,15 @@
 {
     GVariantIter iter;
     const char *endpoint;
+    const char *service;
     gint64 started_ms;
     GVariant *runs;
     gboolean valid = g_variant_iter_init(&iter, list) <= CRASH_REPORT_ENDS_MAX;
-    while (valid && g_variant_iter_next(&iter, "(&sx@a(ty))", &endpoint,
-                                        &started_ms, &runs)) {
+    while (valid &&
+           g_variant_iter_next(&iter, "(&s&sx@" RUNS_TYPE ")", &endpoint,
+                               &service, &started_ms, &runs)) {
         endpoint_end_t end;
-        endpoint_end_init(&end, endpoint, "", started_ms);
+        endpoint_end_init(&end, endpoint, service, started_ms);
         valid = runs_read(runs, &end);
         g_array_append_val(r->ends, end);
     }
@@ -139,8 +170,10 @@
         const quarantine_order_t *o =
             &g_array_index(orders, quarantine_order_t, i);
         g_variant_builder_add(
-            &b, "(txxsbus)", o->fingerprint, o->left_us, o->since_us,
-            o->endpoints, o->uncertain, o->probe,
+            &b, "(tstbbxxsubus)", o->fingerprint,
+            o->service != NULL ? o->service : "", o->part, o->watch_only,
+            o->releases, o->left_us, o->since_us, o->endpoints, o->ends,
+            o->uncertain, o->probe,
             o->probe_instance != NULL ? o->probe_instance : "");
     }
     return g_variant_builder_end(&b);
@@ -154,9 +187,10 @@
     GArray *orders = quarantine_orders_new();
     gboolean valid = g_variant_iter_init(&iter, list) <= QUARANTINE_ORDERS_MAX;
     while (valid &&
-           g_variant_iter_next(&iter, "(txxsbus)", &o.fingerprint, &o.left_us,
-                               &o.since_us, &o.endpoints, &o.uncertain,
-                               &o.probe, &o.probe_instance)) {
+           g_variant_iter_next(&iter, "(tstbbxxsubus)", &o.fingerprint,
+                               &o.service, &o.part, &o.watch_only, &o.releases,
+                               &o.left_us, &o.since_us, &o.endpoints, &o.ends,
+                               &o.uncertain, &o.probe, &o.probe_instance)) {
         g_array_append_val(orders, o);
     }
     if (!valid) {
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -299,6 +299,15 @@
     http_peer_destroy(connections);
 }
 
+void
+entry_count_quarantined(const entry_t *e)
+{
+    counter_set(counter_get("requests_held", NULL, TRUE),
+                quarantine_count(e->quarantine));
+    counter_set(counter_get("parts_held", NULL, TRUE),
+                quarantine_count_parts(e->quarantine));
+}
+
 static void
 on_sweep(void *data)
 {
@@ -309,8 +318,7 @@
     e->swept_us = now;
     directory_sweep(e->directory, now);
     quarantine_expire(e->quarantine, entry_now(e));
-    counter_set(counter_get("requests_held", NULL, TRUE),
-                quarantine_count(e->quarantine));
+    entry_count_quarantined(e);
     counter_set(counter_get("endpoints", NULL, TRUE),
                 directory_count(e->directory));
     counter_set(counter_get("requests_in_flight", NULL, TRUE),
@@ -483,11 +491,13 @@
         text,
         "config version %lu, confirmed %ld ms ago\nready %d\n"
         "requests %u, connections %u, endpoints %u, entries %u\n"
-        "requests quarantined %u\n",
+        "requests quarantined %u, prompt parts %u\n",
         e->config ? (unsigned long)e->config->version : 0,
         (long)entry_config_age_ms(e), is_ready(e), e->requests_in_flight,
         http_server_connections(e->callers), directory_count(e->directory),
-        e->entries, quarantine_count(e->quarantine));
+        e->entries, quarantine_count(e->quarantine),
+        quarantine_count_parts(e->quarantine));
+    quarantine_dump(e->quarantine, text, entry_now(e));
     dump_services(e, text);
     control_links_dump(e, text);
     load_link_dump(e->load_link, text);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -99,7 +99,8 @@
     slot_link_t *slot_link;
     tunnel_server_t *tunnel_server; /* NULL: opens none for others */
     quarantine_t *quarantine;
-    run_history_t history;
+    run_history_t history;      /* of requests */
+    run_history_t part_history; /* of prompt parts */
     /* the configuration in force at this instance */
     route_config_t *config; /* NULL until the first one is received */
     GBytes *text;
@@ -143,6 +144,9 @@
 /* Whether the loads of the other entry instances were received recently. */
 gboolean entry_has_recent_loads(const entry_t *entry);
 
+/* Sets the counters of quarantined requests and prompt parts. */
+void entry_count_quarantined(const entry_t *entry);
+
 /* control_link.c */
 void control_links_add_seeds(entry_t *entry);
 void control_links_destroy(entry_t *entry);
@@ -183,8 +187,8 @@
 crash_link_t *crash_link_create(entry_t *entry);
 void crash_link_destroy(crash_link_t *link);
 void crash_link_report_end(crash_link_t *link, const endpoint_end_t *end);
-/* Reports that a request was answered completely that a crash interrupted or
- * that is quarantined. */
+/* Reports that a request, or one with a prompt part, was answered completely
+ * that a crash interrupted or that is quarantined or watched. */
 void crash_link_report_answered(crash_link_t *link, guint64 fingerprint);
 /* Reports that an endpoint said in an answer that it leaves. */
 void crash_link_report_leaving(crash_link_t *link, const endpoint_t *endpoint);
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -85,6 +85,7 @@
         event_log_number("held_since_ms",
                          (now - f->quarantined->since_us) / MS);
         event_log_number("held_for_ms", (f->quarantined->until_us - now) / MS);
+        event_log_number("held_part", f->quarantined->service[0] != '\0');
     }
     if (f->placement_counts.known > 0) {
         event_log_number("endpoints", f->placement_counts.known);
@@ -242,6 +243,7 @@
     }
     forward_cancel_silent(f);
     g_clear_pointer(&f->silent, g_ptr_array_unref);
+    g_clear_pointer(&f->shared_parts, g_array_unref);
     request_send_free(f->send);
     e->requests_in_flight--;
     g_clear_pointer(&f->config, route_config_unref);
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -296,8 +296,8 @@
     if (!may_repeat(f)) {
         return FALSE;
     }
-    if (received &&
-        (!can_be_placed(f) || !take_repeat_from_budget(f, reason))) {
+    if (received && (forward_may_not_repeat(f) || !can_be_placed(f) ||
+                     !take_repeat_from_budget(f, reason))) {
         return FALSE;
     }
     send_repeat(f, reason);
@@ -328,8 +328,11 @@
 static void
 refuse_quarantined(forward_t *f)
 {
+    const quarantined_request_t *q = f->quarantined;
+    gboolean is_part = q != NULL && q->service[0] != '\0';
     counter_add(counter_get("requests_refused_held_total", NULL, FALSE), 1);
-    forward_fail(f, "endpoints end under this request");
+    forward_fail(f, is_part ? "endpoints end under a part of this prompt"
+                            : "endpoints end under this request");
 }
 
 void
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -24,7 +24,9 @@
     forward_t *request;
     endpoint_t *endpoint; /* NULL: not sent, or the send has ended */
     client_call_t *call;  /* NULL: the same */
-    gboolean is_probe;    /* see quarantine.h */
+    /* fingerprint of the quarantined request or prompt part that this send
+     * probes, see quarantine.h; 0: none */
+    guint64 probe;
     gboolean in_tunnel; /* the call is in a tunnel through another instance */
     helper_t *helper;   /* that instance; NULL if it is not known any more */
     gboolean is_silent; /* the endpoint was silent at the last check */
@@ -67,7 +69,10 @@
     service_state_t *service_state;
     request_info_t info;
     guint64 fingerprint; /* 0: not computed yet */
-    /* set when the request is refused as quarantined */
+    /* guint64, ids of the parts of the prompt but the last, which belongs to
+     * the request or to its session alone; NULL: none, or not listed yet */
+    GArray *shared_parts;
+    /* set when the request is refused because it or a part is quarantined */
     const quarantined_request_t *quarantined;
     gint64 started_us;
     gint64 deadline_us; /* deadline for the answer */
@@ -145,10 +150,12 @@
 guint64 forward_fingerprint(forward_t *f);
 /* Adds the request's fingerprint to the event log line that was begun. */
 void forward_log_fingerprint(forward_t *f);
-/* Whether to refuse the request because it is quarantined: endpoints crashed
- * while they ran it. Returns FALSE for a quarantined request if a probe of it
- * is due; this send is then the probe. */
+/* Whether to refuse the request because it or a part of its prompt is
+ * quarantined: endpoints crashed while they ran it. Returns FALSE for a
+ * quarantined request if a probe is due; this send is then the probe. */
 gboolean forward_is_quarantined(forward_t *f);
+/* The same, without sending a probe. */
+gboolean forward_may_not_repeat(forward_t *f);
 /* If the send was a probe, makes it available again, because no endpoint
  * executed it. */
 void request_send_return_probe(request_send_t *s);
--- a/include/carobloom/gateway/crash_wire.h
+++ b/include/carobloom/gateway/crash_wire.h
@@ -10,17 +10,19 @@
 #define CRASHES_PATH "/crashes" /* entry to control */
 
 enum {
-    /* Bounds of one report, which together keep it within 8 KB. */
+    /* Bounds of one report, which together keep it within 16 KB. */
     CRASH_REPORT_ENDS_MAX = 16,
-    CRASH_REPORT_RUNS_MAX = 256, /* of all ends; one end alone may have more */
+    /* Of all ends; one end alone may have more. */
+    CRASH_REPORT_RUNS_MAX = 256,
+    CRASH_REPORT_PARTS_MAX = 1024,
     CRASH_REPORT_ANSWERED_MAX = 256,
     QUARANTINE_ORDERS_MAX = 4096,
 };
 
 typedef struct {
     GArray *ends; /* endpoint_end_t */
-    /* guint64: fingerprints of requests that were interrupted by an end, or
-     * quarantined, and were answered completely */
+    /* guint64: fingerprints of requests and prompt parts that were interrupted
+     * by an end, quarantined or watched, and were answered completely */
     GArray *answered;
 } crash_report_t;
 
@@ -30,7 +32,7 @@
 gboolean crash_report_read(GBytes *bytes, crash_report_t *report);
 
 /* Encodes quarantine_order_t as a part of other messages. */
-#define QUARANTINE_ORDERS_TYPE "a(txxsbus)"
+#define QUARANTINE_ORDERS_TYPE "a(tstbbxxsubus)"
 GVariant *quarantine_orders_variant(const GArray *orders);
 /* Takes ownership of the variant. Returns NULL if there are too many orders.
  */
--- a/include/carobloom/policy/fingerprint.h
+++ b/include/carobloom/policy/fingerprint.h
@@ -24,6 +24,9 @@
  * fingerprints of 64 bits, one in 10^15 other requests collides with one of
  * them. */
 guint64 request_fingerprint(const request_identity_t *identity);
+/* Returns the fingerprint of a prompt part at the endpoints of a service, the
+ * same on every instance, never 0. */
+guint64 part_fingerprint(str_t service, guint64 part);
 /* Writes the fingerprint in the format of log lines, 16 hexadecimal digits. */
 void fingerprint_format(guint64 fingerprint, char text[FINGERPRINT_TEXT_SIZE]);
 
--- a/include/carobloom/policy/run_history.h
+++ b/include/carobloom/policy/run_history.h
@@ -1,5 +1,6 @@
-/* Outcomes of the requests that an entry instance sent recently: answered
- * completely, or cut off by the end of their endpoint. Of fixed size. Pure. */
+/* Outcomes of the requests that an entry instance sent recently, or of prompt
+ * parts in them: answered completely, or cut off by the end of their endpoint.
+ * Of fixed size. Pure. */
 #ifndef CAROBLOOM_POLICY_RUN_HISTORY_H
 #define CAROBLOOM_POLICY_RUN_HISTORY_H
 
@@ -29,6 +30,9 @@
  * does not crash every endpoint that runs it. */
 gboolean run_history_is_answered(const run_history_t *history,
                                  guint64 fingerprint, gint64 now_us);
+/* The same for a request with a prompt part, at `since_us` or later. */
+gboolean run_history_is_answered_since(const run_history_t *history,
+                                       guint64 fingerprint, gint64 since_us);
 /* Returns whether the request was cut off and not answered since, and removes
  * that record. */
 gboolean run_history_take_cut(run_history_t *history, guint64 fingerprint);
--- a/policy/fingerprint.c
+++ b/policy/fingerprint.c
@@ -15,6 +15,13 @@
     return hash != 0 ? hash : 1;
 }
 
+guint64
+part_fingerprint(str_t service, guint64 part)
+{
+    guint64 hash = hash_pair(hash_text(service), part);
+    return hash != 0 ? hash : 1;
+}
+
 void
 fingerprint_format(guint64 fingerprint, char text[FINGERPRINT_TEXT_SIZE])
 {
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -17,6 +17,7 @@
 entry_free(gpointer data)
 {
     quarantined_request_t *entry = data;
+    g_free(entry->service);
     g_free(entry->endpoints);
     g_free(entry);
 }
@@ -50,16 +51,64 @@
     return entry;
 }
 
+static void
+entry_describe(quarantined_request_t *entry, const quarantine_order_t *order,
+               gint64 now_us)
+{
+    entry->service = g_strdup(order->service != NULL ? order->service : "");
+    entry->part = order->part;
+    entry->endpoints = g_strdup(order->endpoints);
+    entry->since_us = now_us - order->since_us;
+}
+
+/* A control instance that only watches does not know of all ends that others
+ * know, so it can't release what they quarantined. */
+static gboolean
+apply_watch(quarantine_t *q, const quarantine_order_t *order, gint64 now_us)
+{
+    quarantined_request_t *entry =
+        g_hash_table_lookup(q->entries, &order->fingerprint);
+    if (entry != NULL && !entry->watch_only && !order->releases) {
+        return FALSE;
+    }
+    if (order->left_us <= 0) {
+        return g_hash_table_remove(q->entries, &order->fingerprint);
+    }
+    gboolean known = entry != NULL && entry->watch_only;
+    if (entry != NULL && !known) {
+        g_hash_table_remove(q->entries, &order->fingerprint);
+    }
+    if (!known) {
+        entry = entry_add(q, order->fingerprint);
+    }
+    if (entry == NULL) {
+        return FALSE;
+    }
+    if (!known) {
+        entry_describe(entry, order, now_us);
+    }
+    entry->watch_only = TRUE;
+    entry->until_us = MAX(entry->until_us, now_us + order->left_us);
+    return !known;
+}
+
 gboolean
 quarantine_apply_order(quarantine_t *q, const quarantine_order_t *order,
                        const char *instance, gint64 now_us)
 {
+    if (order->watch_only) {
+        return apply_watch(q, order, now_us);
+    }
     quarantined_request_t *entry =
         g_hash_table_lookup(q->entries, &order->fingerprint);
-    gboolean known = entry != NULL;
     if (order->left_us <= 0) {
         return g_hash_table_remove(q->entries, &order->fingerprint);
     }
+    if (entry != NULL && entry->watch_only) {
+        g_hash_table_remove(q->entries, &order->fingerprint);
+        entry = NULL;
+    }
+    gboolean known = entry != NULL;
     if (!known) {
         entry = entry_add(q, order->fingerprint);
     }
@@ -67,8 +116,7 @@
         return FALSE;
     }
     if (!known) {
-        entry->endpoints = g_strdup(order->endpoints);
-        entry->since_us = now_us - order->since_us;
+        entry_describe(entry, order, now_us);
     }
     entry->until_us = MAX(entry->until_us, now_us + order->left_us);
     entry->uncertain = order->uncertain;
@@ -112,12 +160,26 @@
     return g_hash_table_size(q->entries) == 0;
 }
 
+gboolean
+quarantine_take_answer(quarantine_t *q, guint64 fingerprint)
+{
+    const quarantined_request_t *entry =
+        g_hash_table_lookup(q->entries, &fingerprint);
+    gboolean known = entry != NULL;
+    if (known && entry->watch_only) {
+        g_hash_table_remove(q->entries, &fingerprint);
+    }
+    return known;
+}
+
 const quarantined_request_t *
 quarantine_find(const quarantine_t *q, guint64 fingerprint, gint64 now_us)
 {
     const quarantined_request_t *entry =
         g_hash_table_lookup(q->entries, &fingerprint);
-    return entry != NULL && now_us < entry->until_us ? entry : NULL;
+    return entry != NULL && !entry->watch_only && now_us < entry->until_us
+               ? entry
+               : NULL;
 }
 
 static gboolean
@@ -133,8 +195,50 @@
     g_hash_table_foreach_remove(q->entries, is_expired, &now_us);
 }
 
+static guint
+count_entries(const quarantine_t *q, gboolean parts)
+{
+    GHashTableIter iter;
+    gpointer value;
+    guint count = 0;
+    g_hash_table_iter_init(&iter, q->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const quarantined_request_t *entry = value;
+        count += !entry->watch_only && (entry->service[0] != '\0') == parts;
+    }
+    return count;
+}
+
 guint
 quarantine_count(const quarantine_t *q)
 {
-    return g_hash_table_size(q->entries);
+    return count_entries(q, FALSE);
+}
+
+guint
+quarantine_count_parts(const quarantine_t *q)
+{
+    return count_entries(q, TRUE);
+}
+
+void
+quarantine_dump(const quarantine_t *q, GString *text, gint64 now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, q->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const quarantined_request_t *entry = value;
+        if (entry->service[0] == '\0') {
+            continue;
+        }
+        g_string_append_printf(
+            text,
+            "service %s: part %" G_GINT64_MODIFIER
+            "x %s%s, ended %s, %" G_GINT64_FORMAT " s left\n",
+            entry->service, entry->part,
+            entry->watch_only ? "watched" : "quarantined",
+            entry->uncertain ? " as uncertain" : "", entry->endpoints,
+            (entry->until_us - now_us) / G_USEC_PER_SEC);
+    }
 }
--- a/policy/run_history.c
+++ b/policy/run_history.c
@@ -26,13 +26,20 @@
     record(h->cut, fingerprint, now_us);
 }
 
+gboolean
+run_history_is_answered_since(const run_history_t *h, guint64 fingerprint,
+                              gint64 since_us)
+{
+    const run_record_t *entry = &h->answered[fingerprint % RUN_HISTORY_SLOTS];
+    return entry->fingerprint == fingerprint && entry->recorded_us >= since_us;
+}
+
 gboolean
 run_history_is_answered(const run_history_t *h, guint64 fingerprint,
                         gint64 now_us)
 {
-    const run_record_t *entry = &h->answered[fingerprint % RUN_HISTORY_SLOTS];
-    return entry->fingerprint == fingerprint &&
-           now_us - entry->recorded_us < ANSWERED_TIMEOUT_US;
+    return run_history_is_answered_since(h, fingerprint,
+                                         now_us - ANSWERED_TIMEOUT_US + 1);
 }
 
 gboolean
--- a/tests/test_crashing_parts.c
+++ b/tests/test_crashing_parts.c
@@ -52,6 +52,7 @@
     play_t *play;
     calls_t calls;
     guint number;
+    gint64 phase_us; /* callers of one kind don't send all at once */
     guint count;
     attempt_t attempts[ATTEMPTS_MAX];
     GThread *thread;
@@ -205,8 +206,7 @@
 {
     caller_t *c = data;
     gint64 step_us = (gint64)interval_ms(c->calls) * MS;
-    /* Callers of one kind don't send all at once. */
-    gint64 next_us = g_get_monotonic_time() + step_us * c->number / 16;
+    gint64 next_us = g_get_monotonic_time() + c->phase_us;
     while (!g_atomic_int_get(&c->play->stop) && c->count < ATTEMPTS_MAX) {
         gint64 left_us = next_us - g_get_monotonic_time();
         if (left_us > 0) {
@@ -224,8 +224,11 @@
 {
     for (guint i = 0; i < count; i++) {
         caller_t *c = &p->callers[p->callers_count];
-        *c = (caller_t){
-            .play = p, .calls = calls, .number = p->callers_count++};
+        *c = (caller_t){.play = p,
+                        .calls = calls,
+                        .number = p->callers_count++,
+                        .phase_us =
+                            (gint64)interval_ms(calls) * MS * i / count};
         c->thread = g_thread_new("caller", caller_run, c);
     }
 }
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -381,6 +381,48 @@
     CU_ASSERT(reader->complete);
 }
 
+typedef struct {
+    const char *name;
+    const char *fields;
+    guint count;
+    guint64 last;
+} prompt_case_t;
+
+static const prompt_case_t PROMPTS[] = {
+    {"none", "Model: m\r\n", 0, 0},
+    {"one", "Prompt-Prefix: 5c1e07a2:800\r\n", 1, 0x5c1e07a2},
+    {"upper case, spaces", "Prompt-Prefix: a:1, B:2,0C:3\r\n", 3, 0xc},
+    {"malformed after the second", "Prompt-Prefix: a:1,b:2,x\r\n", 2, 0xb},
+    {"two fields", "Prompt-Prefix: a:1\r\nPrompt-Prefix: b:2\r\n", 2, 0xb},
+    {"more than placement looks at",
+     "Prompt-Prefix: 1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1,9:1,a:1,b:1,c:1,d:1,e:1,"
+     "f:1,10:1,11:1,12:1\r\n",
+     18, 0x12},
+};
+
+static void
+test_prompt_parts(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(PROMPTS); i++) {
+        const prompt_case_t *c = &PROMPTS[i];
+        http_reader_t reader;
+        char *text =
+            g_strdup_printf("GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", c->fields);
+        read_head(&reader, text);
+        GArray *ids = platform_request_part_ids(&reader.head);
+        guint count = ids != NULL ? ids->len : 0;
+        if (count != c->count) {
+            printf("%s: %u parts\n", c->name, count);
+        }
+        CU_ASSERT_EQUAL(count, c->count);
+        CU_ASSERT(count == 0 ||
+                  g_array_index(ids, guint64, count - 1) == c->last);
+        g_clear_pointer(&ids, g_array_unref);
+        http_reader_clear(&reader);
+        g_free(text);
+    }
+}
+
 /* Guards against forged fields. Fields that a client may not set are not
  * forwarded; its other fields are. */
 static void
@@ -798,6 +840,7 @@
     {"faults of settings are named", test_settings},
     {"the sample settings have none", test_sample_settings},
     {"a client sets only what is its own", test_request_fields},
+    {"all parts of a prompt are read", test_prompt_parts},
     {"events are separated however they arrive", test_events},
     {"limits that answers announce", test_limit_field},
     {"rest that answers ask for", test_rest_field},
