--- a/carobloomd/gateway/crash_link.c
+++ b/carobloomd/gateway/crash_link.c
@@ -425,7 +425,8 @@
         const quarantine_order_t *order =
             &g_array_index(orders, quarantine_order_t, i);
         if (quarantine_apply_order(e->quarantine, order, e->settings->instance,
-                                   now)) {
+                                   now) &&
+            !order->watch_only) {
             quarantine_order_log(order, control);
         }
         if (order->left_us > 0 && was_answered(e, order)) {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -80,7 +80,7 @@
 run build/tests/test_replay
 run build/tests/test_slot_quota
 export VOTER_HISTORIES=400
-for name in abandoned brittle capacity costs crash_ledger crashing crashing_parts cuts duties duty_calls endless endpoint_rest endpoints engine_split failures gateway http limit_quota limits loads membership parsers part_ledger placement placement_load policy reachability repeat_budget repeats rests routing scheduler silences site stalls voter; do
+for name in abandoned brittle capacity costs crash_ledger crashing crashing_parts cuts duties duty_calls endless endpoint_rest endpoints engine_split failures gateway http limit_quota limits loads membership parsers part_ledger placement placement_load policy reachability repeat_budget repeats rests routing scheduler silences site skew stalls unframed voter; do
     run "build-asan/tests/test_$name"
 done
 # The fault soak: the seeds that once failed, and a short run.
@@ -97,6 +97,7 @@
     leaving:*) options="--silences --leaving" ;;
     endless:*) options="--endless --duties" ;;
     brittle:*) options="--brittle --entries 6 --clients 24" ;;
+    parts:*) options=--parts ;;
     silences:*) options="--silences --entries 4 --endpoints 6 --clients 16" ;;
     esac
     if build/tests/soak --seed "$seed" --seconds "$seconds" $options \
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -15,6 +15,7 @@
 #include "soak_endless.h"
 #include "soak_leaving.h"
 #include "soak_limits.h"
+#include "soak_parts.h"
 #include "soak_repeats.h"
 #include "soak_rests.h"
 #include "soak_silences.h"
@@ -67,6 +68,7 @@
     gint64 disk_us;  /* when a disk was last lost */
     gint64 started_us;
     gboolean planned; /* no faults but SIGTERM, and nothing crashes */
+    gboolean parts;   /* what crashes endpoints is a part of their prompts */
     gint64 back_us[FLEET_PROCESSES_MAX]; /* of endpoints that crashed */
     soak_limits_t *limits;               /* NULL: no endpoint names one */
     soak_rests_t *rests;                 /* NULL: none rests or leaves */
@@ -160,9 +162,13 @@
         char *target = fields[0] == '\0'
                            ? g_strdup(TARGETS[kind])
                            : g_strdup_printf("%s/%d", TARGETS[kind], i);
+        char *parts = s->parts ? soak_parts_sound(c->random) : g_strdup("");
+        char *all_fields = g_strconcat(fields, parts, NULL);
         soak_repeats_record(s->repeats, g_get_monotonic_time());
-        reply_t *reply =
-            fleet_request(fleet_entry(s->fleet, entry), target, id, fields);
+        reply_t *reply = fleet_request(fleet_entry(s->fleet, entry), target,
+                                       id, all_fields);
+        g_free(all_fields);
+        g_free(parts);
         g_free(target);
         g_atomic_int_inc(&s->asked);
         check_reply(s, reply, kind, id);
@@ -186,9 +192,16 @@
     soak_t *s = data;
     for (guint i = 0; !g_atomic_int_get(&s->stop); i++) {
         char *id = g_strdup_printf("s%u-crash-%u", s->seed, i);
+        char *parts = s->parts ? soak_parts_bad(i) : g_strdup("");
+        char *fields = g_strconcat("Fault: crash\r\n", parts, NULL);
+        char *target = s->parts ? g_strdup_printf("%s/%u", CRASH_TARGET, i)
+                                : g_strdup(CRASH_TARGET);
         soak_repeats_record(s->repeats, g_get_monotonic_time());
         reply_free(fleet_request(fleet_entry(s->fleet, i % s->fleet->entries),
-                                 CRASH_TARGET, id, "Fault: crash\r\n"));
+                                 target, id, fields));
+        g_free(target);
+        g_free(fields);
+        g_free(parts);
         g_free(id);
         fleet_sleep(CRASH_EVERY_MS);
     }
@@ -695,9 +708,10 @@
          guint endpoints, guint clients, gboolean duties, gboolean limits,
          gboolean rests, gboolean cuts, gboolean repeats, gboolean brittle,
          gboolean silences, gboolean planned, gboolean endless,
-         gboolean leaving)
+         gboolean leaving, gboolean parts)
 {
     soak_t s = {.seed = seed,
+                .parts = parts,
                 .random = g_rand_new_with_seed(seed),
                 .planned = planned};
     client_t all[CLIENTS_MAX];
@@ -836,10 +850,15 @@
     struct arg_lit *leaving =
         arg_lit0(NULL, "leaving",
                  "clients leave before they are answered (not with --cuts)");
+    struct arg_lit *parts =
+        arg_lit0(NULL, "parts",
+                 "no two requests that crash endpoints are alike, they share "
+                 "a part of their prompts");
     struct arg_end *end = arg_end(10);
-    void *table[] = {seed,    count,    seconds, controls, entries, endpoints,
-                     clients, duties,   limits,  rests,    cuts,    repeats,
-                     brittle, silences, planned, endless,  leaving, end};
+    void *table[] = {seed,      count,   seconds, controls, entries,
+                     endpoints, clients, duties,  limits,   rests,
+                     cuts,      repeats, brittle, silences, planned,
+                     endless,   leaving, parts,   end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -850,15 +869,16 @@
     int failed = 0;
     int many = OR(count, 1);
     for (int i = 0; i < many; i++) {
-        failed += soak_run(
-            (guint32)(OR(seed, 1) + i), OR(seconds, 15),
-            (guint)CLAMP(OR(controls, 3), 1, 9),
-            (guint)CLAMP(OR(entries, 3), 1, 24),
-            (guint)CLAMP(OR(endpoints, 4), 1, 24),
-            (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX), duties->count > 0,
-            limits->count > 0, rests->count > 0, cuts->count > 0,
-            repeats->count > 0, brittle->count > 0, silences->count > 0,
-            planned->count > 0, endless->count > 0, leaving->count > 0);
+        failed +=
+            soak_run((guint32)(OR(seed, 1) + i), OR(seconds, 15),
+                     (guint)CLAMP(OR(controls, 3), 1, 9),
+                     (guint)CLAMP(OR(entries, 3), 1, 24),
+                     (guint)CLAMP(OR(endpoints, 4), 1, 24),
+                     (guint)CLAMP(OR(clients, 8), 1, CLIENTS_MAX),
+                     duties->count > 0, limits->count > 0, rests->count > 0,
+                     cuts->count > 0, repeats->count > 0, brittle->count > 0,
+                     silences->count > 0, planned->count > 0,
+                     endless->count > 0, leaving->count > 0, parts->count > 0);
     }
 #undef OR
     arg_freetable(table, G_N_ELEMENTS(table));
--- a/tests/test_crashing_parts.c
+++ b/tests/test_crashing_parts.c
@@ -421,8 +421,63 @@
     }
 }
 
+/* ---- release ---- */
+
+/* Sends a request with the part "bad" and others of its own. Returns the
+ * status. */
+static guint
+send_one(const play_t *p, guint number, const char *fault)
+{
+    char id[32];
+    g_snprintf(id, sizeof(id), "bad-one-%u", number);
+    char *fields = g_strdup_printf("Prompt-Prefix: bad:80,%x:30\r\n%s",
+                                   0x5000 + number, fault);
+    char *target = g_strdup_printf("/once/%u", number);
+    reply_t *reply = fleet_post(fleet_entry(p->fleet, number % ENTRIES),
+                                target, id, FLEET_KEY, fields, id);
+    guint status = reply->status;
+    reply_free(reply);
+    g_free(target);
+    g_free(fields);
+    return status;
+}
+
+/* Once endpoints are mended, the answer to a probe releases the part at all
+ * instances. */
+static void
+test_released(void)
+{
+    enum { SENDS_MAX = 8, INTERVAL_MS = 700, RELEASED_MS = 10000 };
+    play_t *p = g_new0(play_t, 1);
+    guint number = 0;
+    guint status = 0;
+    guint served = 0;
+    p->fleet = fleet_create(1, ENTRIES, ENDPOINTS);
+    CU_ASSERT_FATAL(fleet_up(p->fleet, 1));
+    wait_restarting(p, 500);
+    /* An end that the part doesn't explain makes it uncertain. */
+    reply_free(fleet_post(fleet_entry(p->fleet, 0), "/once/other", "other",
+                          FLEET_KEY, "Fault: crash\r\n", "other"));
+    while (number < SENDS_MAX && status != 503) {
+        wait_restarting(p, INTERVAL_MS);
+        status = send_one(p, number++, "Fault: crash\r\n");
+    }
+    CU_ASSERT_EQUAL(status, 503);
+    gint64 until_us = g_get_monotonic_time() + (gint64)RELEASED_MS * MS;
+    while (served < ENTRIES && g_get_monotonic_time() < until_us) {
+        served = send_one(p, number++, "") == 200 ? served + 1 : 0;
+        wait_restarting(p, 50);
+    }
+    CU_ASSERT_EQUAL(served, ENTRIES);
+    CU_ASSERT_EQUAL(fleet_counter(fleet_control(p->fleet, 0), "parts_held"),
+                    0);
+    fleet_destroy(p->fleet);
+    g_free(p);
+}
+
 static const test_case_t CASES[] = {
     {"a prompt part that crashes endpoints is held back", test_parts},
+    {"an answered probe releases the part", test_released},
 };
 
 CHECK_MAIN("crashing parts", CASES)
