--- /dev/null
+++ b/policy/crash_suspects.c
@@ -0,0 +1,182 @@
+#include "crash_ledger_state.h"
+
+suspect_t *
+suspect_find(const crash_ledger_t *l, guint64 fingerprint)
+{
+    return g_hash_table_lookup(l->suspects, &fingerprint);
+}
+
+suspect_t *
+suspect_find_or_create(crash_ledger_t *l, guint64 fingerprint)
+{
+    suspect_t *s = suspect_find(l, fingerprint);
+    if (s == NULL) {
+        s = g_new0(suspect_t, 1);
+        s->fingerprint = fingerprint;
+        g_hash_table_insert(l->suspects, &s->fingerprint, s);
+    }
+    return s;
+}
+
+void
+suspect_remove_unused(crash_ledger_t *l, suspect_t *s)
+{
+    if (s->count > 0 || s->link != NULL) {
+        return;
+    }
+    g_hash_table_remove(l->due, s);
+    g_hash_table_remove(l->suspects, &s->fingerprint);
+}
+
+gint
+suspect_end_index(const suspect_t *s, const end_record_t *end)
+{
+    for (guint i = 0; i < s->count; i++) {
+        if (s->ends[i].end == end) {
+            return (gint)i;
+        }
+    }
+    return -1;
+}
+
+void
+suspect_drop_end(suspect_t *s, guint index)
+{
+    s->count--;
+    for (guint i = index; i < s->count; i++) {
+        s->ends[i] = s->ends[i + 1];
+    }
+}
+
+void
+suspect_add_end(suspect_t *s, suspect_end_t end)
+{
+    if (s->count == SUSPECT_ENDS_MAX) {
+        suspect_drop_end(s, 0);
+    }
+    if (s->count == s->capacity) {
+        s->capacity = MAX(2 * s->capacity, SUSPECT_ENDS_MIN);
+        s->ends = g_renew(suspect_end_t, s->ends, s->capacity);
+    }
+    s->ends[s->count++] = end;
+}
+
+gboolean
+suspect_is_part(const suspect_t *s)
+{
+    return s->service != NULL;
+}
+
+gboolean
+end_run_has(const end_run_t *run, guint64 fingerprint)
+{
+    if (run->request == fingerprint) {
+        return TRUE;
+    }
+    for (guint i = 0; i < run->parts->len; i++) {
+        if (g_array_index(run->parts, guint64, i) == fingerprint) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+gboolean
+end_has_run_of_both(const end_record_t *end, guint64 a, guint64 b)
+{
+    for (guint i = 0; i < end->runs->len; i++) {
+        const end_run_t *run = &g_array_index(end->runs, end_run_t, i);
+        if (end_run_has(run, a) && end_run_has(run, b)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static guint
+end_weight(const suspect_end_t *e)
+{
+    return e->stage == RUN_LONG ? WEIGHT_LONG : WEIGHT_BEGINNING;
+}
+
+guint
+suspect_own_weight(const suspect_t *s)
+{
+    guint weight = 0;
+    for (guint i = 0; i < s->count; i++) {
+        guint64 cause = s->ends[i].end->cause;
+        if (cause == 0 || cause == s->fingerprint) {
+            weight += end_weight(&s->ends[i]);
+        }
+    }
+    return weight;
+}
+
+guint
+suspect_weight(const suspect_t *s)
+{
+    guint weight = suspect_own_weight(s);
+    for (guint i = 0; suspect_is_part(s) && i < s->count; i++) {
+        const end_record_t *end = s->ends[i].end;
+        if (end->cause != 0 && end->cause != s->fingerprint &&
+            end_has_run_of_both(end, s->fingerprint, end->cause)) {
+            weight += end_weight(&s->ends[i]);
+        }
+    }
+    return weight;
+}
+
+static guint
+suspect_threshold(const suspect_t *s, gint64 now_us)
+{
+    return now_us < s->probation_until_us ? WEIGHT_BEGINNING
+                                          : CAUSE_ENDS_MIN * WEIGHT_BEGINNING;
+}
+
+gboolean
+suspect_is_over_threshold(const suspect_t *s, gint64 now_us)
+{
+    enum { FURTHER = PART_FURTHER_ENDS_MIN * WEIGHT_BEGINNING };
+    guint threshold = suspect_threshold(s, now_us);
+    return suspect_weight(s) >= threshold &&
+           suspect_own_weight(s) >= MIN(threshold, FURTHER);
+}
+
+/* Returns whether another uncertain suspect ran at so many of the same ends
+ * that only probes can tell which is the cause. */
+static gboolean
+suspect_is_contested(const crash_ledger_t *l, const suspect_t *s)
+{
+    for (const GList *i = l->orders.head; i != NULL; i = i->next) {
+        const suspect_t *other = i->data;
+        guint shared = 0;
+        if (other == s || !other->uncertain) {
+            continue;
+        }
+        for (guint k = 0; k < s->count; k++) {
+            shared += suspect_end_index(other, s->ends[k].end) >= 0;
+        }
+        if (shared >= RIVAL_SHARED_ENDS_MIN) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+gboolean
+suspect_is_confirmed_by_ends(const crash_ledger_t *l, const suspect_t *s)
+{
+    return suspect_is_part(s) &&
+           suspect_weight(s) >= CONFIRMED_PART_ENDS * WEIGHT_BEGINNING &&
+           !suspect_is_contested(l, s);
+}
+
+void
+suspect_schedule_evaluation(crash_ledger_t *l, suspect_t *s, gint64 now_us)
+{
+    if (s->quarantined_until_us == 0 && s->due_us == 0 &&
+        suspect_is_over_threshold(s, now_us)) {
+        s->due_us = now_us + EVALUATION_DELAY_US;
+        g_hash_table_add(l->due, s);
+    }
+}
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -51,73 +51,58 @@
     return entry;
 }
 
-static void
-entry_describe(quarantined_request_t *entry, const quarantine_order_t *order,
-               gint64 now_us)
+/* Returns the entry that an order is for, a new one if there is none or if it
+ * was watched and is quarantined now, or the reverse. NULL if the quarantine
+ * is full. */
+static quarantined_request_t *
+entry_find_or_add(quarantine_t *q, const quarantine_order_t *order,
+                  gboolean *known, gint64 now_us)
 {
-    entry->service = g_strdup(order->service != NULL ? order->service : "");
-    entry->part = order->part;
-    entry->endpoints = g_strdup(order->endpoints);
-    entry->since_us = now_us - order->since_us;
+    quarantined_request_t *entry =
+        g_hash_table_lookup(q->entries, &order->fingerprint);
+    *known = entry != NULL && entry->watch_only == order->watch_only;
+    if (*known) {
+        return entry;
+    }
+    g_hash_table_remove(q->entries, &order->fingerprint);
+    entry = entry_add(q, order->fingerprint);
+    if (entry != NULL) {
+        entry->service =
+            g_strdup(order->service != NULL ? order->service : "");
+        entry->part = order->part;
+        entry->watch_only = order->watch_only;
+        entry->endpoints = g_strdup(order->endpoints);
+        entry->since_us = now_us - order->since_us;
+    }
+    return entry;
 }
 
 /* A control instance that only watches does not know of all ends that others
  * know, so it can't release what they quarantined. */
 static gboolean
-apply_watch(quarantine_t *q, const quarantine_order_t *order, gint64 now_us)
+is_overruled(const quarantine_t *q, const quarantine_order_t *order)
 {
-    quarantined_request_t *entry =
+    const quarantined_request_t *entry =
         g_hash_table_lookup(q->entries, &order->fingerprint);
-    if (entry != NULL && !entry->watch_only && !order->releases) {
-        return FALSE;
-    }
-    if (order->left_us <= 0) {
-        return g_hash_table_remove(q->entries, &order->fingerprint);
-    }
-    gboolean known = entry != NULL && entry->watch_only;
-    if (entry != NULL && !known) {
-        g_hash_table_remove(q->entries, &order->fingerprint);
-    }
-    if (!known) {
-        entry = entry_add(q, order->fingerprint);
-    }
-    if (entry == NULL) {
-        return FALSE;
-    }
-    if (!known) {
-        entry_describe(entry, order, now_us);
-    }
-    entry->watch_only = TRUE;
-    entry->until_us = MAX(entry->until_us, now_us + order->left_us);
-    return !known;
+    return order->watch_only && !order->releases && entry != NULL &&
+           !entry->watch_only;
 }
 
 gboolean
 quarantine_apply_order(quarantine_t *q, const quarantine_order_t *order,
                        const char *instance, gint64 now_us)
 {
-    if (order->watch_only) {
-        return apply_watch(q, order, now_us);
+    gboolean known;
+    if (is_overruled(q, order)) {
+        return FALSE;
     }
-    quarantined_request_t *entry =
-        g_hash_table_lookup(q->entries, &order->fingerprint);
     if (order->left_us <= 0) {
         return g_hash_table_remove(q->entries, &order->fingerprint);
     }
-    if (entry != NULL && entry->watch_only) {
-        g_hash_table_remove(q->entries, &order->fingerprint);
-        entry = NULL;
-    }
-    gboolean known = entry != NULL;
-    if (!known) {
-        entry = entry_add(q, order->fingerprint);
-    }
+    quarantined_request_t *entry = entry_find_or_add(q, order, &known, now_us);
     if (entry == NULL) {
         return FALSE;
     }
-    if (!known) {
-        entry_describe(entry, order, now_us);
-    }
     entry->until_us = MAX(entry->until_us, now_us + order->left_us);
     entry->uncertain = order->uncertain;
     entry->probe =
--- a/tests/test_skew.c
+++ b/tests/test_skew.c
@@ -16,7 +16,7 @@
     SKEWED_MS = 5000,
     ATTEMPTS_MAX = 200,
     SKEWED_TENTHS = 9, /* of all connections */
-    CUT_MS = 500, /* longer than a request takes */
+    CUT_MS = 500,      /* longer than a request takes */
     SERVED_LEAST = 98, /* in a hundred of those served before */
 };
 
