Endpoints that end together count as one for a part of prompts

Endpoints that are killed at the same moment run nearly all parts that are in use. Ends within 0.3 s count as one for parts now, and the ends of several quarantined requests speak for a part that all of them have.

--- a/policy/crash_ledger_state.h
+++ b/policy/crash_ledger_state.h
@@ -33,14 +33,18 @@
     /* A part is confirmed as the cause after this many ends without an answer,
      * which are the most that operators accept, and needs no probe then. */
     CONFIRMED_PART_ENDS = 5,
-    /* A part whose ends include those of a quarantined request needs this many
-     * ends besides: one may be coincidence. A suspect that explains so many
-     * more ends than a narrower one is the cause, otherwise the narrower one.
+    /* A part whose ends include those of quarantined requests needs this many
+     * ends besides those of one of them: one may be coincidence. A suspect
+     * that explains so many more ends than a narrower one is the cause,
+     * otherwise the narrower one.
      */
     PART_FURTHER_ENDS_MIN = 2,
     /* Parts that share their ends with more others than this are not singled
      * out, and wait for the next end. */
     PART_RIVALS_MAX = 4,
+    /* Ends within this time count as one for a part: endpoints that are killed
+     * together run nearly all parts that are in use. */
+    PART_TOGETHER_US = 300 * US_PER_MS,
     /* Parts at this many ends are watched. */
     WATCH_ENDS_MIN = 2,
     WATCHED_MAX = 256,
--- a/policy/crash_suspects.c
+++ b/policy/crash_suspects.c
@@ -99,28 +99,86 @@
     return e->stage == RUN_LONG ? WEIGHT_LONG : WEIGHT_BEGINNING;
 }
 
-guint
-suspect_own_weight(const suspect_t *s)
+static gboolean
+is_own_end(const suspect_t *s, const end_record_t *end)
+{
+    return end->cause == 0 || end->cause == s->fingerprint;
+}
+
+static gboolean
+is_explained_end(const suspect_t *s, const end_record_t *end)
+{
+    return is_own_end(s, end) ||
+           (suspect_is_part(s) &&
+            end_has_run_of_both(end, s->fingerprint, end->cause));
+}
+
+/* Which ends of a suspect to sum up. */
+typedef struct {
+    gboolean (*counts)(const suspect_t *s, const end_record_t *end);
+    guint64 except;     /* another cause, whose ends don't count; 0: none */
+    gint64 together_us; /* ends within this time count as one */
+} end_sum_t;
+
+static guint
+sum_weight(const suspect_t *s, const end_sum_t *sum)
 {
     guint weight = 0;
+    guint last_weight = 0;
+    gint64 last_us = 0;
     for (guint i = 0; i < s->count; i++) {
-        guint64 cause = s->ends[i].end->cause;
-        if (cause == 0 || cause == s->fingerprint) {
-            weight += end_weight(&s->ends[i]);
+        const end_record_t *end = s->ends[i].end;
+        guint w = end_weight(&s->ends[i]);
+        if (!sum->counts(s, end) ||
+            (sum->except != 0 && end->cause == sum->except)) {
+            continue;
+        }
+        gint64 between_us = end->recorded_us - last_us;
+        if (last_weight != 0 && ABS(between_us) < sum->together_us) {
+            weight += MAX(w, last_weight) - last_weight;
+            last_weight = MAX(w, last_weight);
+            continue;
         }
+        weight += w;
+        last_weight = w;
+        last_us = end->recorded_us;
     }
     return weight;
 }
 
+static gint64
+together_us(const suspect_t *s)
+{
+    return suspect_is_part(s) ? PART_TOGETHER_US : 0;
+}
+
+guint
+suspect_own_weight(const suspect_t *s)
+{
+    end_sum_t sum = {.counts = is_own_end, .together_us = together_us(s)};
+    return sum_weight(s, &sum);
+}
+
 guint
 suspect_weight(const suspect_t *s)
 {
-    guint weight = suspect_own_weight(s);
-    for (guint i = 0; suspect_is_part(s) && i < s->count; i++) {
-        const end_record_t *end = s->ends[i].end;
-        if (end->cause != 0 && end->cause != s->fingerprint &&
-            end_has_run_of_both(end, s->fingerprint, end->cause)) {
-            weight += end_weight(&s->ends[i]);
+    end_sum_t sum = {.counts = is_explained_end,
+                     .together_us = together_us(s)};
+    return sum_weight(s, &sum);
+}
+
+/* Weight without the ends of that other cause which explains most of them. */
+static guint
+weight_beyond_one(const suspect_t *s)
+{
+    guint weight = suspect_weight(s);
+    for (guint i = 0; i < s->count; i++) {
+        guint64 cause = s->ends[i].end->cause;
+        end_sum_t sum = {.counts = is_explained_end,
+                         .except = cause,
+                         .together_us = together_us(s)};
+        if (cause != 0 && cause != s->fingerprint) {
+            weight = MIN(weight, sum_weight(s, &sum));
         }
     }
     return weight;
@@ -139,7 +197,7 @@
     enum { FURTHER = PART_FURTHER_ENDS_MIN * WEIGHT_BEGINNING };
     guint threshold = suspect_threshold(s, now_us);
     return suspect_weight(s) >= threshold &&
-           suspect_own_weight(s) >= MIN(threshold, FURTHER);
+           weight_beyond_one(s) >= MIN(threshold, FURTHER);
 }
 
 /* Returns whether another uncertain suspect ran at so many of the same ends
@@ -166,8 +224,9 @@
 gboolean
 suspect_is_confirmed_by_ends(const crash_ledger_t *l, const suspect_t *s)
 {
+    end_sum_t all = {.counts = is_explained_end};
     return suspect_is_part(s) &&
-           suspect_weight(s) >= CONFIRMED_PART_ENDS * WEIGHT_BEGINNING &&
+           sum_weight(s, &all) >= CONFIRMED_PART_ENDS * WEIGHT_BEGINNING &&
            !suspect_is_contested(l, s);
 }
 
--- a/tests/test_part_ledger.c
+++ b/tests/test_part_ledger.c
@@ -32,7 +32,10 @@
     gint64 ms;
 } step_t;
 
-enum { STEPS_MAX = 16 };
+enum {
+    STEPS_MAX = 16,
+    APART_MS = 400, /* longer than for ends that count as one */
+};
 
 typedef struct {
     const char *name;
@@ -43,11 +46,16 @@
 
 #define END(runs)                                                             \
     {                                                                         \
-        .kind = STEP_END, .service = SERVICE, .text = (runs)                  \
+        .kind = STEP_END, .service = SERVICE, .text = (runs), .ms = APART_MS  \
     }
 #define END_AT(name, runs)                                                    \
     {                                                                         \
-        .kind = STEP_END, .service = (name), .text = (runs)                   \
+        .kind = STEP_END, .service = (name), .text = (runs), .ms = APART_MS   \
+    }
+/* The next end is at the same time. */
+#define END_WITH(runs)                                                        \
+    {                                                                         \
+        .kind = STEP_END, .service = SERVICE, .text = (runs)                  \
     }
 #define ANSWERED(what)                                                        \
     {                                                                         \
@@ -91,8 +99,14 @@
     {"requests that are repeated at once, each at three ends",
      "1",
      NULL,
-     {END("A1"), END("A1"), END("A1"), END("B1"), END("B1"), END("B1"),
+     {END_WITH("A1"), END_WITH("A1"), END("A1"), END_WITH("B1"),
+      END_WITH("B1"), END("B1"), END_WITH("C1"), END_WITH("C1"), END("C1"),
       WAIT(900)}},
+    {"endpoints that are killed together count as one",
+     "",
+     NULL,
+     {END_WITH("A1"), END_WITH("B1"), END_WITH("C1"), END_WITH("D1"),
+      END("E1"), END("F1"), WAIT(900)}},
     {"the part further back, if both always come together",
      "2",
      NULL,
@@ -289,18 +303,20 @@
     const char *name;
     place_t place;
     int kill_ms;     /* mean interval; 0: endpoints end by the part alone */
+    guint killed;    /* endpoints at a time */
     int interval_ms; /* of requests with the part */
     guint sound;     /* sound requests per second */
 } history_case_t;
 
 static const history_case_t HISTORY_CASES[] = {
-    {"a middle part, often", PLACE_MIDDLE, 0, 250, 120},
-    {"a first part, often", PLACE_FIRST, 0, 250, 120},
-    {"always behind the same part", PLACE_BEHIND_ONE, 0, 250, 120},
-    {"rarely", PLACE_MIDDLE, 0, 4000, 120},
-    {"few are sound", PLACE_MIDDLE, 0, 250, 20},
-    {"endpoints also end for other reasons", PLACE_MIDDLE, 5000, 500, 120},
-    {"few are sound, other reasons", PLACE_MIDDLE, 5000, 500, 20},
+    {"a middle part, often", PLACE_MIDDLE, 0, 0, 250, 120},
+    {"a first part, often", PLACE_FIRST, 0, 0, 250, 120},
+    {"always behind the same part", PLACE_BEHIND_ONE, 0, 0, 250, 120},
+    {"rarely", PLACE_MIDDLE, 0, 0, 4000, 120},
+    {"few are sound", PLACE_MIDDLE, 0, 0, 250, 20},
+    {"endpoints also end for other reasons", PLACE_MIDDLE, 5000, 1, 500, 120},
+    {"few are sound, other reasons", PLACE_MIDDLE, 5000, 1, 500, 20},
+    {"several are killed together", PLACE_MIDDLE, 5000, 4, 500, 120},
 };
 
 /* A sound request that runs at an endpoint. */
@@ -502,8 +518,12 @@
     const history_case_t *c = h->test;
     interrupted_run_t bad = bad_run(h);
     gboolean cause = happens(h, c->interval_ms) && may_send(h, &bad);
-    if (cause || (h->now_us < KILLS_US && happens(h, c->kill_ms))) {
-        end_endpoint(h, cause ? &bad : NULL, tick);
+    gboolean kills = h->now_us < KILLS_US && happens(h, c->kill_ms);
+    for (guint i = 0; kills && i < c->killed; i++) {
+        end_endpoint(h, NULL, ENDPOINTS * tick + i + 1);
+    }
+    if (cause) {
+        end_endpoint(h, &bad, ENDPOINTS * tick);
     }
     if (cause) {
         record_caused(h);
@@ -599,7 +619,7 @@
         }
         crash_ledger_record_end(l, &end, now_us);
         endpoint_end_clear(&end);
-        now_us += 100 * MS;
+        now_us += APART_MS * MS;
         crash_ledger_evaluate(l, now_us);
         CU_ASSERT(crash_ledger_suspects(l) < SUSPECTS_MAX);
     }
@@ -652,6 +672,7 @@
         char run[8];
         g_snprintf(run, sizeof(run), "%c1", 'A' + (int)i);
         record_end(l, &(step_t){.service = SERVICE, .text = run}, i, now_us);
+        now_us += APART_MS * MS;
     }
     now_us += SECOND;
     crash_ledger_evaluate(l, now_us);
