A part's ends count as one within 0.2 s, not 0.3

Requests with a bad part that come each 0.25 s and are repeated at once made ends that were counted together in pairs: the part was held after 2.2 s and 16 ends in the plain case of test_crashing_parts (8 ends before ends were grouped).

--- a/policy/crash_ledger_state.h
+++ b/policy/crash_ledger_state.h
@@ -44,7 +44,7 @@
     PART_RIVALS_MAX = 4,
     /* Ends within this time count as one for a part: endpoints that are killed
      * together run nearly all parts that are in use. */
-    PART_TOGETHER_US = 300 * US_PER_MS,
+    PART_TOGETHER_US = 200 * US_PER_MS,
     /* Parts at this many ends are watched. */
     WATCH_ENDS_MIN = 2,
     WATCHED_MAX = 256,
