Ends that a request was sent on between don't count as one for its parts

Traced: requests that an instance repeats at once end three endpoints within 60 ms. These counted as one end for their part, while sound requests that were cut at the same three ends counted three each: they were held, and took the ends away from the parts. Such ends happen one after the other, not together: a request with the part was sent from one to the next. Those count each now; endpoints that are killed together still count as one.

--- a/policy/crash_ledger_state.h
+++ b/policy/crash_ledger_state.h
@@ -42,8 +42,9 @@
     /* Parts that share their ends with more others than this are not singled
      * out, and wait for the next end. */
     PART_RIVALS_MAX = 4,
-    /* Ends within this time count as one for a part: endpoints that are killed
-     * together run nearly all parts that are in use. */
+    /* Ends within this time count as one for a part, unless a request with it
+     * was sent from one to the next: endpoints that are killed together run
+     * nearly all parts that are in use. */
     PART_TOGETHER_US = 200 * US_PER_MS,
     /* Parts at this many ends are watched. */
     WATCH_ENDS_MIN = 2,
--- a/policy/crash_suspects.c
+++ b/policy/crash_suspects.c
@@ -113,49 +113,62 @@
             end_has_run_of_both(end, s->fingerprint, end->cause));
 }
 
+/* Returns whether a request with the part ran at both ends: it was sent to the
+ * second after the first, so that they did not end together. */
+static gboolean
+request_moved_between(const suspect_t *part, const end_record_t *a,
+                      const end_record_t *b)
+{
+    for (guint i = 0; i < a->runs->len; i++) {
+        const end_run_t *run = &g_array_index(a->runs, end_run_t, i);
+        if (end_run_has(run, part->fingerprint) &&
+            end_has_run_of_both(b, run->request, part->fingerprint)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 /* Which ends of a suspect to sum up. */
 typedef struct {
     gboolean (*counts)(const suspect_t *s, const end_record_t *end);
-    guint64 except;     /* another cause, whose ends don't count; 0: none */
-    gint64 together_us; /* ends within this time count as one */
+    guint64 except;    /* another cause, whose ends don't count; 0: none */
+    gboolean together; /* ends that happened together count as one */
 } end_sum_t;
 
 static guint
 sum_weight(const suspect_t *s, const end_sum_t *sum)
 {
     guint weight = 0;
-    guint last_weight = 0;
-    gint64 last_us = 0;
+    const suspect_end_t *first = NULL; /* of those that happened together */
+    const suspect_end_t *last = NULL;
     for (guint i = 0; i < s->count; i++) {
-        const end_record_t *end = s->ends[i].end;
-        guint w = end_weight(&s->ends[i]);
-        if (!sum->counts(s, end) ||
-            (sum->except != 0 && end->cause == sum->except)) {
+        const suspect_end_t *e = &s->ends[i];
+        if (!sum->counts(s, e->end) ||
+            (sum->except != 0 && e->end->cause == sum->except)) {
             continue;
         }
-        gint64 between_us = end->recorded_us - last_us;
-        if (last_weight != 0 && ABS(between_us) < sum->together_us) {
-            weight += MAX(w, last_weight) - last_weight;
-            last_weight = MAX(w, last_weight);
-            continue;
+        gboolean together = sum->together && first != NULL &&
+                            ABS(e->end->recorded_us -
+                                first->end->recorded_us) < PART_TOGETHER_US &&
+                            !request_moved_between(s, last->end, e->end);
+        last = e;
+        if (!together) {
+            weight += end_weight(e);
+            first = e;
+        }
+        else if (end_weight(e) > end_weight(first)) {
+            weight += end_weight(e) - end_weight(first);
+            first = e;
         }
-        weight += w;
-        last_weight = w;
-        last_us = end->recorded_us;
     }
     return weight;
 }
 
-static gint64
-together_us(const suspect_t *s)
-{
-    return suspect_is_part(s) ? PART_TOGETHER_US : 0;
-}
-
 guint
 suspect_own_weight(const suspect_t *s)
 {
-    end_sum_t sum = {.counts = is_own_end, .together_us = together_us(s)};
+    end_sum_t sum = {.counts = is_own_end, .together = suspect_is_part(s)};
     return sum_weight(s, &sum);
 }
 
@@ -163,7 +176,7 @@
 suspect_weight(const suspect_t *s)
 {
     end_sum_t sum = {.counts = is_explained_end,
-                     .together_us = together_us(s)};
+                     .together = suspect_is_part(s)};
     return sum_weight(s, &sum);
 }
 
@@ -176,7 +189,7 @@
         guint64 cause = s->ends[i].end->cause;
         end_sum_t sum = {.counts = is_explained_end,
                          .except = cause,
-                         .together_us = together_us(s)};
+                         .together = suspect_is_part(s)};
         if (cause != 0 && cause != s->fingerprint) {
             weight = MIN(weight, sum_weight(s, &sum));
         }
