Quarantine: one test for a prompt part, one weight constant, no figures in comments

Four places asked whether an entry has a service to tell a part from a request: quarantined_is_part does. The weight of the further ends was worked out in two files. No change of behaviour.

--- a/carobloomd/gateway/crash_wire.c
+++ b/carobloomd/gateway/crash_wire.c
@@ -29,7 +29,7 @@
 }
 
 static GVariant *
-fingerprints_variant(const GArray *list)
+numbers_variant(const GArray *list)
 {
     return g_variant_new_fixed_array(
         G_VARIANT_TYPE_UINT64, list != NULL ? list->data : NULL,
@@ -45,8 +45,7 @@
         const interrupted_run_t *run =
             &g_array_index(runs, interrupted_run_t, i);
         g_variant_builder_add(&b, "(ty@at)", run->fingerprint,
-                              (guchar)run->stage,
-                              fingerprints_variant(run->parts));
+                              (guchar)run->stage, numbers_variant(run->parts));
     }
     return g_variant_builder_end(&b);
 }
@@ -64,7 +63,7 @@
     }
     return codec_write(g_variant_new("(@" ENDS_TYPE "@at)",
                                      g_variant_builder_end(&ends),
-                                     fingerprints_variant(r->answered)));
+                                     numbers_variant(r->answered)));
 }
 
 /* Returns a new array, or NULL for an empty list. */
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -85,7 +85,7 @@
         event_log_number("held_since_ms",
                          (now - f->quarantined->since_us) / MS);
         event_log_number("held_for_ms", (f->quarantined->until_us - now) / MS);
-        event_log_number("held_part", f->quarantined->service[0] != '\0');
+        event_log_number("held_part", quarantined_is_part(f->quarantined));
     }
     if (f->placement_counts.known > 0) {
         event_log_number("endpoints", f->placement_counts.known);
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -329,7 +329,7 @@
 refuse_quarantined(forward_t *f)
 {
     const quarantined_request_t *q = f->quarantined;
-    gboolean is_part = q != NULL && q->service[0] != '\0';
+    gboolean is_part = q != NULL && quarantined_is_part(q);
     counter_add(counter_get("requests_refused_held_total", NULL, FALSE), 1);
     forward_fail(f, is_part ? "endpoints end under a part of this prompt"
                             : "endpoints end under this request");
--- a/include/carobloom/policy/quarantine.h
+++ b/include/carobloom/policy/quarantine.h
@@ -24,6 +24,9 @@
     gint64 probed_us; /* time of the last probe by this instance; 0: never */
 } quarantined_request_t;
 
+/* Whether the entry is for a prompt part. */
+gboolean quarantined_is_part(const quarantined_request_t *entry);
+
 quarantine_t *quarantine_create(void);
 void quarantine_destroy(quarantine_t *quarantine);
 /* Applies an order; `instance` is the name of this instance. Returns TRUE if a
--- a/policy/crash_judgement.c
+++ b/policy/crash_judgement.c
@@ -90,9 +90,8 @@
 static gboolean
 is_preferred(const suspect_t *s, const suspect_t *other, gint64 now_us)
 {
-    enum { FURTHER = PART_FURTHER_ENDS_MIN * WEIGHT_BEGINNING };
     return other != NULL && other->quarantined_until_us == 0 &&
-           suspect_weight(s) < suspect_weight(other) + FURTHER &&
+           suspect_weight(s) < suspect_weight(other) + PART_FURTHER_WEIGHT &&
            suspect_is_over_threshold(other, now_us) && runs_with(s, other);
 }
 
@@ -171,8 +170,7 @@
 
 /* Requests that crash endpoints are rare. If several are quarantined, or there
  * are unexplained ends, some of them probably ran at their three ends by
- * coincidence: with an unrelated end every five seconds, this happens in 59 of
- * 300 cases. Each stays uncertain until it has been probed. */
+ * coincidence. Each stays uncertain until it has been probed. */
 static void
 mark_quarantined_uncertain(crash_ledger_t *l, gint64 now_us)
 {
--- a/policy/crash_ledger.c
+++ b/policy/crash_ledger.c
@@ -61,6 +61,7 @@
 {
     l->retention_us = retention_us;
 }
+
 /* ---- reported ends and responses ---- */
 
 static void
@@ -294,6 +295,7 @@
         s->probed_us = now_us - PROBE_US; /* due for a probe at once */
     }
 }
+
 /* ---- expiry and probes ---- */
 
 static void
--- a/policy/crash_ledger_state.h
+++ b/policy/crash_ledger_state.h
@@ -23,8 +23,8 @@
      * accept: once at the fourth end, and in two probes. */
     RIVALS_QUARANTINE_ENDS_MIN = 4,
     /* A request is confirmed as the cause after this many probes during which
-     * its endpoint ended. One may be coincidence and, in rare cases (2 of
-     * 300 cases), would leave a wrong request quarantined. */
+     * its endpoint ended. One may be coincidence, and would leave a wrong
+     * request quarantined. */
     FAILED_PROBES_MIN = 2,
     /* Duration of a probe; there is one at a time. Within it the caller
      * retries, the request is answered or cut off, and all control instances
@@ -59,6 +59,7 @@
      * because a request that crashes its endpoint does so as it begins. */
     WEIGHT_BEGINNING = 2,
     WEIGHT_LONG = 1,
+    PART_FURTHER_WEIGHT = PART_FURTHER_ENDS_MIN * WEIGHT_BEGINNING,
     /* Delay between reaching the threshold and the evaluation, in which the
      * other entry instances report what ran there as well. A tenth of the
      * three seconds within which all instances must know the result. */
@@ -193,8 +194,8 @@
                                  gint64 now_us);
 /* Confirms an uncertain suspect as the cause, and releases uncertain suspects
  * that were only at its ends. A confirmed suspect doesn't become uncertain
- * again while it is quarantined: otherwise, in rare cases (9 of
- * 20,000), the cause would be sent a fourth time. */
+ * again while it is quarantined: otherwise the cause could be sent a fourth
+ * time. */
 void suspect_confirm(crash_ledger_t *l, suspect_t *s, gint64 now_us);
 /* Returns the ids of its ends' endpoints; free it with g_free. */
 char *suspect_endpoint_list(const suspect_t *s);
--- a/policy/crash_orders.c
+++ b/policy/crash_orders.c
@@ -187,6 +187,7 @@
         }
     }
 }
+
 /* ---- published orders ---- */
 
 guint64
--- a/policy/crash_suspects.c
+++ b/policy/crash_suspects.c
@@ -207,10 +207,9 @@
 gboolean
 suspect_is_over_threshold(const suspect_t *s, gint64 now_us)
 {
-    enum { FURTHER = PART_FURTHER_ENDS_MIN * WEIGHT_BEGINNING };
     guint threshold = suspect_threshold(s, now_us);
     return suspect_weight(s) >= threshold &&
-           weight_beyond_one(s) >= MIN(threshold, FURTHER);
+           weight_beyond_one(s) >= MIN(threshold, PART_FURTHER_WEIGHT);
 }
 
 /* Returns whether another uncertain suspect ran at so many of the same ends
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -13,6 +13,12 @@
     GHashTable *entries; /* fingerprint -> quarantined_request_t */
 };
 
+gboolean
+quarantined_is_part(const quarantined_request_t *entry)
+{
+    return entry->service[0] != '\0';
+}
+
 static void
 entry_free(gpointer data)
 {
@@ -189,7 +195,7 @@
     g_hash_table_iter_init(&iter, q->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const quarantined_request_t *entry = value;
-        count += !entry->watch_only && (entry->service[0] != '\0') == parts;
+        count += !entry->watch_only && quarantined_is_part(entry) == parts;
     }
     return count;
 }
@@ -214,7 +220,7 @@
     g_hash_table_iter_init(&iter, q->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const quarantined_request_t *entry = value;
-        if (entry->service[0] == '\0') {
+        if (!quarantined_is_part(entry)) {
             continue;
         }
         g_string_append_printf(
