Gateway: a reload reads its settings file once

The file was read for its hash and then again to be parsed, so that the two could be of different contents. The bytes that are parsed are hashed now; a change behind them shows at the next look, as before. No change of behaviour otherwise.

--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -28,8 +28,7 @@
 
 typedef struct {
     const char *path;
-    /* Of the settings file, taken before it was read: a change amid the
-     * reading shows at the next look. */
+    /* Of the bytes of the settings file that were read last. */
     guint64 file_hash;
     GPtrArray *settings; /* all that were read; the last one is in force */
     GMainLoop *loop;
@@ -138,12 +137,20 @@
     return hash;
 }
 
+/* Sets `hash` to that of the bytes that were read. */
 static gateway_settings_t *
-settings_read(const char *path)
+settings_read(const char *path, guint64 *hash)
 {
     GPtrArray *faults = faults_create();
     gateway_settings_t *settings = NULL;
-    gateway_settings_load(path, &settings, faults);
+    gsize length = 0;
+    char *bytes = faults_read_file(path, &length, faults);
+    str_t text = {.data = bytes, .length = length};
+    *hash = bytes != NULL ? hash_text(text) : 0;
+    if (bytes != NULL) {
+        gateway_settings_parse(text, &settings, faults);
+    }
+    g_free(bytes);
     faults_print(faults, path);
     for (guint i = 0; i < faults->len; i++) {
         const fault_t *fault = faults->pdata[i];
@@ -161,8 +168,7 @@
 static void
 reload(gateway_t *g, const char *cause)
 {
-    g->file_hash = file_hash(g->path);
-    gateway_settings_t *settings = settings_read(g->path);
+    gateway_settings_t *settings = settings_read(g->path, &g->file_hash);
     if (event_log_begin(EVENT_STATE, "reload")) {
         event_log_cstr("cause", cause);
         event_log_cstr("outcome", settings ? "in force" : "refused");
@@ -305,8 +311,8 @@
 int
 gateway_run(const char *path)
 {
-    gateway_t g = {.path = path, .file_hash = file_hash(path)};
-    gateway_settings_t *settings = settings_read(path);
+    gateway_t g = {.path = path};
+    gateway_settings_t *settings = settings_read(path, &g.file_hash);
     if (settings == NULL) {
         return EXIT_SETTINGS;
     }
