--- a/review/site_kit.py
+++ b/review/site_kit.py
@@ -252,6 +252,7 @@
         self.entries = [self.add('entry', i) for i in range(entries)]
         self.requests = 0
         self.servers = []
+        self.memory_mb = 256
 
     def next_ip(self):
         self.ips += 1
@@ -273,7 +274,7 @@
         ip = self.names[name]
         gateway = {
             'address': ip, 'trusted_network': True, 'founding': founding,
-            'memory_mb': 256, 'descriptors': 4096, 'heartbeat_ms': 1200,
+            'memory_mb': self.memory_mb, 'descriptors': 4096, 'heartbeat_ms': 1200,
             'grace_s': 8, 'revoke_ms': 5000, 'retry_ratio': 0.2,
             'retry_window_s': 10, 'retry_slack': 56,
             'peers_port': self.ports['peers'],
