Review: each case reads TROUBLE itself, and keeps within its limits

The search for free ports binds loopback addresses only, and a script that is ended with SIGTERM ends its processes and removes its folder.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,8 +7,9 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 from site_kit import (BROKEN, HELD, KEY, STABLE_WINDOW_S, CannotRun,  # noqa: E402
-                      Server, read_body, read_head, run_case, trouble)
+                      Server, read_body, read_head, run_case)
 
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'  # 0: no disruption
 MEMORY_MB = 260
 BODY = b'x' * 4000000   # MaxBodyBytes is 4,194,304
 CLIENTS = 36            # with long bodies, at each entry instance
@@ -140,7 +141,7 @@
                 until, i * AGAIN_S / CLIENTS))
     tasks = [asyncio.create_task(t) for t in tasks]
     await asyncio.sleep(AGAIN_S)
-    extra = int(CLIENTS * (BURST - 1)) if trouble() else 0
+    extra = int(CLIENTS * (BURST - 1)) if TROUBLE else 0
     site.record.line(f'{extra} more clients come at each entry instance')
     for entry in site.entries:
         for i in range(extra):
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,17 +2,20 @@
 leave; entry instances go on sending to one of them."""
 import asyncio
 import os
+import signal
 import socket
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 from site_kit import (BROKEN, CannotRun, DRAIN_S, HELD, STABLE_WINDOW_S,  # noqa: E402
-                      Server, run_case, trouble)
+                      Server, run_case)
 
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'  # 0: no disruption
 DOWN_S = 3.0     # as long as the site file keeps a machine dark
 SERVED_ON_S = 9.0  # by a server that leaves, from its acknowledgement
 MARGIN_S = 0.2
+KILL_S = 0.004  # after_ack_kill: from the acknowledgement at most
 SERVERS, LEAVING = 13, 2  # a share of 0.154; the site file has up to 0.179
 
 
@@ -38,11 +41,21 @@
         if b' 200 ' not in s.recv(4096):
             raise CannotRun('a leaving server was not acknowledged')
         times[server.id] = site.record.now()
-    if trouble():
-        site.kill(control)
+    if TROUBLE:
+        os.kill(site.processes[control].pid, signal.SIGKILL)
+        after_s = site.record.now() - max(times.values())
+        site.processes[control].wait()
+        site.record.line(f'{control} is killed {1000 * after_s:.2f} ms after '
+                         'the last acknowledgement')
+        if after_s > KILL_S:
+            raise CannotRun('the loss of power came too late')
+        # Only who was acknowledged within the limit is counted.
+        times = {name: at for name, at in times.items()
+                 if max(times.values()) + after_s - at <= KILL_S}
     for server, s, _ in calls:
-        site.record.line(f'the leaving of {server.id} was acknowledged at '
-                         f'{times[server.id]:.4f}')
+        if server.id in times:
+            site.record.line(f'the leaving of {server.id} was acknowledged at '
+                             f'{times[server.id]:.4f}')
         s.close()
     return times
 
@@ -83,7 +96,7 @@
     times = await asyncio.get_running_loop().run_in_executor(
         None, leave_all, site, control, leaving)
     calm = max(times.values()) + STABLE_WINDOW_S
-    if trouble():
+    if TROUBLE:
         await asyncio.sleep(DOWN_S)
         site.start(control)
         calm = site.record.now() + STABLE_WINDOW_S
@@ -92,7 +105,7 @@
         await server.stop()
     failed = sum(await asyncio.gather(*clients))
     late = []
-    for server in leaving:
+    for server in [s for s in leaving if s.id in times]:
         after = max(times[server.id] + DRAIN_S, calm) + MARGIN_S
         late += [(at, name, server.id) for at, name in server.arrivals
                  if at > after]
--- a/review/site_kit.py
+++ b/review/site_kit.py
@@ -31,10 +31,6 @@
     """The case could not be set up; says nothing of the rule."""
 
 
-def trouble():
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 class Record:
     """What was sent, answered and run, a line each, in seconds from the
     start."""
@@ -55,7 +51,7 @@
 
 
 def free_net():
-    """Two bytes of a loopback network, and ports, that nobody uses there."""
+    """Three bytes of a loopback network, and ports, that nobody uses there."""
     for _ in range(50):
         net = f'127.{random.randrange(20, 250)}.{random.randrange(1, 250)}'
         base = random.randrange(20000, 30000)
@@ -64,7 +60,7 @@
         try:
             for port in ports.values():
                 with socket.socket() as s:
-                    s.bind(('0.0.0.0', port))
+                    s.bind((f'{net}.1', port))
         except OSError:
             continue
         return net, ports
@@ -243,8 +239,8 @@
 class Site:
     def __init__(self, folder, controls=5, entries=8):
         self.record = Record(os.path.join(folder, 'record.txt'))
-        self.folder = tempfile.mkdtemp(prefix='review-')
         self.net, self.ports = free_net()
+        self.folder = tempfile.mkdtemp(prefix='review-')
         self.ips = 0
         self.processes = {}
         self.names = {}
@@ -422,8 +418,14 @@
     """Runs `case(site)`, which returns HELD or BROKEN, and exits."""
     async def play():
         site = Site(folder, **sizes)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(site), 105)
+        except asyncio.CancelledError:
+            site.record.say('the case was ended from outside')
+            return NOT_RUN
         except Exception as fault:  # any other outcome says nothing of the rule
             site.record.say(f'the case could not run: {fault!r}')
             return NOT_RUN
