Review, case 3: requests in a row on one connection kill the entry instance

A key is taken away from a client that has sent 1,000 safe requests on one connection. connection_answered() and connection_feed() in carobloomd/http/server.c call each other for each request that the instance answers itself, each call with a copy of all bytes behind it: after 300 to 400 answers of 401 the process is over its 260 MB and is killed, and 8 streams of other clients end without a whole answer. 5 of 5; with the key left alone it holds, 13 MB at most.

--- a/review/site_kit.py
+++ b/review/site_kit.py
@@ -23,6 +23,7 @@
 STABLE_WINDOW_S = 3.0
 DRAIN_S = 2.0
 BEAT_S = 1.2
+MEMORY_MB = 260
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -236,6 +237,26 @@
                      f'Content-Length: {len(text)}\r\n\r\n{text}'.encode())
 
 
+class StreamServer(Server):
+    """Answers /read/ with streams of two seconds."""
+    EVENTS, EVENT_S = 40, 0.05
+
+    async def serve(self, name, path, fields, body, reader, writer):
+        if not path.startswith('/read/'):
+            await super().serve(name, path, fields, body, reader, writer)
+            return
+        self.site.record.line(f'{name} runs at {self.id}')
+        writer.write(f'HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\n'
+                     f'Response-Seal: seal-{name}\r\n'
+                     'Content-Type: text/event-stream\r\n'
+                     'Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for event in range(1, self.EVENTS + 1):
+            text = f'id: {event}\ndata: {name}\n\n'
+            writer.write(f'{len(text):x}\r\n{text}\r\n'.encode())
+            await asyncio.sleep(self.EVENT_S)
+        writer.write(b'0\r\n\r\n')
+
+
 class Site:
     def __init__(self, folder, controls=5, entries=8):
         self.record = Record(os.path.join(folder, 'record.txt'))
@@ -414,6 +435,85 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class KeptClient:
+    """Sends one request after the other on a connection that it keeps."""
+    lost = []   # (request id, entry): from a kept connection, without answer
+
+    def __init__(self, site, entry, path, body, pause_s):
+        self.site, self.entry, self.path = site, entry, path
+        self.body, self.pause_s = body, pause_s
+
+    async def run(self, until, after_s=0.0):
+        record = self.site.record
+        await asyncio.sleep(after_s)
+        while record.now() < until:
+            try:
+                await self.use_connection(until)
+            except OSError:
+                await asyncio.sleep(0.2)
+
+    async def use_connection(self, until):
+        site, record = self.site, self.site.record
+        host, port = site.address(self.entry, 'callers').split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        kept = False
+        try:
+            while record.now() < until:
+                site.requests += 1
+                name = f'r{site.requests:06d}'
+                writer.write(
+                    f'POST {self.path} HTTP/1.1\r\nHost: site.example\r\n'
+                    f'Request-Id: {name}\r\nDeadline-Ms: 12000\r\n'
+                    f'Authorization: Bearer {KEY}\r\n'
+                    f'Content-Length: {len(self.body)}\r\n\r\n'.encode()
+                    + self.body)
+                await writer.drain()
+                record.line(f'{name} is sent to {self.entry}: {self.path}')
+                try:
+                    line, fields = await read_head(reader)
+                    _, whole = await read_body(reader, fields, False)
+                except (OSError, asyncio.IncompleteReadError):
+                    line, whole = '', False
+                record.line(f'{name} is answered: {line[9:12] or "nothing"}'
+                            + ('' if whole else ', not whole'))
+                if not whole:
+                    if kept:
+                        KeptClient.lost.append((name, self.entry))
+                    return
+                kept = True
+                await asyncio.sleep(self.pause_s)
+        finally:
+            writer.transport.abort()
+
+
+def memory_mb(site, name):
+    with open(f'/proc/{site.processes[name].pid}/status') as f:
+        for line in f:
+            if line.startswith('VmRSS'):
+                return int(line.split()[1]) / 1024
+    return 0
+
+
+async def platform(site, most):
+    """Kills a process that uses more than its memory, MEMORY_MB, and starts it
+    again after a short delay. Writes into `most` how much each used, and how
+    many ended."""
+    ends = 0
+    while True:
+        await asyncio.sleep(0.02)
+        for name in site.entries:
+            now = memory_mb(site, name)
+            most[name] = max(most.get(name, 0), now)
+            if now > MEMORY_MB:
+                site.record.say(f'{name} uses {now:.0f} MB of {MEMORY_MB} and '
+                                'is killed')
+                site.kill(name)
+                ends += 1
+                most['ends'] = ends
+                await asyncio.sleep(0.5)
+                site.start(name)
+
+
 def run_case(folder, case, **sizes):
     """Runs `case(site)`, which returns HELD or BROKEN, and exits."""
     async def play():
