Idle connections keep no bytes of what they carried

Cause: buffers of bodies, unsent bytes and long heads kept their size once empty, outside the bound on bodies. The same for unsent answers and copies of requests on the way to endpoints.

Change: empty buffers are freed; room for a body is reserved when its head is read, and one bound covers bodies, pipelined bytes and copies; beyond it a body gets 503 at once and its client can read that. Large blocks are mapped one by one, free memory is trimmed, and new requests are refused while three quarters of the memory are in use.

--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -5,6 +5,7 @@
 #include "carobloom/common/clock.h"
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/common/memory.h"
 #include "carobloom/gateway/crash_wire.h"
 #include "carobloom/gateway/helper_wire.h"
 #include "carobloom/gateway/leaving_wire.h"
@@ -131,6 +132,9 @@
     limits_expire(c);
     repeat_grants_expire(c);
     slot_grants_expire(c);
+    memory_trim(control_now(c));
+    counter_set(counter_get("memory_resident_bytes", NULL, TRUE),
+                (gint64)memory_resident());
     if (registry_expire(c->registry, control_now(c))) {
         control_publish_updates(c);
     }
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -5,6 +5,7 @@
 #include "carobloom/common/clock.h"
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
+#include "carobloom/common/memory.h"
 #include "entry_state.h"
 #include "platform.h"
 
@@ -38,6 +39,9 @@
 static const double READY_FRACTION = 0.5;
 /* Fraction of the memory for bodies of requests that are being received. */
 static const double BODIES_FRACTION = 0.25;
+/* Fraction of the memory that may be in use, whatever for, while new requests
+ * are accepted. */
+static const double MEMORY_FRACTION = 0.75;
 
 gint64
 entry_now(const entry_t *e)
@@ -272,10 +276,21 @@
     forward_drained(exchange);
 }
 
+/* Copies of bodies on their way to endpoints count like the bodies. */
+static gsize
+handle_held(void *user)
+{
+    const entry_t *e = user;
+    return e->is_short_of_memory ? entry_memory_bytes(e)
+                                 : e->request_bytes_unsent;
+}
+
 static const http_server_ops_t PROBE_OPS = {
     .request = handle_probe, .gone = ignore_event, .drained = ignore_event};
-static const http_server_ops_t CALLER_OPS = {
-    .request = handle_request, .gone = handle_gone, .drained = handle_drained};
+static const http_server_ops_t CALLER_OPS = {.request = handle_request,
+                                             .gone = handle_gone,
+                                             .drained = handle_drained,
+                                             .held = handle_held};
 
 /* ---- lifecycle ---- */
 
@@ -308,6 +323,35 @@
                 quarantine_count_parts(e->quarantine));
 }
 
+static void
+watch_memory(entry_t *e)
+{
+    gsize allocated = memory_allocated();
+    gboolean is_short =
+        (double)allocated > MEMORY_FRACTION * (double)entry_memory_bytes(e);
+    memory_trim(entry_now(e));
+    counter_set(counter_get("memory_allocated_bytes", NULL, TRUE),
+                (gint64)allocated);
+    counter_set(counter_get("memory_resident_bytes", NULL, TRUE),
+                (gint64)memory_resident());
+    counter_set(counter_get("request_bytes_held", NULL, TRUE),
+                (gint64)http_server_buffered(e->callers));
+    counter_set(counter_get("request_bytes_unsent", NULL, TRUE),
+                (gint64)e->request_bytes_unsent);
+    if (is_short != e->is_short_of_memory &&
+        event_log_begin(EVENT_STATE,
+                        is_short ? "memory_short" : "memory_sufficient")) {
+        event_log_number("allocated_bytes", (gint64)allocated);
+        event_log_number("request_bytes",
+                         (gint64)http_server_buffered(e->callers));
+        event_log_number("unsent_bytes", (gint64)e->request_bytes_unsent);
+        event_log_number("answer_bytes", (gint64)entry_answer_bytes(e));
+        event_log_number("connections", http_server_connections(e->callers));
+        event_log_end();
+    }
+    e->is_short_of_memory = is_short;
+}
+
 static void
 on_sweep(void *data)
 {
@@ -317,6 +361,7 @@
         e->swept_us != 0 && now - e->swept_us > SWEEP_US + (gint64)LATE_US;
     e->swept_us = now;
     directory_sweep(e->directory, now);
+    watch_memory(e);
     quarantine_expire(e->quarantine, entry_now(e));
     entry_count_quarantined(e);
     counter_set(counter_get("endpoints", NULL, TRUE),
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -85,6 +85,10 @@
     GRand *random;
     directory_t *directory;
     gsize buffered_bytes; /* of answers that aren't complete yet */
+    gsize request_bytes_unsent; /* copies of requests on the way to endpoints
+                                 */
+    /* Little of the instance's memory is left: new requests are refused. */
+    gboolean is_short_of_memory;
     GHashTable *services; /* name -> service_state_t */
     GPtrArray *links;     /* control_link_t * */
     load_link_t *load_link;
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -476,6 +476,10 @@
         *reason = "no configuration yet";
         return 503;
     }
+    if (e->is_short_of_memory) {
+        *reason = "the memory of this instance is nearly used up";
+        return 503;
+    }
     if (!memory_admits(entry_memory_bytes(e), entry_answer_bytes(e))) {
         *reason = "answers that are not read fill the memory";
         return 503;
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -146,6 +146,7 @@
 peer_limits(const forward_t *f, const endpoint_t *endpoint)
 {
     http_peer_limits_t limits = ENDPOINT_LIMITS;
+    limits.unsent = &f->entry->request_bytes_unsent;
     const service_t *service =
         route_config_service(f->config, endpoint->service);
     if (service != NULL && service->connections > 0) {
--- a/carobloomd/gateway/inner_line.c
+++ b/carobloomd/gateway/inner_line.c
@@ -17,7 +17,6 @@
     gboolean progress; /* bytes arrived since the timer was set */
 };
 
-/* Ends the call. `body` is emptied before the next one. */
 static void
 line_end(inner_line_t *line)
 {
@@ -26,10 +25,18 @@
     line->call = NULL;
 }
 
+static void
+line_empty_body(inner_line_t *line)
+{
+    g_byte_array_unref(line->body);
+    line->body = g_byte_array_new();
+}
+
 static void
 line_fail(inner_line_t *line)
 {
     line_end(line);
+    line_empty_body(line);
     line->setup.ops->failed(line->setup.user);
 }
 
@@ -153,7 +160,6 @@
 inner_line_post(inner_line_t *line, const char *path, GBytes *body,
                 gint64 wait_us)
 {
-    g_byte_array_set_size(line->body, 0);
     line->progress = FALSE;
     line->call = inner_post(line->peer, path, line->address,
                             str_from_bytes(body), &LINE_OPS, line);
--- a/carobloomd/gateway/tunnel_server.c
+++ b/carobloomd/gateway/tunnel_server.c
@@ -252,6 +252,7 @@
         (guint)(e->settings->descriptors / DESCRIPTORS_PER_TUNNEL / 2);
     return !server->draining && !e->refusing && !e->is_late &&
            g_hash_table_size(server->tunnels) <= most &&
+           !e->is_short_of_memory &&
            memory_admits(entry_memory_bytes(e), entry_answer_bytes(e));
 }
 
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -65,11 +65,33 @@
     guint idle_count;
 };
 
+/* Holds the request back until the tunnel is open. */
+static void
+unsent_set(const client_call_t *call, GByteArray *bytes)
+{
+    call->tunnel->unsent = g_byte_array_ref(bytes);
+    if (call->peer->limits.unsent != NULL) {
+        *call->peer->limits.unsent += bytes->len;
+    }
+}
+
+static void
+unsent_clear(const client_call_t *call)
+{
+    tunnel_t *tunnel = call->tunnel;
+    if (tunnel == NULL || tunnel->unsent == NULL) {
+        return;
+    }
+    if (call->peer->limits.unsent != NULL) {
+        *call->peer->limits.unsent -= tunnel->unsent->len;
+    }
+    g_clear_pointer(&tunnel->unsent, g_byte_array_unref);
+}
+
 static void
 tunnel_free(tunnel_t *tunnel)
 {
     tunnel_reader_clear(&tunnel->reader);
-    g_clear_pointer(&tunnel->unsent, g_byte_array_unref);
     g_free(tunnel->address);
     g_free(tunnel->name);
     g_free(tunnel);
@@ -102,6 +124,7 @@
     timers_cancel(peer->timers, call->timer);
     stream_socket_destroy(call->socket);
     http_reader_clear(&call->reader);
+    unsent_clear(call);
     g_clear_pointer(&call->tunnel, tunnel_free);
     g_free(call);
 }
@@ -301,7 +324,7 @@
     stream_socket_take_sent(call->socket); /* of the open frame */
     tunnel->opening = FALSE;
     write_array(call->socket, tunnel->unsent);
-    g_clear_pointer(&tunnel->unsent, g_byte_array_unref);
+    unsent_clear(call);
     gboolean sound = stream_socket_flush(call->socket);
     note_sent(call);
     if (!sound) {
@@ -569,6 +592,9 @@
         g_free(call);
         return NULL;
     }
+    if (peer->limits.unsent != NULL) {
+        stream_socket_count(call->socket, peer->limits.unsent);
+    }
     /* Also if this process is killed. */
     stream_socket_reset_on_close(call->socket, TRUE);
     call->busy = TRUE;
@@ -672,7 +698,7 @@
     tunnel_frame_write(frames, TUNNEL_REQUEST, request);
     tunnel_frame_write(frames, TUNNEL_DATA, bytes);
     if (call->tunnel->opening) {
-        call->tunnel->unsent = g_byte_array_ref(frames);
+        unsent_set(call, frames);
     }
     else {
         write_array(call->socket, frames);
--- a/carobloomd/http/head.c
+++ b/carobloomd/http/head.c
@@ -2,12 +2,21 @@
 
 #include <string.h>
 
+enum {
+    TEXT_BYTES = 512,
+    FIELDS = 16,
+    /* A head with more of either is not kept for the next one. */
+    IDLE_TEXT_MAX = 4 * TEXT_BYTES,
+    IDLE_FIELDS_MAX = 4 * FIELDS,
+};
+
 void
 http_head_init(http_head_t *head)
 {
     *head = (http_head_t){
-        .text = g_string_sized_new(512),
-        .fields = g_array_sized_new(FALSE, FALSE, sizeof(http_field_t), 16),
+        .text = g_string_sized_new(TEXT_BYTES),
+        .fields =
+            g_array_sized_new(FALSE, FALSE, sizeof(http_field_t), FIELDS),
     };
 }
 
@@ -22,6 +31,12 @@
 void
 http_head_reset(http_head_t *head)
 {
+    if (head->text->len > IDLE_TEXT_MAX ||
+        head->fields->len > IDLE_FIELDS_MAX) {
+        http_head_clear(head);
+        http_head_init(head);
+        return;
+    }
     GString *text = g_string_truncate(head->text, 0);
     GArray *fields = g_array_set_size(head->fields, 0);
     *head = (http_head_t){.text = text, .fields = fields};
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -12,13 +12,19 @@
 
 enum {
     ACCEPTS_A_TURN = 64,
-    LINGER_US = 500 * 1000, /* for a client to read a refusal before a close */
-    READ_FIRST_US = 1000,   /* for bytes that arrived before a timeout */
+    /* For a client to read a refusal before a close; again if it has sent
+     * anything in this time. */
+    LINGER_US = 500 * 1000,
+    READ_FIRST_US = 1000, /* for bytes that arrived before a timeout */
     /* A client that takes none of its answer for so long has left. The kernel
      * gives up such a connection after the same time. */
     UNREAD_US = 4000 * 1000,
 };
 
+/* With a refusal of a body that the memory has no room for, in seconds: bodies
+ * are held as long as their requests take. */
+#define BODY_RETRY_AFTER_S "0.5"
+
 typedef enum {
     CONNECTION_READING,
     CONNECTION_ANSWERING, /* the owner has the exchange */
@@ -31,9 +37,10 @@
     GList *link;
     stream_socket_t *socket;
     http_reader_t reader;
-    GByteArray *body;
+    GByteArray *body;   /* NULL while it is empty */
+    gsize reserved;     /* bytes of `buffered` for the body */
     gsize body_max;     /* the limit when the request's head arrived */
-    GByteArray *unread; /* bytes after the request, for the next one */
+    GByteArray *unread; /* bytes after the request, or NULL */
     connection_state_t state;
     gint64 started_us;
     gint64 idle_since_us; /* empty lines before a request change nothing */
@@ -42,7 +49,10 @@
     guint64 timer;
     gboolean chunked_answer;
     gboolean close_after;
-    guint refusal; /* status, when a callback of the reader refused */
+    gboolean lingers;     /* the rest of the body is read and dropped */
+    gboolean has_dropped; /* some of it, since the timer was set */
+    gsize dropped;        /* bytes of it */
+    guint refusal;        /* status, when a callback of the reader refused */
     void *data;
 };
 
@@ -58,7 +68,7 @@
     GList *connections;
     guint count;
     guint exchanges;
-    gsize buffered; /* bytes of bodies held */
+    gsize buffered; /* bytes of requests held, or reserved for bodies */
     gsize unread;   /* bytes of answers that clients have not taken */
     gboolean draining;
 };
@@ -69,11 +79,53 @@
 
 /* ---- the life of a connection ---- */
 
+/* Reserves room for `bytes` more of the body. */
+static gboolean
+body_reserve(http_exchange_t *c, gsize bytes)
+{
+    http_server_t *server = c->server;
+    gsize others =
+        server->ops->held != NULL ? server->ops->held(server->user) : 0;
+    if (server->buffered + others + bytes > server->limits.buffered_max) {
+        counter_add(counter_get("http_bodies_over_total", NULL, FALSE), 1);
+        return FALSE;
+    }
+    server->buffered += bytes;
+    c->reserved += bytes;
+    return TRUE;
+}
+
 static void
 body_drop(http_exchange_t *c)
 {
-    c->server->buffered -= c->body->len;
-    g_byte_array_set_size(c->body, 0);
+    c->server->buffered -= c->reserved;
+    c->reserved = 0;
+    g_clear_pointer(&c->body, g_byte_array_unref);
+}
+
+/* Takes what came after the request; free it with g_byte_array_unref. */
+static GByteArray *
+unread_take(http_exchange_t *c)
+{
+    c->server->buffered -= c->unread->len;
+    return g_steal_pointer(&c->unread);
+}
+
+static void
+unread_append(http_exchange_t *c, str_t bytes)
+{
+    if (bytes.length == 0) {
+        return;
+    }
+    if (c->unread == NULL) {
+        c->unread = g_byte_array_new();
+    }
+    g_byte_array_append(c->unread, (const guint8 *)bytes.data,
+                        (guint)bytes.length);
+    c->server->buffered += bytes.length;
+    if (c->unread->len > c->server->limits.head_max) {
+        stream_socket_read(c->socket, FALSE);
+    }
 }
 
 static void
@@ -87,8 +139,9 @@
     server->connections = g_list_delete_link(server->connections, c->link);
     server->count--;
     body_drop(c);
-    g_byte_array_unref(c->body);
-    g_byte_array_unref(c->unread);
+    if (c->unread != NULL) {
+        g_byte_array_unref(unread_take(c));
+    }
     http_reader_clear(&c->reader);
     g_free(c);
 }
@@ -111,6 +164,11 @@
         c->refusal = 413;
         return -1;
     }
+    if (head->has_length && head->length > 0 &&
+        !body_reserve(c, (gsize)head->length)) {
+        c->refusal = 503;
+        return -1;
+    }
     if (http_head_find(head, "Expect", &expect) &&
         http_name_is(expect, "100-continue")) {
         stream_socket_write(c->socket, STR("HTTP/1.1 100 Continue\r\n\r\n"));
@@ -123,45 +181,67 @@
 on_request_body(void *user, str_t bytes)
 {
     http_exchange_t *c = user;
-    http_server_t *server = c->server;
-    if (c->body->len + bytes.length > c->body_max) {
+    if (c->body == NULL) {
+        c->body = g_byte_array_sized_new((guint)c->reserved);
+    }
+    gsize length = c->body->len + bytes.length;
+    if (length > c->body_max) {
         c->refusal = 413;
         return -1;
     }
-    if (server->buffered + bytes.length > server->limits.buffered_max) {
+    if (length > c->reserved && !body_reserve(c, length - c->reserved)) {
         c->refusal = 503;
         return -1;
     }
     g_byte_array_append(c->body, (const guint8 *)bytes.data,
                         (guint)bytes.length);
-    server->buffered += bytes.length;
     return 0;
 }
 
 static const reader_ops_t READER_OPS = {.head = on_request_head,
                                         .body = on_request_body};
 
+/* Ends a connection whose last answer has been sent. A client that is still
+ * sending gets a reset, which may overtake the answer, unless all it sends is
+ * read. */
+static void
+connection_end(http_exchange_t *c)
+{
+    if (!c->lingers) {
+        connection_close(c);
+        return;
+    }
+    stream_socket_end_writing(c->socket);
+}
+
 /* Sends a final answer of this layer and closes. */
 static void
 connection_refuse(http_exchange_t *c, guint status)
 {
     GString *text = g_string_new(NULL);
-    g_string_append_printf(text,
-                           "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n"
-                           "Connection: close\r\n\r\n",
-                           status, http_reason(status));
+    g_string_append_printf(
+        text,
+        "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n%s"
+        "Connection: close\r\n\r\n",
+        status, http_reason(status),
+        status == 503 ? "Retry-After: " BODY_RETRY_AFTER_S "\r\n" : "");
     stream_socket_write(c->socket,
                         (str_t){.data = text->str, .length = text->len});
     g_string_free(text, TRUE);
     log_debug(LOG_PART_HTTP, "A request was refused with %u while read.",
               status);
     c->state = CONNECTION_CLOSING;
-    stream_socket_read(c->socket, FALSE);
+    c->lingers = status == 503;
+    body_drop(c);
+    stream_socket_read(c->socket, c->lingers);
     if (!stream_socket_flush(c->socket)) {
         connection_close(c);
         return;
     }
     connection_arm(c);
+    if (c->lingers && stream_socket_backlog(c->socket) == 0) {
+        connection_end(c);
+    }
 }
 
 static guint
@@ -207,6 +287,11 @@
         connection_arm(c);
         return;
     }
+    if (c->state == CONNECTION_CLOSING && c->has_dropped &&
+        timers_now(server->timers) - c->started_us < server->limits.head_us) {
+        connection_arm(c);
+        return;
+    }
     if (c->state == CONNECTION_CLOSING) {
         connection_close(c);
         return;
@@ -237,6 +322,7 @@
                        : server->limits.idle_us;
     if (c->state == CONNECTION_CLOSING) {
         delay = LINGER_US;
+        c->has_dropped = FALSE;
     }
     set_timer(c, delay);
 }
@@ -274,9 +360,7 @@
     if (!c->reader.complete) {
         return;
     }
-    str_t rest = str_tail(bytes, used);
-    g_byte_array_append(c->unread, (const guint8 *)rest.data,
-                        (guint)rest.length);
+    unread_append(c, str_tail(bytes, used));
     connection_request(c);
 }
 
@@ -289,13 +373,14 @@
         return;
     }
     if (c->state == CONNECTION_CLOSING) {
+        c->has_dropped = TRUE;
+        c->dropped += bytes.length;
+        if (c->dropped > c->body_max) {
+            connection_close(c);
+        }
         return;
     }
-    g_byte_array_append(c->unread, (const guint8 *)bytes.data,
-                        (guint)bytes.length);
-    if (c->unread->len > c->server->limits.head_max) {
-        stream_socket_read(c->socket, FALSE);
-    }
+    unread_append(c, bytes);
 }
 
 static void
@@ -303,7 +388,7 @@
 {
     http_exchange_t *c = user;
     if (c->state == CONNECTION_CLOSING) {
-        connection_close(c);
+        connection_end(c);
     }
     else if (c->state == CONNECTION_ANSWERING) {
         c->server->ops->drained(c, c->server->user);
@@ -364,9 +449,8 @@
     }
     http_reader_reset(&c->reader);
     c->idle_since_us = timers_now(server->timers);
-    if (c->unread->len > 0) {
-        GByteArray *bytes = c->unread;
-        c->unread = g_byte_array_new();
+    if (c->unread != NULL) {
+        GByteArray *bytes = unread_take(c);
         stream_socket_read(c->socket, TRUE);
         connection_feed(c, (str_t){.data = (const char *)bytes->data,
                                    .length = bytes->len});
@@ -387,8 +471,6 @@
         return;
     }
     stream_socket_count(c->socket, &server->unread);
-    c->body = g_byte_array_new();
-    c->unread = g_byte_array_new();
     c->idle_since_us = timers_now(server->timers);
     http_reader_init(&c->reader, TRUE, server->limits.head_max, &READER_OPS,
                      c);
@@ -544,6 +626,12 @@
     return server->exchanges;
 }
 
+gsize
+http_server_buffered(const http_server_t *server)
+{
+    return server->buffered;
+}
+
 gsize
 http_server_unread(const http_server_t *server)
 {
@@ -561,6 +649,9 @@
 str_t
 http_exchange_body(const http_exchange_t *c)
 {
+    if (c->body == NULL) {
+        return (str_t){.data = "", .length = 0};
+    }
     return (str_t){.data = (const char *)c->body->data,
                    .length = c->body->len};
 }
@@ -594,7 +685,7 @@
 {
     GString *text = g_string_sized_new(256 + fields.length);
     /* A request that has arrived already gets its answer first. */
-    c->close_after |= c->server->draining && c->unread->len == 0 &&
+    c->close_after |= c->server->draining && c->unread == NULL &&
                       stream_socket_is_quiet(c->socket);
     g_string_append_printf(text, "HTTP/1.1 %u %s\r\n", status,
                            http_reason(status));
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 enum {
+    /* A larger buffer is freed once its bytes are sent. */
+    IDLE_BUFFER_MAX = 4 * 1024,
     READ_BYTES = 32 * 1024,
     BACKLOG = 1024, /* connections waiting to be accepted */
     /* Unacknowledged bytes for so long end a connection: several round trips
@@ -28,6 +30,7 @@
     void *user;
     GByteArray *out; /* NULL while nothing waits */
     gsize out_at;
+    guint out_peak; /* the most bytes that `out` has held */
     gboolean connecting;
     int refused; /* errno of a connection that failed at once */
     gboolean reading;
@@ -323,11 +326,24 @@
     drop_sent(s);
     g_byte_array_append(s->out, (const guint8 *)bytes.data,
                         (guint)bytes.length);
+    s->out_peak = MAX(s->out_peak, s->out->len);
     if (s->sum != NULL) {
         *s->sum += bytes.length;
     }
 }
 
+static void
+empty_buffer(stream_socket_t *s)
+{
+    s->out_at = 0;
+    if (s->out_peak > IDLE_BUFFER_MAX) {
+        g_clear_pointer(&s->out, g_byte_array_unref);
+        s->out_peak = 0;
+        return;
+    }
+    g_byte_array_set_size(s->out, 0);
+}
+
 gboolean
 stream_socket_flush(stream_socket_t *s)
 {
@@ -350,8 +366,7 @@
         }
     }
     if (s->out != NULL && s->out_at == s->out->len) {
-        g_byte_array_set_size(s->out, 0);
-        s->out_at = 0;
+        empty_buffer(s);
     }
     update_watch(s);
     return TRUE;
@@ -392,3 +407,9 @@
     s->reading = on;
     update_watch(s);
 }
+
+void
+stream_socket_end_writing(stream_socket_t *s)
+{
+    shutdown(s->fd, SHUT_WR);
+}
--- a/carobloomd/process/main.c
+++ b/carobloomd/process/main.c
@@ -6,6 +6,7 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/common/fields.h"
 #include "carobloom/common/log.h"
+#include "carobloom/common/memory.h"
 #include "carobloom/common/signals.h"
 #include "carobloom/connection/http.h"
 #include "carobloom/gateway/gateway.h"
@@ -340,6 +341,7 @@
 main(int argc, char **argv)
 {
     signals_hold();
+    memory_configure();
     options_t options = options_parse(argc, argv);
     if (!options.run) {
         return options.exit_code;
--- a/include/carobloom/http/client.h
+++ b/include/carobloom/http/client.h
@@ -54,6 +54,7 @@
     guint connections; /* of one peer in all; 0 for no bound */
     gsize head_max;
     gsize body_max; /* of an answer; 0: bounded by the owner of the call */
+    gsize *unsent;  /* sum of the bytes that wait to be sent, or NULL */
 } http_peer_limits_t;
 
 /* NULL unless `address` is IP:PORT. */
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -20,7 +20,7 @@
     gint64 head_us;     /* from the first byte to the end of the request */
     gint64 idle_us;     /* between requests */
     guint connections;  /* more are closed at once */
-    gsize buffered_max; /* bytes of request bodies in all */
+    gsize buffered_max; /* bytes of requests in all; no more bodies are read */
 } http_limits_t;
 
 typedef struct {
@@ -31,6 +31,8 @@
     void (*gone)(http_exchange_t *exchange, void *user);
     /* What was written in parts has left; more may be written. */
     void (*drained)(http_exchange_t *exchange, void *user);
+    /* Bytes held elsewhere that count toward `buffered_max`. NULL: none. */
+    gsize (*held)(void *user);
 } http_server_ops_t;
 
 /* Listens at once. NULL when the address can not be had; errno tells why. */
@@ -57,6 +59,8 @@
                                void (*end)(http_exchange_t *exchange));
 guint http_server_connections(const http_server_t *server);
 guint http_server_exchanges(const http_server_t *server);
+/* Bytes of requests held, with what is reserved for bodies that arrive. */
+gsize http_server_buffered(const http_server_t *server);
 /* Bytes of answers held for clients that have not taken them. */
 gsize http_server_unread(const http_server_t *server);
 
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -71,5 +71,7 @@
  * kernel knows by now; bytes that it sent before may not be read yet. */
 gboolean stream_socket_has_hung_up(const stream_socket_t *socket);
 void stream_socket_read(stream_socket_t *socket, gboolean on);
+/* Tells the peer that nothing more is sent; it may still send. */
+void stream_socket_end_writing(stream_socket_t *socket);
 
 #endif
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -530,13 +530,15 @@
 
 static const http_server_ops_t SITE_OPS = {
     .request = site_request, .gone = site_gone, .drained = site_drained};
+enum { SITE_BODY_MAX = 64, SITE_ROOM = 448 };
+
 static const http_limits_t SITE_LIMITS = {
     .head_max = 512,
-    .body_max = 64,
+    .body_max = SITE_BODY_MAX,
     .head_us = 300 * 1000,
     .idle_us = 600 * 1000,
     .connections = 8,
-    .buffered_max = 1000,
+    .buffered_max = SITE_ROOM,
 };
 
 static void
@@ -666,6 +668,54 @@
     return *count >= wanted;
 }
 
+/* Sends a part of a request and runs the site until it was read. */
+static void
+send_read(site_t *site, int fd, const char *bytes)
+{
+    send(fd, bytes, strlen(bytes), MSG_NOSIGNAL);
+    for (int i = 0; i < 20; i++) {
+        g_main_context_iteration(site->loop.context, FALSE);
+        g_usleep(1000);
+    }
+}
+
+/* A body that there is no room for is refused when its head is read, so that
+ * those under way are read to their end, and the refusal arrives though its
+ * client goes on sending. */
+static void
+test_no_room(void)
+{
+    enum { FIRST = SITE_ROOM / SITE_BODY_MAX };
+    static const char HEAD[] = "POST / HTTP/1.1\r\nContent-Length: 64\r\n\r\n";
+    char body[SITE_BODY_MAX + 1];
+    site_t site;
+    int fds[FIRST + 1];
+    memset(body, 'x', SITE_BODY_MAX);
+    body[SITE_BODY_MAX] = '\0';
+    site_open(&site);
+    for (guint i = 0; i <= FIRST; i++) {
+        fds[i] = site_connect(&site);
+        send_read(&site, fds[i], HEAD);
+    }
+    send_read(&site, fds[FIRST], body);
+    GString *text = site_read(&site, fds[FIRST], "\r\n\r\n");
+    CU_ASSERT_PTR_NOT_NULL(strstr(text->str, "503"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(text->str, "Retry-After"));
+    g_string_free(text, TRUE);
+    CU_ASSERT_EQUAL(site.requests, 0);
+    for (guint i = 0; i < FIRST; i++) {
+        send_read(&site, fds[i], body);
+        text = site_read(&site, fds[i], body);
+        CU_ASSERT_PTR_NOT_NULL(strstr(text->str, "200 OK"));
+        g_string_free(text, TRUE);
+        close(fds[i]);
+    }
+    CU_ASSERT_EQUAL(site.requests, FIRST);
+    CU_ASSERT_EQUAL(http_server_buffered(site.server), 0);
+    close(fds[FIRST]);
+    site_close(&site);
+}
+
 /* The owner is told of a client that leaves, once. */
 static void
 test_client_leaves(void)
@@ -712,17 +762,6 @@
 
 /* ---- requests that have arrived but were not read yet ---- */
 
-/* Sends a part of a request and runs the site until it was read. */
-static void
-send_read(site_t *site, int fd, const char *bytes)
-{
-    send(fd, bytes, strlen(bytes), MSG_NOSIGNAL);
-    for (int i = 0; i < 20; i++) {
-        g_main_context_iteration(site->loop.context, FALSE);
-        g_usleep(1000);
-    }
-}
-
 static void
 drain_and_close_idle(site_t *site)
 {
@@ -1098,6 +1137,7 @@
     {"no listener means nothing left", test_call_refused},
     {"bytes of calls are counted by reach", test_traffic},
     {"what clients do is answered", test_serve},
+    {"a body without room is refused early", test_no_room},
     {"a client that leaves is told once", test_client_leaves},
     {"draining closes in order", test_drain},
     {"a request that has arrived is answered", test_unread_request},
