A departure is acknowledged once another control instance has it

Cause: the acknowledgement came once the registry of one control instance had the departure. Entry instances hear of it with the next batch, which a lost process doesn't send, and nobody repeats it.

The others publish a departure if the one that acknowledged is silent or starts again, and send it back to one that does. A learned departure is not undone by a renewal of the same incarnation.

--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -7,6 +7,7 @@
 #include "carobloom/common/event_log.h"
 #include "carobloom/common/memory.h"
 #include "carobloom/gateway/crash_wire.h"
+#include "carobloom/gateway/departure_wire.h"
 #include "carobloom/gateway/helper_wire.h"
 #include "carobloom/gateway/leaving_wire.h"
 #include "carobloom/gateway/limit_wire.h"
@@ -132,6 +133,7 @@
     limits_expire(c);
     repeat_grants_expire(c);
     slot_grants_expire(c);
+    departures_tick(c);
     memory_trim(control_now(c));
     counter_set(counter_get("memory_resident_bytes", NULL, TRUE),
                 (gint64)memory_resident());
@@ -174,12 +176,19 @@
 } inner_call_t;
 
 static const inner_call_t INNER_CALLS[] = {
-    {CLOCK_PATH, handle_clock},         {CRASHES_PATH, handle_crashes},
-    {HELPERS_PATH, handle_helpers},     {LEAVING_PATH, handle_leaving_report},
-    {LIMITS_PATH, handle_limits},       {LOADS_PATH, handle_loads},
-    {LOAD_SUMS_PATH, handle_load_sums}, {SYNC_PATH, handle_sync},
-    {REPEATS_PATH, handle_repeats},     {USAGE_PATH, handle_usage_report},
-    {SLOTS_PATH, handle_slots},         {SLOT_POLLS_PATH, handle_slot_poll},
+    {CLOCK_PATH, handle_clock},
+    {CRASHES_PATH, handle_crashes},
+    {DEPARTURES_PATH, handle_departures},
+    {HELPERS_PATH, handle_helpers},
+    {LEAVING_PATH, handle_leaving_report},
+    {LIMITS_PATH, handle_limits},
+    {LOADS_PATH, handle_loads},
+    {LOAD_SUMS_PATH, handle_load_sums},
+    {SYNC_PATH, handle_sync},
+    {REPEATS_PATH, handle_repeats},
+    {USAGE_PATH, handle_usage_report},
+    {SLOTS_PATH, handle_slots},
+    {SLOT_POLLS_PATH, handle_slot_poll},
     {VOTER_PATH, handle_voter_message},
 };
 
@@ -199,8 +208,9 @@
 static void
 outer_disconnected(http_exchange_t *exchange, void *user)
 {
-    (void)user;
-    operator_disconnected(exchange);
+    if (!departure_disconnected(user, exchange)) {
+        operator_disconnected(exchange);
+    }
 }
 
 static void
@@ -284,6 +294,7 @@
     if (c->duties != NULL) {
         duties_apply_view(c->duties);
     }
+    departures_send(c);
     if (may_read_now) { /* entry instances may wait for `confirmed` to become
                            TRUE */
         pending_syncs_answer_all(c);
@@ -388,6 +399,7 @@
     c->parts = part_feed_create();
     c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
     c->helpers = helper_list_create();
+    c->departure_peers = departure_peers_create();
     c->slot_polls = slot_polls_create();
     c->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -426,6 +438,7 @@
     g_hash_table_unref(c->peers);
     g_hash_table_unref(c->entries);
     g_hash_table_unref(c->helpers);
+    g_hash_table_unref(c->departure_peers);
     g_hash_table_unref(c->slot_polls);
     g_hash_table_unref(c->pending_puts);
     g_hash_table_unref(c->known_services);
@@ -469,7 +482,7 @@
 }
 
 char *
-control_dump(const control_t *c)
+control_dump(control_t *c)
 {
     GString *text = g_string_new(NULL);
     g_string_append_printf(
@@ -486,6 +499,7 @@
     if (c->duties != NULL) {
         duties_dump(c->duties, text);
     }
+    departures_dump(c, text);
     limit_quota_dump(c->limits, text, control_now(c));
     repeat_grants_dump(c, text);
     slot_grants_dump(c, text);
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -11,6 +11,7 @@
  * crash_reports.c     endpoints that ended and the quarantine of requests
  * peer_messages.c     messages to other control instances
  * endpoint_leases.c   lease renewals and departures of endpoints
+ * departure_exchange.c  departures, kept by other control instances too
  * duties.h            calls to the platform, made by the duty holder alone */
 #ifndef CAROBLOOMD_CONTROL_CONTROL_STATE_H
 #define CAROBLOOMD_CONTROL_CONTROL_STATE_H
@@ -149,6 +150,8 @@
     gint64 last_quorum_us; /* last time that the quorum was reachable */
     /* time of the last sync request of any entry instance */
     gint64 last_sync_us;
+    GHashTable *departure_peers; /* address -> departure_peer_t */
+    GList *pending_departures;   /* pending_departure_t */
     gboolean draining;
     gint64 drain_until_us; /* the instance doesn't exit before this time */
 };
@@ -263,6 +266,7 @@
     PEER_MESSAGE_VOTER,
     PEER_MESSAGE_LOADS,
     PEER_MESSAGE_CLOCK,
+    PEER_MESSAGE_DEPARTURES,
     PEER_MESSAGE_KINDS,
 } peer_message_kind_t;
 /* Posts a message to another control instance (IP:PORT of its inner
@@ -290,6 +294,29 @@
 char *duties_usage_text(const duties_t *duties);
 char *duties_capacity_text(const duties_t *duties);
 
+/* departure_exchange.c */
+/* Creates an empty table for control_t.departure_peers. */
+GHashTable *departure_peers_create(void);
+/* Answers a call of an endpoint with 200 and `answer`, at once, or, if it
+ * departs, when another control instance has that. */
+void departure_acknowledge(control_t *control, http_exchange_t *exchange,
+                           const char *endpoint, const char *answer);
+/* Forgets the call that came as `exchange`, whose connection broke off.
+ * Returns FALSE if none of them waits. */
+gboolean departure_disconnected(control_t *control,
+                                const http_exchange_t *exchange);
+/* Sends departures to the control instances that do not have them. */
+void departures_send(control_t *control);
+/* As load_sums_delivery_ended, of a message with departures. */
+void departures_delivery_ended(control_t *control, const char *to,
+                               gboolean accepted);
+void handle_departures(control_t *control, http_exchange_t *exchange);
+/* Records that a message came from another control instance. */
+void departures_record_heard(control_t *control, const char *from);
+/* To be called several times per second. */
+void departures_tick(control_t *control);
+void departures_dump(control_t *control, GString *text);
+
 /* endpoint_leases.c */
 void handle_heartbeat(control_t *control, http_exchange_t *exchange, str_t id);
 void handle_leave(control_t *control, http_exchange_t *exchange, str_t id);
--- a/carobloomd/control/endpoint_leases.c
+++ b/carobloomd/control/endpoint_leases.c
@@ -90,7 +90,7 @@
  * acknowledged but changes nothing: the endpoint's later message applies, and
  * a retry with another control instance would be useless. */
 static void
-answer_heartbeat(const control_t *c, http_exchange_t *exchange,
+answer_heartbeat(control_t *c, http_exchange_t *exchange, const char *id,
                  registry_result_t result)
 {
     if (result == REGISTRY_OLD_INCARNATION) {
@@ -101,7 +101,7 @@
      * alternated between control instances, the lease would expire and return
      * on each, and each would publish both to all entry instances. */
     char *answer = platform_heartbeat_answer(c->settings->control);
-    answer_json(exchange, 200, answer);
+    departure_acknowledge(c, exchange, id, answer);
     g_free(answer);
 }
 
@@ -145,9 +145,9 @@
     if (registry_cursor(c->registry) != before) {
         log_lease(name, &lease, heartbeat.draining ? "draining" : "ready");
     }
-    g_free(name);
     heartbeat_clear(&heartbeat);
-    answer_heartbeat(c, exchange, result);
+    answer_heartbeat(c, exchange, name, result);
+    g_free(name);
     if (registry_cursor(c->registry) != before) {
         control_publish_updates(c);
     }
@@ -170,8 +170,8 @@
     registry_leave(c->registry, name, started_ms, g_get_real_time() / 1000,
                    control_now(c));
     log_lease(name, NULL, "left");
+    departure_acknowledge(c, exchange, name, "{}");
     g_free(name);
-    answer_json(exchange, 200, "{}");
     control_publish_updates(c);
 }
 
@@ -201,5 +201,6 @@
     http_exchange_answer(exchange, 204, STR(""), STR(""));
     if (changed) {
         control_publish_updates(c);
+        departures_send(c);
     }
 }
--- a/carobloomd/control/load_exchange.c
+++ b/carobloomd/control/load_exchange.c
@@ -66,6 +66,7 @@
         load_sum_apply_changes(c->loads, sums.from, sums.loads, sums.sequence,
                                sums.base, control_now(c));
     part_feed_add(c->parts, sums.parts);
+    departures_record_heard(c, sums.from);
     traffic_set_data_centre(c->traffic, sums.from, sums.data_centre);
     load_sums_clear(&sums);
     if (!accepted) {
--- a/carobloomd/control/peer_messages.c
+++ b/carobloomd/control/peer_messages.c
@@ -1,4 +1,5 @@
 #include "carobloom/common/counters.h"
+#include "carobloom/gateway/departure_wire.h"
 #include "carobloom/gateway/inner_post.h"
 #include "carobloom/gateway/load_wire.h"
 #include "carobloom/gateway/usage_wire.h"
@@ -33,6 +34,11 @@
     [PEER_MESSAGE_CLOCK] = {.path = CLOCK_PATH,
                             .traffic = TRAFFIC_CLOCK,
                             .max_in_flight = 1},
+    /* What comes meanwhile goes with the next message. */
+    [PEER_MESSAGE_DEPARTURES] = {.path = DEPARTURES_PATH,
+                                 .traffic = TRAFFIC_DEPARTURES,
+                                 .max_in_flight = 1,
+                                 .done = departures_delivery_ended},
 };
 
 static const http_peer_limits_t PEER_LIMITS = {
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -84,7 +84,7 @@
     metrics_source_t dump;
     GRand *random;
     directory_t *directory;
-    gsize buffered_bytes; /* of answers that aren't complete yet */
+    gsize buffered_bytes;       /* of answers that aren't complete yet */
     gsize request_bytes_unsent; /* copies of requests on the way to endpoints
                                  */
     /* Little of the instance's memory is left: new requests are refused. */
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -56,9 +56,10 @@
     g_free(data);
 }
 
-static GBytes *
-leases_write(const GPtrArray *leases, gboolean packed)
+GBytes *
+leases_write(const GPtrArray *leases, gboolean *packed)
 {
+    *packed = leases != NULL && leases->len >= PACKED_LEASES_MIN;
     GVariantBuilder b;
     g_variant_builder_init(&b, G_VARIANT_TYPE(LEASES_TYPE));
     for (guint i = 0; leases != NULL && i < leases->len; i++) {
@@ -70,7 +71,7 @@
                               l->cold_ms);
     }
     GBytes *plain = codec_write(g_variant_builder_end(&b));
-    if (!packed) {
+    if (!*packed) {
         return plain;
     }
     GBytes *bytes = pack_bytes(plain);
@@ -92,8 +93,8 @@
 GBytes *
 sync_answer_write(const sync_answer_t *a)
 {
-    gboolean packed = a->leases != NULL && a->leases->len >= PACKED_LEASES_MIN;
-    GBytes *leases = leases_write(a->leases, packed);
+    gboolean packed;
+    GBytes *leases = leases_write(a->leases, &packed);
     GBytes *bytes = codec_write(g_variant_new(
         ANSWER_FORMAT, a->epoch, a->cursor, a->full, a->more, a->confirmed,
         a->version, a->base, a->delta != NULL, codec_bytes(a->delta), packed,
@@ -107,7 +108,7 @@
 
 /* Returns NULL if the bytes are not a list of leases. */
 static GVariant *
-leases_read(GVariant *bytes, gboolean packed)
+leases_unpack(GVariant *bytes, gboolean packed)
 {
     GBytes *plain = codec_take_bytes(bytes);
     if (packed) {
@@ -120,14 +121,14 @@
     return list;
 }
 
-/* Takes ownership of `bytes`. */
-static gboolean
-leases_parse(GVariant *bytes, gboolean packed, sync_answer_t *a)
+GPtrArray *
+leases_read(GVariant *bytes, gboolean packed)
 {
-    GVariant *list = leases_read(bytes, packed);
+    GVariant *list = leases_unpack(bytes, packed);
     if (list == NULL) {
-        return FALSE;
+        return NULL;
     }
+    GPtrArray *leases = g_ptr_array_new_with_free_func(lease_free);
     GVariantIter iter;
     endpoint_lease_t l;
     guchar state;
@@ -138,10 +139,13 @@
                         &state, &l.reclaimable, &l.leaves_ms, &l.cold_ms)) {
         l.state = (lease_state_t)state;
         valid = state < LEASE_STATES;
-        g_ptr_array_add(a->leases, g_memdup2(&l, sizeof(l)));
+        g_ptr_array_add(leases, g_memdup2(&l, sizeof(l)));
     }
     g_variant_unref(list);
-    return valid;
+    if (!valid) {
+        g_clear_pointer(&leases, g_ptr_array_unref);
+    }
+    return leases;
 }
 
 static gboolean
@@ -161,7 +165,6 @@
 sync_answer_read(GBytes *bytes, sync_answer_t *a)
 {
     *a = (sync_answer_t){0};
-    a->leases = g_ptr_array_new_with_free_func(lease_free);
     a->controls = g_ptr_array_new_with_free_func(g_free);
     GVariant *v = codec_read(bytes, ANSWER_TYPE);
     if (v == NULL) {
@@ -185,9 +188,9 @@
     if (!has_delta) {
         g_clear_pointer(&a->delta, g_bytes_unref);
     }
-    gboolean valid = leases_parse(leases, packed, a);
-    valid = names_parse(controls, a) && valid &&
-            a->quarantine_orders != NULL && a->limits != NULL;
+    a->leases = leases_read(leases, packed);
+    gboolean valid = names_parse(controls, a) && a->leases != NULL &&
+                     a->quarantine_orders != NULL && a->limits != NULL;
     g_variant_unref(v);
     if (!valid) {
         sync_answer_clear(a);
--- a/carobloomd/gateway/traffic.c
+++ b/carobloomd/gateway/traffic.c
@@ -20,6 +20,7 @@
     [TRAFFIC_VOTER] = "voter",
     [TRAFFIC_LOAD_SUMS] = "load_sums",
     [TRAFFIC_CLOCK] = "clock",
+    [TRAFFIC_DEPARTURES] = "departures",
     [TRAFFIC_ENDPOINT_REQUESTS] = "work",
     [TRAFFIC_TUNNELS] = "tunnels",
     [TRAFFIC_HELPERS] = "helpers",
--- a/include/carobloom/control/control.h
+++ b/include/carobloom/control/control.h
@@ -23,7 +23,7 @@
 void control_drain(control_t *control);
 gboolean control_idle(const control_t *control);
 /* The state as text for the dump, freed with g_free. */
-char *control_dump(const control_t *control);
+char *control_dump(control_t *control);
 /* Usage by team and window, and numbers of engines planned, ordered and
  * present, as JSON; freed with g_free. NULL if the platform defines no such
  * duty. */
--- a/include/carobloom/gateway/sync_wire.h
+++ b/include/carobloom/gateway/sync_wire.h
@@ -56,6 +56,12 @@
     guint32 entries;     /* entry instances that poll the control instance */
 } sync_answer_t;
 
+/* A list of leases; `packed` tells whether it was compressed. */
+GBytes *leases_write(const GPtrArray *leases, gboolean *packed);
+/* The list that a message contains as `bytes`, of which it takes ownership.
+ * NULL if malformed. */
+GPtrArray *leases_read(GVariant *bytes, gboolean packed);
+
 GBytes *sync_request_write(const sync_request_t *request);
 gboolean sync_request_read(GBytes *bytes, sync_request_t *request);
 void sync_request_clear(sync_request_t *request);
--- a/include/carobloom/gateway/traffic.h
+++ b/include/carobloom/gateway/traffic.h
@@ -20,6 +20,7 @@
     TRAFFIC_VOTER,     /* the replicated log */
     TRAFFIC_LOAD_SUMS, /* requests in flight, between control instances */
     TRAFFIC_CLOCK,
+    TRAFFIC_DEPARTURES,        /* of endpoints, between control instances */
     TRAFFIC_ENDPOINT_REQUESTS, /* requests to endpoints and their answers */
     TRAFFIC_TUNNELS,           /* the same, through another entry instance */
     TRAFFIC_HELPERS, /* entry instances that open tunnels, from control */
--- a/include/carobloom/policy/registry.h
+++ b/include/carobloom/policy/registry.h
@@ -1,7 +1,8 @@
 /* Leases of endpoints, as renewed at one control instance. Pure.
  *
  * The leases are kept in memory only: after a restart every live endpoint
- * renews its lease within a heartbeat interval. */
+ * renews its lease within a heartbeat interval. Departures, which nobody
+ * repeats, are kept by other control instances as well. */
 #ifndef CAROBLOOM_POLICY_REGISTRY_H
 #define CAROBLOOM_POLICY_REGISTRY_H
 
@@ -45,6 +46,23 @@
  * which the changes are included. */
 GPtrArray *registry_changes_since(const registry_t *registry, guint64 cursor,
                                   guint max_count, guint64 *through);
+/* Applies a lease that drains or has left, as another control instance
+ * acknowledged it. Later renewals do not undo it. Returns TRUE if a lease
+ * changed. */
+gboolean registry_learn_departure(registry_t *registry,
+                                  const endpoint_lease_t *lease,
+                                  gint64 now_us);
+/* The change by which an endpoint departs as acknowledged here; 0: it does
+ * not. */
+guint64 registry_departure_cursor(const registry_t *registry, const char *id);
+/* The last such change of any endpoint. */
+guint64 registry_last_departure(const registry_t *registry);
+/* Copies of the leases that depart by a change after `cursor`, as
+ * registry_changes_since. Those learned from other instances are included if
+ * they changed up to `learned_cursor`. */
+GPtrArray *registry_departures_since(const registry_t *registry,
+                                     guint64 cursor, guint64 learned_cursor,
+                                     guint max_count, guint64 *through);
 /* Number of leases, including those that expired or were left. */
 guint registry_count(const registry_t *registry);
 
--- a/policy/registry.c
+++ b/policy/registry.c
@@ -15,6 +15,7 @@
     lease_state_t reported_state; /* by the endpoint, also once expired */
     gint64 renewed_us;
     guint64 change_cursor; /* registry's cursor at the last change */
+    gboolean learned; /* departs as acknowledged by another control instance */
     GList *link;
 } lease_entry_t;
 
@@ -30,6 +31,7 @@
     GHashTable *by_id;   /* lease_entry_t, owned */
     GQueue changes;      /* lease_entry_t, newest change at the tail */
     guint64 cursor;
+    guint64 departure_cursor; /* of the last change that is a departure */
 };
 
 static void
@@ -62,10 +64,23 @@
     g_free(r);
 }
 
+static gboolean
+departs(const lease_entry_t *entry)
+{
+    return entry->lease.state == LEASE_LEFT ||
+           entry->lease.state == LEASE_DRAINING ||
+           (entry->lease.state == LEASE_EXPIRED &&
+            entry->reported_state == LEASE_DRAINING);
+}
+
 static void
 record_change(registry_t *r, lease_entry_t *entry)
 {
     entry->change_cursor = ++r->cursor;
+    entry->learned = FALSE;
+    if (departs(entry)) {
+        r->departure_cursor = r->cursor;
+    }
     if (entry->link != NULL) {
         g_queue_unlink(&r->changes, entry->link);
         g_queue_push_tail_link(&r->changes, entry->link);
@@ -75,6 +90,16 @@
     entry->link = r->changes.tail;
 }
 
+/* As record_change, of a change that another control instance made. */
+static void
+record_learned(registry_t *r, lease_entry_t *entry)
+{
+    guint64 before = r->departure_cursor;
+    record_change(r, entry);
+    entry->learned = TRUE;
+    r->departure_cursor = before;
+}
+
 static lease_entry_t *
 lease_entry_add(registry_t *r, const endpoint_lease_t *lease)
 {
@@ -114,6 +139,7 @@
         return FALSE;
     }
     entry->lease.state = LEASE_DRAINING;
+    entry->reported_state = LEASE_DRAINING;
     record_change(r, entry);
     return TRUE;
 }
@@ -143,7 +169,7 @@
         return REGISTRY_STALE;
     }
     gboolean changed = restarted || entry->lease.state != lease->state ||
-                       entry->lease.slots != lease->slots ||
+                       entry->learned || entry->lease.slots != lease->slots ||
                        g_strcmp0(entry->lease.address, lease->address) != 0 ||
                        g_strcmp0(entry->lease.service, lease->service) != 0;
     entry->renewed_us = now_us;
@@ -180,7 +206,8 @@
         return; /* a later incarnation has renewed */
     }
     entry->lease.started_ms = MAX(entry->lease.started_ms, started_ms);
-    if (entry->lease.state != LEASE_LEFT || entry->change_cursor == 0) {
+    if (entry->lease.state != LEASE_LEFT || entry->change_cursor == 0 ||
+        entry->learned) {
         entry->lease.state = LEASE_LEFT;
         record_change(r, entry);
     }
@@ -213,7 +240,12 @@
                  entry->lease.state != LEASE_LEFT &&
                  entry->lease.state != LEASE_EXPIRED) {
             entry->lease.state = LEASE_EXPIRED;
-            record_change(r, entry);
+            if (entry->learned) {
+                record_learned(r, entry);
+            }
+            else {
+                record_change(r, entry);
+            }
             changed = TRUE;
         }
     }
@@ -226,6 +258,67 @@
     return r->cursor;
 }
 
+static gboolean
+learn_left(registry_t *r, const endpoint_lease_t *lease, gint64 now_us)
+{
+    lease_entry_t *entry = g_hash_table_lookup(r->by_id, lease->id);
+    if (entry != NULL && (entry->lease.state == LEASE_LEFT ||
+                          lease->started_ms < entry->lease.started_ms)) {
+        return FALSE;
+    }
+    if (entry == NULL) {
+        entry = lease_entry_add(r, lease);
+    }
+    entry->lease.state = LEASE_LEFT;
+    entry->lease.started_ms = lease->started_ms;
+    entry->renewed_us = now_us;
+    record_learned(r, entry);
+    return TRUE;
+}
+
+static gboolean
+learn_draining(registry_t *r, const endpoint_lease_t *lease, gint64 now_us)
+{
+    lease_entry_t *entry = g_hash_table_lookup(r->by_id, lease->id);
+    guint64 before = r->departure_cursor;
+    gboolean changed =
+        registry_record_leaving(r, lease->id, lease->started_ms, now_us);
+    if (entry == NULL) {
+        entry = lease_entry_add(r, lease);
+        entry->renewed_us = now_us;
+        changed = TRUE;
+    }
+    if (changed) {
+        entry->reported_state = LEASE_DRAINING;
+        record_learned(r, entry);
+        r->departure_cursor = before;
+    }
+    return changed;
+}
+
+gboolean
+registry_learn_departure(registry_t *r, const endpoint_lease_t *lease,
+                         gint64 now_us)
+{
+    return lease->state == LEASE_LEFT ? learn_left(r, lease, now_us)
+                                      : learn_draining(r, lease, now_us);
+}
+
+guint64
+registry_departure_cursor(const registry_t *r, const char *id)
+{
+    const lease_entry_t *entry = g_hash_table_lookup(r->by_id, id);
+    return entry != NULL && departs(entry) && !entry->learned
+               ? entry->change_cursor
+               : 0;
+}
+
+guint64
+registry_last_departure(const registry_t *r)
+{
+    return r->departure_cursor;
+}
+
 static void
 lease_free(gpointer data)
 {
@@ -265,6 +358,37 @@
     return leases;
 }
 
+GPtrArray *
+registry_departures_since(const registry_t *r, guint64 cursor,
+                          guint64 learned_cursor, guint max_count,
+                          guint64 *through)
+{
+    GPtrArray *leases = g_ptr_array_new_with_free_func(lease_free);
+    const GList *l = first_after(r, cursor);
+    *through = r->cursor;
+    for (; l != NULL; l = l->next) {
+        const lease_entry_t *entry = l->data;
+        if (!departs(entry) ||
+            (entry->learned && entry->change_cursor > learned_cursor)) {
+            continue;
+        }
+        if (leases->len >= max_count) {
+            break;
+        }
+        endpoint_lease_t *copy = g_new0(endpoint_lease_t, 1);
+        endpoint_lease_copy(copy, &entry->lease);
+        if (copy->state == LEASE_EXPIRED) {
+            copy->state = LEASE_DRAINING;
+        }
+        g_ptr_array_add(leases, copy);
+        *through = entry->change_cursor;
+    }
+    if (l == NULL) {
+        *through = r->cursor;
+    }
+    return leases;
+}
+
 guint
 registry_count(const registry_t *r)
 {
--- a/tests/test_endpoints.c
+++ b/tests/test_endpoints.c
@@ -192,6 +192,76 @@
 
 /* ---- leases ---- */
 
+/* What a control instance knows of an endpoint, what another one tells of it,
+ * and what comes late. */
+typedef struct {
+    const char *name;
+    gboolean is_known;
+    lease_state_t learned;
+    guint64 late; /* sequence of a heartbeat that says ready */
+    lease_state_t state;
+} learned_case_t;
+
+static const learned_case_t LEARNED_CASES[] = {
+    {"left, not known", FALSE, LEASE_LEFT, 1, LEASE_LEFT},
+    {"left, known", TRUE, LEASE_LEFT, 9, LEASE_LEFT},
+    {"draining, not known", FALSE, LEASE_DRAINING, 1, LEASE_DRAINING},
+    {"draining, known", TRUE, LEASE_DRAINING, 9, LEASE_DRAINING},
+};
+
+static GPtrArray *
+departures_of(const registry_t *r, guint64 learned_cursor)
+{
+    guint64 through;
+    return registry_departures_since(r, 0, learned_cursor, G_MAXUINT,
+                                     &through);
+}
+
+static lease_state_t
+first_state(const registry_t *r)
+{
+    guint64 through;
+    GPtrArray *all = registry_changes_since(r, 0, G_MAXUINT, &through);
+    lease_state_t state = all->len > 0
+                              ? ((endpoint_lease_t *)all->pdata[0])->state
+                              : LEASE_READY;
+    g_ptr_array_unref(all);
+    return state;
+}
+
+/* A departure that another control instance acknowledged is published, is told
+ * to others only if they ask for all, and is not undone by a late heartbeat.
+ */
+static void
+test_learned_departures(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(LEARNED_CASES); i++) {
+        const learned_case_t *c = &LEARNED_CASES[i];
+        registry_t *r = registry_create(SECOND);
+        endpoint_lease_t before = lease_of("e", 5, LEASE_READY);
+        endpoint_lease_t learned = lease_of("e", 6, c->learned);
+        endpoint_lease_t late = lease_of("e", c->late, LEASE_READY);
+        if (c->is_known) {
+            registry_renew(r, &before, SECOND);
+        }
+        CU_ASSERT(registry_learn_departure(r, &learned, SECOND));
+        CU_ASSERT_FALSE(registry_learn_departure(r, &learned, SECOND));
+        CU_ASSERT_EQUAL(registry_last_departure(r), 0);
+        GPtrArray *own = departures_of(r, 0);
+        GPtrArray *all = departures_of(r, registry_cursor(r));
+        CU_ASSERT_EQUAL(own->len, 0);
+        CU_ASSERT_EQUAL(all->len, 1);
+        registry_renew(r, &late, 2 * SECOND);
+        if (first_state(r) != c->state) {
+            printf("%s: state %d\n", c->name, (int)first_state(r));
+        }
+        CU_ASSERT_EQUAL(first_state(r), c->state);
+        g_ptr_array_unref(own);
+        g_ptr_array_unref(all);
+        registry_destroy(r);
+    }
+}
+
 static void
 test_registry(void)
 {
@@ -623,6 +693,8 @@
     {"bytes that are no heartbeat", test_heartbeat_bytes},
     {"the answer to a renewal", test_heartbeat_answer},
     {"leases by sequence, expiry and departure", test_registry},
+    {"a departure learned from another control instance",
+     test_learned_departures},
     {"leases of several control instances are merged", test_merge},
     {"a control instance that restarts", test_forget},
     {"an address used again", test_address_taken},
--- a/tests/test_parsers.c
+++ b/tests/test_parsers.c
@@ -11,6 +11,7 @@
 
 #include "carobloom/common/fields.h"
 #include "carobloom/common/jsonc.h"
+#include "carobloom/gateway/departure_wire.h"
 #include "carobloom/gateway/leaving_wire.h"
 #include "carobloom/gateway/limit_wire.h"
 #include "carobloom/gateway/repeat_wire.h"
@@ -236,6 +237,52 @@
     g_array_unref(incarnations);
 }
 
+static void
+parse_departures(GBytes *bytes)
+{
+    departures_t message;
+    if (departures_read(bytes, &message)) {
+        departures_clear(&message);
+    }
+}
+
+/* Departures between control instances: a written message is read back, one
+ * with a lease that does not depart is malformed. */
+static void
+test_departure_messages(void)
+{
+    static const lease_state_t STATES[] = {LEASE_READY, LEASE_DRAINING,
+                                           LEASE_LEFT, LEASE_EXPIRED};
+    for (gsize i = 0; i < G_N_ELEMENTS(STATES); i++) {
+        endpoint_lease_t lease = {.id = (char *)"e",
+                                  .service = (char *)"a",
+                                  .address = (char *)"127.0.0.1:1",
+                                  .started_ms = 7,
+                                  .state = STATES[i]};
+        departures_t message = {.from = (char *)"127.0.0.1:2",
+                                .epoch = 3,
+                                .leases = g_ptr_array_new()};
+        g_ptr_array_add(message.leases, &lease);
+        GBytes *written = departures_write(&message);
+        departures_t read;
+        gboolean departs =
+            STATES[i] == LEASE_DRAINING || STATES[i] == LEASE_LEFT;
+        CU_ASSERT_EQUAL(departures_read(written, &read), departs);
+        if (departs) {
+            const endpoint_lease_t *first = read.leases->pdata[0];
+            CU_ASSERT_STRING_EQUAL(read.from, message.from);
+            CU_ASSERT_EQUAL(read.epoch, 3);
+            CU_ASSERT_STRING_EQUAL(first->id, "e");
+            CU_ASSERT_EQUAL(first->started_ms, 7);
+            CU_ASSERT_EQUAL(first->state, STATES[i]);
+            departures_clear(&read);
+        }
+        parse_mutations(written, parse_departures, 44);
+        g_bytes_unref(written);
+        g_ptr_array_unref(message.leases);
+    }
+}
+
 static void
 parse_limits(GBytes *bytes)
 {
@@ -790,6 +837,7 @@
     {"messages about repeats", test_repeat_messages},
     {"messages about slots", test_slot_messages},
     {"reports of endpoints that leave", test_leaving_reports},
+    {"departures between control instances", test_departure_messages},
     {"frames of a tunnel", test_tunnel_frames},
     {"settings' faults have their place", test_settings_faults},
     {"a torn tail is cut", test_torn_tail_is_cut},
