Tests: answers and requests that end inside their head, the product's own path

Reports of other operators: a server stops in the middle of its answer's head and closes, clients get a 200 with an empty or short body.

The stand-in sends answers cut at a given byte; two tests cut at every byte, by length and in chunks.

--- a/standin/engine.c
+++ b/standin/engine.c
@@ -21,8 +21,8 @@
 } stream_t;
 
 static const char *const FAULT_NAMES[] = {
-    "none",   "truncate", "swap",  "delay",  "close",
-    "silent", "refuse",   "stall", "repeat",
+    "none",   "truncate", "swap",   "delay", "close",      "silent",
+    "refuse", "stall",    "repeat", "cut",   "cut-chunks",
 };
 
 static const char *
@@ -54,6 +54,11 @@
     if (s->fault_count <= 0) {
         return FAULT_NONE;
     }
+    if (s->fault == FAULT_CUT || s->fault == FAULT_CUT_CHUNKS) {
+        s->cut_at = s->fault_count;
+        s->fault_count = 0;
+        return s->fault;
+    }
     s->fault_count--;
     return s->fault;
 }
@@ -226,6 +231,18 @@
     }
 }
 
+/* Sends the first bytes of an answer and closes. */
+static void
+send_cut(const standin_t *s, SoupServerMessage *message, const char *answer)
+{
+    GIOStream *connection = soup_server_message_steal_connection(message);
+    GOutputStream *out = g_io_stream_get_output_stream(connection);
+    g_output_stream_write_all(
+        out, answer, MIN((gsize)s->cut_at, strlen(answer)), NULL, NULL, NULL);
+    g_io_stream_close(connection, NULL, NULL);
+    g_object_unref(connection);
+}
+
 /* Faults that come before anything runs; TRUE when the call was dealt with. */
 static gboolean
 early_fault(standin_t *s, SoupServerMessage *message, fault_kind_t fault)
@@ -238,7 +255,8 @@
             "Carobloom-Outcome", "not-run");
         return TRUE;
     }
-    if (fault != FAULT_CLOSE && fault != FAULT_SILENT) {
+    if (fault != FAULT_CLOSE && fault != FAULT_SILENT && fault != FAULT_CUT &&
+        fault != FAULT_CUT_CHUNKS) {
         return FALSE;
     }
     standin_log(s, "run", id, request_header(message, "Idempotency-Key"));
@@ -247,6 +265,10 @@
         g_io_stream_close(connection, NULL, NULL);
         g_object_unref(connection);
     }
+    else if (fault == FAULT_CUT || fault == FAULT_CUT_CHUNKS) {
+        send_cut(s, message,
+                 fault == FAULT_CUT ? STANDIN_ANSWER : STANDIN_CHUNKS);
+    }
     else {
         soup_server_message_pause(message);
     }
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -9,16 +9,26 @@
 #include <libsoup/soup.h>
 #include <stdio.h>
 
+/* What FAULT_CUT and FAULT_CUT_CHUNKS send, less what they cut off. */
+#define STANDIN_ANSWER                                                        \
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: "         \
+    "12\r\n\r\nwhole answer"
+#define STANDIN_CHUNKS                                                        \
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: "      \
+    "chunked\r\n\r\nc\r\nwhole answer\r\n0\r\n\r\n"
+
 typedef enum {
     FAULT_NONE,
-    FAULT_TRUNCATE, /* a stream ends early, without its end mark */
-    FAULT_SWAP,     /* answers carry another attempt's id */
-    FAULT_DELAY,    /* the first token comes late */
-    FAULT_CLOSE,    /* reads the call and closes */
-    FAULT_SILENT,   /* reads the call and never answers */
-    FAULT_REFUSE,   /* 503 before running */
-    FAULT_STALL,    /* a stream stops halfway, the connection stays */
-    FAULT_REPEAT,   /* sends the end of another stream after its own */
+    FAULT_TRUNCATE,   /* a stream ends early, without its end mark */
+    FAULT_SWAP,       /* answers carry another attempt's id */
+    FAULT_DELAY,      /* the first token comes late */
+    FAULT_CLOSE,      /* reads the call and closes */
+    FAULT_SILENT,     /* reads the call and never answers */
+    FAULT_REFUSE,     /* 503 before running */
+    FAULT_STALL,      /* a stream stops halfway, the connection stays */
+    FAULT_REPEAT,     /* sends the end of another stream after its own */
+    FAULT_CUT,        /* closes after `count` bytes of its next answer */
+    FAULT_CUT_CHUNKS, /* the same, of an answer in chunks */
 } fault_kind_t;
 
 typedef struct {
@@ -43,6 +53,7 @@
     guint running;
     fault_kind_t fault;
     int fault_count;
+    int cut_at;      /* bytes, of FAULT_CUT */
     gint64 fence;    /* the highest number seen in an order */
     gboolean silent; /* announces no more */
 } standin_t;
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -6,6 +6,7 @@
 #include "check.h"
 #include "harness.h"
 #include "proxy.h"
+#include "standin.h"
 
 enum { STREAMS = 200 };
 
@@ -447,6 +448,106 @@
     site_destroy(site);
 }
 
+/* An answer that is cut off at each of its bytes, by length and in chunks, is
+ * never given as whole, nor told as not run. */
+typedef struct {
+    const char *fault;
+    const char *answer;
+} cut_case_t;
+
+static const cut_case_t CUT_CASES[] = {
+    {"cut", STANDIN_ANSWER},
+    {"cut-chunks", STANDIN_CHUNKS},
+};
+
+static void
+cut_case(site_t *site, engine_t *tag, const cut_case_t *c)
+{
+    guint wrong = 0;
+    for (gsize at = 1; at < strlen(c->answer); at++) {
+        char key[32];
+        g_snprintf(key, sizeof(key), "%s-%zu", c->fault, at);
+        engine_fault(site, tag, c->fault, (int)at);
+        answer_t *a = call_whole(site, 0, "/services/tagging/x", key, "x");
+        gboolean ran = engine_count(tag, "run", key) > 0;
+        CU_ASSERT(engine_count(tag, "run", key) <= 1);
+        if (a->status == 200 || (ran && strcmp(a->outcome, "not-run") == 0)) {
+            printf("%s: %u %s, \"%.*s\"; ", key, a->status, a->outcome, 20,
+                   c->answer + (at > 20 ? at - 20 : 0));
+            wrong++;
+        }
+        answer_free(a);
+    }
+    CU_ASSERT_EQUAL(wrong, 0);
+}
+
+static void
+test_cut_answer_is_not_whole(void)
+{
+    site_t *site = site_up(1, 0);
+    engine_t *tag = engine_start(site, "tag", "tagging", "service", NULL);
+    CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
+    for (gsize i = 0; i < G_N_ELEMENTS(CUT_CASES); i++) {
+        cut_case(site, tag, &CUT_CASES[i]);
+    }
+    engine_destroy(tag);
+    site_destroy(site);
+}
+
+/* A request that ends at each of its bytes, its caller still reading, is no
+ * request: it doesn't run, and gets no answer of a whole one. */
+static const char *const CUT_REQUESTS[] = {
+    "POST /services/tagging/x HTTP/1.1\r\nHost: x\r\n"
+    "Authorization: Bearer workshop-key\r\nIdempotency-Key: cut-length\r\n"
+    "Content-Length: 5\r\n\r\nwhole",
+    "POST /services/tagging/x HTTP/1.1\r\nHost: x\r\n"
+    "Authorization: Bearer workshop-key\r\nIdempotency-Key: cut-chunks\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+};
+
+/* The status of what comes back for the first `length` bytes; 0: nothing. */
+static int
+send_cut(const site_t *site, const char *request, gsize length)
+{
+    char answer[32] = "";
+    GSocketClient *client = g_socket_client_new();
+    GSocketConnection *c = g_socket_client_connect_to_host(
+        client, "127.0.0.1", (guint16)site->instances[0].callers, NULL, NULL);
+    GSocket *socket = g_socket_connection_get_socket(c);
+    g_socket_set_timeout(socket, 5);
+    g_socket_send(socket, request, length, NULL, NULL);
+    g_socket_shutdown(socket, FALSE, TRUE, NULL);
+    gssize count =
+        g_socket_receive(socket, answer, sizeof(answer) - 1, NULL, NULL);
+    g_object_unref(c);
+    g_object_unref(client);
+    return count > 12 ? atoi(answer + 9) : 0;
+}
+
+static void
+test_cut_request_is_none(void)
+{
+    site_t *site = site_up(1, 0);
+    engine_t *tag = engine_start(site, "tag", "tagging", "service", NULL);
+    CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
+    for (gsize i = 0; i < G_N_ELEMENTS(CUT_REQUESTS); i++) {
+        const char *request = CUT_REQUESTS[i];
+        guint wrong = 0;
+        for (gsize at = 1; at < strlen(request); at++) {
+            int status = send_cut(site, request, at);
+            if (status != 0 && status != 400) {
+                printf("%d at byte %zu; ", status, at);
+                wrong++;
+            }
+        }
+        CU_ASSERT_EQUAL(wrong, 0);
+    }
+    CU_ASSERT_EQUAL(engine_count(tag, "run", "cut-length"), 0);
+    CU_ASSERT_EQUAL(engine_count(tag, "run", "cut-chunks"), 0);
+    engine_destroy(tag);
+    site_destroy(site);
+}
+
 /* What is told not-run did not run: refused by the endpoint, no endpoint,
  * no quorum. */
 static void
@@ -621,6 +722,8 @@
     {"drain cuts nothing", test_drain_cuts_nothing},
     {"a key runs at most once", test_key_runs_at_most_once},
     {"read and close goes out once", test_read_and_close_goes_out_once},
+    {"a cut answer is not whole", test_cut_answer_is_not_whole},
+    {"a cut request is none", test_cut_request_is_none},
     {"not-run means not run", test_not_run_means_not_run},
     {"a caller leaving cancels", test_caller_leaving_cancels},
     {"a request arrives after its caller left",
