Departures: one way to record a change, one to copy changes

- policy/registry.c: record_change is told whether a change was learned, in place of a second function that put its counter back; one loop copies changes for entry and control instances.
- departure_exchange.c: one loop over the voters, and none for a heartbeat that doesn't depart, which is nearly every one.
- The stand-in's close is a cut after no byte; its early faults are one switch.
- test_unframed and test_departures share the text of a heartbeat.

--- a/carobloomd/control/departure_exchange.c
+++ b/carobloomd/control/departure_exchange.c
@@ -89,32 +89,21 @@
     pending_free(c, pending);
 }
 
-/* Number of control instances that may keep departures for this one. */
-static guint
-count_others(const control_t *c)
-{
-    guint count = 0;
-    for (guint i = 0; i < c->view.voters.count; i++) {
-        count += g_strcmp0(c->view.voters.members[i].name, c->self) != 0;
-    }
-    return count;
-}
-
 /* The departures up to this cursor are kept by another control instance, if
  * there is any. */
 static guint64
 kept_cursor(const control_t *c)
 {
     guint64 cursor = 0;
-    if (count_others(c) == 0) {
-        return G_MAXUINT64;
-    }
+    gboolean is_alone = TRUE;
     for (guint i = 0; i < c->view.voters.count; i++) {
-        const departure_peer_t *peer = g_hash_table_lookup(
-            c->departure_peers, c->view.voters.members[i].name);
+        const char *name = c->view.voters.members[i].name;
+        const departure_peer_t *peer =
+            g_hash_table_lookup(c->departure_peers, name);
+        is_alone = is_alone && g_strcmp0(name, c->self) == 0;
         cursor = MAX(cursor, peer != NULL ? peer->kept_cursor : 0);
     }
-    return cursor;
+    return is_alone ? G_MAXUINT64 : cursor;
 }
 
 static void
@@ -136,7 +125,7 @@
                       const char *endpoint, const char *answer)
 {
     guint64 cursor = registry_departure_cursor(c->registry, endpoint);
-    if (cursor <= kept_cursor(c)) {
+    if (cursor == 0 || cursor <= kept_cursor(c)) {
         answer_json(exchange, 200, answer);
         return;
     }
--- a/policy/registry.c
+++ b/policy/registry.c
@@ -73,12 +73,13 @@
             entry->reported_state == LEASE_DRAINING);
 }
 
+/* `learned`: it is a departure that another control instance acknowledged. */
 static void
-record_change(registry_t *r, lease_entry_t *entry)
+record_change(registry_t *r, lease_entry_t *entry, gboolean learned)
 {
     entry->change_cursor = ++r->cursor;
-    entry->learned = FALSE;
-    if (departs(entry)) {
+    entry->learned = learned;
+    if (departs(entry) && !learned) {
         r->departure_cursor = r->cursor;
     }
     if (entry->link != NULL) {
@@ -90,16 +91,6 @@
     entry->link = r->changes.tail;
 }
 
-/* As record_change, of a change that another control instance made. */
-static void
-record_learned(registry_t *r, lease_entry_t *entry)
-{
-    guint64 before = r->departure_cursor;
-    record_change(r, entry);
-    entry->learned = TRUE;
-    r->departure_cursor = before;
-}
-
 static lease_entry_t *
 lease_entry_add(registry_t *r, const endpoint_lease_t *lease)
 {
@@ -122,9 +113,9 @@
     return lease->state == LEASE_READY ? LEASE_DRAINING : lease->state;
 }
 
-gboolean
-registry_record_leaving(registry_t *r, const char *id, gint64 started_ms,
-                        gint64 now_us)
+static gboolean
+record_leaving(registry_t *r, const char *id, gint64 started_ms,
+               gboolean learned, gint64 now_us)
 {
     const leaving_t *before = g_hash_table_lookup(r->leaving, id);
     if (before != NULL && before->started_ms >= started_ms) {
@@ -140,10 +131,17 @@
     }
     entry->lease.state = LEASE_DRAINING;
     entry->reported_state = LEASE_DRAINING;
-    record_change(r, entry);
+    record_change(r, entry, learned);
     return TRUE;
 }
 
+gboolean
+registry_record_leaving(registry_t *r, const char *id, gint64 started_ms,
+                        gint64 now_us)
+{
+    return record_leaving(r, id, started_ms, FALSE, now_us);
+}
+
 registry_result_t
 registry_renew(registry_t *r, const endpoint_lease_t *renewal, gint64 now_us)
 {
@@ -155,7 +153,7 @@
         entry = lease_entry_add(r, lease);
         entry->reported_state = lease->state;
         entry->renewed_us = now_us;
-        record_change(r, entry);
+        record_change(r, entry, FALSE);
         return REGISTRY_ACCEPTED;
     }
     gboolean restarted = lease->started_ms > entry->lease.started_ms;
@@ -183,7 +181,7 @@
         entry->lease.id = NULL;
         endpoint_lease_clear(&entry->lease);
         entry->lease = copy;
-        record_change(r, entry);
+        record_change(r, entry, FALSE);
     }
     entry->lease.sequence = lease->sequence;
     return REGISTRY_ACCEPTED;
@@ -209,7 +207,7 @@
     if (entry->lease.state != LEASE_LEFT || entry->change_cursor == 0 ||
         entry->learned) {
         entry->lease.state = LEASE_LEFT;
-        record_change(r, entry);
+        record_change(r, entry, FALSE);
     }
     entry->renewed_us = now_us;
 }
@@ -240,12 +238,7 @@
                  entry->lease.state != LEASE_LEFT &&
                  entry->lease.state != LEASE_EXPIRED) {
             entry->lease.state = LEASE_EXPIRED;
-            if (entry->learned) {
-                record_learned(r, entry);
-            }
-            else {
-                record_change(r, entry);
-            }
+            record_change(r, entry, entry->learned);
             changed = TRUE;
         }
     }
@@ -272,7 +265,7 @@
     entry->lease.state = LEASE_LEFT;
     entry->lease.started_ms = lease->started_ms;
     entry->renewed_us = now_us;
-    record_learned(r, entry);
+    record_change(r, entry, TRUE);
     return TRUE;
 }
 
@@ -280,20 +273,16 @@
 learn_draining(registry_t *r, const endpoint_lease_t *lease, gint64 now_us)
 {
     lease_entry_t *entry = g_hash_table_lookup(r->by_id, lease->id);
-    guint64 before = r->departure_cursor;
     gboolean changed =
-        registry_record_leaving(r, lease->id, lease->started_ms, now_us);
-    if (entry == NULL) {
-        entry = lease_entry_add(r, lease);
-        entry->renewed_us = now_us;
-        changed = TRUE;
+        record_leaving(r, lease->id, lease->started_ms, TRUE, now_us);
+    if (entry != NULL) {
+        return changed;
     }
-    if (changed) {
-        entry->reported_state = LEASE_DRAINING;
-        record_learned(r, entry);
-        r->departure_cursor = before;
-    }
-    return changed;
+    entry = lease_entry_add(r, lease);
+    entry->reported_state = LEASE_DRAINING;
+    entry->renewed_us = now_us;
+    record_change(r, entry, TRUE);
+    return TRUE;
 }
 
 gboolean
@@ -341,50 +330,54 @@
     return first;
 }
 
-GPtrArray *
-registry_changes_since(const registry_t *r, guint64 cursor, guint max_count,
-                       guint64 *through)
+/* Copies of the leases that changed after `cursor`, as registry_changes_since.
+ * With `departures`, only of those that depart, and of learned ones only if
+ * they changed up to `learned_cursor`. */
+static GPtrArray *
+copy_changes(const registry_t *r, guint64 cursor, gboolean departures,
+             guint64 learned_cursor, guint max_count, guint64 *through)
 {
     GPtrArray *leases = g_ptr_array_new_with_free_func(lease_free);
     const GList *l = first_after(r, cursor);
     *through = r->cursor;
-    for (; l != NULL && leases->len < max_count; l = l->next) {
+    for (; l != NULL; l = l->next) {
         const lease_entry_t *entry = l->data;
+        gboolean is_told =
+            !entry->learned || entry->change_cursor <= learned_cursor;
+        if (departures && (!departs(entry) || !is_told)) {
+            continue;
+        }
+        if (leases->len >= max_count) {
+            return leases;
+        }
         endpoint_lease_t *copy = g_new0(endpoint_lease_t, 1);
         endpoint_lease_copy(copy, &entry->lease);
         g_ptr_array_add(leases, copy);
-        *through = l->next != NULL ? entry->change_cursor : r->cursor;
+        *through = entry->change_cursor;
     }
+    *through = r->cursor;
     return leases;
 }
 
+GPtrArray *
+registry_changes_since(const registry_t *r, guint64 cursor, guint max_count,
+                       guint64 *through)
+{
+    return copy_changes(r, cursor, FALSE, 0, max_count, through);
+}
+
 GPtrArray *
 registry_departures_since(const registry_t *r, guint64 cursor,
                           guint64 learned_cursor, guint max_count,
                           guint64 *through)
 {
-    GPtrArray *leases = g_ptr_array_new_with_free_func(lease_free);
-    const GList *l = first_after(r, cursor);
-    *through = r->cursor;
-    for (; l != NULL; l = l->next) {
-        const lease_entry_t *entry = l->data;
-        if (!departs(entry) ||
-            (entry->learned && entry->change_cursor > learned_cursor)) {
-            continue;
-        }
-        if (leases->len >= max_count) {
-            break;
+    GPtrArray *leases =
+        copy_changes(r, cursor, TRUE, learned_cursor, max_count, through);
+    for (guint i = 0; i < leases->len; i++) {
+        endpoint_lease_t *lease = leases->pdata[i];
+        if (lease->state == LEASE_EXPIRED) {
+            lease->state = LEASE_DRAINING;
         }
-        endpoint_lease_t *copy = g_new0(endpoint_lease_t, 1);
-        endpoint_lease_copy(copy, &entry->lease);
-        if (copy->state == LEASE_EXPIRED) {
-            copy->state = LEASE_DRAINING;
-        }
-        g_ptr_array_add(leases, copy);
-        *through = entry->change_cursor;
-    }
-    if (l == NULL) {
-        *through = r->cursor;
     }
     return leases;
 }
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -248,30 +248,31 @@
 early_fault(standin_t *s, SoupServerMessage *message, fault_kind_t fault)
 {
     const char *id = request_header(message, "X-Request-Id");
-    if (fault == FAULT_REFUSE) {
+    const char *cut = "";
+    switch (fault) {
+    case FAULT_REFUSE:
         soup_server_message_set_status(message, 503, NULL);
         soup_message_headers_replace(
             soup_server_message_get_response_headers(message),
             "Carobloom-Outcome", "not-run");
         return TRUE;
-    }
-    if (fault != FAULT_CLOSE && fault != FAULT_SILENT && fault != FAULT_CUT &&
-        fault != FAULT_CUT_CHUNKS) {
+    case FAULT_SILENT:
+        standin_log(s, "run", id, request_header(message, "Idempotency-Key"));
+        soup_server_message_pause(message);
+        return TRUE;
+    case FAULT_CLOSE:
+        break;
+    case FAULT_CUT:
+        cut = STANDIN_ANSWER;
+        break;
+    case FAULT_CUT_CHUNKS:
+        cut = STANDIN_CHUNKS;
+        break;
+    default:
         return FALSE;
     }
     standin_log(s, "run", id, request_header(message, "Idempotency-Key"));
-    if (fault == FAULT_CLOSE) {
-        GIOStream *connection = soup_server_message_steal_connection(message);
-        g_io_stream_close(connection, NULL, NULL);
-        g_object_unref(connection);
-    }
-    else if (fault == FAULT_CUT || fault == FAULT_CUT_CHUNKS) {
-        send_cut(s, message,
-                 fault == FAULT_CUT ? STANDIN_ANSWER : STANDIN_CHUNKS);
-    }
-    else {
-        soup_server_message_pause(message);
-    }
+    send_cut(s, message, cut);
     return TRUE;
 }
 
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -547,6 +547,16 @@
     return reply;
 }
 
+char *
+fleet_heartbeat(guint16 port, guint slots, const char *state, guint sequence)
+{
+    return g_strdup_printf(
+        "{\"Service\":\"a\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
+        "\"Version\":\"v1\",\"Slots\":%u,\"State\":\"%s\","
+        "\"ColdRemainingMs\":0,\"Sequence\":%u}",
+        port, slots, state, sequence);
+}
+
 reply_t *
 fleet_call(const char *ip, guint port, const char *method, const char *target,
            const char *fields, const char *body, int wait_ms)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -123,6 +123,10 @@
 /* All entries ready with the sample of `version` in force. */
 gboolean fleet_up(fleet_t *fleet, guint64 version);
 
+/* What an endpoint of service "a", at a port of 127.0.0.1, says in a
+ * heartbeat; freed with g_free. */
+char *fleet_heartbeat(guint16 port, guint slots, const char *state,
+                      guint sequence);
 /* One call; `fields` are lines ending in CRLF. */
 reply_t *fleet_call(const char *ip, guint port, const char *method,
                     const char *target, const char *fields, const char *body,
--- a/tests/test_departures.c
+++ b/tests/test_departures.c
@@ -16,6 +16,7 @@
      * gets some. */
     ENDPOINTS = 5,
     LEAVING = 3,
+    SLOTS = 2,
     BEAT_MS = 400,
     CALL_MS = 1000,
     CLIENTS = 12,
@@ -116,21 +117,11 @@
     close(e->listener);
 }
 
-static char *
-heartbeat_body(const endpoint_t *e, guint sequence, const char *state)
-{
-    return g_strdup_printf(
-        "{\"Service\":\"a\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
-        "\"Version\":\"v1\",\"Slots\":2,\"State\":\"%s\","
-        "\"ColdRemainingMs\":0,\"Sequence\":%u}",
-        e->port, state, sequence);
-}
-
 static guint
 heartbeat(const fleet_process_t *control, const endpoint_t *e, guint sequence)
 {
     char *target = g_strdup_printf("/api/instances/%s", e->id);
-    char *body = heartbeat_body(e, sequence, "ready");
+    char *body = fleet_heartbeat(e->port, SLOTS, "ready", sequence);
     reply_t *reply = fleet_call(control->ip, FLEET_CONTROL_PORT, "PUT", target,
                                 "", body, CALL_MS);
     guint status = reply->status;
@@ -199,9 +190,10 @@
     }
     for (guint i = 0; i < LEAVING; i++) {
         endpoint_t *e = &p->endpoints[i];
-        char *body = p->test->drains
-                         ? heartbeat_body(e, e->sequence + 10, "draining")
-                         : g_strdup("");
+        char *body =
+            p->test->drains
+                ? fleet_heartbeat(e->port, SLOTS, "draining", e->sequence + 10)
+                : g_strdup("");
         char *text = g_strdup_printf(
             "%s /api/instances/%s HTTP/1.1\r\nHost: c\r\nContent-Length: "
             "%zu\r\n\r\n%s",
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -178,11 +178,7 @@
     endpoint_t *e = data;
     char *target = g_strdup_printf("/api/instances/%s", e->id);
     for (guint i = 1; !g_atomic_int_get(&e->stop); i++) {
-        char *body = g_strdup_printf(
-            "{\"Service\":\"a\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z\","
-            "\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\","
-            "\"ColdRemainingMs\":0,\"Sequence\":%u}",
-            e->port, i);
+        char *body = fleet_heartbeat(e->port, 8, "ready", i);
         reply_free(fleet_call(fleet_control(e->fleet, 0)->ip,
                               FLEET_CONTROL_PORT, "PUT", target, "", body,
                               1000));
