Voters say why they have no leader

The users' logs could not tell a set of voters that counts instances which are gone from a refused folder or refused votes. A refusal carries the last entry of the voter that refuses, so that the candidate knows the reason; an older release ignores these fields. A learner clears a leader that fell silent as a voter does; it went on to name it, and to redirect operators to it, for good.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -479,6 +479,7 @@
             members_repair(log, now);
         }
     }
+    leaderless_report(log, now);
     process_ready(log);
 }
 
--- a/carobloomd/control/config_log_state.h
+++ b/carobloomd/control/config_log_state.h
@@ -4,7 +4,8 @@
  * log_state.c            the replicated state machine
  * config_log.c           startup, the Raft core and its disk, the task
  * config_log_messages.c  messages to and from the owner
- * config_log_members.c   voters: admits new ones, removes dead ones */
+ * config_log_members.c   voters: admits new ones, removes dead ones
+ * config_log_report.c    why there is no leader */
 #ifndef CAROBLOOMD_CONTROL_CONFIG_LOG_STATE_H
 #define CAROBLOOMD_CONTROL_CONFIG_LOG_STATE_H
 
@@ -49,6 +50,8 @@
     /* a disk write failed; the log is reopened at `retry_us` */
     gboolean failed;
     gint64 retry_us;
+    gint64 leader_seen_us;      /* when a leader was known last */
+    gint64 reported_us;         /* last report that none is */
     config_view_message_t view; /* as last sent to the owner */
 };
 
@@ -75,4 +78,9 @@
 void members_handle_envelope(config_log_t *log,
                              const config_envelope_message_t *m);
 
+/* config_log_report.c */
+/* Logs, while no leader is known, which voters count, which of them answered
+ * and when, and why no quorum came together. Called periodically. */
+void leaderless_report(config_log_t *log, gint64 now_us);
+
 #endif
--- a/include/carobloom/policy/voter.h
+++ b/include/carobloom/policy/voter.h
@@ -66,7 +66,8 @@
     guint64 term;
     /* (Pre-)vote: the candidate's last entry. Append: the entry before
      * `entries`. Append reply: the last entry that matches, or after which the
-     * leader should retry. Snapshot: the last entry it covers. */
+     * leader should retry. Snapshot: the last entry it covers. Reply to a
+     * (pre-)vote: the last entry of the voter that replies. */
     guint64 index;
     guint64 log_term; /* term of the entry at `index` */
     guint64 commit_index;
@@ -121,6 +122,15 @@
 
 typedef struct voter voter_t;
 
+/* What a member answered to this voter's last request for a vote. */
+typedef enum {
+    BALLOT_NONE, /* not asked, or no answer yet */
+    BALLOT_GRANTED,
+    BALLOT_NEWER_TERM, /* refused: it is in a newer term */
+    BALLOT_NEWER_LOG,  /* refused: this voter's log lacks entries */
+    BALLOT_HAS_LEADER, /* refused: it heard from a leader, or has voted */
+} ballot_t;
+
 /* Starts from the durable state; `entries` are those after the snapshot and
  * may be NULL. */
 voter_t *voter_create(const voter_settings_t *settings,
@@ -174,6 +184,10 @@
 /* The last entry known to be replicated on `member`; 0 when this voter is not
  * the leader. */
 guint64 voter_match_index(const voter_t *voter, guint64 member);
+/* The answer of `member` to the last request for votes or pre-votes. */
+ballot_t voter_ballot(const voter_t *voter, guint64 member);
+/* The number of voting members that make up a quorum. */
+guint voter_quorum(const voter_t *voter);
 /* The member with this id, or NULL. */
 const voter_member_t *voter_config_find(const voter_config_t *config,
                                         guint64 id);
--- a/policy/voter.c
+++ b/policy/voter.c
@@ -386,7 +386,7 @@
     v->durable_index = replica_log_last_index(&v->log);
     v->commit_index = snapshot->index;
     v->applied_index = snapshot->index;
-    v->votes = g_hash_table_new(NULL, NULL);
+    v->ballots = g_hash_table_new(NULL, NULL);
     v->outbox = g_ptr_array_new_with_free_func(message_free);
     v->now_us = now_us;
     /* This voter may have acknowledged a leader just before it restarted, so
@@ -408,7 +408,7 @@
     g_rand_free(v->rand);
     replica_log_clear(&v->log);
     g_clear_pointer(&v->snapshot.data, g_bytes_unref);
-    g_hash_table_unref(v->votes);
+    g_hash_table_unref(v->ballots);
     g_ptr_array_unref(v->outbox);
     g_free(v);
 }
--- a/policy/voter_election.c
+++ b/policy/voter_election.c
@@ -1,9 +1,23 @@
 #include "voter_state.h"
 
+ballot_t
+voter_ballot(const voter_t *v, guint64 member)
+{
+    return GPOINTER_TO_INT(
+        g_hash_table_lookup(v->ballots, (gconstpointer)member));
+}
+
+static void
+set_ballot(voter_t *v, guint64 member, ballot_t ballot)
+{
+    g_hash_table_insert(v->ballots, (gpointer)member, GINT_TO_POINTER(ballot));
+}
+
 static void
 request_votes(voter_t *v, gboolean pre)
 {
-    g_hash_table_remove_all(v->votes);
+    g_hash_table_remove_all(v->ballots);
+    v->asked_term = pre ? v->hard.term + 1 : v->hard.term;
     for (guint i = 0; i < v->config.count; i++) {
         const voter_member_t *member = &v->config.members[i];
         if (member->learner || member->id == v->settings.id) {
@@ -37,12 +51,12 @@
 voter_start_prevote(voter_t *v)
 {
     voter_reset_election_timer(v);
+    v->leader = 0;
     if (!voter_is_voting_member(v, v->settings.id)) {
         return;
     }
     v->role = ROLE_CANDIDATE;
     v->in_prevote = TRUE;
-    v->leader = 0;
     request_votes(v, TRUE);
     record_vote(v, v->settings.id);
 }
@@ -67,12 +81,12 @@
 static void
 record_vote(voter_t *v, guint64 from)
 {
-    g_hash_table_add(v->votes, (gpointer)from);
+    set_ballot(v, from, BALLOT_GRANTED);
     guint granted = 0;
     for (guint i = 0; i < v->config.count; i++) {
         const voter_member_t *member = &v->config.members[i];
-        granted += !member->learner &&
-                   g_hash_table_contains(v->votes, (gpointer)member->id);
+        granted +=
+            !member->learner && voter_ballot(v, member->id) == BALLOT_GRANTED;
     }
     if (granted < voter_quorum(v)) {
         return;
@@ -87,7 +101,8 @@
 
 /* ---- requests and replies of others ---- */
 
-/* Whether the candidate's log is at least as up to date as this one. */
+/* Whether the log that ends as `m` says is at least as up to date as this
+ * one. */
 static gboolean
 log_up_to_date(const voter_t *v, const voter_message_t *m)
 {
@@ -103,13 +118,21 @@
            v->now_us - v->leader_contact_us < v->settings.election_timeout_us;
 }
 
+static voter_message_t *
+enqueue_reply(voter_t *v, voter_message_kind_t kind, guint64 to)
+{
+    voter_message_t *reply = voter_enqueue_message(v, kind, to);
+    reply->index = replica_log_last_index(&v->log);
+    reply->log_term = replica_log_last_term(&v->log);
+    return reply;
+}
+
 void
 voter_handle_prevote(voter_t *v, const voter_message_t *m)
 {
     gboolean holds_lease =
         v->role == ROLE_LEADER && v->now_us < v->lease_end_us;
-    voter_message_t *reply =
-        voter_enqueue_message(v, VOTER_PREVOTE_REPLY, m->from);
+    voter_message_t *reply = enqueue_reply(v, VOTER_PREVOTE_REPLY, m->from);
     reply->granted = m->term > v->hard.term && log_up_to_date(v, m) &&
                      !voter_has_recent_leader(v) && !holds_lease;
     reply->term = reply->granted ? m->term : v->hard.term;
@@ -132,16 +155,31 @@
     if (grant) {
         voter_reset_election_timer(v);
     }
-    voter_message_t *reply =
-        voter_enqueue_message(v, VOTER_VOTE_REPLY, m->from);
+    voter_message_t *reply = enqueue_reply(v, VOTER_VOTE_REPLY, m->from);
     reply->granted = grant;
 }
 
+/* Why the sender of `m` refused its vote. */
+static ballot_t
+refusal(const voter_t *v, const voter_message_t *m)
+{
+    guint64 last_term = replica_log_last_term(&v->log);
+    if (m->log_term > last_term ||
+        (m->log_term == last_term &&
+         m->index > replica_log_last_index(&v->log))) {
+        return BALLOT_NEWER_LOG;
+    }
+    return m->term > v->asked_term ? BALLOT_NEWER_TERM : BALLOT_HAS_LEADER;
+}
+
 void
 voter_handle_vote_reply(voter_t *v, const voter_message_t *m)
 {
     gboolean pre = m->kind == VOTER_PREVOTE_REPLY;
     guint64 expected = pre ? v->hard.term + 1 : v->hard.term;
+    if (!m->granted && voter_is_voting_member(v, m->from)) {
+        set_ballot(v, m->from, refusal(v, m));
+    }
     if (v->role == ROLE_CANDIDATE && v->in_prevote == pre && m->granted &&
         m->term == expected) {
         record_vote(v, m->from);
--- a/policy/voter_state.h
+++ b/policy/voter_state.h
@@ -43,7 +43,8 @@
     gint64 quorum_contact_us; /* send time that a quorum acknowledged last */
     gint64 lease_end_us;
     guint64 term_start_index; /* index of the leader's no-op entry */
-    GHashTable *votes;        /* ids of members that granted their vote */
+    guint64 asked_term;       /* of the last request for votes */
+    GHashTable *ballots;      /* member id -> ballot_t, of this election */
     progress_t progress[VOTER_MEMBERS_MAX];
     guint progress_count;
     GPtrArray *outbox;
@@ -60,8 +61,6 @@
 /* Follows `leader`, 0 for none, and adopts `term` if it is higher. */
 void voter_become_follower(voter_t *v, guint64 term, guint64 leader);
 gboolean voter_is_voting_member(const voter_t *v, guint64 id);
-/* The number of voting members that make up a quorum. */
-guint voter_quorum(const voter_t *v);
 /* Sets the membership in force: the last in the log, committed or not, or else
  * the snapshot's. */
 void voter_config_refresh(voter_t *v);
