Test: the configuration is read back after replacements and a closing fault

Real processes: five control instances, some replaced in one of 13 ways (one by one, two at once, planned, lost before they vote, with disks lost, a freeze, seeds down or stale), then a change is acknowledged, all are killed at once, one disk is lost in most cases, all start again. Each one has to give the newest version within 12 s, and none an older one.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -27,9 +27,9 @@
 write_settings(const fleet_t *f, const fleet_process_t *p)
 {
     GString *seeds = g_string_new(NULL);
-    for (guint i = 0; i < MIN(f->controls, 3); i++) {
+    for (guint i = 0; i < FLEET_SEEDS && f->seeds[i] != NULL; i++) {
         g_string_append_printf(seeds, "%s\"%s:%d\"", i > 0 ? "," : "",
-                               f->processes[i].ip, FLEET_CONTROL_PORT);
+                               f->seeds[i]->ip, FLEET_CONTROL_PORT);
     }
     gboolean entry = p->role == FLEET_ENTRY;
     char *duties =
@@ -126,6 +126,9 @@
     }
     f->controls = controls;
     f->entries = entries;
+    for (guint i = 0; i < MIN(controls, FLEET_SEEDS); i++) {
+        f->seeds[i] = &f->processes[i];
+    }
     return f;
 }
 
@@ -716,9 +719,12 @@
 {
     gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
     for (guint i = first; g_get_monotonic_time() < until; i++) {
-        reply_t *reply =
-            fleet_call(f->processes[i % f->controls].ip, FLEET_CONTROL_PORT,
-                       "PUT", "/api/config", "", text, 1000);
+        const fleet_process_t *p = &f->processes[i % f->count];
+        if (p->role != FLEET_CONTROL) {
+            continue;
+        }
+        reply_t *reply = fleet_call(p->ip, FLEET_CONTROL_PORT, "PUT",
+                                    "/api/config", "", text, 1000);
         char *ip = redirect_ip(reply);
         if (ip != NULL) {
             reply_free(reply);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -8,6 +8,7 @@
 
 enum {
     FLEET_PROCESSES_MAX = 64,
+    FLEET_SEEDS = 3,
     FLEET_WAIT_MS =
         20000, /* for what takes a second or two when all is well */
     FLEET_REVOKE_MS = 3000,
@@ -33,7 +34,9 @@
     FLEET_PLATFORM,
 } fleet_role_t;
 
-typedef struct {
+typedef struct fleet_process fleet_process_t;
+
+struct fleet_process {
     fleet_role_t role;
     char *name;
     char *ip;   /* that the others use */
@@ -49,7 +52,7 @@
     guint starts;
     char *id; /* that an endpoint goes by; NULL: a new one each start */
     const char *service; /* that an endpoint is of; NULL: "a" */
-} fleet_process_t;
+};
 
 typedef struct {
     char *folder;
@@ -64,6 +67,9 @@
     guint memory_mb;           /* the same */
     guint retry_slack;         /* the same */
     fleet_process_t *platform; /* NULL: it asks for no duties */
+    /* Named in the settings of each instance that starts from now on; the
+     * first control instances unless changed. */
+    const fleet_process_t *seeds[FLEET_SEEDS];
 } fleet_t;
 
 /* What came back. */
--- /dev/null
+++ b/tests/test_replacements.c
@@ -0,0 +1,533 @@
+/* Tests, with real processes, that the newest acknowledged configuration is
+ * read back at every control instance after control instances were replaced,
+ * in any order, and a fault then took all processes and one disk. */
+#include <signal.h>
+
+#include "check.h"
+#include "fleet.h"
+
+enum {
+    CONTROLS = 5,
+    STEPS_MAX = 8,
+    CASES_AT_ONCE = 5,
+    /* By then a replacement counts like the one before it. */
+    CATCH_UP_MS = 4000,
+    READ_BACK_MS = 12000,
+    AWAY_MS = 1000, /* of all processes, in the fault */
+    FREEZE_MS = 4000,
+};
+
+typedef enum {
+    STEP_END,
+    STEP_LEADER_OFF_SEEDS, /* planned restarts until no seed leads */
+    STEP_REPLACE_SEED,     /* one that was a seed at the start */
+    STEP_REPLACE_LEADER,
+    STEP_REPLACE_OTHER,   /* the newest one that does not lead */
+    STEP_REPLACE_TWO,     /* both end before the new ones start */
+    STEP_REPLACE_PLANNED, /* SIGTERM */
+    STEP_NEWCOMER_LOST,   /* one is replaced, and its successor before it votes
+                           */
+    STEP_NEWCOMER_WIPED,  /* one is replaced, its successor loses its disk */
+    STEP_ONE_AWAY,        /* one ends and is not replaced */
+    STEP_FREEZE_LEADER,   /* SIGSTOP, SIGCONT */
+    STEP_WIPE_ONE,        /* it starts again with an empty disk */
+    STEP_LOSE_SEEDS,      /* one that is no seed; its successor finds the seeds
+                             down at first */
+} step_t;
+
+typedef enum {
+    WIPE_LEADER, /* the one that acknowledged */
+    WIPE_FIRST,  /* the oldest other one */
+    WIPE_NEWEST,
+    WIPE_NONE,
+} wipe_t;
+
+typedef struct {
+    const char *name;
+    step_t steps[STEPS_MAX];
+    wipe_t wipe;
+    gboolean stale_seeds; /* the settings go on to name the first seeds */
+    gboolean at_once;     /* the fault comes in the middle of the last step */
+} replacement_case_t;
+
+static const replacement_case_t REPLACEMENT_CASES[] = {
+    {"the leader is none of the seeds of the one that comes",
+     {STEP_LEADER_OFF_SEEDS, STEP_REPLACE_OTHER},
+     WIPE_LEADER},
+    {"the same twice",
+     {STEP_LEADER_OFF_SEEDS, STEP_REPLACE_OTHER, STEP_REPLACE_OTHER},
+     WIPE_LEADER},
+    {"all seeds are replaced, the settings are not",
+     {STEP_REPLACE_SEED, STEP_REPLACE_SEED, STEP_REPLACE_SEED},
+     WIPE_LEADER,
+     .stale_seeds = TRUE},
+    {"all are replaced in turn",
+     {STEP_REPLACE_LEADER, STEP_REPLACE_LEADER, STEP_REPLACE_LEADER,
+      STEP_REPLACE_LEADER, STEP_REPLACE_LEADER},
+     WIPE_LEADER},
+    {"two are replaced at once", {STEP_REPLACE_TWO}, WIPE_LEADER},
+    {"two are replaced at once, twice",
+     {STEP_REPLACE_TWO, STEP_REPLACE_TWO},
+     WIPE_FIRST},
+    {"one is away while another is replaced",
+     {STEP_ONE_AWAY, STEP_REPLACE_OTHER, STEP_REPLACE_OTHER},
+     WIPE_LEADER},
+    {"planned replacements",
+     {STEP_REPLACE_PLANNED, STEP_REPLACE_PLANNED, STEP_REPLACE_PLANNED},
+     WIPE_FIRST},
+    {"the newcomers are lost before they vote",
+     {STEP_NEWCOMER_LOST, STEP_NEWCOMER_LOST, STEP_NEWCOMER_LOST},
+     WIPE_LEADER},
+    {"the newcomers lose their disks",
+     {STEP_NEWCOMER_WIPED, STEP_NEWCOMER_WIPED},
+     WIPE_NEWEST},
+    {"a replacement, a freeze and a lost disk",
+     {STEP_REPLACE_LEADER, STEP_FREEZE_LEADER, STEP_WIPE_ONE},
+     WIPE_NEWEST},
+    {"the seeds are down as the successor starts",
+     {STEP_LOSE_SEEDS},
+     WIPE_LEADER},
+    {"the fault comes in the middle of a replacement",
+     {STEP_LEADER_OFF_SEEDS, STEP_REPLACE_LEADER, STEP_REPLACE_OTHER},
+     WIPE_NONE,
+     .at_once = TRUE},
+};
+
+typedef struct {
+    const replacement_case_t *test;
+    fleet_t *fleet;
+    GPtrArray *controls; /* fleet_process_t *, the oldest first */
+    guint64 version;     /* the newest one acknowledged */
+    GString *failures;
+} play_t;
+
+static play_t plays[G_N_ELEMENTS(REPLACEMENT_CASES)];
+
+/* ---- the control instances ---- */
+
+static gboolean
+is_leader(const fleet_process_t *p)
+{
+    if (!fleet_is_running(p)) {
+        return FALSE;
+    }
+    reply_t *reply = fleet_call(p->ip, FLEET_CONTROL_PORT, "GET",
+                                "/api/config", "", "", 1000);
+    gboolean leads = reply->status == 200;
+    reply_free(reply);
+    return leads;
+}
+
+/* NULL when none leads in time. */
+static fleet_process_t *
+find_leader(play_t *play)
+{
+    gint64 until = g_get_monotonic_time() + READ_BACK_MS * 1000;
+    while (g_get_monotonic_time() < until) {
+        for (guint i = 0; i < play->controls->len; i++) {
+            if (is_leader(play->controls->pdata[i])) {
+                return play->controls->pdata[i];
+            }
+        }
+        fleet_sleep(50);
+    }
+    g_string_append(play->failures, "no leader before the fault; ");
+    return NULL;
+}
+
+/* One that does not lead: the oldest or the newest. */
+static fleet_process_t *
+find_other(play_t *play, gboolean newest)
+{
+    const fleet_process_t *leader = find_leader(play);
+    guint count = play->controls->len;
+    for (guint i = 0; i < count; i++) {
+        fleet_process_t *p = play->controls->pdata[newest ? count - 1 - i : i];
+        if (p != leader && fleet_is_running(p)) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
+static gboolean
+is_seed(const fleet_t *f, const fleet_process_t *p)
+{
+    for (guint i = 0; i < FLEET_SEEDS; i++) {
+        if (f->seeds[i] == p) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* As an operator's list: three that run, none of them the leader where that
+ * can be. */
+static void
+seeds_renew(play_t *play)
+{
+    const fleet_process_t *leader = find_leader(play);
+    guint count = 0;
+    for (guint i = 0; i < play->controls->len && count < FLEET_SEEDS; i++) {
+        const fleet_process_t *p = play->controls->pdata[i];
+        if (p != leader && fleet_is_running(p)) {
+            play->fleet->seeds[count++] = p;
+        }
+    }
+}
+
+static fleet_process_t *
+start_new(play_t *play)
+{
+    if (!play->test->stale_seeds) {
+        seeds_renew(play);
+    }
+    fleet_process_t *p = fleet_add(play->fleet, FLEET_CONTROL);
+    g_ptr_array_add(play->controls, p);
+    fleet_start(play->fleet, p);
+    return p;
+}
+
+static void
+end_for_good(play_t *play, fleet_process_t *p)
+{
+    if (p != NULL) {
+        fleet_kill(p);
+        g_ptr_array_remove(play->controls, p);
+    }
+}
+
+static void
+change(play_t *play)
+{
+    char *text = fleet_config(play->version + 1, NULL);
+    if (fleet_put(play->fleet, text, 0) == 200) {
+        play->version++;
+    }
+    else {
+        g_string_append(play->failures, "a change was not acknowledged; ");
+    }
+    g_free(text);
+}
+
+/* ---- steps ---- */
+
+static void
+leader_off_seeds(play_t *play)
+{
+    fleet_process_t *leader;
+    for (guint i = 0; i < 20; i++) {
+        leader = find_leader(play);
+        if (leader == NULL || !is_seed(play->fleet, leader)) {
+            return;
+        }
+        fleet_signal(leader, SIGSTOP);
+        fleet_sleep(2500);
+        fleet_signal(leader, SIGCONT);
+        fleet_sleep(500);
+    }
+    g_string_append(play->failures, "a seed leads; ");
+}
+
+static void
+replace(play_t *play, fleet_process_t *p)
+{
+    end_for_good(play, p);
+    fleet_sleep(300);
+    start_new(play);
+}
+
+static void
+replace_two(play_t *play)
+{
+    end_for_good(play, find_other(play, FALSE));
+    end_for_good(play, find_other(play, FALSE));
+    fleet_sleep(300);
+    start_new(play);
+    start_new(play);
+}
+
+static void
+replace_planned(play_t *play)
+{
+    fleet_process_t *leader = find_leader(play);
+    if (leader != NULL) {
+        start_new(play);
+        fleet_signal(leader, SIGTERM);
+        fleet_sleep(2000);
+        end_for_good(play, leader);
+    }
+}
+
+static void
+replace_seed(play_t *play)
+{
+    for (guint i = 0; i < FLEET_SEEDS; i++) {
+        fleet_process_t *seed = &play->fleet->processes[i];
+        if (fleet_is_running(seed)) {
+            /* Planned: the new one comes first. */
+            start_new(play);
+            fleet_sleep(1000);
+            end_for_good(play, seed);
+            return;
+        }
+    }
+}
+
+static void
+newcomer_lost(play_t *play)
+{
+    replace(play, find_other(play, FALSE));
+    fleet_sleep(400);
+    replace(play, play->controls->pdata[play->controls->len - 1]);
+}
+
+static void
+newcomer_wiped(play_t *play)
+{
+    replace(play, find_other(play, FALSE));
+    for (guint i = 0; i < 2; i++) {
+        fleet_sleep(600);
+        fleet_process_t *p = play->controls->pdata[play->controls->len - 1];
+        fleet_kill(p);
+        fleet_lose_disk(p);
+        fleet_start(play->fleet, p);
+    }
+}
+
+static void
+freeze_leader(play_t *play)
+{
+    fleet_process_t *leader = find_leader(play);
+    if (leader != NULL) {
+        fleet_signal(leader, SIGSTOP);
+        fleet_sleep(FREEZE_MS);
+        fleet_signal(leader, SIGCONT);
+    }
+}
+
+static void
+wipe_one(play_t *play)
+{
+    fleet_process_t *p = find_other(play, FALSE);
+    if (p != NULL) {
+        fleet_kill(p);
+        fleet_lose_disk(p);
+        fleet_start(play->fleet, p);
+    }
+}
+
+static void
+lose_seeds(play_t *play)
+{
+    for (guint i = 0; i < FLEET_SEEDS; i++) {
+        fleet_signal(&play->fleet->processes[i], SIGSTOP);
+    }
+    end_for_good(play, &play->fleet->processes[CONTROLS - 1]);
+    fleet_process_t *p = fleet_add(play->fleet, FLEET_CONTROL);
+    g_ptr_array_add(play->controls, p);
+    fleet_start(play->fleet, p);
+    fleet_sleep(FREEZE_MS);
+    for (guint i = 0; i < FLEET_SEEDS; i++) {
+        fleet_signal(&play->fleet->processes[i], SIGCONT);
+    }
+}
+
+static void
+step(play_t *play, step_t step)
+{
+    switch (step) {
+    case STEP_END:
+        break;
+    case STEP_LEADER_OFF_SEEDS:
+        leader_off_seeds(play);
+        break;
+    case STEP_REPLACE_SEED:
+        replace_seed(play);
+        break;
+    case STEP_REPLACE_LEADER:
+        replace(play, find_leader(play));
+        break;
+    case STEP_REPLACE_OTHER:
+        replace(play, find_other(play, TRUE));
+        break;
+    case STEP_REPLACE_TWO:
+        replace_two(play);
+        break;
+    case STEP_REPLACE_PLANNED:
+        replace_planned(play);
+        break;
+    case STEP_NEWCOMER_LOST:
+        newcomer_lost(play);
+        break;
+    case STEP_NEWCOMER_WIPED:
+        newcomer_wiped(play);
+        break;
+    case STEP_ONE_AWAY:
+        end_for_good(play, find_other(play, FALSE));
+        break;
+    case STEP_FREEZE_LEADER:
+        freeze_leader(play);
+        break;
+    case STEP_WIPE_ONE:
+        wipe_one(play);
+        break;
+    case STEP_LOSE_SEEDS:
+        lose_seeds(play);
+        break;
+    }
+}
+
+/* ---- the fault ---- */
+
+static fleet_process_t *
+to_wipe(play_t *play, fleet_process_t *leader)
+{
+    switch (play->test->wipe) {
+    case WIPE_LEADER:
+        return leader;
+    case WIPE_FIRST:
+        for (guint i = 0; i < play->controls->len; i++) {
+            if (play->controls->pdata[i] != leader) {
+                return play->controls->pdata[i];
+            }
+        }
+        return NULL;
+    case WIPE_NEWEST:
+        return play->controls->pdata[play->controls->len - 1];
+    case WIPE_NONE:
+        break;
+    }
+    return NULL;
+}
+
+/* Ends all processes right after a change was acknowledged. */
+static void
+fault(play_t *play)
+{
+    fleet_t *f = play->fleet;
+    fleet_process_t *leader = find_leader(play);
+    change(play);
+    for (guint i = 0; i < f->count; i++) {
+        if (fleet_is_running(&f->processes[i])) {
+            fleet_signal(&f->processes[i], SIGKILL);
+        }
+    }
+    for (guint i = 0; i < f->count; i++) {
+        fleet_kill(&f->processes[i]);
+    }
+    fleet_process_t *wiped = to_wipe(play, leader);
+    if (wiped != NULL) {
+        fleet_lose_disk(wiped);
+    }
+    fleet_sleep(AWAY_MS);
+    for (guint i = 0; i < play->controls->len; i++) {
+        fleet_start(f, play->controls->pdata[i]);
+    }
+}
+
+/* Each control instance gives the newest version in time, and none an older
+ * one. */
+static void
+read_back(play_t *play)
+{
+    gint64 started = g_get_monotonic_time();
+    guint missing = play->controls->len;
+    gboolean *has = g_new0(gboolean, missing);
+    while (missing > 0 &&
+           g_get_monotonic_time() - started < READ_BACK_MS * 1000) {
+        for (guint i = 0; i < play->controls->len; i++) {
+            fleet_process_t *p = play->controls->pdata[i];
+            guint64 version = has[i] ? 0 : fleet_get(p);
+            if (version != 0 && version < play->version) {
+                g_string_append_printf(play->failures, "%s gives %u; ",
+                                       p->name, (guint)version);
+            }
+            if (!has[i] && version >= play->version) {
+                has[i] = TRUE;
+                missing--;
+            }
+        }
+        fleet_sleep(50);
+    }
+    for (guint i = 0; i < play->controls->len; i++) {
+        const fleet_process_t *p = play->controls->pdata[i];
+        if (!has[i]) {
+            g_string_append_printf(play->failures, "%s gives none; ", p->name);
+        }
+    }
+    g_free(has);
+}
+
+static void
+run_case(gpointer data, gpointer user)
+{
+    play_t *play = data;
+    (void)user;
+    play->failures = g_string_new("");
+    play->controls = g_ptr_array_new();
+    play->fleet = fleet_create(CONTROLS, 0, 0);
+    for (guint i = 0; i < CONTROLS; i++) {
+        g_ptr_array_add(play->controls, fleet_control(play->fleet, i));
+    }
+    if (!fleet_up(play->fleet, ++play->version)) {
+        g_string_append(play->failures, "not up; ");
+    }
+    fleet_sleep(CATCH_UP_MS);
+    const step_t *steps = play->test->steps;
+    for (guint i = 0; steps[i] != STEP_END; i++) {
+        step(play, steps[i]);
+        if (steps[i + 1] != STEP_END || !play->test->at_once) {
+            fleet_sleep(CATCH_UP_MS);
+        }
+    }
+    fault(play);
+    read_back(play);
+    fleet_destroy(play->fleet);
+    g_ptr_array_unref(play->controls);
+}
+
+static void
+run_cases(void)
+{
+    static gboolean done;
+    const char *only = g_getenv("TEST_ONLY");
+    if (done) {
+        return;
+    }
+    done = TRUE;
+    GThreadPool *pool =
+        g_thread_pool_new(run_case, NULL, CASES_AT_ONCE, FALSE, NULL);
+    for (gsize i = 0; i < G_N_ELEMENTS(REPLACEMENT_CASES); i++) {
+        plays[i].test = &REPLACEMENT_CASES[i];
+        if (only == NULL || g_str_equal(only, REPLACEMENT_CASES[i].name)) {
+            g_thread_pool_push(pool, &plays[i], NULL);
+        }
+    }
+    g_thread_pool_free(pool, FALSE, TRUE);
+}
+
+static void
+test_case(void)
+{
+    run_cases();
+    const char *name = CU_get_current_test()->pName;
+    play_t *play = plays;
+    while (!g_str_equal(play->test->name, name)) {
+        play++;
+    }
+    printf("%s", play->failures->str);
+    CU_ASSERT_EQUAL(play->failures->len, 0);
+    g_string_free(play->failures, TRUE);
+}
+
+int
+main(void)
+{
+    test_case_t cases[G_N_ELEMENTS(REPLACEMENT_CASES)];
+    for (gsize i = 0; i < G_N_ELEMENTS(REPLACEMENT_CASES); i++) {
+        cases[i] =
+            (test_case_t){.name = REPLACEMENT_CASES[i].name, .run = test_case};
+    }
+    return check_run("replacements", cases, G_N_ELEMENTS(cases));
+}
