An instance that joins learns the members from whoever it asks

What callers saw: no configuration after a fault, all control instances at 503. Cause: only the leader admits an instance, and one that came asked its seeds and whoever had written to it. Seeds that follow neither passed the request on nor answered, so an instance whose seeds did not include the leader never became a voter. The set of voters kept the one that was gone; one more lost disk left no majority. Class: finding the one who decides rests on an address list that nobody keeps up to date.

Now whoever is not the leader answers such a request with the members it knows; the new instance asks all of these too (names expire 10 s after they were told last). One that is no member itself passes on what it was told.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -168,6 +168,8 @@
     log->pending = g_array_new(FALSE, FALSE, sizeof(pending_commit_t));
     log->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, voter_peer_free);
+    log->contacts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     log->seeds = g_ptr_array_new_with_free_func(g_free);
     for (int i = 0; settings->seeds[i] != NULL; i++) {
         char *colon = strrchr(settings->seeds[i], ':');
@@ -191,6 +193,7 @@
     log_state_clear(&log->state);
     g_array_unref(log->pending);
     g_hash_table_unref(log->peers);
+    g_hash_table_unref(log->contacts);
     g_ptr_array_unref(log->seeds);
     g_free(log->self);
     g_free(log);
--- a/carobloomd/control/config_log_members.c
+++ b/carobloomd/control/config_log_members.c
@@ -17,6 +17,9 @@
      * a second, well within HELLO_MAX_AGE_US. */
     HELLO_FAST_COUNT = 40,
     HELLO_SLOW_INTERVAL = 4,
+    /* Members of which nobody has told for longer may be gone. */
+    CONTACT_MAX_AGE_US = 10000 * MS,
+    CONTACTS_MAX = 4 * VOTER_MEMBERS_MAX,
 };
 
 /* Adds HELLO_PEERS_MAX of the known control instances, in rotation: when
@@ -38,6 +41,78 @@
     }
 }
 
+static gboolean
+contact_expired(gpointer name, gpointer told_us, gpointer now_us)
+{
+    (void)name;
+    return *(gint64 *)now_us - *(gint64 *)told_us > CONTACT_MAX_AGE_US;
+}
+
+static void
+add_contacts(config_log_t *log, GHashTable *names)
+{
+    GHashTableIter iter;
+    gpointer name;
+    gint64 now = clock_boot_us();
+    g_hash_table_foreach_remove(log->contacts, contact_expired, &now);
+    g_hash_table_iter_init(&iter, log->contacts);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        g_hash_table_add(names, name);
+    }
+}
+
+/* Takes the names that another instance knows as members. */
+static void
+contacts_learn(config_log_t *log, const voter_config_t *config)
+{
+    gint64 now = clock_boot_us();
+    for (guint i = 0; i < config->count; i++) {
+        const char *name = config->members[i].name;
+        if (g_hash_table_contains(log->contacts, name) ||
+            g_hash_table_size(log->contacts) < CONTACTS_MAX) {
+            g_hash_table_replace(log->contacts, g_strdup(name),
+                                 g_memdup2(&now, sizeof(now)));
+        }
+    }
+}
+
+/* What this instance knows of the membership: its own, or what it was told
+ * while it is no member. */
+static voter_config_t
+known_members(const config_log_t *log)
+{
+    voter_config_t config = *voter_config(log->core);
+    GHashTableIter iter;
+    gpointer name;
+    if (config.count > 0) {
+        return config;
+    }
+    g_hash_table_iter_init(&iter, log->contacts);
+    while (config.count < VOTER_MEMBERS_MAX &&
+           g_hash_table_iter_next(&iter, &name, NULL)) {
+        g_strlcpy(config.members[config.count++].name, name,
+                  sizeof(config.members[0].name));
+    }
+    return config;
+}
+
+/* Only the leader admits an instance, and the instance may have no address of
+ * the leader among its own. */
+static void
+send_members(config_log_t *log, const voter_peer_t *to)
+{
+    voter_message_t answer = {
+        .kind = VOTER_MEMBERSHIP,
+        .from = log->id,
+        .to = to->id,
+        .term = voter_term(log->core),
+        .config = known_members(log),
+    };
+    GBytes *bytes = voter_message_write(&answer);
+    config_log_send(log, to->name, bytes);
+    g_bytes_unref(bytes);
+}
+
 void
 members_send_hello(config_log_t *log)
 {
@@ -61,6 +136,7 @@
     for (guint i = 0; i < config->count; i++) {
         g_hash_table_add(names, (gpointer)config->members[i].name);
     }
+    add_contacts(log, names);
     add_peers(log, names);
     g_hash_table_iter_init(&iter, names);
     while (g_hash_table_iter_next(&iter, &name, NULL)) {
@@ -149,6 +225,12 @@
         length > 0 ? voter_message_read(envelope.message) : NULL;
     if (length == 0) {
         peer->wants_membership = TRUE;
+        if (voter_role(log->core) != ROLE_LEADER) {
+            send_members(log, peer);
+        }
+    }
+    if (message != NULL && message->kind == VOTER_MEMBERSHIP) {
+        contacts_learn(log, &message->config);
     }
     if (message != NULL) {
         voter_step(log->core, message, clock_boot_us());
--- a/carobloomd/control/config_log_state.h
+++ b/carobloomd/control/config_log_state.h
@@ -40,6 +40,8 @@
     log_state_t state; /* committed and applied */
     GArray *pending;   /* pending_commit_t */
     GHashTable *peers; /* name -> voter_peer_t */
+    /* Members of which other instances told: name -> time in us. */
+    GHashTable *contacts;
     GPtrArray *seeds;  /* names of the founders */
     gint64 last_hello_us;
     /* hello intervals since this voter was last a member with a known
--- a/include/carobloom/policy/voter.h
+++ b/include/carobloom/policy/voter.h
@@ -55,6 +55,7 @@
     VOTER_APPEND,
     VOTER_APPEND_REPLY,
     VOTER_SNAPSHOT,
+    VOTER_MEMBERSHIP, /* tells an instance that asks to join whom to ask */
     VOTER_MESSAGE_KIND_COUNT,
 } voter_message_kind_t;
 
@@ -74,7 +75,7 @@
     guint64 send_time_us;  /* leader's clock; echoed, and extends the lease */
     gboolean granted;      /* the vote is granted, or the append matches */
     GPtrArray *entries;    /* log_entry_t *, owned; may be NULL */
-    voter_config_t config; /* membership in the snapshot */
+    voter_config_t config; /* membership, in the snapshot or as known here */
     GBytes *snapshot;
 } voter_message_t;
 
--- a/policy/voter.c
+++ b/policy/voter.c
@@ -134,8 +134,8 @@
 voter_step(voter_t *v, const voter_message_t *m, gint64 now_us)
 {
     v->now_us = MAX(v->now_us, now_us);
-    if (m->to != v->settings.id) {
-        return; /* for a previous identity of this voter */
+    if (m->to != v->settings.id || m->kind == VOTER_MEMBERSHIP) {
+        return; /* for a previous identity of this voter, or its owner */
     }
     gboolean is_vote_request =
         m->kind == VOTER_PREVOTE || m->kind == VOTER_VOTE;
@@ -170,6 +170,7 @@
     case VOTER_SNAPSHOT:
         voter_handle_snapshot(v, m);
         break;
+    case VOTER_MEMBERSHIP:
     case VOTER_MESSAGE_KIND_COUNT:
         break;
     }
