Dead voters are removed however many they are

What callers saw: the same 503 of all control instances. Cause: a dead voter was removed only if it was the only silent member, all others had been heard within 1.6 s and the members, learners included, were even in number. Two replacements at once, or a newcomer lost before it voted, left dead members for good; each newcomer raised the quorum until it could not be reached, at the latest with the next lost disk. Class: a repair that waits for a state without any other trouble.

How long a member is silent counts from its last answer to this leader, not from any message, and never from before the leader's election: a voter that was never heard counted as dead at once.

--- a/carobloomd/control/config_log_members.c
+++ b/carobloomd/control/config_log_members.c
@@ -17,6 +17,7 @@
      * a second, well within HELLO_MAX_AGE_US. */
     HELLO_FAST_COUNT = 40,
     HELLO_SLOW_INTERVAL = 4,
+    VOTERS_MIN = 3,
     /* Members of which nobody has told for longer may be gone. */
     CONTACT_MAX_AGE_US = 10000 * MS,
     CONTACTS_MAX = 4 * VOTER_MEMBERS_MAX,
@@ -147,8 +148,8 @@
     g_hash_table_unref(names);
 }
 
-/* Time since the last message of a member; G_MAXINT64 if none was received,
- * 0 for this voter itself. */
+/* Time since a member last answered; 0 for this voter itself, G_MAXINT64 for
+ * one that lost its disk: its address goes by another identity. */
 static gint64
 silence_us(const config_log_t *log, const voter_member_t *member, gint64 now)
 {
@@ -156,8 +157,10 @@
     if (member->id == log->id) {
         return 0;
     }
-    return peer != NULL && peer->id == member->id ? now - peer->received_us
-                                                  : G_MAXINT64;
+    if (peer != NULL && peer->id != member->id) {
+        return G_MAXINT64;
+    }
+    return now - voter_contact_us(log->core, member->id);
 }
 
 static void
@@ -168,7 +171,10 @@
     for (guint i = 0; i < config.count; i++) {
         silent_us[i] = silence_us(log, &config.members[i], now);
     }
-    guint64 dead = voter_repair_remove_dead(log->core, silent_us, now);
+    guint voters_min =
+        MAX(VOTERS_MIN, 2 * (guint)log->settings->disk_losses + 1);
+    guint64 dead =
+        voter_repair_remove_dead(log->core, silent_us, voters_min, now);
     const voter_member_t *member = voter_config_find(&config, dead);
     if (member != NULL && event_log_begin(EVENT_STATE, "voter_removed")) {
         event_log_cstr("name", member->name);
--- a/include/carobloom/gateway/settings.h
+++ b/include/carobloom/gateway/settings.h
@@ -31,6 +31,7 @@
     gboolean founding;        /* the whole site starts for the first time */
     gint64 peers_port;        /* the same on all instances */
     char **seeds;             /* IP:PORT of control listeners */
+    gint64 disk_losses;       /* of control instances at once, to be borne */
     double memory_mb;
     double descriptors;
     double heartbeat_ms; /* interval between heartbeats of endpoints */
--- a/include/carobloom/policy/voter.h
+++ b/include/carobloom/policy/voter.h
@@ -185,6 +185,9 @@
 /* The last entry known to be replicated on `member`; 0 when this voter is not
  * the leader. */
 guint64 voter_match_index(const voter_t *voter, guint64 member);
+/* When `member` answered this leader last; for one that has not yet, when this
+ * voter began to lead or the member was added. */
+gint64 voter_contact_us(const voter_t *voter, guint64 member);
 /* The answer of `member` to the last request for votes or pre-votes. */
 ballot_t voter_ballot(const voter_t *voter, guint64 member);
 /* The number of voting members that make up a quorum. */
--- a/include/carobloom/policy/voter_repair.h
+++ b/include/carobloom/policy/voter_repair.h
@@ -18,14 +18,14 @@
 /* Takes the next step, on the leader, for the member `id` named `name`. */
 repair_state_t voter_repair_step(voter_t *voter, const char *name, guint64 id,
                                  gint64 now_us);
-/* Removes a dead member, on the leader, because it still counts towards the
- * quorum. `silent_us` holds the time since the last contact with each member
- * of voter_config. A member is removed only if the membership is even, as
- * after its replacement joined, and all others are in contact. A member that
- * was removed by mistake rejoins by itself. Returns the id of the removed
+/* Removes a dead member, on the leader: a learner, or a voter that still
+ * counts towards the quorum, if that lets the others form one with fewer.
+ * `silent_us` holds the time since the last contact with each member of
+ * voter_config. `voters_min` voters at least are kept, dead or not. A member
+ * that was removed by mistake rejoins by itself. Returns the id of the removed
  * member, or 0. */
 guint64 voter_repair_remove_dead(voter_t *voter, const gint64 *silent_us,
-                                 gint64 now_us);
+                                 guint voters_min, gint64 now_us);
 /* Removes a member; returns FALSE when there is none with this id. */
 gboolean voter_config_remove(voter_config_t *config, guint64 id);
 
--- a/policy/voter.c
+++ b/policy/voter.c
@@ -475,13 +475,27 @@
            v->applied_index >= v->term_start_index;
 }
 
-guint64
-voter_match_index(const voter_t *v, guint64 member)
+static const progress_t *
+progress_of(const voter_t *v, guint64 member)
 {
-    for (guint i = 0; i < v->progress_count; i++) {
-        if (v->role == ROLE_LEADER && v->progress[i].id == member) {
-            return v->progress[i].match_index;
+    for (guint i = 0; v->role == ROLE_LEADER && i < v->progress_count; i++) {
+        if (v->progress[i].id == member) {
+            return &v->progress[i];
         }
     }
-    return 0;
+    return NULL;
+}
+
+guint64
+voter_match_index(const voter_t *v, guint64 member)
+{
+    const progress_t *progress = progress_of(v, member);
+    return progress != NULL ? progress->match_index : 0;
+}
+
+gint64
+voter_contact_us(const voter_t *v, guint64 member)
+{
+    const progress_t *progress = progress_of(v, member);
+    return progress != NULL ? progress->contact_us : 0;
 }
--- a/policy/voter_repair.c
+++ b/policy/voter_repair.c
@@ -6,12 +6,10 @@
     /* A member without contact for this many election timeouts (0.8 s each in
      * the gateway) counts as dead. After 4 s the platform assumes that the
      * replacement of a member has caught up, and may take the disk of the next
-     * machine. The dead member must be removed before that: while it is one of
-     * four members, the quorum is three, so no other member may fail. */
+     * machine. */
     DEAD_ELECTION_TIMEOUTS = 4,
-    /* All other members must have made contact within this time. */
+    /* A member that made contact within this time can commit a change. */
     RECENT_ELECTION_TIMEOUTS = 2,
-    VOTERS_MIN = 3,
 };
 
 gboolean
@@ -75,34 +73,64 @@
     return result == VOTER_OK ? REPAIR_PROPOSED : REPAIR_PENDING;
 }
 
+/* How the members fare, by the time since their last contact. */
+typedef struct {
+    guint voters;
+    guint dead_voters;
+    guint recent_voters;
+    guint64 dead_voter;   /* id, 0 for none */
+    guint64 dead_learner; /* the same */
+} census_t;
+
+static census_t
+census_take(const voter_t *voter, const gint64 *silent_us)
+{
+    const voter_config_t *config = voter_config(voter);
+    gint64 election_timeout_us = voter_election_timeout_us(voter);
+    census_t census = {0};
+    for (guint i = 0; i < config->count; i++) {
+        const voter_member_t *member = &config->members[i];
+        gboolean dead =
+            silent_us[i] > DEAD_ELECTION_TIMEOUTS * election_timeout_us;
+        gboolean recent =
+            silent_us[i] <= RECENT_ELECTION_TIMEOUTS * election_timeout_us;
+        if (member->learner) {
+            census.dead_learner = dead ? member->id : census.dead_learner;
+            continue;
+        }
+        census.voters++;
+        census.recent_voters += recent;
+        census.dead_voters += dead;
+        census.dead_voter = dead ? member->id : census.dead_voter;
+    }
+    return census;
+}
+
+/* Whether removing dead voters lowers the quorum: at once if their number is
+ * even, else with the second one. Until then a dead voter does no harm, and
+ * may come back with its disk. */
+static gboolean
+removal_helps(const census_t *census, guint voters_min)
+{
+    guint removals = census->voters % 2 == 0 ? 1 : 2;
+    guint quorum_after = (census->voters - 1) / 2 + 1;
+    return census->dead_voters >= removals &&
+           census->voters >= voters_min + removals &&
+           census->recent_voters >= quorum_after;
+}
+
 guint64
 voter_repair_remove_dead(voter_t *voter, const gint64 *silent_us,
-                         gint64 now_us)
+                         guint voters_min, gint64 now_us)
 {
     voter_config_t config = *voter_config(voter);
-    gint64 election_timeout_us = voter_election_timeout_us(voter);
-    guint64 dead_id = 0;
-    if (voter_config_pending(voter) || config.count <= VOTERS_MIN ||
-        config.count % 2 == 1) {
-        return 0;
-    }
-    for (guint i = 0; i < config.count; i++) {
-        if (silent_us[i] > DEAD_ELECTION_TIMEOUTS * election_timeout_us &&
-            dead_id != 0) {
-            return 0;
-        }
-        if (silent_us[i] > DEAD_ELECTION_TIMEOUTS * election_timeout_us) {
-            dead_id = config.members[i].id;
-        }
-        else if (silent_us[i] >
-                 RECENT_ELECTION_TIMEOUTS * election_timeout_us) {
-            return 0;
-        }
+    census_t census = census_take(voter, silent_us);
+    guint64 dead = census.dead_learner;
+    if (dead == 0 && removal_helps(&census, voters_min)) {
+        dead = census.dead_voter;
     }
-    if (dead_id == 0) {
+    if (dead == 0 || !voter_config_remove(&config, dead)) {
         return 0;
     }
-    voter_config_remove(&config, dead_id);
-    return voter_propose_config(voter, &config, now_us) == VOTER_OK ? dead_id
-                                                                    : 0;
+    return voter_propose_config(voter, &config, now_us) == VOTER_OK ? dead : 0;
 }
--- a/tests/test_voter.c
+++ b/tests/test_voter.c
@@ -39,6 +39,7 @@
     CALLS_MAX = 64,
     WORLD_START_US = 1000000,
     MACHINES_MAX = 26,
+    VOTERS_MIN = 3,
 };
 
 /* What one voter made durable. */
@@ -601,7 +602,8 @@
             }
         }
     }
-    voter_repair_remove_dead(leader->voter, silent_us, clock_of(w, leader));
+    voter_repair_remove_dead(leader->voter, silent_us, VOTERS_MIN,
+                             clock_of(w, leader));
 }
 
 static void
