--- a/carobloomd/process/log_store.c
+++ b/carobloomd/process/log_store.c
@@ -323,29 +323,82 @@
 
 /* Takes a frame's entries; those it repeats from an index on are replaced. */
 static gboolean
-take_frame(store_state_t *state, GBytes *body)
+take_frame(GPtrArray *entries, GBytes *body)
 {
     GPtrArray *fresh = g_ptr_array_new();
     gboolean ok = frame_entries(body, fresh) && fresh->len > 0;
-    for (guint i = 0; ok && i < fresh->len; i++) {
+    for (guint i = 0; i < fresh->len; i++) {
         log_entry_t *entry = fresh->pdata[i];
-        guint64 base = state->snapshot.index;
-        if (entry->index <= base) {
+        const log_entry_t *first =
+            entries->len > 0 ? entries->pdata[0] : entry;
+        guint64 place = entry->index - first->index;
+        if (!ok || entry->index < first->index || place > entries->len) {
+            ok = FALSE; /* a gap */
             log_entry_free(entry);
             continue;
         }
-        guint64 place = entry->index - base - 1;
-        if (place > state->entries->len) {
-            ok = FALSE; /* a gap */
-            break;
-        }
-        g_ptr_array_set_size(state->entries, (gint)place);
-        g_ptr_array_add(state->entries, entry);
+        g_ptr_array_set_size(entries, (gint)place);
+        g_ptr_array_add(entries, entry);
     }
     g_ptr_array_unref(fresh);
     return ok;
 }
 
+/* Leaves the entries after the snapshot. A log that has another entry where
+ * the snapshot ends is the one that the snapshot replaced: power was lost
+ * before the log was rewritten, and nothing of it holds. Returns FALSE where
+ * entries are missing in between. */
+static gboolean
+entries_follow_snapshot(store_state_t *state, gboolean *replaced)
+{
+    const voter_snapshot_t *snapshot = &state->snapshot;
+    GPtrArray *entries = state->entries;
+    const log_entry_t *first = entries->len > 0 ? entries->pdata[0] : NULL;
+    *replaced = FALSE;
+    if (first == NULL || first->index == snapshot->index + 1) {
+        return TRUE;
+    }
+    if (first->index > snapshot->index) {
+        return FALSE;
+    }
+    guint64 covered = snapshot->index - first->index + 1;
+    const log_entry_t *last =
+        covered <= entries->len ? entries->pdata[covered - 1] : NULL;
+    *replaced = last == NULL || last->term != snapshot->term;
+    g_ptr_array_remove_range(entries, 0,
+                             *replaced ? entries->len : (guint)covered);
+    return TRUE;
+}
+
+/* Reads the frames of the log file; `at` gets where the good ones end. */
+static int
+frames_load(store_state_t *state, const char *path, const char *data,
+            gsize length, gsize *at, char **why)
+{
+    while (*at < length) {
+        gsize size = frame_at(data, length, *at);
+        if (size == 0 && good_frame_after(data, length, *at)) {
+            *why = g_strdup_printf("%s: damaged at byte %zu of %zu", path, *at,
+                                   length);
+            return STORE_ERROR_DAMAGED;
+        }
+        if (size == 0) {
+            return STORE_OK;
+        }
+        GBytes *body =
+            g_bytes_new(data + *at + FRAME_HEADER, size - FRAME_HEADER);
+        gboolean taken = take_frame(state->entries, body);
+        g_bytes_unref(body);
+        if (!taken) {
+            *why = g_strdup_printf("%s: entries do not follow at byte %zu",
+                                   path, *at);
+            return STORE_ERROR_DAMAGED;
+        }
+        *at += size;
+    }
+    return STORE_OK;
+}
+
 static int
 log_load(log_store_t *s, store_state_t *state, char **why)
 {
@@ -353,33 +406,22 @@
     char *data = NULL;
     gsize length = 0;
     gsize at = 0;
+    gboolean replaced = FALSE;
     int result = STORE_OK;
     if (g_file_test(path, G_FILE_TEST_EXISTS) &&
         !g_file_get_contents(path, &data, &length, NULL)) {
         result = fail(why, STORE_ERROR_OPEN, path);
     }
-    while (result == STORE_OK && at < length) {
-        gsize size = frame_at(data, length, at);
-        if (size == 0) {
-            if (good_frame_after(data, length, at)) {
-                *why = g_strdup_printf("%s: damaged at byte %zu of %zu", path,
-                                       at, length);
-                result = STORE_ERROR_DAMAGED;
-            }
-            break;
-        }
-        GBytes *body =
-            g_bytes_new(data + at + FRAME_HEADER, size - FRAME_HEADER);
-        if (!take_frame(state, body)) {
-            *why = g_strdup_printf("%s: entries do not follow at byte %zu",
-                                   path, at);
-            result = STORE_ERROR_DAMAGED;
-        }
-        g_bytes_unref(body);
-        at += size;
+    if (result == STORE_OK) {
+        result = frames_load(state, path, data, length, &at, why);
+    }
+    if (result == STORE_OK && !entries_follow_snapshot(state, &replaced)) {
+        *why = g_strdup_printf("%s: entries do not follow the snapshot", path);
+        result = STORE_ERROR_DAMAGED;
     }
     if (result == STORE_OK) {
         state->empty = state->empty && state->entries->len == 0;
+        at = replaced ? 0 : at;
         state->cut_bytes = length - at;
         s->log_bytes = at;
         s->log_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
@@ -457,7 +499,8 @@
         return result;
     }
     /* The old log is harmless beside the new snapshot: what it holds up to
-     * there is skipped. A crash before the rename loses nothing. */
+     * there is skipped, and all of it if its last entry there is another one
+     * than the snapshot's. A crash before the rename loses nothing. */
     char *path = path_of(s, "log");
     char *fresh = g_strconcat(path, ".new", NULL);
     int old = s->log_fd;
--- a/tests/faulty_system.c
+++ b/tests/faulty_system.c
@@ -9,6 +9,9 @@
  * CAROBLOOM_CUT_PORT names: "-" nothing, "refused", or an IP:PORT that they go
  * to instead, where nobody accepts them.
  *
+ * What was synced below the folder that CAROBLOOM_DISK names is recorded, so
+ * that a loss of power can be played (disk_loss.h).
+ *
  * Connections come from the address that CAROBLOOM_SOURCE names, so that a
  * proxy can tell the processes of one machine apart. */
 #include <arpa/inet.h>
@@ -26,6 +29,7 @@
 #include "carobloom/common/clock.h"
 #include "carobloom/common/disk.h"
 #include "carobloom/http/stream_socket.h"
+#include "disk_loss.h"
 
 enum { SLICE_US = 10 * 1000 }; /* a stall that is over ends within it */
 
@@ -77,14 +81,18 @@
 disk_sync(int fd)
 {
     wait_for_disk();
-    return fsync(fd);
+    int result = fsync(fd);
+    disk_loss_record(fd);
+    return result;
 }
 
 int
 disk_sync_data(int fd)
 {
     wait_for_disk();
-    return fdatasync(fd);
+    int result = fdatasync(fd);
+    disk_loss_record(fd);
+    return result;
 }
 
 static void
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet.h"
+#include "disk_loss.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -92,8 +93,8 @@
 
 /* In memory: the disks' faults are those that a test asks for, not those of
  * the machine's own. */
-static char *
-create_folder(void)
+char *
+fleet_folder_create(void)
 {
     char *folder = g_strdup("/dev/shm/carobloom-fleet-XXXXXX");
     if (g_mkdtemp(folder) != NULL) {
@@ -113,7 +114,7 @@
     f->crash_memory_s = 600;
     f->memory_mb = 256;
     f->retry_slack = 500;
-    f->folder = create_folder();
+    f->folder = fleet_folder_create();
     f->net = (guint)getpid() * 7 + made++;
     for (guint i = 0; i < controls; i++) {
         fleet_add(f, FLEET_CONTROL)->founding = TRUE;
@@ -201,6 +202,12 @@
     sigprocmask(SIG_BLOCK, &held, NULL);
 }
 
+static char *
+data_path(const fleet_process_t *p)
+{
+    return g_build_filename(p->folder, "data", NULL);
+}
+
 static GSubprocess *
 spawn(const fleet_process_t *p, const char *const *argv)
 {
@@ -216,6 +223,11 @@
     char *cut_port = g_strdup_printf("%d", FLEET_ENDPOINT_PORT);
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_FAULTS", faults, TRUE);
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_SOURCE", p->bind, TRUE);
+    if (p->records_disk) {
+        char *data = data_path(p);
+        g_subprocess_launcher_setenv(launcher, "CAROBLOOM_DISK", data, TRUE);
+        g_free(data);
+    }
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_CUT_PORT", cut_port,
                                  TRUE);
     g_subprocess_launcher_set_child_setup(launcher, hold_hangups, NULL, NULL);
@@ -311,7 +323,9 @@
     }
     write_settings(f, p);
     char *settings = g_build_filename(p->folder, "settings.jsonc", NULL);
-    const char *program = f->proxied ? CAROBLOOMD_FAULTY : CAROBLOOMD;
+    p->records_disk = f->faulty_disks && p->role == FLEET_CONTROL;
+    const char *program =
+        f->proxied || f->faulty_disks ? CAROBLOOMD_FAULTY : CAROBLOOMD;
     const char *argv[] = {program, "--settings", settings, NULL};
     p->process = spawn(p, argv);
     p->founding = FALSE;
@@ -393,14 +407,14 @@
     return code;
 }
 
-static void
-remove_tree(const char *path)
+void
+fleet_folder_remove(const char *path)
 {
     GDir *dir = g_dir_open(path, 0, NULL);
     const char *name;
     while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
         char *inner = g_build_filename(path, name, NULL);
-        remove_tree(inner);
+        fleet_folder_remove(inner);
         g_free(inner);
     }
     g_clear_pointer(&dir, g_dir_close);
@@ -410,8 +424,19 @@
 void
 fleet_lose_disk(fleet_process_t *p)
 {
-    char *data = g_build_filename(p->folder, "data", NULL);
-    remove_tree(data);
+    char *data = data_path(p);
+    char *synced = g_strconcat(data, ".synced", NULL);
+    fleet_folder_remove(data);
+    fleet_folder_remove(synced);
+    g_free(synced);
+    g_free(data);
+}
+
+void
+fleet_lose_power(const fleet_process_t *p, GRand *rand)
+{
+    char *data = data_path(p);
+    disk_loss_apply(data, rand);
     g_free(data);
 }
 
@@ -436,7 +461,7 @@
         g_free(p->id);
     }
     if (!keep) {
-        remove_tree(f->folder);
+        fleet_folder_remove(f->folder);
     }
     else {
         printf("kept %s\n", f->folder);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -43,12 +43,13 @@
     char *bind; /* that it listens at; the same unless proxied */
     char *folder;
     char *log;
-    GSubprocess *process; /* NULL while down */
-    gboolean founding;    /* as its next start is told */
-    gint64 ahead_us;      /* its machine's clock, see faulty_system.c */
-    gint64 sync_us;       /* that a sync of its disk takes */
-    const char *connects; /* what its new connections to endpoints meet; NULL:
-                             nothing, see faulty_system.c */
+    GSubprocess *process;  /* NULL while down */
+    gboolean founding;     /* as its next start is told */
+    gint64 ahead_us;       /* its machine's clock, see faulty_system.c */
+    gint64 sync_us;        /* that a sync of its disk takes */
+    const char *connects;  /* what its new connections to endpoints meet; NULL:
+                              nothing, see faulty_system.c */
+    gboolean records_disk; /* what it synced, for a loss of power */
     guint starts;
     char *id; /* that an endpoint goes by; NULL: a new one each start */
     const char *service; /* that an endpoint is of; NULL: "a" */
@@ -66,6 +67,7 @@
     guint crash_memory_s;      /* of the instances' settings */
     guint memory_mb;           /* the same */
     guint retry_slack;         /* the same */
+    gboolean faulty_disks;     /* fleet_lose_power may be used */
     fleet_process_t *platform; /* NULL: it asks for no duties */
     /* Named in the settings of each instance that starts from now on; the
      * first control instances unless changed. */
@@ -119,8 +121,11 @@
 /* The exit code; -1 when it does not end in time or was killed. */
 int fleet_wait_exit(fleet_process_t *process);
 void fleet_lose_disk(fleet_process_t *process);
-/* Puts `ahead_us`, `sync_us` and `connects` in force; of a proxied fleet
- * only. */
+/* What its disk holds after a loss of power: to be called once it was killed,
+ * in a fleet with `faulty_disks`. */
+void fleet_lose_power(const fleet_process_t *process, GRand *rand);
+/* Puts `ahead_us`, `sync_us` and `connects` in force; of a proxied fleet, or
+ * one with `faulty_disks`, only. */
 void fleet_set_faults(const fleet_process_t *process);
 /* From now on the process can write no file beyond `bytes`. FALSE when it has
  * ended. */
@@ -207,5 +212,9 @@
  * G_MAXUINT64 when the instance does not answer. */
 guint64 fleet_counter(const fleet_process_t *process, const char *name);
 void fleet_sleep(int ms);
+/* A new folder in memory, freed with g_free; and its removal with all in it.
+ */
+char *fleet_folder_create(void);
+void fleet_folder_remove(const char *path);
 
 #endif
