A voter whose folder can not be used goes on, and joins anew if it is damaged

Now a damaged folder is set aside (NAME.damaged, event voter_folder_set_aside, counter voter_folders_set_aside_total) and the voter joins under a new identity, as after a lost disk; it never founds then. An instance still ends where there can be no such folder. A file that can't be read no longer counts as damaged. A folder that was just made is synced into its parent.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -77,10 +77,10 @@
         member->id = founder_id(member->name);
         founder |= strcmp(member->name, log->self) == 0;
     }
-    return founder && log->settings->founding;
+    return founder && log->settings->founding && !log->set_aside;
 }
 
-static gboolean
+static int
 start_empty(config_log_t *log)
 {
     replica_log_t empty_log;
@@ -112,27 +112,60 @@
     replica_log_clear(&empty_log);
     g_bytes_unref(state.snapshot.data);
     g_free(why);
-    return result == STORE_OK;
+    return result;
 }
 
-static gboolean
-log_open(config_log_t *log)
+static void
+log_folder_fault(config_log_t *log, const char *event, const char *why)
 {
-    store_state_t state;
+    if (g_strcmp0(log->folder_fault, why) != 0 &&
+        event_log_begin(EVENT_STATE, event)) {
+        event_log_cstr("why", why);
+        event_log_end();
+    }
+    g_free(log->folder_fault);
+    log->folder_fault = g_strdup(why);
+}
+
+/* Opens the folder; one that is damaged counts as a lost disk. */
+static int
+folder_open(config_log_t *log, store_state_t *state)
+{
+    const char *folder = log->settings->data_folder;
     char *why = NULL;
-    if (log_store_open(log->settings->data_folder, &log->store, &state,
-                       &why) != STORE_OK) {
-        if (event_log_begin(EVENT_STATE, "voter_folder_failed")) {
-            event_log_cstr("why", why);
-            event_log_end();
+    int result = log_store_open(folder, &log->store, state, &why);
+    if (result == STORE_ERROR_DAMAGED) {
+        log_folder_fault(log, "voter_folder_set_aside", why);
+        counter_add(counter_get("voter_folders_set_aside_total", NULL, FALSE),
+                    1);
+        g_clear_pointer(&why, g_free);
+        log->set_aside = TRUE;
+        result = log_store_set_aside(folder, &why);
+        if (result == STORE_OK) {
+            result = log_store_open(folder, &log->store, state, &why);
         }
-        g_free(why);
-        return FALSE;
+    }
+    if (result != STORE_OK) {
+        log_folder_fault(log, "voter_folder_failed", why);
+    }
+    else {
+        g_clear_pointer(&log->folder_fault, g_free);
+    }
+    g_free(why);
+    return result;
+}
+
+static int
+log_open(config_log_t *log)
+{
+    store_state_t state;
+    int result = folder_open(log, &state);
+    if (result != STORE_OK) {
+        return result;
     }
     log->id = state.id;
-    gboolean succeeded = TRUE;
     if (state.empty) {
-        succeeded = start_empty(log);
+        result = start_empty(log);
     }
     else {
         core_start(log, &state);
@@ -145,7 +178,11 @@
         }
     }
     store_state_clear(&state);
-    return succeeded;
+    if (result != STORE_OK) {
+        g_clear_pointer(&log->core, voter_destroy);
+        g_clear_pointer(&log->store, log_store_close);
+    }
+    return result;
 }
 
 static void
@@ -178,10 +215,12 @@
                         g_strdup_printf("%.*s:%d", host, settings->seeds[i],
                                         (int)settings->peers_port));
     }
-    if (!log_open(log)) {
+    int result = log_open(log);
+    if (result == STORE_ERROR_OPEN) {
         config_log_destroy(log);
         return NULL;
     }
+    log->failed = result != STORE_OK;
     return log;
 }
 
@@ -195,6 +234,7 @@
     g_hash_table_unref(log->peers);
     g_hash_table_unref(log->contacts);
     g_ptr_array_unref(log->seeds);
+    g_free(log->folder_fault);
     g_free(log->self);
     g_free(log);
 }
@@ -452,6 +492,35 @@
     g_bytes_unref(command);
 }
 
+static void
+log_local_state_failure(const char *event, char *why)
+{
+    if (event_log_begin(EVENT_STATE, event)) {
+        event_log_cstr("why", why);
+        event_log_end();
+    }
+    g_free(why);
+}
+
+/* Tells the owner once what it stored beside the log. */
+static void
+publish_local_state(config_log_t *log)
+{
+    char *why = NULL;
+    GBytes *bytes;
+    if (log->store == NULL || log->local_state_published) {
+        return;
+    }
+    log->local_state_published = TRUE;
+    if (log_store_kept(log->store, &bytes, &why) != STORE_OK) {
+        log_local_state_failure("kept_read_failed", why);
+    }
+    else if (bytes != NULL) {
+        task_send(log->owner,
+                  config_bytes_message(CONFIG_LOG_LOCAL_STATE, bytes));
+    }
+}
+
 /* Restarts the voter from the disk, as after a crash: after a failed write
  * only the disk shows what is durable. */
 static void
@@ -459,8 +528,9 @@
 {
     g_clear_pointer(&log->core, voter_destroy);
     g_clear_pointer(&log->store, log_store_close);
-    log->failed = !log_open(log);
+    log->failed = log_open(log) != STORE_OK;
     log->retry_us = clock_boot_us() + DISK_RETRY_INTERVAL_US;
+    publish_local_state(log);
 }
 
 static void
@@ -486,16 +556,6 @@
     process_ready(log);
 }
 
-static void
-log_local_state_failure(const char *event, char *why)
-{
-    if (event_log_begin(EVENT_STATE, event)) {
-        event_log_cstr("why", why);
-        event_log_end();
-    }
-    g_free(why);
-}
-
 static void
 handle_save_local(config_log_t *log, const config_bytes_message_t *m)
 {
@@ -509,20 +569,6 @@
     }
 }
 
-static void
-publish_local_state(config_log_t *log)
-{
-    char *why = NULL;
-    GBytes *bytes;
-    if (log_store_kept(log->store, &bytes, &why) != STORE_OK) {
-        log_local_state_failure("kept_read_failed", why);
-    }
-    else if (bytes != NULL) {
-        task_send(log->owner,
-                  config_bytes_message(CONFIG_LOG_LOCAL_STATE, bytes));
-    }
-}
-
 void
 config_log_begin(void *state)
 {
--- a/carobloomd/control/config_log_state.h
+++ b/carobloomd/control/config_log_state.h
@@ -42,13 +42,16 @@
     GHashTable *peers; /* name -> voter_peer_t */
     /* Members of which other instances told: name -> time in us. */
     GHashTable *contacts;
-    GPtrArray *seeds;  /* names of the founders */
+    GPtrArray *seeds; /* names of the founders */
     gint64 last_hello_us;
     /* hello intervals since this voter was last a member with a known
      * leader */
     guint hello_count;
     voter_role_t role;
     gboolean is_founder; /* started with an empty disk as a founder */
+    gboolean set_aside;  /* the folder was damaged and counts as lost */
+    gboolean local_state_published;
+    char *folder_fault; /* why the folder could not be used, as last logged */
     /* a disk write failed; the log is reopened at `retry_us` */
     gboolean failed;
     gint64 retry_us;
--- a/carobloomd/process/log_store.c
+++ b/carobloomd/process/log_store.c
@@ -111,9 +111,13 @@
         g_free(path);
         return STORE_OK;
     }
+    if (!g_file_get_contents(path, &data, &length, NULL)) {
+        int error = fail(why, STORE_ERROR_READ, path);
+        g_free(path);
+        return error;
+    }
     int result = STORE_ERROR_DAMAGED;
-    if (g_file_get_contents(path, &data, &length, NULL) &&
-        length >= FRAME_HEADER) {
+    if (length >= FRAME_HEADER) {
         frame_t frame;
         memcpy(&frame, data, sizeof(frame));
         frame_t wanted = frame_of(data + FRAME_HEADER, length - FRAME_HEADER);
@@ -410,7 +414,7 @@
     int result = STORE_OK;
     if (g_file_test(path, G_FILE_TEST_EXISTS) &&
         !g_file_get_contents(path, &data, &length, NULL)) {
-        result = fail(why, STORE_ERROR_OPEN, path);
+        result = fail(why, STORE_ERROR_READ, path);
     }
     if (result == STORE_OK) {
         result = frames_load(state, path, data, length, &at, why);
@@ -427,7 +431,7 @@
         s->log_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
         if (s->log_fd < 0 || ftruncate(s->log_fd, (off_t)at) != 0 ||
             disk_sync(s->log_fd) != 0 || disk_sync(s->folder_fd) != 0) {
-            result = fail(why, STORE_ERROR_OPEN, path);
+            result = fail(why, STORE_ERROR_WRITE, path);
         }
     }
     g_free(data);
@@ -533,6 +537,54 @@
 
 /* ---- life ---- */
 
+int
+log_store_set_aside(const char *folder, char **why)
+{
+    static const char *const NAMES[] = {"identity", "hard", "snapshot", "log"};
+    int folder_fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (folder_fd < 0) {
+        return fail(why, STORE_ERROR_OPEN, folder);
+    }
+    int result = STORE_OK;
+    for (gsize i = 0; i < G_N_ELEMENTS(NAMES) && result == STORE_OK; i++) {
+        char *path = g_build_filename(folder, NAMES[i], NULL);
+        char *aside = g_strconcat(path, ".damaged", NULL);
+        if (rename(path, aside) != 0 && errno != ENOENT) {
+            result = fail(why, STORE_ERROR_WRITE, path);
+        }
+        g_free(aside);
+        g_free(path);
+    }
+    if (result == STORE_OK && disk_sync(folder_fd) != 0) {
+        result = fail(why, STORE_ERROR_WRITE, folder);
+    }
+    close(folder_fd);
+    return result;
+}
+
+/* A folder that was just made is lost with the power unless its parent is
+ * synced. */
+static int
+folder_make(const char *folder, char **why)
+{
+    if (g_file_test(folder, G_FILE_TEST_IS_DIR)) {
+        return STORE_OK;
+    }
+    char *parent = g_path_get_dirname(folder);
+    int result = g_mkdir_with_parents(folder, 0700) == 0
+                     ? STORE_OK
+                     : fail(why, STORE_ERROR_OPEN, folder);
+    int fd = open(parent, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (result == STORE_OK && (fd < 0 || disk_sync(fd) != 0)) {
+        result = fail(why, STORE_ERROR_WRITE, parent);
+    }
+    if (fd >= 0) {
+        close(fd);
+    }
+    g_free(parent);
+    return result;
+}
+
 void
 store_state_clear(store_state_t *state)
 {
@@ -549,14 +601,15 @@
     s->log_fd = -1;
     *state = (store_state_t){
         .empty = TRUE, .entries = g_ptr_array_new_with_free_func(entry_free)};
-    int result = STORE_OK;
-    g_mkdir_with_parents(folder, 0700);
-    s->folder_fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (s->folder_fd < 0) {
+    int result = folder_make(folder, why);
+    s->folder_fd = result == STORE_OK
+                       ? open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC)
+                       : -1;
+    if (result == STORE_OK && s->folder_fd < 0) {
         result = fail(why, STORE_ERROR_OPEN, folder);
     }
-    else if (flock(s->folder_fd, LOCK_EX | LOCK_NB) != 0) {
-        result = fail(why, STORE_ERROR_OPEN, "another process uses it");
+    if (result == STORE_OK && flock(s->folder_fd, LOCK_EX | LOCK_NB) != 0) {
+        result = fail(why, STORE_ERROR_BUSY, "another process uses it");
     }
     if (result == STORE_OK) {
         result = identity_load(s, state, why);
--- a/include/carobloom/control/config_log.h
+++ b/include/carobloom/control/config_log.h
@@ -85,8 +85,9 @@
 
 typedef struct config_log config_log_t;
 
-/* Opens the log in the data folder. Logs the error and returns NULL when the
- * folder is unusable. */
+/* Opens the log in the data folder. Logs the error and returns NULL when there
+ * can be no such folder. One that is locked, or whose disk fails, is tried
+ * again and again. */
 config_log_t *config_log_create(const gateway_settings_t *settings,
                                 const char *self, task_t *owner);
 void config_log_destroy(config_log_t *log);
--- a/include/carobloom/process/log_store.h
+++ b/include/carobloom/process/log_store.h
@@ -2,8 +2,8 @@
  *
  * Each append is one checksummed frame. A torn last frame was never
  * acknowledged and is cut back; a damaged frame with a good one after it is
- * refused with its place. Everything is synced, file and folder, before a
- * call returns. */
+ * refused with its place, and the folder can then be set aside. Everything is
+ * synced, file and folder, before a call returns. */
 #ifndef CAROBLOOM_PROCESS_LOG_STORE_H
 #define CAROBLOOM_PROCESS_LOG_STORE_H
 
@@ -16,6 +16,8 @@
     STORE_ERROR_OPEN = -1,    /* the folder can not be used */
     STORE_ERROR_DAMAGED = -2, /* a file is damaged; the text says where */
     STORE_ERROR_WRITE = -3,   /* disk full, failed write or failed sync */
+    STORE_ERROR_READ = -4,    /* a file can not be read */
+    STORE_ERROR_BUSY = -5,    /* another process uses the folder */
 };
 
 typedef struct log_store log_store_t;
@@ -36,6 +38,9 @@
 int log_store_open(const char *folder, log_store_t **store,
                    store_state_t *state, char **why);
 void log_store_close(log_store_t *store);
+/* Renames the files of a damaged folder, so that it opens as an empty one.
+ * What was set aside before is replaced. */
+int log_store_set_aside(const char *folder, char **why);
 /* Replaces the identity of a folder that holds no state yet. */
 int log_store_set_id(log_store_t *store, guint64 id, char **why);
 int log_store_hard(log_store_t *store, const voter_hard_state_t *hard,
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "carobloom/http/reader.h"
+#include "disk_loss.h"
 
 const char FLEET_KEY[] = "sample-key";
 const char FLEET_OTHER_KEY[] = "other-key";
--- a/tests/test_replacements.c
+++ b/tests/test_replacements.c
@@ -1,7 +1,15 @@
 /* Tests, with real processes, that the newest acknowledged configuration is
  * read back at every control instance after control instances were replaced,
- * in any order, and a fault then took all processes and one disk. */
+ * in any order, and a fault then took all processes and one disk.
+ *
+ * REPLACEMENT_SEED draws other losses of power and other delays. */
+#include <fcntl.h>
+#include <glib/gstdio.h>
 #include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/file.h>
+#include <unistd.h>
 
 #include "check.h"
 #include "fleet.h"
@@ -31,6 +39,9 @@
     STEP_ONE_AWAY,        /* one ends and is not replaced */
     STEP_FREEZE_LEADER,   /* SIGSTOP, SIGCONT */
     STEP_WIPE_ONE,        /* it starts again with an empty disk */
+    STEP_POWER_LOSS,      /* of all, right after a change */
+    STEP_DAMAGE_ONE,      /* in the middle of its log, while it is down */
+    STEP_LOCK_ONE,        /* another process uses its folder as it starts */
     STEP_LOSE_SEEDS,      /* one that is no seed; its successor finds the seeds
                              down at first */
 } step_t;
@@ -48,6 +59,8 @@
     wipe_t wipe;
     gboolean stale_seeds; /* the settings go on to name the first seeds */
     gboolean at_once;     /* the fault comes in the middle of the last step */
+    gboolean power;       /* the fault is a loss of power, not a kill */
+    gboolean in_flight;   /* it comes shortly after a change was sent */
 } replacement_case_t;
 
 static const replacement_case_t REPLACEMENT_CASES[] = {
@@ -91,6 +104,24 @@
      {STEP_LEADER_OFF_SEEDS, STEP_REPLACE_LEADER, STEP_REPLACE_OTHER},
      WIPE_NONE,
      .at_once = TRUE},
+    {"power is lost everywhere, and one disk",
+     {STEP_REPLACE_OTHER, STEP_POWER_LOSS, STEP_POWER_LOSS},
+     WIPE_LEADER,
+     .power = TRUE},
+    {"power is lost while a change is on its way",
+     {STEP_POWER_LOSS, STEP_REPLACE_LEADER},
+     WIPE_FIRST,
+     .power = TRUE,
+     .in_flight = TRUE},
+    {"power is lost in the middle of a replacement",
+     {STEP_POWER_LOSS, STEP_REPLACE_LEADER},
+     WIPE_NONE,
+     .at_once = TRUE,
+     .power = TRUE},
+    {"a folder is damaged", {STEP_DAMAGE_ONE}, WIPE_LEADER},
+    {"a folder is in use as its instance starts",
+     {STEP_LOCK_ONE},
+     WIPE_LEADER},
 };
 
 typedef struct {
@@ -98,6 +129,8 @@
     fleet_t *fleet;
     GPtrArray *controls; /* fleet_process_t *, the oldest first */
     guint64 version;     /* the newest one acknowledged */
+    GRand *rand;
+    gint sent; /* atomic */
     GString *failures;
 } play_t;
 
@@ -333,6 +366,89 @@
     }
 }
 
+static void
+kill_all(play_t *play)
+{
+    fleet_t *f = play->fleet;
+    for (guint i = 0; i < f->count; i++) {
+        if (fleet_is_running(&f->processes[i])) {
+            fleet_signal(&f->processes[i], SIGKILL);
+        }
+    }
+    for (guint i = 0; i < f->count; i++) {
+        fleet_kill(&f->processes[i]);
+    }
+}
+
+static void
+start_all(play_t *play)
+{
+    for (guint i = 0; i < play->controls->len; i++) {
+        fleet_start(play->fleet, play->controls->pdata[i]);
+    }
+}
+
+static void
+lose_power(play_t *play, const fleet_process_t *wiped)
+{
+    for (guint i = 0; i < play->controls->len; i++) {
+        if (play->controls->pdata[i] != wiped) {
+            fleet_lose_power(play->controls->pdata[i], play->rand);
+        }
+    }
+}
+
+static void
+power_loss(play_t *play)
+{
+    change(play);
+    kill_all(play);
+    lose_power(play, NULL);
+    fleet_sleep(AWAY_MS);
+    start_all(play);
+}
+
+static void
+damage_one(play_t *play)
+{
+    fleet_process_t *p = find_other(play, FALSE);
+    if (p == NULL) {
+        return;
+    }
+    fleet_kill(p);
+    char *path = g_build_filename(p->folder, "data", "log", NULL);
+    FILE *file = fopen(path, "r+e");
+    if (file != NULL) {
+        fseek(file, 100, SEEK_SET);
+        fputc('X', file);
+        fclose(file);
+    }
+    g_free(path);
+    fleet_start(play->fleet, p);
+}
+
+static void
+lock_one(play_t *play)
+{
+    fleet_process_t *p = find_other(play, FALSE);
+    if (p == NULL) {
+        return;
+    }
+    fleet_kill(p);
+    char *path = g_build_filename(p->folder, "data", NULL);
+    int fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (flock(fd, LOCK_EX) != 0) {
+        g_string_append(play->failures, "not locked; ");
+    }
+    fleet_start(play->fleet, p);
+    fleet_sleep(2000);
+    if (!fleet_is_running(p)) {
+        g_string_append_printf(play->failures, "%s ended; ", p->name);
+    }
+    close(fd);
+    g_free(path);
+}
+
 static void
 step(play_t *play, step_t step)
 {
@@ -372,6 +488,15 @@
     case STEP_WIPE_ONE:
         wipe_one(play);
         break;
+    case STEP_POWER_LOSS:
+        power_loss(play);
+        break;
+    case STEP_DAMAGE_ONE:
+        damage_one(play);
+        break;
+    case STEP_LOCK_ONE:
+        lock_one(play);
+        break;
     case STEP_LOSE_SEEDS:
         lose_seeds(play);
         break;
@@ -401,29 +526,60 @@
     return NULL;
 }
 
-/* Ends all processes right after a change was acknowledged. */
+/* Sends a change to the leader; a thread's. */
+static gpointer
+send_change(gpointer data)
+{
+    play_t *play = data;
+    const fleet_process_t *leader = find_leader(play);
+    char *text = fleet_config(play->version + 1, NULL);
+    guint status = 0;
+    g_atomic_int_set(&play->sent, 1);
+    if (leader != NULL) {
+        reply_t *reply = fleet_call(leader->ip, FLEET_CONTROL_PORT, "PUT",
+                                    "/api/config", "", text, 1000);
+        status = reply->status;
+        reply_free(reply);
+    }
+    g_free(text);
+    return GUINT_TO_POINTER(status);
+}
+
+/* Ends all processes right after a change was acknowledged, or shortly after
+ * it was sent. */
 static void
-fault(play_t *play)
+end_all_at_a_change(play_t *play)
 {
-    fleet_t *f = play->fleet;
-    fleet_process_t *leader = find_leader(play);
-    change(play);
-    for (guint i = 0; i < f->count; i++) {
-        if (fleet_is_running(&f->processes[i])) {
-            fleet_signal(&f->processes[i], SIGKILL);
-        }
+    if (!play->test->in_flight) {
+        change(play);
+        kill_all(play);
+        return;
     }
-    for (guint i = 0; i < f->count; i++) {
-        fleet_kill(&f->processes[i]);
+    GThread *sender = g_thread_new("change", send_change, play);
+    while (!g_atomic_int_get(&play->sent)) {
+        g_usleep(100);
     }
+    fleet_sleep(g_rand_int_range(play->rand, 0, 40));
+    kill_all(play);
+    if (GPOINTER_TO_UINT(g_thread_join(sender)) == 200) {
+        play->version++;
+    }
+}
+
+static void
+fault(play_t *play)
+{
+    fleet_process_t *leader = find_leader(play);
+    end_all_at_a_change(play);
     fleet_process_t *wiped = to_wipe(play, leader);
     if (wiped != NULL) {
         fleet_lose_disk(wiped);
     }
-    fleet_sleep(AWAY_MS);
-    for (guint i = 0; i < play->controls->len; i++) {
-        fleet_start(f, play->controls->pdata[i]);
+    if (play->test->power) {
+        lose_power(play, wiped);
     }
+    fleet_sleep(AWAY_MS);
+    start_all(play);
 }
 
 /* Each control instance gives the newest version in time, and none an older
@@ -466,7 +622,11 @@
     (void)user;
     play->failures = g_string_new("");
     play->controls = g_ptr_array_new();
+    const char *seed = g_getenv("REPLACEMENT_SEED");
+    play->rand = g_rand_new_with_seed((guint32)(play - plays) +
+                                      (seed != NULL ? atoi(seed) : 0) * 100);
     play->fleet = fleet_create(CONTROLS, 0, 0);
+    play->fleet->faulty_disks = TRUE;
     for (guint i = 0; i < CONTROLS; i++) {
         g_ptr_array_add(play->controls, fleet_control(play->fleet, i));
     }
@@ -483,7 +643,9 @@
     }
     fault(play);
     read_back(play);
-    fleet_destroy(play->fleet);
+    fleet_destroy_keep(play->fleet, play->failures->len > 0 &&
+                                        g_getenv("KEEP_SITE") != NULL);
+    g_rand_free(play->rand);
     g_ptr_array_unref(play->controls);
 }
 
