Control instances take new seeds from changed settings

One that came while all its seeds were gone stayed at 503 though its settings had been renewed since.

Now the seeds of the settings in force are asked, from the next request to join on; who founds is still decided by those at startup. tests/test_replacements.c, "all seeds are gone until the settings change": did not join within 4 s on the code before, holds now.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -61,8 +61,8 @@
     return hash_text(str_from_cstr(name)) | 1;
 }
 
-/* Fills in the membership that founders start with. All founders have the
- * same seeds, so they need no coordination: each starts with the same
+/* Fills in the membership that founders start with. All founders start with
+ * the same seeds, so they need no coordination: each starts with the same
  * membership and derives its voter id from its address. An instance that joins
  * later, or lost its disk, creates a random id and is admitted by the leader.
  */
@@ -71,9 +71,9 @@
 {
     gboolean founder = FALSE;
     *config = (voter_config_t){0};
-    for (guint i = 0; i < log->seeds->len && i < VOTER_MEMBERS_MAX; i++) {
+    for (guint i = 0; i < log->founders->len && i < VOTER_MEMBERS_MAX; i++) {
         voter_member_t *member = &config->members[config->count++];
-        g_strlcpy(member->name, log->seeds->pdata[i], sizeof(member->name));
+        g_strlcpy(member->name, log->founders->pdata[i], sizeof(member->name));
         member->id = founder_id(member->name);
         founder |= strcmp(member->name, log->self) == 0;
     }
@@ -193,6 +193,20 @@
     g_free(peer);
 }
 
+/* The names of the voters behind these control listeners. */
+static GPtrArray *
+seed_names(char **seeds, gint64 peers_port)
+{
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    for (int i = 0; seeds[i] != NULL; i++) {
+        char *colon = strrchr(seeds[i], ':');
+        int host = (int)(colon != NULL ? colon - seeds[i] : 0);
+        g_ptr_array_add(names, g_strdup_printf("%.*s:%d", host, seeds[i],
+                                               (int)peers_port));
+    }
+    return names;
+}
+
 config_log_t *
 config_log_create(const gateway_settings_t *settings, const char *self,
                   task_t *owner)
@@ -207,14 +221,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, voter_peer_free);
     log->contacts =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    log->seeds = g_ptr_array_new_with_free_func(g_free);
-    for (int i = 0; settings->seeds[i] != NULL; i++) {
-        char *colon = strrchr(settings->seeds[i], ':');
-        int host = (int)(colon != NULL ? colon - settings->seeds[i] : 0);
-        g_ptr_array_add(log->seeds,
-                        g_strdup_printf("%.*s:%d", host, settings->seeds[i],
-                                        (int)settings->peers_port));
-    }
+    log->founders = seed_names(settings->seeds, settings->peers_port);
+    log->seeds = g_ptr_array_ref(log->founders);
     int result = log_open(log);
     if (result == STORE_ERROR_OPEN) {
         config_log_destroy(log);
@@ -233,6 +241,7 @@
     g_array_unref(log->pending);
     g_hash_table_unref(log->peers);
     g_hash_table_unref(log->contacts);
+    g_ptr_array_unref(log->founders);
     g_ptr_array_unref(log->seeds);
     g_free(log->folder_fault);
     g_free(log->self);
@@ -581,6 +590,14 @@
     on_tick(log);
 }
 
+static void
+handle_seeds(config_log_t *log, const config_seeds_message_t *m)
+{
+    g_ptr_array_unref(log->seeds);
+    log->seeds = seed_names(m->seeds, log->settings->peers_port);
+    log->hello_count = 0;
+}
+
 void
 config_log_handle(void *state, message_t *message)
 {
@@ -589,6 +606,10 @@
         handle_save_local(log, (const config_bytes_message_t *)message);
         return;
     }
+    if (message->type == CONFIG_LOG_SEEDS) {
+        handle_seeds(log, (const config_seeds_message_t *)message);
+        return;
+    }
     if (log->failed) {
         if (message->type == CONFIG_LOG_PUT) {
             config_log_send_result(
--- a/carobloomd/control/config_log_messages.c
+++ b/carobloomd/control/config_log_messages.c
@@ -76,6 +76,22 @@
     return m;
 }
 
+static void
+seeds_free(message_t *message)
+{
+    g_strfreev(((config_seeds_message_t *)message)->seeds);
+    g_free(message);
+}
+
+message_t *
+config_seeds_message(char **seeds)
+{
+    config_seeds_message_t *m = g_new0(config_seeds_message_t, 1);
+    *m = (config_seeds_message_t){.base = {CONFIG_LOG_SEEDS, seeds_free},
+                                  .seeds = g_strdupv(seeds)};
+    return &m->base;
+}
+
 void
 config_log_send(config_log_t *log, const char *to, GBytes *message)
 {
--- a/carobloomd/control/config_log_state.h
+++ b/carobloomd/control/config_log_state.h
@@ -42,7 +42,8 @@
     GHashTable *peers; /* name -> voter_peer_t */
     /* Members of which other instances told: name -> time in us. */
     GHashTable *contacts;
-    GPtrArray *seeds; /* names of the founders */
+    GPtrArray *founders; /* names: the seeds at startup */
+    GPtrArray *seeds;    /* names: the seeds of the settings in force */
     gint64 last_hello_us;
     /* hello intervals since this voter was last a member with a known
      * leader */
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -341,6 +341,7 @@
 control_reload(control_t *c, const gateway_settings_t *settings)
 {
     crash_ledger_set_retention(c->crashes, crash_memory_us(settings));
+    task_send(c->log_task, config_seeds_message(settings->seeds));
 }
 
 static const task_ops_t LOG_OPS = {.name = "config-log",
--- a/include/carobloom/control/config_log.h
+++ b/include/carobloom/control/config_log.h
@@ -17,6 +17,7 @@
     CONFIG_LOG_RECEIVED,
     CONFIG_LOG_HAND_OVER,
     CONFIG_LOG_SAVE_LOCAL,
+    CONFIG_LOG_SEEDS,
     CONFIG_LOG_USAGE, /* both directions */
     /* log to owner */
     CONFIG_LOG_SEND,
@@ -41,6 +42,12 @@
     GBytes *envelope; /* serialized voter_envelope_t */
 } config_envelope_message_t;
 
+/* CONFIG_LOG_SEEDS: the seeds of the settings now in force. */
+typedef struct {
+    message_t base;
+    char **seeds; /* IP:PORT of control listeners */
+} config_seeds_message_t;
+
 /* CONFIG_LOG_RESULT: whether a quorum stored the configuration of a put. */
 typedef struct {
     message_t base;
@@ -101,6 +108,8 @@
 message_t *config_envelope_message(config_log_message_t type, const char *to,
                                    GBytes *envelope);
 message_t *config_hand_over_message(void);
+/* Copies `seeds`. */
+message_t *config_seeds_message(char **seeds);
 message_t *config_bytes_message(config_log_message_t type, GBytes *bytes);
 
 #endif
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -25,8 +25,8 @@
 
 /* ---- processes ---- */
 
-static void
-write_settings(const fleet_t *f, const fleet_process_t *p)
+void
+fleet_write_settings(const fleet_t *f, const fleet_process_t *p)
 {
     GString *seeds = g_string_new(NULL);
     for (guint i = 0; i < FLEET_SEEDS && f->seeds[i] != NULL; i++) {
@@ -322,7 +322,7 @@
         start_endpoint(f, p);
         return;
     }
-    write_settings(f, p);
+    fleet_write_settings(f, p);
     char *settings = g_build_filename(p->folder, "settings.jsonc", NULL);
     p->records_disk = f->faulty_disks && p->role == FLEET_CONTROL;
     const char *program =
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -108,6 +108,9 @@
 void fleet_platform_mode(const fleet_t *fleet, const char *mode);
 /* All that it was told, a line each; freed with g_free. */
 char *fleet_platform_log(const fleet_t *fleet);
+/* Also done by fleet_start. */
+void fleet_write_settings(const fleet_t *fleet,
+                          const fleet_process_t *process);
 void fleet_start(fleet_t *fleet, fleet_process_t *process);
 void fleet_start_all(fleet_t *fleet);
 void fleet_signal(fleet_process_t *process, int signal);
--- a/tests/test_replacements.c
+++ b/tests/test_replacements.c
@@ -42,8 +42,9 @@
     STEP_POWER_LOSS,      /* of all, right after a change */
     STEP_DAMAGE_ONE,      /* in the middle of its log, while it is down */
     STEP_LOCK_ONE,        /* another process uses its folder as it starts */
-    STEP_LOSE_SEEDS,      /* one that is no seed; its successor finds the seeds
-                             down at first */
+    STEP_RENEW_SEEDS, /* of one that started while all its seeds were gone */
+    STEP_LOSE_SEEDS,  /* one that is no seed; its successor finds the seeds
+                         down at first */
 } step_t;
 
 typedef enum {
@@ -118,6 +119,9 @@
      WIPE_NONE,
      .at_once = TRUE,
      .power = TRUE},
+    {"all seeds are gone until the settings change",
+     {STEP_RENEW_SEEDS},
+     WIPE_LEADER},
     {"a folder is damaged", {STEP_DAMAGE_ONE}, WIPE_LEADER},
     {"a folder is in use as its instance starts",
      {STEP_LOCK_ONE},
@@ -366,6 +370,31 @@
     }
 }
 
+static void
+renew_seeds(play_t *play)
+{
+    fleet_process_t *gone = find_other(play, FALSE);
+    end_for_good(play, gone);
+    for (guint i = 0; i < FLEET_SEEDS; i++) {
+        play->fleet->seeds[i] = gone;
+    }
+    fleet_process_t *p = fleet_add(play->fleet, FLEET_CONTROL);
+    g_ptr_array_add(play->controls, p);
+    fleet_start(play->fleet, p);
+    fleet_sleep(1000);
+    seeds_renew(play);
+    fleet_write_settings(play->fleet, p);
+    gint64 until = g_get_monotonic_time() + CATCH_UP_MS * 1000;
+    while (fleet_get(p) == 0) {
+        if (g_get_monotonic_time() > until) {
+            g_string_append_printf(play->failures, "%s does not join; ",
+                                   p->name);
+            return;
+        }
+        fleet_sleep(50);
+    }
+}
+
 static void
 kill_all(play_t *play)
 {
@@ -497,6 +526,9 @@
     case STEP_LOCK_ONE:
         lock_one(play);
         break;
+    case STEP_RENEW_SEEDS:
+        renew_seeds(play);
+        break;
     case STEP_LOSE_SEEDS:
         lose_seeds(play);
         break;
