Voter histories: two voters replaced or lost at once, and losses of power

Histories let a disk be lost only once the loss before it was repaired, so that overlapping replacements, which the repair did not finish, were never drawn. A third kind of history has five voters, two losses at once and all machines without power at once. 2,000 histories of each kind: none wrong, none not settled.

--- a/tests/test_voter.c
+++ b/tests/test_voter.c
@@ -39,7 +39,6 @@
     CALLS_MAX = 64,
     WORLD_START_US = 1000000,
     MACHINES_MAX = 26,
-    VOTERS_MIN = 3,
 };
 
 /* What one voter made durable. */
@@ -100,7 +99,15 @@
     gint64 answered_us; /* 0: not answered */
 } operation_t;
 
+/* What a history is about. */
 typedef struct {
+    gboolean fast_network; /* delays so short that leases survive faults */
+    guint disk_losses;     /* at once: 1, or 2 of five voters */
+    gboolean power_losses; /* of all machines at once */
+} history_kind_t;
+
+typedef struct {
+    const history_kind_t *kind;
     GRand *rand;
     /* For duty calls only, so that they don't change the history of the log
      * that a seed gives. */
@@ -117,11 +124,11 @@
     GArray *applied_marks; /* guint32 by log index, of the applied entry */
     GHashTable *leaders;   /* term -> leader id */
     gboolean fault_free;
-    gboolean fast_network; /* delays so short that leases survive faults */
     gboolean violation;
     guint reads;
     guint replaced;
     guint pauses;
+    guint power_losses;
     duty_call_t calls[CALLS_MAX];
     guint calls_in_flight;
     platform_t platform;
@@ -323,7 +330,9 @@
     if (w->packet_count >= PACKETS_MAX || w->cut[from][to]) {
         return;
     }
-    gint64 delay_steps_max = w->fault_free ? 2 : w->fast_network ? 3 : 15;
+    gint64 delay_steps_max = w->fault_free           ? 2
+                             : w->kind->fast_network ? 3
+                                                     : 15;
     w->packets[w->packet_count++] =
         (packet_t){.bytes = g_bytes_ref(bytes),
                    .from = from,
@@ -513,34 +522,46 @@
     g_bytes_unref(data);
 }
 
-/* Whether a node's membership contains an identity that no node has. */
-static gboolean
-has_dead_member(const world_t *w, const node_t *n)
+/* The number of a node's members that no node goes by any more. */
+static guint
+count_dead_members(const world_t *w, const node_t *n)
 {
     const voter_config_t *config = voter_config(n->voter);
+    guint dead = 0;
     for (guint i = 0; i < config->count; i++) {
         gboolean alive = FALSE;
         for (guint k = 0; k < w->count; k++) {
             alive |= w->nodes[k].id == config->members[i].id;
         }
-        if (!alive) {
-            return TRUE;
-        }
+        dead += !alive;
     }
-    return FALSE;
+    return dead;
 }
 
-/* A voter loses its disk and rejoins under a new identity. Only one at a time:
- * the next disk is lost after the previous identity was replaced in the
- * membership. */
+static gboolean
+has_dead_member(const world_t *w, const node_t *n)
+{
+    return count_dead_members(w, n) > 0;
+}
+
+/* A voter loses its disk and rejoins under a new identity. Only as many at a
+ * time as the kind of history allows: one is over once the new identity votes
+ * and the previous one is no member. */
 static void
 lose_disk(world_t *w, node_t *n)
 {
+    guint rejoining = 0;
+    guint dead = 0;
     for (guint i = 0; i < w->count; i++) {
         const node_t *other = &w->nodes[i];
-        if (other->rejoining || !other->voter || has_dead_member(w, other)) {
+        if (!other->voter) {
             return;
         }
+        rejoining += other->rejoining;
+        dead = MAX(dead, count_dead_members(w, other));
+    }
+    if (MAX(rejoining, dead) >= w->kind->disk_losses || n->rejoining) {
+        return;
     }
     node_crash(n);
     disk_clear(&n->disk);
@@ -602,7 +623,8 @@
             }
         }
     }
-    voter_repair_remove_dead(leader->voter, silent_us, VOTERS_MIN,
+    voter_repair_remove_dead(leader->voter, silent_us,
+                             2 * w->kind->disk_losses + 1,
                              clock_of(w, leader));
 }
 
@@ -626,6 +648,21 @@
     }
 }
 
+/* All machines at once; most are back soon. */
+static void
+lose_power(world_t *w)
+{
+    for (guint i = 0; i < w->count; i++) {
+        node_crash(&w->nodes[i]);
+    }
+    for (guint i = 0; i < w->count; i++) {
+        if (g_rand_int_range(w->rand, 0, 8) > 0) {
+            node_start(w, &w->nodes[i]);
+        }
+    }
+    w->power_losses++;
+}
+
 static void
 inject_fault(world_t *w)
 {
@@ -664,6 +701,11 @@
             replace(w, n);
         }
         break;
+    case 9:
+        if (w->kind->power_losses && g_rand_int_range(w->rand, 0, 3) == 0) {
+            lose_power(w);
+        }
+        break;
     default:
         break;
     }
@@ -703,12 +745,12 @@
 }
 
 static void
-world_init(world_t *w, guint seed, gboolean fast_network)
+world_init(world_t *w, guint seed, const history_kind_t *kind)
 {
-    *w = (world_t){.fast_network = fast_network,
+    *w = (world_t){.kind = kind,
                    .rand = g_rand_new_with_seed(seed),
                    .call_rand = g_rand_new_with_seed(seed),
-                   .count = seed % 2 ? 3 : 5,
+                   .count = seed % 2 && kind->disk_losses == 1 ? 3 : 5,
                    .now_us = WORLD_START_US,
                    .next_id = 100,
                    .platform = {.machine = MACHINES_MAX}};
@@ -816,6 +858,7 @@
     guint repaired;
     guint replaced;
     guint pauses;
+    guint power_losses;
     guint calls;
     guint changes;
     guint unconverged;
@@ -837,10 +880,10 @@
 }
 
 static void
-run_history(guint seed, gboolean fast_network, totals_t *totals)
+run_history(guint seed, const history_kind_t *kind, totals_t *totals)
 {
     world_t w;
-    world_init(&w, seed, fast_network);
+    world_init(&w, seed, kind);
     for (int i = 0; i < FAULT_STEPS && !w.violation; i++) {
         world_step(&w);
     }
@@ -853,6 +896,7 @@
     totals->repaired += w.next_id > 100;
     totals->replaced += w.replaced;
     totals->pauses += w.pauses;
+    totals->power_losses += w.power_losses;
     totals->calls += w.platform.calls;
     totals->changes += w.platform.changes;
     if (!has_converged(&w)) {
@@ -875,6 +919,7 @@
     total->repaired += child_totals->repaired;
     total->replaced += child_totals->replaced;
     total->pauses += child_totals->pauses;
+    total->power_losses += child_totals->power_losses;
     total->calls += child_totals->calls;
     total->changes += child_totals->changes;
     total->unconverged += child_totals->unconverged;
@@ -889,14 +934,14 @@
  * totals to the pipe. Threads would contend for the lock of GVariant's type
  * table. */
 static int
-start_child(guint first, guint last, guint stride, gboolean fast_network)
+start_child(guint first, guint last, guint stride, const history_kind_t *kind)
 {
     int ends[2];
     g_assert_cmpint(pipe(ends), ==, 0);
     if (fork() == 0) {
         totals_t totals = {0};
         for (guint seed = first; seed <= last; seed += stride) {
-            run_history(seed, fast_network, &totals);
+            run_history(seed, kind, &totals);
         }
         gssize wrote = write(ends[1], &totals, sizeof(totals));
         _exit(wrote == sizeof(totals) ? 0 : 1);
@@ -908,7 +953,7 @@
 /* VOTER_SEED selects a single history, VOTER_HISTORIES the number of
  * histories. */
 static totals_t
-run_histories(gboolean fast_network)
+run_histories(const history_kind_t *kind)
 {
     const char *only_seed = g_getenv("VOTER_SEED");
     const char *history_count = g_getenv("VOTER_HISTORIES");
@@ -919,7 +964,7 @@
     int ends[PROCESSES];
     totals_t totals = {0};
     for (guint i = 0; i < PROCESSES; i++) {
-        ends[i] = start_child(first + i, last, PROCESSES, fast_network);
+        ends[i] = start_child(first + i, last, PROCESSES, kind);
     }
     for (guint i = 0; i < PROCESSES; i++) {
         totals_t child_totals;
@@ -948,17 +993,27 @@
 static void
 test_histories(void)
 {
-    run_histories(FALSE);
+    run_histories(&(history_kind_t){.disk_losses = 1});
 }
 
 /* Leases hold despite faults, so that duties change holders during them. */
 static void
 test_single_duty_holder(void)
 {
-    totals_t totals = run_histories(TRUE);
+    totals_t totals = run_histories(
+        &(history_kind_t){.fast_network = TRUE, .disk_losses = 1});
     CU_ASSERT(totals.changes > totals.histories);
 }
 
+/* Also while replacements of two are under way. */
+static void
+test_two_lost_at_once(void)
+{
+    totals_t totals = run_histories(
+        &(history_kind_t){.disk_losses = 2, .power_losses = TRUE});
+    CU_ASSERT(totals.power_losses > 0);
+}
+
 static void
 test_codec_rejects_malformed(void)
 {
@@ -997,6 +1052,7 @@
 static const test_case_t cases[] = {
     {"client histories are linearizable", test_histories},
     {"duties have one holder at a time", test_single_duty_holder},
+    {"two voters are lost at once, and power", test_two_lost_at_once},
     {"malformed messages are refused", test_codec_rejects_malformed},
 };
 
