A member that lost acknowledged entries gets them again

Seen while a test of a damaged log was written: the last frame of a voter's log was damaged, the voter cut it as a torn one and came back with less than it had acknowledged.

--- a/policy/voter_replicate.c
+++ b/policy/voter_replicate.c
@@ -259,9 +259,9 @@
     p->acked_send_time_us = MAX(p->acked_send_time_us, m->send_time_us);
     voter_advance_lease(v);
     if (!m->granted) {
-        p->next_index =
-            MAX(MIN(m->index + 1, replica_log_last_index(&v->log) + 1),
-                p->match_index + 1);
+        /* A member whose disk lost what it had acknowledged gets it again. */
+        p->match_index = MIN(p->match_index, m->index);
+        p->next_index = MIN(m->index, replica_log_last_index(&v->log)) + 1;
         send_append(v, p);
         return;
     }
