The product's voters join anew when their folder is damaged

Where there are other voters it now sets the folder aside and joins as one that lost its disk; it says that it is not empty, so that no founding counts it. An instance alone still refuses.

--- a/carobloomd/process/voter_log.c
+++ b/carobloomd/process/voter_log.c
@@ -77,6 +77,24 @@
     return TRUE;
 }
 
+/* Opens the folder; one that is damaged counts as a lost disk where there are
+ * other voters to join anew. */
+static int
+folder_open(voter_task_t *v, const char *folder, store_state_t *state,
+            char **why)
+{
+    int result = log_store_open(folder, &v->store, state, why);
+    if (result != STORE_ERROR_DAMAGED || voter_alone(v)) {
+        return result;
+    }
+    log_error(LOG_PART_VOTER, "The data folder is set aside: %s.", *why);
+    g_clear_pointer(why, g_free);
+    v->set_aside = TRUE;
+    result = log_store_set_aside(folder, why);
+    return result == STORE_OK ? log_store_open(folder, &v->store, state, why)
+                              : result;
+}
+
 gboolean
 voter_log_open(voter_task_t *v)
 {
@@ -88,7 +106,7 @@
     }
     store_state_t state;
     char *why = NULL;
-    if (log_store_open(folder, &v->store, &state, &why) != STORE_OK) {
+    if (folder_open(v, folder, &state, &why) != STORE_OK) {
         log_error(LOG_PART_VOTER, "Can not use the data folder: %s.", why);
         g_free(why);
         return FALSE;
@@ -128,6 +146,13 @@
     g_free(c);
 }
 
+/* Whether this voter has no state, and had none that was set aside. */
+static gboolean
+may_found(const voter_task_t *v)
+{
+    return v->core == NULL && !v->set_aside;
+}
+
 static void
 ask_voters(voter_task_t *v)
 {
@@ -139,7 +164,7 @@
         }
         wire_found_t found = {.id = v->id,
                               .name = v->process->settings->instance,
-                              .empty = v->core == NULL};
+                              .empty = may_found(v)};
         voter_send(v, m->id, WIRE_FOUND, wire_found_write(&found));
     }
 }
@@ -180,7 +205,7 @@
     GBytes *config = listed ? voter_config_write(voter_config(v->core)) : NULL;
     wire_found_t found = {.id = v->id,
                           .name = v->process->settings->instance,
-                          .empty = v->core == NULL,
+                          .empty = may_found(v),
                           .answer = TRUE,
                           .config = config};
     voter_send(v, c->member, WIRE_FOUND, wire_found_write(&found));
@@ -462,7 +487,7 @@
     if (self == NULL || self->learner) {
         ask_voters(v);
     }
-    if (v->core == NULL) {
+    if (may_found(v)) {
         try_founding(v);
     }
     if (v->core == NULL) {
--- a/carobloomd/process/voter_state.h
+++ b/carobloomd/process/voter_state.h
@@ -52,7 +52,8 @@
     GArray *members; /* member_info_t */
     /* the log, on an instance that votes */
     gboolean votes;
-    gboolean failed; /* its disk failed: it takes no part any more */
+    gboolean failed;    /* its disk failed: it takes no part any more */
+    gboolean set_aside; /* its folder was damaged and counts as lost */
     guint64 id;
     log_store_t *store;
     voter_t *core; /* NULL until founded or taken in */
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -710,6 +710,63 @@
     site_destroy(site);
 }
 
+/* Where the log of a voter that is down is damaged. */
+typedef struct {
+    long at;
+    int whence;
+} damage_t;
+
+static void
+damage_log(const site_t *site, guint at, const damage_t *damage)
+{
+    char *path =
+        g_build_filename(site->instances[at].folder, "data", "log", NULL);
+    FILE *file = fopen(path, "r+e");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(file);
+    fseek(file, damage->at, damage->whence);
+    fputc('X', file);
+    fclose(file);
+    g_free(path);
+}
+
+/* Submits until the version is in force at `at`. */
+static gboolean
+submit_version(site_t *site, guint64 version, guint at)
+{
+    char *text = site_sample_with_weight((int)version);
+    char *change = g_strdup_printf("change-%u", (guint)version);
+    for (int i = 0; i < 40 && site_version(site, at) < version; i++) {
+        answer_free(site_submit(site, 0, change, version - 1, text));
+        g_usleep(G_USEC_PER_SEC / 4);
+    }
+    g_free(change);
+    g_free(text);
+    return site_version(site, at) == version;
+}
+
+/* A voter with a damaged log votes again: without it there is no quorum once
+ * another one is gone. */
+static void
+test_damaged_voter_rejoins(void)
+{
+    static const damage_t DAMAGES[] = {{30, SEEK_SET}, {-8, SEEK_END}};
+    for (gsize i = 0; i < G_N_ELEMENTS(DAMAGES); i++) {
+        site_t *site = site_up(3, 3);
+        CU_ASSERT(submit_version(site, 2, 2));
+        CU_ASSERT(submit_version(site, 3, 2));
+        site_signal(site, 2, SIGKILL);
+        site_wait_exit(site, 2);
+        damage_log(site, 2, &DAMAGES[i]);
+        site_start(site, 2);
+        CU_ASSERT(site_wait_ready(site, 2));
+        g_usleep(4 * G_USEC_PER_SEC);
+        site_signal(site, 1, SIGKILL);
+        site_wait_exit(site, 1);
+        CU_ASSERT(submit_version(site, 4, 2));
+        site_destroy(site);
+    }
+}
+
 static const test_case_t cases[] = {
     {"every caller its own whole answer", test_own_answers},
     {"a burst is accepted", test_burst_is_accepted},
@@ -729,6 +786,7 @@
     {"a request arrives after its caller left",
      test_left_request_does_not_arrive},
     {"an instance killed", test_instance_killed},
+    {"a voter with a damaged log votes again", test_damaged_voter_rejoins},
 };
 
 CHECK_MAIN("failures", cases)
--- a/tests/test_replacements.c
+++ b/tests/test_replacements.c
@@ -2,7 +2,8 @@
  * read back at every control instance after control instances were replaced,
  * in any order, and a fault then took all processes and one disk.
  *
- * REPLACEMENT_SEED draws other losses of power and other delays. */
+ * REPLACEMENT_SEED draws other losses of power, other delays, and other steps
+ * for the cases whose steps are drawn. */
 #include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
@@ -18,6 +19,7 @@
     CONTROLS = 5,
     STEPS_MAX = 8,
     CASES_AT_ONCE = 5,
+    DRAWN = 3, /* cases */
     /* By then a replacement counts like the one before it. */
     CATCH_UP_MS = 4000,
     READ_BACK_MS = 12000,
@@ -138,7 +140,56 @@
     GString *failures;
 } play_t;
 
-static play_t plays[G_N_ELEMENTS(REPLACEMENT_CASES)];
+enum { PLAYS = G_N_ELEMENTS(REPLACEMENT_CASES) + DRAWN };
+
+static play_t plays[PLAYS];
+static replacement_case_t drawn_cases[DRAWN];
+
+static guint32
+seed_of(guint play)
+{
+    const char *seed = g_getenv("REPLACEMENT_SEED");
+    return play + (seed != NULL ? (guint32)atoi(seed) : 0) * 100;
+}
+
+static void
+draw_case(replacement_case_t *test, guint number)
+{
+    static const char *const NAMES[DRAWN] = {
+        "drawn steps, 1", "drawn steps, 2", "drawn steps, 3"};
+    static const step_t STEPS[] = {
+        STEP_LEADER_OFF_SEEDS, STEP_REPLACE_LEADER, STEP_REPLACE_LEADER,
+        STEP_REPLACE_OTHER,    STEP_REPLACE_OTHER,  STEP_REPLACE_TWO,
+        STEP_REPLACE_PLANNED,  STEP_NEWCOMER_LOST,  STEP_NEWCOMER_WIPED,
+        STEP_FREEZE_LEADER,    STEP_WIPE_ONE,       STEP_POWER_LOSS,
+        STEP_DAMAGE_ONE,       STEP_LOCK_ONE};
+    GRand *rand = g_rand_new_with_seed(seed_of(PLAYS + number));
+    *test = (replacement_case_t){
+        .name = NAMES[number],
+        .wipe = (wipe_t)g_rand_int_range(rand, 0, WIPE_NONE + 1),
+        .power = g_rand_boolean(rand),
+        .in_flight = g_rand_boolean(rand)};
+    /* In the middle of a step a disk may be lost already. */
+    test->at_once = test->wipe == WIPE_NONE;
+    guint count = (guint)g_rand_int_range(rand, 2, 6);
+    for (guint i = 0; i < count; i++) {
+        test->steps[i] = STEPS[g_rand_int(rand) % G_N_ELEMENTS(STEPS)];
+    }
+    g_rand_free(rand);
+}
+
+static void
+plays_create(void)
+{
+    for (guint i = 0; i < DRAWN; i++) {
+        draw_case(&drawn_cases[i], i);
+    }
+    for (guint i = 0; i < PLAYS; i++) {
+        const guint tabled = G_N_ELEMENTS(REPLACEMENT_CASES);
+        plays[i].test =
+            i < tabled ? &REPLACEMENT_CASES[i] : &drawn_cases[i - tabled];
+    }
+}
 
 /* ---- the control instances ---- */
 
@@ -654,9 +705,7 @@
     (void)user;
     play->failures = g_string_new("");
     play->controls = g_ptr_array_new();
-    const char *seed = g_getenv("REPLACEMENT_SEED");
-    play->rand = g_rand_new_with_seed((guint32)(play - plays) +
-                                      (seed != NULL ? atoi(seed) : 0) * 100);
+    play->rand = g_rand_new_with_seed(seed_of((guint)(play - plays)));
     play->fleet = fleet_create(CONTROLS, 0, 0);
     play->fleet->faulty_disks = TRUE;
     for (guint i = 0; i < CONTROLS; i++) {
@@ -681,20 +730,26 @@
     g_ptr_array_unref(play->controls);
 }
 
+static char *only; /* NULL: all cases */
+
+static gboolean
+is_wanted(const play_t *play)
+{
+    return only == NULL || g_str_has_prefix(play->test->name, only);
+}
+
 static void
 run_cases(void)
 {
     static gboolean done;
-    const char *only = g_getenv("TEST_ONLY");
     if (done) {
         return;
     }
     done = TRUE;
     GThreadPool *pool =
         g_thread_pool_new(run_case, NULL, CASES_AT_ONCE, FALSE, NULL);
-    for (gsize i = 0; i < G_N_ELEMENTS(REPLACEMENT_CASES); i++) {
-        plays[i].test = &REPLACEMENT_CASES[i];
-        if (only == NULL || g_str_equal(only, REPLACEMENT_CASES[i].name)) {
+    for (guint i = 0; i < PLAYS; i++) {
+        if (is_wanted(&plays[i])) {
             g_thread_pool_push(pool, &plays[i], NULL);
         }
     }
@@ -710,18 +765,32 @@
     while (!g_str_equal(play->test->name, name)) {
         play++;
     }
-    printf("%s", play->failures->str);
+    if (play->failures->len > 0) {
+        printf("steps");
+        for (guint i = 0; play->test->steps[i] != STEP_END; i++) {
+            printf(" %d", (int)play->test->steps[i]);
+        }
+        printf(", wipe %d, power %d, in flight %d: %s", (int)play->test->wipe,
+               play->test->power, play->test->in_flight, play->failures->str);
+    }
     CU_ASSERT_EQUAL(play->failures->len, 0);
     g_string_free(play->failures, TRUE);
 }
 
+/* TEST_ONLY may also name the beginning that several cases share. */
 int
 main(void)
 {
-    test_case_t cases[G_N_ELEMENTS(REPLACEMENT_CASES)];
-    for (gsize i = 0; i < G_N_ELEMENTS(REPLACEMENT_CASES); i++) {
-        cases[i] =
-            (test_case_t){.name = REPLACEMENT_CASES[i].name, .run = test_case};
+    test_case_t cases[PLAYS];
+    gsize count = 0;
+    only = g_strdup(g_getenv("TEST_ONLY"));
+    g_unsetenv("TEST_ONLY");
+    plays_create();
+    for (guint i = 0; i < PLAYS; i++) {
+        if (is_wanted(&plays[i])) {
+            cases[count++] =
+                (test_case_t){.name = plays[i].test->name, .run = test_case};
+        }
     }
-    return check_run("replacements", cases, G_N_ELEMENTS(cases));
+    return check_run("replacements", cases, count);
 }
