A newcomer votes only where the voters can do without it

Found by review, shown by a run of its own: two voters that were silent for four seconds were removed, three were left, one of these was replaced, and its successor voted before the dead one was known; when it lost its disk, two of four were left for good, with the two that had been silent outside. The same from the start with three voters: both new cases failed, one run.

Now a learner becomes a voter only if the voters heard within half an election timeout make a quorum without it, or none is missing. A dead voter is removed first for a newcomer that is ready. Of an odd number two are removed only down to five.

--- a/policy/voter_repair.c
+++ b/policy/voter_repair.c
@@ -10,6 +10,9 @@
     DEAD_ELECTION_TIMEOUTS = 4,
     /* A member that made contact within this time can commit a change. */
     RECENT_ELECTION_TIMEOUTS = 2,
+    /* Fewer voters are not made of an odd number: those that are silent may
+     * only be cut off, and the others need them after the next loss. */
+    ODD_VOTERS_MIN = 5,
 };
 
 gboolean
@@ -45,6 +48,36 @@
     g_strlcpy(m->name, name, sizeof(m->name));
 }
 
+static gboolean
+is_recent(const voter_t *voter, gint64 silent_us)
+{
+    return silent_us <=
+           RECENT_ELECTION_TIMEOUTS * voter_election_timeout_us(voter);
+}
+
+/* Whether the voters can do without the newcomer once it votes. Otherwise one
+ * of them is missing, and is replaced rather than joined. A voter counts if it
+ * answered within half an election timeout, so that one that has just died
+ * does not. */
+static gboolean
+promotion_is_safe(const voter_t *voter, gint64 now_us)
+{
+    const voter_config_t *config = voter_config(voter);
+    guint voters = 0;
+    guint recent = 0;
+    for (guint i = 0; i < config->count; i++) {
+        const voter_member_t *member = &config->members[i];
+        if (!member->learner) {
+            voters++;
+            recent += member->id == voter_leader(voter) ||
+                      now_us - voter_contact_us(voter, member->id) <=
+                          voter_election_timeout_us(voter) / 2;
+        }
+    }
+    guint quorum_after = (voters + 1) / 2 + 1;
+    return recent == voters || recent >= quorum_after;
+}
+
 repair_state_t
 voter_repair_step(voter_t *voter, const char *name, guint64 id, gint64 now_us)
 {
@@ -66,6 +99,9 @@
     else if (previous_id != 0) {
         voter_config_remove(&config, previous_id);
     }
+    else if (!promotion_is_safe(voter, now_us)) {
+        return REPAIR_PENDING;
+    }
     else {
         member->learner = FALSE;
     }
@@ -78,6 +114,7 @@
     guint voters;
     guint dead_voters;
     guint recent_voters;
+    guint ready_learners; /* have the log, and wait to vote */
     guint64 dead_voter;   /* id, 0 for none */
     guint64 dead_learner; /* the same */
 } census_t;
@@ -92,10 +129,12 @@
         const voter_member_t *member = &config->members[i];
         gboolean dead =
             silent_us[i] > DEAD_ELECTION_TIMEOUTS * election_timeout_us;
-        gboolean recent =
-            silent_us[i] <= RECENT_ELECTION_TIMEOUTS * election_timeout_us;
+        gboolean recent = is_recent(voter, silent_us[i]);
         if (member->learner) {
             census.dead_learner = dead ? member->id : census.dead_learner;
+            census.ready_learners +=
+                recent && voter_match_index(voter, member->id) >=
+                              voter_commit_index(voter);
             continue;
         }
         census.voters++;
@@ -106,17 +145,24 @@
     return census;
 }
 
-/* Whether removing dead voters lowers the quorum: at once if their number is
- * even, else with the second one. Until then a dead voter does no harm, and
- * may come back with its disk. */
+/* Whether a dead voter is to be removed: for a newcomer that takes its place,
+ * or because that lowers the quorum, at once if the voters are even, else with
+ * the second one. */
 static gboolean
 removal_helps(const census_t *census, guint voters_min)
 {
-    guint removals = census->voters % 2 == 0 ? 1 : 2;
     guint quorum_after = (census->voters - 1) / 2 + 1;
-    return census->dead_voters >= removals &&
-           census->voters >= voters_min + removals &&
-           census->recent_voters >= quorum_after;
+    if (census->dead_voters == 0 || census->recent_voters < quorum_after) {
+        return FALSE;
+    }
+    if (census->ready_learners > 0) {
+        return TRUE;
+    }
+    if (census->voters % 2 == 0) {
+        return census->voters > voters_min;
+    }
+    return census->dead_voters >= 2 &&
+           census->voters >= MAX(voters_min, ODD_VOTERS_MIN) + 2;
 }
 
 guint64
--- a/tests/test_replacements.c
+++ b/tests/test_replacements.c
@@ -41,9 +41,10 @@
     STEP_ONE_AWAY,        /* one ends and is not replaced */
     STEP_FREEZE_LEADER,   /* SIGSTOP, SIGCONT */
     STEP_WIPE_ONE,        /* it starts again with an empty disk */
-    STEP_POWER_LOSS,      /* of all, right after a change */
-    STEP_DAMAGE_ONE,      /* in the middle of its log, while it is down */
-    STEP_LOCK_ONE,        /* another process uses its folder as it starts */
+    STEP_REPLACE_BESIDE_SILENT, /* and its successor loses its disk */
+    STEP_POWER_LOSS,            /* of all, right after a change */
+    STEP_DAMAGE_ONE,  /* in the middle of its log, while it is down */
+    STEP_LOCK_ONE,    /* another process uses its folder as it starts */
     STEP_RENEW_SEEDS, /* of one that started while all its seeds were gone */
     STEP_LOSE_SEEDS,  /* one that is no seed; its successor finds the seeds
                          down at first */
@@ -60,6 +61,7 @@
     const char *name;
     step_t steps[STEPS_MAX];
     wipe_t wipe;
+    guint controls;       /* 0: CONTROLS */
     gboolean stale_seeds; /* the settings go on to name the first seeds */
     gboolean at_once;     /* the fault comes in the middle of the last step */
     gboolean power;       /* the fault is a loss of power, not a kill */
@@ -97,6 +99,20 @@
     {"the newcomers lose their disks",
      {STEP_NEWCOMER_WIPED, STEP_NEWCOMER_WIPED},
      WIPE_NEWEST},
+    {"the newcomers among three lose their disks",
+     {STEP_NEWCOMER_WIPED, STEP_NEWCOMER_WIPED},
+     WIPE_NEWEST,
+     .controls = 3},
+    {"the newcomers among three are lost before they vote",
+     {STEP_NEWCOMER_LOST, STEP_NEWCOMER_LOST},
+     WIPE_LEADER,
+     .controls = 3},
+    {"two are silent while a third is replaced",
+     {STEP_REPLACE_BESIDE_SILENT},
+     WIPE_NONE},
+    {"the same twice, and a lost disk",
+     {STEP_REPLACE_BESIDE_SILENT, STEP_REPLACE_BESIDE_SILENT},
+     WIPE_LEADER},
     {"a replacement, a freeze and a lost disk",
      {STEP_REPLACE_LEADER, STEP_FREEZE_LEADER, STEP_WIPE_ONE},
      WIPE_NEWEST},
@@ -394,6 +410,38 @@
     }
 }
 
+/* Two do not run for a while; a third is replaced meanwhile, and the newcomer
+ * loses its disk. */
+static void
+replace_beside_silent(play_t *play)
+{
+    const fleet_process_t *leader = find_leader(play);
+    fleet_process_t *others[CONTROLS];
+    guint count = 0;
+    for (guint i = 0; i < play->controls->len && count < CONTROLS; i++) {
+        fleet_process_t *p = play->controls->pdata[i];
+        if (p != leader) {
+            others[count++] = p;
+        }
+    }
+    if (leader == NULL || count < 3) {
+        return;
+    }
+    fleet_signal(others[0], SIGSTOP);
+    fleet_signal(others[1], SIGSTOP);
+    fleet_sleep(FREEZE_MS);
+    end_for_good(play, others[2]);
+    fleet_process_t *p = fleet_add(play->fleet, FLEET_CONTROL);
+    g_ptr_array_add(play->controls, p);
+    fleet_start(play->fleet, p);
+    fleet_sleep(700);
+    fleet_kill(p);
+    fleet_lose_disk(p);
+    fleet_start(play->fleet, p);
+    fleet_signal(others[0], SIGCONT);
+    fleet_signal(others[1], SIGCONT);
+}
+
 static void
 wipe_one(play_t *play)
 {
@@ -568,6 +616,9 @@
     case STEP_WIPE_ONE:
         wipe_one(play);
         break;
+    case STEP_REPLACE_BESIDE_SILENT:
+        replace_beside_silent(play);
+        break;
     case STEP_POWER_LOSS:
         power_loss(play);
         break;
@@ -706,9 +757,10 @@
     play->failures = g_string_new("");
     play->controls = g_ptr_array_new();
     play->rand = g_rand_new_with_seed(seed_of((guint)(play - plays)));
-    play->fleet = fleet_create(CONTROLS, 0, 0);
+    guint count = play->test->controls > 0 ? play->test->controls : CONTROLS;
+    play->fleet = fleet_create(count, 0, 0);
     play->fleet->faulty_disks = TRUE;
-    for (guint i = 0; i < CONTROLS; i++) {
+    for (guint i = 0; i < count; i++) {
         g_ptr_array_add(play->controls, fleet_control(play->fleet, i));
     }
     if (!fleet_up(play->fleet, ++play->version)) {
