A folder that is set aside stays so through the next loss of power

Found by review: the four files were renamed with one sync at the end, so that a loss of power could leave the old identity without its log; and that a folder was set aside was known in memory alone, so that a founder killed right after could found again. Each rename is synced now, the identity first, and its renamed file is the mark. An instance whose folder fails to open for a passing reason (no space, no descriptors) tries again.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -80,6 +80,18 @@
     return founder && log->settings->founding && !log->set_aside;
 }
 
+static void
+log_folder_fault(config_log_t *log, const char *event, const char *why)
+{
+    if (g_strcmp0(log->folder_fault, why) != 0 &&
+        event_log_begin(EVENT_STATE, event)) {
+        event_log_cstr("why", why);
+        event_log_end();
+    }
+    g_free(log->folder_fault);
+    log->folder_fault = g_strdup(why);
+}
+
 static int
 start_empty(config_log_t *log)
 {
@@ -104,9 +116,11 @@
     if (result == STORE_OK) {
         core_start(log, &state);
     }
-    if (event_log_begin(EVENT_STATE, "voter_empty_start")) {
+    if (result != STORE_OK) {
+        log_folder_fault(log, "voter_folder_failed", why);
+    }
+    else if (event_log_begin(EVENT_STATE, "voter_empty_start")) {
         event_log_cstr("as", is_founder ? "founder" : "learner");
-        event_log_cstr("outcome", why != NULL ? why : "started");
         event_log_end();
     }
     replica_log_clear(&empty_log);
@@ -115,18 +129,6 @@
     return result;
 }
 
-static void
-log_folder_fault(config_log_t *log, const char *event, const char *why)
-{
-    if (g_strcmp0(log->folder_fault, why) != 0 &&
-        event_log_begin(EVENT_STATE, event)) {
-        event_log_cstr("why", why);
-        event_log_end();
-    }
-    g_free(log->folder_fault);
-    log->folder_fault = g_strdup(why);
-}
-
 /* Opens the folder; one that is damaged counts as a lost disk. */
 static int
 folder_open(config_log_t *log, store_state_t *state)
@@ -139,7 +141,6 @@
         counter_add(counter_get("voter_folders_set_aside_total", NULL, FALSE),
                     1);
         g_clear_pointer(&why, g_free);
-        log->set_aside = TRUE;
         result = log_store_set_aside(folder, &why);
         if (result == STORE_OK) {
             result = log_store_open(folder, &log->store, state, &why);
@@ -148,9 +149,6 @@
     if (result != STORE_OK) {
         log_folder_fault(log, "voter_folder_failed", why);
     }
-    else {
-        g_clear_pointer(&log->folder_fault, g_free);
-    }
     g_free(why);
     return result;
 }
@@ -164,6 +162,7 @@
         return result;
     }
     log->id = state.id;
+    log->set_aside = state.set_aside;
     if (state.empty) {
         result = start_empty(log);
     }
@@ -181,8 +180,10 @@
     if (result != STORE_OK) {
         g_clear_pointer(&log->core, voter_destroy);
         g_clear_pointer(&log->store, log_store_close);
+        return result;
     }
-    return result;
+    g_clear_pointer(&log->folder_fault, g_free);
+    return STORE_OK;
 }
 
 static void
--- a/carobloomd/process/log_store.c
+++ b/carobloomd/process/log_store.c
@@ -13,6 +13,7 @@
 #include "carobloom/common/disk.h"
 #include "carobloom/policy/voter_codec.h"
 
+#define ASIDE_SUFFIX ".damaged"
 #define ENTRIES_TYPE "a(ttyay)"
 #define SNAPSHOT_TYPE "(tta(tbs)ay)"
 enum { FRAME_HEADER = 16, FRAME_MAX = 256 * 1024 * 1024 };
@@ -548,20 +549,32 @@
     int result = STORE_OK;
     for (gsize i = 0; i < G_N_ELEMENTS(NAMES) && result == STORE_OK; i++) {
         char *path = g_build_filename(folder, NAMES[i], NULL);
-        char *aside = g_strconcat(path, ".damaged", NULL);
+        char *aside = g_strconcat(path, ASIDE_SUFFIX, NULL);
         if (rename(path, aside) != 0 && errno != ENOENT) {
             result = fail(why, STORE_ERROR_WRITE, path);
         }
         g_free(aside);
         g_free(path);
-    }
-    if (result == STORE_OK && disk_sync(folder_fd) != 0) {
-        result = fail(why, STORE_ERROR_WRITE, folder);
+        /* Each is lost for good before the next: what is left without the
+         * identity belongs to nobody. */
+        if (result == STORE_OK && disk_sync(folder_fd) != 0) {
+            result = fail(why, STORE_ERROR_WRITE, folder);
+        }
     }
     close(folder_fd);
     return result;
 }
 
+/* What can not be expected to pass. */
+static int
+folder_error(void)
+{
+    return errno == EACCES || errno == EPERM || errno == ENOTDIR ||
+                   errno == EEXIST || errno == EROFS || errno == ENOENT
+               ? STORE_ERROR_OPEN
+               : STORE_ERROR_READ;
+}
+
 /* A folder that was just made is lost with the power unless its parent is
  * synced. */
 static int
@@ -573,7 +586,7 @@
     char *parent = g_path_get_dirname(folder);
     int result = g_mkdir_with_parents(folder, 0700) == 0
                      ? STORE_OK
-                     : fail(why, STORE_ERROR_OPEN, folder);
+                     : fail(why, folder_error(), folder);
     int fd = open(parent, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (result == STORE_OK && (fd < 0 || disk_sync(fd) != 0)) {
         result = fail(why, STORE_ERROR_WRITE, parent);
@@ -606,12 +619,15 @@
                        ? open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC)
                        : -1;
     if (result == STORE_OK && s->folder_fd < 0) {
-        result = fail(why, STORE_ERROR_OPEN, folder);
+        result = fail(why, folder_error(), folder);
     }
     if (result == STORE_OK && flock(s->folder_fd, LOCK_EX | LOCK_NB) != 0) {
         result = fail(why, STORE_ERROR_BUSY, "another process uses it");
     }
     if (result == STORE_OK) {
+        char *aside = path_of(s, "identity" ASIDE_SUFFIX);
+        state->set_aside = g_file_test(aside, G_FILE_TEST_EXISTS);
+        g_free(aside);
         result = identity_load(s, state, why);
     }
     if (result == STORE_OK) {
--- a/carobloomd/process/voter_log.c
+++ b/carobloomd/process/voter_log.c
@@ -89,7 +89,6 @@
     }
     log_error(LOG_PART_VOTER, "The data folder is set aside: %s.", *why);
     g_clear_pointer(why, g_free);
-    v->set_aside = TRUE;
     result = log_store_set_aside(folder, why);
     return result == STORE_OK ? log_store_open(folder, &v->store, state, why)
                               : result;
@@ -112,6 +111,7 @@
         return FALSE;
     }
     v->id = state.id;
+    v->set_aside = state.set_aside;
     if (state.cut_bytes > 0) {
         log_warn(LOG_PART_VOTER, "Cut a torn tail of %lu bytes.",
                  (unsigned long)state.cut_bytes);
--- a/include/carobloom/process/log_store.h
+++ b/include/carobloom/process/log_store.h
@@ -30,6 +30,7 @@
     voter_snapshot_t snapshot;
     GPtrArray *entries; /* log_entry_t * */
     guint64 cut_bytes;  /* of a torn tail */
+    gboolean set_aside; /* there was state once, which was damaged */
 } store_state_t;
 
 void store_state_clear(store_state_t *state);
--- a/tests/disk_loss.c
+++ b/tests/disk_loss.c
@@ -80,7 +80,9 @@
     char *fresh = g_strdup_printf("%s.%d", path, (int)getpid());
     FILE *file = fopen(fresh, "we");
     if (file != NULL) {
-        fwrite(bytes, 1, length, file);
+        if (length > 0) {
+            fwrite(bytes, 1, length, file);
+        }
         fclose(file);
         g_rename(fresh, path);
     }
