Ballots: a late refusal does not undo a vote; any number of disk_losses

Found by review, by reading: a refused pre-vote that came late replaced a vote that was granted; a voter one term ahead was shown as one that has a leader; a site that tolerates more than seven losses could not start.

--- a/carobloomd/gateway/settings.c
+++ b/carobloomd/gateway/settings.c
@@ -48,7 +48,7 @@
     GATEWAY_FIELD(peers_port, FIELD_INT, .required = TRUE, .min = 0,
                   .max = 65535),
     GATEWAY_FIELD(seeds, FIELD_STRINGS, .required = TRUE, .max = 16),
-    GATEWAY_FIELD(disk_losses, FIELD_INT, .min = 0, .max = 7, .fallback = "1"),
+    GATEWAY_FIELD(disk_losses, FIELD_INT, .min = 0, .max = 100, .fallback = "1"),
     GATEWAY_FIELD(memory_mb, FIELD_NUMBER, .min = 32, .max = 1e6,
                   .fallback = "256"),
     GATEWAY_FIELD(descriptors, FIELD_NUMBER, .min = 64, .max = 1e6,
--- a/policy/voter_election.c
+++ b/policy/voter_election.c
@@ -169,7 +169,9 @@
          m->index > replica_log_last_index(&v->log))) {
         return BALLOT_NEWER_LOG;
     }
-    return m->term > v->asked_term ? BALLOT_NEWER_TERM : BALLOT_HAS_LEADER;
+    guint64 newer =
+        v->asked_term + (m->kind == VOTER_PREVOTE_REPLY ? 0 : 1);
+    return m->term >= newer ? BALLOT_NEWER_TERM : BALLOT_HAS_LEADER;
 }
 
 void
@@ -177,7 +179,8 @@
 {
     gboolean pre = m->kind == VOTER_PREVOTE_REPLY;
     guint64 expected = pre ? v->hard.term + 1 : v->hard.term;
-    if (!m->granted && voter_is_voting_member(v, m->from)) {
+    if (!m->granted && voter_is_voting_member(v, m->from) &&
+        voter_ballot(v, m->from) != BALLOT_GRANTED) {
         set_ballot(v, m->from, refusal(v, m));
     }
     if (v->role == ROLE_CANDIDATE && v->in_prevote == pre && m->granted &&
