--- a/include/carobloom/policy/voter_repair.h
+++ b/include/carobloom/policy/voter_repair.h
@@ -21,9 +21,9 @@
 /* Removes a dead member, on the leader: a learner, or a voter that still
  * counts towards the quorum, if that lets the others form one with fewer.
  * `silent_us` holds the time since the last contact with each member of
- * voter_config. `voters_min` voters at least are kept, dead or not, unless a newcomer is ready to take the place. A member
- * that was removed by mistake rejoins by itself. Returns the id of the removed
- * member, or 0. */
+ * voter_config. `voters_min` voters at least are kept, dead or not, unless a
+ * newcomer is ready to take the place. A member that was removed by mistake
+ * rejoins by itself. Returns the id of the removed member, or 0. */
 guint64 voter_repair_remove_dead(voter_t *voter, const gint64 *silent_us,
                                  guint voters_min, gint64 now_us);
 /* Removes a member; returns FALSE when there is none with this id. */
--- a/policy/voter_election.c
+++ b/policy/voter_election.c
@@ -169,8 +169,7 @@
          m->index > replica_log_last_index(&v->log))) {
         return BALLOT_NEWER_LOG;
     }
-    guint64 newer =
-        v->asked_term + (m->kind == VOTER_PREVOTE_REPLY ? 0 : 1);
+    guint64 newer = v->asked_term + (m->kind == VOTER_PREVOTE_REPLY ? 0 : 1);
     return m->term >= newer ? BALLOT_NEWER_TERM : BALLOT_HAS_LEADER;
 }
 
