Tests: fleets keep what processes wrote at each start, and say why one is not there

A start that fails is printed now, errors of earlier starts are kept, and test_replacements fails with the name of an instance that ended by itself.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -220,7 +220,9 @@
     g_subprocess_launcher_take_stdout_fd(
         launcher, open(p->role >= FLEET_ENDPOINT ? "/dev/null" : p->log,
                        O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644));
-    g_subprocess_launcher_set_stderr_file_path(launcher, errors);
+    g_subprocess_launcher_take_stderr_fd(
+        launcher,
+        open(errors, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644));
     char *cut_port = g_strdup_printf("%d", FLEET_ENDPOINT_PORT);
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_FAULTS", faults, TRUE);
     g_subprocess_launcher_setenv(launcher, "CAROBLOOM_SOURCE", p->bind, TRUE);
@@ -234,7 +236,13 @@
     g_subprocess_launcher_set_child_setup(launcher, hold_hangups, NULL, NULL);
     g_free(cut_port);
     g_free(faults);
-    GSubprocess *process = g_subprocess_launcher_spawnv(launcher, argv, NULL);
+    GError *error = NULL;
+    GSubprocess *process =
+        g_subprocess_launcher_spawnv(launcher, argv, &error);
+    if (process == NULL) {
+        fprintf(stderr, "%s: %s\n", p->name, error->message);
+        g_error_free(error);
+    }
     g_object_unref(launcher);
     g_free(errors);
     return process;
--- a/tests/test_replacements.c
+++ b/tests/test_replacements.c
@@ -637,6 +637,27 @@
     }
 }
 
+/* Control instances that ended by themselves. */
+static void
+check_running(play_t *play)
+{
+    for (guint i = 0; i < play->controls->len; i++) {
+        const fleet_process_t *p = play->controls->pdata[i];
+        if (fleet_is_running(p)) {
+            continue;
+        }
+        gboolean spawned = p->process != NULL;
+        g_string_append_printf(
+            play->failures, "%s does not run, code %d, signal %d; ", p->name,
+            spawned && g_subprocess_get_if_exited(p->process)
+                ? g_subprocess_get_exit_status(p->process)
+                : -1,
+            spawned && g_subprocess_get_if_signaled(p->process)
+                ? g_subprocess_get_term_sig(p->process)
+                : 0);
+    }
+}
+
 /* ---- the fault ---- */
 
 static fleet_process_t *
@@ -773,6 +794,7 @@
         if (steps[i + 1] != STEP_END || !play->test->at_once) {
             fleet_sleep(CATCH_UP_MS);
         }
+        check_running(play);
     }
     fault(play);
     read_back(play);
