--- a/tests/test_replacements.c
+++ b/tests/test_replacements.c
@@ -578,65 +578,43 @@
 }
 
 static void
-step(play_t *play, step_t step)
+replace_leader(play_t *play)
 {
-    switch (step) {
-    case STEP_END:
-        break;
-    case STEP_LEADER_OFF_SEEDS:
-        leader_off_seeds(play);
-        break;
-    case STEP_REPLACE_SEED:
-        replace_seed(play);
-        break;
-    case STEP_REPLACE_LEADER:
-        replace(play, find_leader(play));
-        break;
-    case STEP_REPLACE_OTHER:
-        replace(play, find_other(play, TRUE));
-        break;
-    case STEP_REPLACE_TWO:
-        replace_two(play);
-        break;
-    case STEP_REPLACE_PLANNED:
-        replace_planned(play);
-        break;
-    case STEP_NEWCOMER_LOST:
-        newcomer_lost(play);
-        break;
-    case STEP_NEWCOMER_WIPED:
-        newcomer_wiped(play);
-        break;
-    case STEP_ONE_AWAY:
-        end_for_good(play, find_other(play, FALSE));
-        break;
-    case STEP_FREEZE_LEADER:
-        freeze_leader(play);
-        break;
-    case STEP_WIPE_ONE:
-        wipe_one(play);
-        break;
-    case STEP_REPLACE_BESIDE_SILENT:
-        replace_beside_silent(play);
-        break;
-    case STEP_POWER_LOSS:
-        power_loss(play);
-        break;
-    case STEP_DAMAGE_ONE:
-        damage_one(play);
-        break;
-    case STEP_LOCK_ONE:
-        lock_one(play);
-        break;
-    case STEP_RENEW_SEEDS:
-        renew_seeds(play);
-        break;
-    case STEP_LOSE_SEEDS:
-        lose_seeds(play);
-        break;
-    }
+    replace(play, find_leader(play));
+}
+
+static void
+replace_other(play_t *play)
+{
+    replace(play, find_other(play, TRUE));
 }
 
+static void
+one_away(play_t *play)
+{
+    end_for_good(play, find_other(play, FALSE));
+}
+
+static void (*const STEP_RUNS[])(play_t *play) = {
+    [STEP_LEADER_OFF_SEEDS] = leader_off_seeds,
+    [STEP_REPLACE_SEED] = replace_seed,
+    [STEP_REPLACE_LEADER] = replace_leader,
+    [STEP_REPLACE_OTHER] = replace_other,
+    [STEP_REPLACE_TWO] = replace_two,
+    [STEP_REPLACE_PLANNED] = replace_planned,
+    [STEP_NEWCOMER_LOST] = newcomer_lost,
+    [STEP_NEWCOMER_WIPED] = newcomer_wiped,
+    [STEP_ONE_AWAY] = one_away,
+    [STEP_FREEZE_LEADER] = freeze_leader,
+    [STEP_WIPE_ONE] = wipe_one,
+    [STEP_REPLACE_BESIDE_SILENT] = replace_beside_silent,
+    [STEP_POWER_LOSS] = power_loss,
+    [STEP_DAMAGE_ONE] = damage_one,
+    [STEP_LOCK_ONE] = lock_one,
+    [STEP_RENEW_SEEDS] = renew_seeds,
+    [STEP_LOSE_SEEDS] = lose_seeds,
+};
+
 /* Control instances that ended by themselves. */
 static void
 check_running(play_t *play)
@@ -790,7 +768,7 @@
     fleet_sleep(CATCH_UP_MS);
     const step_t *steps = play->test->steps;
     for (guint i = 0; steps[i] != STEP_END; i++) {
-        step(play, steps[i]);
+        STEP_RUNS[steps[i]](play);
         if (steps[i + 1] != STEP_END || !play->test->at_once) {
             fleet_sleep(CATCH_UP_MS);
         }
