A change that does not come in time: timeline, hypotheses and a failing test

tests/test_config_delivery.c: five control and six entry instances as real processes, proxies on the connections between them that go silent, are cut one way, reset, slow, or change a byte.

--- a/tests/proxy.c
+++ b/tests/proxy.c
@@ -8,14 +8,19 @@
 #include "carobloom/common/timers.h"
 #include "carobloom/http/stream_socket.h"
 
-enum { DELAY_US = 80 * 1000, TURN_MS = 2, SOURCES_MAX = 32 };
+enum {
+    DELAY_US = 80 * 1000,
+    TURN_MS = 2,
+    SOURCES_MAX = 32,
+    GARBLED_MIN = 256, /* bytes of a piece that is garbled */
+};
 
 static const char *const MODE_NAMES[] = {
     [PROXY_PASS] = "pass",         [PROXY_DELAY] = "delay",
     [PROXY_RESET] = "reset",       [PROXY_CUT_TO] = "cut-to",
     [PROXY_CUT_FROM] = "cut-from", [PROXY_SILENT] = "silent",
     [PROXY_STALE] = "stale",       [PROXY_REFUSE] = "refuse",
-    [PROXY_HOLD] = "hold",
+    [PROXY_HOLD] = "hold",         [PROXY_GARBLE] = "garble",
 };
 
 /* A mode, and whether it took effect. */
@@ -156,6 +161,16 @@
     }
 }
 
+/* Passes a piece on with one byte changed. */
+static void
+pass_garbled(pair_t *pair, gboolean to_far, str_t bytes)
+{
+    char *copy = g_memdup2(bytes.data, bytes.length);
+    copy[bytes.length / 2] ^= 1;
+    pass(pair, to_far, (str_t){.data = copy, .length = bytes.length});
+    g_free(copy);
+}
+
 static void
 pass_late(void *data)
 {
@@ -185,6 +200,11 @@
         hold(end, bytes);
         return;
     }
+    if (mode_of(pair) == PROXY_GARBLE && !to_far &&
+        bytes.length >= GARBLED_MIN) {
+        pass_garbled(pair, to_far, bytes);
+        return;
+    }
     /* Once a piece is late those after it must not overtake it. */
     if (mode_of(pair) != PROXY_DELAY && pair->late == 0) {
         pass(pair, to_far, bytes);
--- a/tests/proxy.h
+++ b/tests/proxy.h
@@ -20,6 +20,9 @@
     /* What comes from either side is held up, and passed on with the next
      * mode, unless the side that sent it has reset its connection. */
     PROXY_HOLD,
+    /* One byte in the middle of each larger piece that goes back to the
+     * connecting side is changed. */
+    PROXY_GARBLE,
 } proxy_mode_t;
 
 typedef struct proxy proxy_t;
--- /dev/null
+++ b/tests/test_config_delivery.c
@@ -0,0 +1,219 @@
+/* Tests, with real processes, that entry instances obey a configuration within
+ * its bound, whatever happens to their connections to control instances. */
+#include <string.h>
+
+#include "check.h"
+#include "fleet_cut.h"
+
+enum {
+    CONTROLS = 5,
+    ENTRIES = 6,
+    ENDPOINTS = 2,
+    /* Rounds of a case, so many ms apart in a poll that is held. */
+    ROUNDS = 5,
+    PHASE_MS = 130,
+    /* From an acknowledgement, or the end of a cut from all control instances,
+     * until a request must be handled as the new version says. */
+    APPLY_MS = 2000,
+    GIVE_UP_MS = 8000, /* after APPLY_MS */
+    ASK_MS = 20,       /* between two requests at an instance */
+    CALM_MS = 1500,    /* between two rounds */
+    PEERS = 1,         /* listener of a control instance, see fleet_cut.c */
+};
+
+/* The control instances whose connections from the first entry instances are
+ * harmed. */
+typedef enum { HARM_LEADER, HARM_FOLLOWERS, HARM_ALL } harm_t;
+
+typedef struct {
+    const char *name;
+    harm_t harm;
+    proxy_mode_t mode;
+    int before_ms; /* the change comes so long after the harm began */
+    int lasts_ms;  /* after the acknowledgement; 0: longer than the round */
+} delivery_case_t;
+
+static const delivery_case_t DELIVERY_CASES[] = {
+    {"nothing is harmed", HARM_LEADER, PROXY_PASS, 0},
+    {"connections to the leader go silent", HARM_LEADER, PROXY_STALE, 0},
+    {"the leader is silent", HARM_LEADER, PROXY_SILENT, 0},
+    {"the leader is silent for a second before", HARM_LEADER, PROXY_SILENT,
+     1000},
+    {"the leader hears nothing", HARM_LEADER, PROXY_CUT_TO, 0},
+    {"the leader is not heard", HARM_LEADER, PROXY_CUT_FROM, 0},
+    {"connections to the leader are reset", HARM_LEADER, PROXY_RESET, 0},
+    {"the leader is slow", HARM_LEADER, PROXY_DELAY, 0},
+    {"the leader's answer has a wrong byte", HARM_LEADER, PROXY_GARBLE, 0},
+    {"connections to the others go silent", HARM_FOLLOWERS, PROXY_STALE, 0},
+    {"the others are silent", HARM_FOLLOWERS, PROXY_SILENT, 0},
+    {"all connections go silent", HARM_ALL, PROXY_STALE, 0},
+    {"all are silent for three seconds", HARM_ALL, PROXY_SILENT, 0, 3000},
+    {"all are reset for three seconds", HARM_ALL, PROXY_RESET, 0, 3000},
+};
+
+typedef struct {
+    fleet_t *fleet;
+    fleet_proxies_t proxies;
+    guint64 version;
+} site_t;
+
+/* Asks one entry instance for a route until it is there. */
+typedef struct {
+    const fleet_process_t *entry;
+    char target[32];
+    guint64 version;
+    gint64 counts_us;  /* since when it should be there, at last */
+    gint64 refused_us; /* when the last refused request was sent */
+    guint status;
+    gboolean delivered;
+} asker_t;
+
+static guint
+leader(fleet_t *f)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * (gint64)1000;
+    while (g_get_monotonic_time() < until) {
+        for (guint i = 0; i < f->controls; i++) {
+            if (fleet_counter(fleet_control(f, i), "voter_leads") == 1) {
+                return i;
+            }
+        }
+        fleet_sleep(50);
+    }
+    CU_FAIL_FATAL("no leader");
+    return 0;
+}
+
+static void
+site_harm(site_t *site, harm_t harm, guint leads, proxy_mode_t mode)
+{
+    for (guint i = 0; i < CONTROLS; i++) {
+        if (harm != HARM_ALL && (harm == HARM_LEADER) != (i == leads)) {
+            continue;
+        }
+        for (guint k = 0; k < ENTRIES; k++) {
+            proxy_set_from(site->proxies[i][PEERS],
+                           fleet_entry(site->fleet, k)->bind, mode);
+        }
+    }
+}
+
+/* An instance that has the version may still refuse requests: it hears nothing
+ * of the leader, so that there may be a newer one. */
+static gboolean
+has_version(const asker_t *a)
+{
+    guint64 version = fleet_counter(a->entry, "config_version");
+    return version != G_MAXUINT64 && version >= a->version;
+}
+
+static gpointer
+asker_run(gpointer data)
+{
+    asker_t *a = data;
+    gint64 until_us = a->counts_us + (APPLY_MS + (gint64)GIVE_UP_MS) * 1000;
+    gint64 sent_us;
+    do {
+        char id[64];
+        sent_us = g_get_monotonic_time();
+        g_snprintf(id, sizeof(id), "%s-%" G_GINT64_FORMAT, a->target + 1,
+                   sent_us);
+        reply_t *reply = fleet_request(a->entry, a->target, id, "");
+        a->status = reply->status;
+        reply_free(reply);
+        if (a->status == 200 || (a->status == 503 && has_version(a))) {
+            a->delivered = TRUE;
+            return NULL;
+        }
+        a->refused_us = sent_us;
+        fleet_sleep(ASK_MS);
+    } while (sent_us < until_us);
+    return NULL;
+}
+
+/* Changes the configuration, and prints and checks for how long it was not
+ * obeyed. */
+static void
+play_round(site_t *site, const delivery_case_t *c, int phase_ms)
+{
+    asker_t askers[ENTRIES] = {0};
+    GThread *threads[ENTRIES];
+    guint leads = leader(site->fleet);
+    char *text = fleet_config(++site->version, NULL);
+    site_harm(site, c->harm, leads, c->mode);
+    fleet_sleep(c->before_ms + phase_ms);
+    CU_ASSERT_EQUAL_FATAL(fleet_put(site->fleet, text, leads), 200);
+    gint64 counts_us = g_get_monotonic_time() + c->lasts_ms * (gint64)1000;
+    for (guint k = 0; k < ENTRIES; k++) {
+        askers[k].entry = fleet_entry(site->fleet, k);
+        askers[k].counts_us = counts_us;
+        askers[k].version = site->version;
+        g_snprintf(askers[k].target, sizeof(askers[k].target),
+                   "/extra-%" G_GUINT64_FORMAT "/1", site->version);
+        threads[k] = g_thread_new("asker", asker_run, &askers[k]);
+    }
+    if (c->lasts_ms > 0) {
+        fleet_sleep(c->lasts_ms);
+        site_harm(site, c->harm, leads, PROXY_PASS);
+    }
+    for (guint k = 0; k < ENTRIES; k++) {
+        g_thread_join(threads[k]);
+        gint64 late_ms = MAX(askers[k].refused_us - counts_us, 0) / 1000;
+        if (late_ms > APPLY_MS || !askers[k].delivered ||
+            g_getenv("DELIVERY_PRINT") != NULL) {
+            printf("%s: %s at %s until %" G_GINT64_FORMAT " ms, status %u; ",
+                   c->name, askers[k].target, askers[k].entry->name, late_ms,
+                   askers[k].status);
+        }
+        CU_ASSERT(late_ms <= APPLY_MS);
+        CU_ASSERT(askers[k].delivered);
+    }
+    site_harm(site, c->harm, leads, PROXY_PASS);
+    g_free(text);
+    fleet_sleep(CALM_MS);
+}
+
+static void
+site_up(site_t *site)
+{
+    proxies_start();
+    *site =
+        (site_t){.fleet = fleet_create_proxied(CONTROLS, ENTRIES, ENDPOINTS),
+                 .version = 1};
+    fleet_proxies_create(site->fleet, site->proxies);
+    CU_ASSERT_FATAL(fleet_up(site->fleet, site->version));
+    fleet_sleep(CALM_MS);
+}
+
+static void
+site_down(site_t *site)
+{
+    fleet_destroy(site->fleet);
+    proxies_stop();
+}
+
+/* Guards against a change that an instance does not obey in time since a
+ * connection to a control instance brings it nothing. */
+static void
+test_harmed_connections(void)
+{
+    const char *only = g_getenv("DELIVERY_CASE"); /* plays a single one */
+    site_t site;
+    site_up(&site);
+    for (gsize i = 0; i < G_N_ELEMENTS(DELIVERY_CASES); i++) {
+        const delivery_case_t *c = &DELIVERY_CASES[i];
+        for (guint k = 0; k < ROUNDS; k++) {
+            if (only == NULL || g_str_equal(only, c->name)) {
+                play_round(&site, c, (int)k * PHASE_MS);
+            }
+        }
+    }
+    site_down(&site);
+}
+
+static const test_case_t CASES[] = {
+    {"a change is obeyed in time, whatever a connection does",
+     test_harmed_connections},
+};
+
+CHECK_MAIN("configuration delivery", CASES)
