Log who confirmed a configuration, since when a newer one is known, and faults

The logs could not tell a change that is delivered late from one that can't be applied or from a false confirmation. A request now names the control instance that confirmed its version (config_control) and how long a newer one has been known (newer_config_ms); a difference that does not fit, a text that can't be read or is of another version than announced is logged with both versions (config_not_applied), the first and the last of these were not noticed before.

--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -102,31 +102,57 @@
 
 /* ---- answers ---- */
 
+/* Logs that the configuration that an answer brought can't be used. */
+static void
+log_config_fault(const control_link_t *link, const sync_answer_t *answer,
+                 const char *why)
+{
+    const entry_t *e = link->entry;
+    counter_add(counter_get("config_faults_total", NULL, FALSE), 1);
+    if (event_log_begin(EVENT_STATE, "config_not_applied")) {
+        event_log_cstr("control", link->address);
+        event_log_number("config_version",
+                         e->config ? (gint64)e->config->version : 0);
+        event_log_number("newer_version", (gint64)answer->version);
+        event_log_number("base_version", (gint64)answer->base);
+        event_log_cstr("why", why);
+        event_log_end();
+    }
+}
+
+/* Returns the new text, or NULL if the difference does not fit. */
 static GBytes *
 updated_text(const entry_t *e, const sync_answer_t *answer)
 {
-    if (answer->base == 0) {
-        return text_delta_apply(STR(""), answer->delta);
-    }
-    if (e->config == NULL || e->config->version != answer->base) {
-        return NULL; /* the next answer has a delta to the present version */
-    }
-    return text_delta_apply(str_from_bytes(e->text), answer->delta);
+    str_t base = answer->base != 0 ? str_from_bytes(e->text) : STR("");
+    return text_delta_apply(base, answer->delta);
 }
 
+/* Returns FALSE if the answer brought a configuration that can't be used. */
 static gboolean
 apply_config(control_link_t *link, const sync_answer_t *answer)
 {
     entry_t *e = link->entry;
+    char *fault = NULL;
     if (answer->delta == NULL ||
         (e->config != NULL && answer->version <= e->config->version)) {
         return TRUE;
     }
+    /* Another answer changed the configuration since the poll was sent. */
+    if (answer->base != 0 &&
+        (e->config == NULL || e->config->version != answer->base)) {
+        return TRUE;
+    }
     GBytes *text = updated_text(e, answer);
     if (text == NULL) {
+        log_config_fault(link, answer, "the difference does not fit");
         return FALSE;
     }
-    gboolean applied = entry_apply_config(e, answer->version, text);
+    gboolean applied = entry_apply_config(e, answer->version, text, &fault);
+    if (!applied) {
+        log_config_fault(link, answer, fault);
+    }
+    g_free(fault);
     g_bytes_unref(text);
     return applied;
 }
@@ -283,7 +309,7 @@
     gboolean applied = apply_config(link, answer);
     if (applied && answer->confirmed && e->config != NULL &&
         e->config->version >= answer->version) {
-        entry_record_confirmation(e, earliest_written_us(link));
+        entry_record_confirmation(e, earliest_written_us(link), link->address);
     }
     e->entries = MAX(answer->entries, 1);
     instance_count_record(&e->sharing_instances, e->entries, now);
@@ -460,8 +486,11 @@
 {
     for (guint i = 0; i < e->links->len; i++) {
         const control_link_t *link = e->links->pdata[i];
-        g_string_append_printf(text, "control %s %s, cursor %lu\n",
-                               link->address, link->lost ? "lost" : "answers",
-                               (unsigned long)link->cursor);
+        g_string_append_printf(
+            text, "control %s %s%s, polled %ld ms ago, cursor %lu\n",
+            link->address, link->lost ? "lost" : "answers",
+            link->leads ? " and leads" : "",
+            (long)((clock_boot_us() - link->polled_us) / MS),
+            (unsigned long)link->cursor);
     }
 }
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -75,10 +75,25 @@
                                 : -1;
 }
 
+gint64
+entry_newer_config_ms(const entry_t *e)
+{
+    return e->newer_config_since_us != 0
+               ? (entry_now(e) - e->newer_config_since_us) / MS
+               : -1;
+}
+
 void
-entry_record_confirmation(entry_t *e, gint64 written_us)
+entry_record_confirmation(entry_t *e, gint64 written_us, const char *control)
 {
-    e->confirmed_us = MAX(e->confirmed_us, written_us);
+    if (written_us <= e->confirmed_us) {
+        return;
+    }
+    e->confirmed_us = written_us;
+    if (g_strcmp0(e->confirmed_by, control) != 0) {
+        g_free(e->confirmed_by);
+        e->confirmed_by = g_strdup(control);
+    }
 }
 
 gsize
@@ -112,18 +127,17 @@
 }
 
 gboolean
-entry_apply_config(entry_t *e, guint64 version, GBytes *text)
+entry_apply_config(entry_t *e, guint64 version, GBytes *text, char **fault)
 {
-    char *fault = NULL;
     route_config_t *config;
-    if (platform_config_decode(str_from_bytes(text), &config, &fault) !=
+    if (platform_config_decode(str_from_bytes(text), &config, fault) !=
         PLATFORM_OK) {
-        if (event_log_begin(EVENT_STATE, "config_unreadable")) {
-            event_log_number("version", (gint64)version);
-            event_log_cstr("why", fault);
-            event_log_end();
-        }
-        g_free(fault);
+        return FALSE;
+    }
+    if (config->version != version) {
+        *fault = g_strdup_printf("the text is of version %" G_GUINT64_FORMAT,
+                                 config->version);
+        route_config_unref(config);
         return FALSE;
     }
     g_clear_pointer(&e->config, route_config_unref);
@@ -462,6 +476,7 @@
     g_hash_table_unref(e->services);
     g_clear_pointer(&e->config, route_config_unref);
     g_clear_pointer(&e->text, g_bytes_unref);
+    g_free(e->confirmed_by);
     traffic_destroy(e->traffic);
     g_rand_free(e->random);
     g_free(e);
@@ -534,11 +549,14 @@
     GString *text = g_string_new(NULL);
     g_string_append_printf(
         text,
-        "config version %lu, confirmed %ld ms ago\nready %d\n"
+        "config version %lu, confirmed %ld ms ago by %s, a newer one known "
+        "for %ld ms\nready %d\n"
         "requests %u, connections %u, endpoints %u, entries %u\n"
         "requests quarantined %u, prompt parts %u\n",
         e->config ? (unsigned long)e->config->version : 0,
-        (long)entry_config_age_ms(e), is_ready(e), e->requests_in_flight,
+        (long)entry_config_age_ms(e),
+        e->confirmed_by != NULL ? e->confirmed_by : "none",
+        (long)entry_newer_config_ms(e), is_ready(e), e->requests_in_flight,
         http_server_connections(e->callers), directory_count(e->directory),
         e->entries, quarantine_count(e->quarantine),
         quarantine_count_parts(e->quarantine));
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -111,6 +111,7 @@
     /* clock_boot_us at which the configuration was last known to be the
      * newest */
     gint64 confirmed_us;
+    char *confirmed_by; /* address of that control instance; NULL: never */
     /* since when a newer configuration is known to exist; 0: none */
     gint64 newer_config_since_us;
     /* when the loads of the other instances were last received */
@@ -135,11 +136,18 @@
 /* Time since the configuration in force was known to be the newest; -1:
  * never. */
 gint64 entry_config_age_ms(const entry_t *entry);
-/* Puts a configuration in force. Returns FALSE if it can't be decoded. */
-gboolean entry_apply_config(entry_t *entry, guint64 version, GBytes *text);
+/* Time since a newer configuration than that in force was known to exist; -1:
+ * none is. */
+gint64 entry_newer_config_ms(const entry_t *entry);
+/* Puts a configuration in force. Returns FALSE, with what is wrong with its
+ * text, to be freed with g_free, if it can't be used. */
+gboolean entry_apply_config(entry_t *entry, guint64 version, GBytes *text,
+                            char **fault);
 /* Records that the configuration in force was known to be the newest at
- * `written_us` (clock_boot_us), when a control instance wrote its answer. */
-void entry_record_confirmation(entry_t *entry, gint64 written_us);
+ * `written_us` (clock_boot_us), when the control instance at the address wrote
+ * its answer. */
+void entry_record_confirmation(entry_t *entry, gint64 written_us,
+                               const char *control);
 gint64 entry_now(const entry_t *entry);
 service_state_t *entry_service_state(entry_t *entry, const char *service);
 /* Recomputes the split of engines after the loads of the other instances were
--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -70,6 +70,12 @@
     event_log_number("config_version",
                      f->config ? (gint64)f->config->version : 0);
     event_log_number("config_age_ms", entry_config_age_ms(f->entry));
+    if (f->entry->confirmed_by != NULL) {
+        event_log_cstr("config_control", f->entry->confirmed_by);
+    }
+    if (f->entry->newer_config_since_us != 0) {
+        event_log_number("newer_config_ms", entry_newer_config_ms(f->entry));
+    }
     event_log_number("loads_age_ms",
                      (forward_now(f) - f->entry->loads_received_us) / MS);
     event_log_number("sends", f->sends);
