Another control instance is asked when the one asked for a change delivers none

Callers were refused or served as an older version allows more than 2 s after a change was acknowledged, at single instances.

Cause: one control instance, the leader as last known, was asked for the configuration, and trusted until its poll failed: up to 1.35 s with nine instances, 1.7 s with 71, 6.9 s with 985. Then the others were asked in turns of 0.8 s by the clock, those that do not answer too, each only with its next poll. A difference that did not fit was asked for again at the same instance without a pause.

Now the answer to a poll is overdue 0.3 s and 1 ms for each entry instance after the time it was to be held (policy/sync_pace.c). If it should bring the configuration, another instance is asked at once, in place of its poll in flight: the leader, else who reported the newest version, else one in the same data centre, else the one not asked for longest (policy/config_source.c). The same when a poll fails, when a version that others have does not come for 0.8 s, and when what came can't be used; that instance is left alone for 0.8 s and the next text is asked for whole. A long answer that arrives may take 0.8 s more; one that never ends is given up after 20 s. An instance without any configuration only waits for its next polls, so that a start of all together costs no more polls. While the leader answers, nothing is asked elsewhere.

--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -4,9 +4,9 @@
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
 #include "carobloom/gateway/inner_line.h"
+#include "carobloom/policy/config_source.h"
 #include "carobloom/policy/rendezvous.h"
 #include "carobloom/policy/sync_pace.h"
-#include "carobloom/version/text_delta.h"
 #include "entry_state.h"
 
 enum {
@@ -17,8 +17,13 @@
      * is sent again and adds load. */
     ANSWER_TIMEOUT_US = 700 * MS,
     ANSWER_TIMEOUT_PER_ENTRY_US = 5 * MS,
-    /* Time for the leader to deliver a configuration before another control
-     * instance is polled for it. 100 KB take 80 ms at 10 Mbit/s. */
+    /* Bytes that have to arrive of an overdue answer, until it is looked at
+     * again, for it to count as a long answer over a narrow link. */
+    RECEIVED_MIN = 2048,
+    /* Time for the control instance that was asked to deliver a configuration
+     * that is known to exist, before another one is asked. 100 KB take 80 ms
+     * at 10 Mbit/s. Also the time for which an instance is not asked after it
+     * sent a configuration that can't be used. */
     DELIVERY_TIMEOUT_US = 800 * MS,
     RETRY_MIN_US = 50 * MS,
     RETRY_MAX_US = 800 * MS,
@@ -51,8 +56,17 @@
     guint64 cursor;
     guint64 quarantine_cursor;
     guint64 limit_cursor;
-    gboolean more;  /* leases remain after its last answer */
-    gboolean leads; /* its last answer confirmed the configuration */
+    gboolean more;         /* leases remain after its last answer */
+    gboolean leads;        /* its last answer confirmed the configuration */
+    guint64 version;       /* the newest that it reported */
+    gboolean asks_config;  /* the poll in flight asks for the configuration */
+    gboolean asks_next;    /* the next poll will */
+    gint64 asked_us;       /* when it was last asked */
+    gboolean overdue;      /* the answer to the poll in flight is */
+    guint64 overdue_timer; /* 0: no poll is in flight, or it is overdue */
+    gint64 overdue_since_us; /* 0: the time for its answer is not over */
+    gsize received; /* bytes of the answer, when it was last looked at */
+    gint64 barred_until_us; /* what it sent before can't be used */
 };
 
 static const inner_line_ops_t LINK_OPS;
@@ -78,10 +92,138 @@
     link_poll(link);
 }
 
+/* ---- who is asked for the configuration ---- */
+
+static gboolean
+is_usable(const control_link_t *link)
+{
+    return !link->lost && !link->overdue &&
+           entry_now(link->entry) >= link->barred_until_us;
+}
+
+static config_source_t *
+config_sources(const entry_t *e)
+{
+    config_source_t *sources = g_new0(config_source_t, e->links->len);
+    for (guint i = 0; i < e->links->len; i++) {
+        const control_link_t *link = e->links->pdata[i];
+        sources[i] = (config_source_t){
+            .usable = is_usable(link),
+            .leads = link->leads,
+            .asked = (link->asks_config || link->asks_next) && !link->overdue,
+            .local =
+                g_strcmp0(link->data_centre, e->settings->data_centre) == 0,
+            .version = link->version,
+            .asked_us = link->asked_us,
+        };
+    }
+    return sources;
+}
+
+static gboolean
+asks_config(const control_link_t *link)
+{
+    const entry_t *e = link->entry;
+    guint at = 0;
+    if (link->asks_next || entry_now(e) < link->barred_until_us) {
+        return link->asks_next;
+    }
+    while (e->links->pdata[at] != link) {
+        at++;
+    }
+    config_source_t *sources = config_sources(e);
+    gboolean asks = config_source_asks(sources, e->links->len, at);
+    g_free(sources);
+    return asks;
+}
+
+/* The poll in flight has ended. Returns whether another control instance has
+ * to be asked for the configuration if this one did not answer. */
+static gboolean
+link_end_poll(control_link_t *link)
+{
+    gboolean was_waited_for = link->asks_config && !link->overdue;
+    timers_cancel(link->entry->timers, link->overdue_timer);
+    link->overdue_timer = 0;
+    link->overdue = FALSE;
+    link->overdue_since_us = 0;
+    link->received = 0;
+    link->asks_config = FALSE;
+    return was_waited_for;
+}
+
+/* Asks another control instance for the configuration at once, since `link`
+ * does not deliver it. An instance that has none yet waits for the next poll:
+ * where all start together, more polls would only delay the answers. */
+static void
+config_ask_elsewhere(control_link_t *link, const char *why)
+{
+    entry_t *e = link->entry;
+    if (e->config == NULL) {
+        return;
+    }
+    config_source_t *sources = config_sources(e);
+    gint at = config_source_substitute(sources, e->links->len);
+    g_free(sources);
+    if (at < 0 || e->links->pdata[at] == link) {
+        return;
+    }
+    control_link_t *other = e->links->pdata[at];
+    if (event_log_begin(EVENT_STATE, "config_asked_elsewhere")) {
+        event_log_cstr("control", other->address);
+        event_log_cstr("instead_of", link->address);
+        event_log_cstr("why", why);
+        event_log_number("config_version", (gint64)e->config->version);
+        event_log_number("newer_config_ms", entry_newer_config_ms(e));
+        event_log_end();
+    }
+    counter_add(counter_get("config_asked_elsewhere_total", NULL, FALSE), 1);
+    other->asks_next = TRUE;
+    if (inner_line_is_busy(other->line)) {
+        inner_line_cancel(other->line);
+        link_end_poll(other);
+        link_poll(other);
+    }
+}
+
+/* Whether the overdue answer may still be waited for: it is a long one that
+ * arrives. */
+static gboolean
+is_receiving(control_link_t *link)
+{
+    gsize received = inner_line_received(link->line);
+    gint64 overdue_us = entry_now(link->entry) - link->overdue_since_us;
+    gboolean grows = received >= link->received + RECEIVED_MIN;
+    link->received = received;
+    return grows && overdue_us < DELIVERY_TIMEOUT_US;
+}
+
+static void
+link_overdue(void *data)
+{
+    control_link_t *link = data;
+    const entry_t *e = link->entry;
+    link->overdue_timer = 0;
+    if (link->overdue_since_us == 0) {
+        link->overdue_since_us = entry_now(e);
+    }
+    if (is_receiving(link)) {
+        link->overdue_timer = timers_subscribe(
+            e->timers, sync_overdue_ms(e->entries) * (gint64)MS, 0,
+            link_overdue, link);
+        return;
+    }
+    link->overdue = TRUE;
+    if (link->asks_config) {
+        config_ask_elsewhere(link, "its answer is overdue");
+    }
+}
+
 static void
 link_failed(control_link_t *link)
 {
     entry_t *e = link->entry;
+    gboolean was_waited_for = link_end_poll(link);
     timers_cancel(e->timers, link->timer);
     link->leads = FALSE;
     if (!link->lost) {
@@ -91,6 +233,9 @@
     link->retry_us = CLAMP(link->retry_us * 2, RETRY_MIN_US, RETRY_MAX_US);
     link->timer =
         timers_subscribe(e->timers, link->retry_us, 0, link_poll_due, link);
+    if (was_waited_for) {
+        config_ask_elsewhere(link, "its poll failed");
+    }
 }
 
 static gint64
@@ -102,61 +247,6 @@
 
 /* ---- answers ---- */
 
-/* Logs that the configuration that an answer brought can't be used. */
-static void
-log_config_fault(const control_link_t *link, const sync_answer_t *answer,
-                 const char *why)
-{
-    const entry_t *e = link->entry;
-    counter_add(counter_get("config_faults_total", NULL, FALSE), 1);
-    if (event_log_begin(EVENT_STATE, "config_not_applied")) {
-        event_log_cstr("control", link->address);
-        event_log_number("config_version",
-                         e->config ? (gint64)e->config->version : 0);
-        event_log_number("newer_version", (gint64)answer->version);
-        event_log_number("base_version", (gint64)answer->base);
-        event_log_cstr("why", why);
-        event_log_end();
-    }
-}
-
-/* Returns the new text, or NULL if the difference does not fit. */
-static GBytes *
-updated_text(const entry_t *e, const sync_answer_t *answer)
-{
-    str_t base = answer->base != 0 ? str_from_bytes(e->text) : STR("");
-    return text_delta_apply(base, answer->delta);
-}
-
-/* Returns FALSE if the answer brought a configuration that can't be used. */
-static gboolean
-apply_config(control_link_t *link, const sync_answer_t *answer)
-{
-    entry_t *e = link->entry;
-    char *fault = NULL;
-    if (answer->delta == NULL ||
-        (e->config != NULL && answer->version <= e->config->version)) {
-        return TRUE;
-    }
-    /* Another answer changed the configuration since the poll was sent. */
-    if (answer->base != 0 &&
-        (e->config == NULL || e->config->version != answer->base)) {
-        return TRUE;
-    }
-    GBytes *text = updated_text(e, answer);
-    if (text == NULL) {
-        log_config_fault(link, answer, "the difference does not fit");
-        return FALSE;
-    }
-    gboolean applied = entry_apply_config(e, answer->version, text, &fault);
-    if (!applied) {
-        log_config_fault(link, answer, fault);
-    }
-    g_free(fault);
-    g_bytes_unref(text);
-    return applied;
-}
-
 static control_link_t *
 link_find(entry_t *e, const char *address)
 {
@@ -233,6 +323,7 @@
 {
     entry_t *e = link->entry;
     timers_cancel(e->timers, link->timer);
+    timers_cancel(e->timers, link->overdue_timer);
     inner_line_destroy(link->line);
     crash_link_remove_control(e->crash_link, link->address);
     helper_link_remove_control(e->helper_link, link->address);
@@ -256,14 +347,61 @@
     }
 }
 
-/* Records when it became known that a newer version exists. */
+/* Asks others than those that were asked and do not deliver. */
+static void
+config_ask_others(entry_t *e)
+{
+    control_link_t *asked = NULL;
+    for (guint i = 0; i < e->links->len; i++) {
+        control_link_t *link = e->links->pdata[i];
+        if (link->asks_config && !link->overdue &&
+            inner_line_received(link->line) > RECEIVED_MIN) {
+            return;
+        }
+        if (link->asks_config && is_usable(link)) {
+            link->barred_until_us = entry_now(e) + DELIVERY_TIMEOUT_US;
+            asked = link;
+        }
+    }
+    if (asked != NULL) {
+        config_ask_elsewhere(asked, "it does not deliver");
+    }
+}
+
+/* The newer version that became known has not been delivered in time. */
 static void
-record_version(entry_t *e, guint64 version)
+config_late(void *data)
 {
+    entry_t *e = data;
+    gint64 left_us =
+        e->newer_config_since_us + DELIVERY_TIMEOUT_US - entry_now(e);
+    e->late_config_timer = 0;
+    if (e->newer_config_since_us == 0) {
+        return;
+    }
+    if (left_us <= 0) {
+        config_ask_others(e);
+    }
+    e->late_config_timer = timers_subscribe(
+        e->timers, left_us > 0 ? left_us : DELIVERY_TIMEOUT_US, 0, config_late,
+        e);
+}
+
+/* Records which version a control instance has, and when it became known that
+ * a newer one than that in force exists. */
+static void
+record_version(control_link_t *link, guint64 version)
+{
+    entry_t *e = link->entry;
     guint64 known_version = e->config != NULL ? e->config->version : 0;
+    link->version = version;
     if (version > known_version && e->newer_config_since_us == 0) {
         e->newer_config_since_us = entry_now(e);
     }
+    if (e->newer_config_since_us != 0 && e->late_config_timer == 0) {
+        e->late_config_timer = timers_subscribe(e->timers, DELIVERY_TIMEOUT_US,
+                                                0, config_late, e);
+    }
 }
 
 /* The earliest time, by the clock of this instance, at which the answer can
@@ -281,7 +419,7 @@
 {
     entry_t *e = link->entry;
     gint64 now = entry_now(e);
-    record_version(e, answer->version);
+    record_version(link, answer->version);
     if (answer->full && link->epoch != answer->epoch) {
         directory_source_reset(e->directory, link->source, now);
     }
@@ -306,7 +444,12 @@
     g_free(link->data_centre);
     link->data_centre = g_strdup(answer->data_centre);
     traffic_set_data_centre(e->traffic, link->address, answer->data_centre);
-    gboolean applied = apply_config(link, answer);
+    gboolean applied = entry_apply_update(e, answer, link->address);
+    if (!applied) {
+        e->needs_whole_config = TRUE;
+        link->barred_until_us = now + DELIVERY_TIMEOUT_US;
+        config_ask_elsewhere(link, "what it sent can't be used");
+    }
     if (applied && answer->confirmed && e->config != NULL &&
         e->config->version >= answer->version) {
         entry_record_confirmation(e, earliest_written_us(link), link->address);
@@ -333,6 +476,7 @@
     if (link->lost || link->answered_us == 0) {
         log_link(link, "control_found");
     }
+    link_end_poll(link);
     link->lost = FALSE;
     link->retry_us = 0;
     link->answered_us = entry_now(e);
@@ -352,35 +496,6 @@
 static const inner_line_ops_t LINK_OPS = {.answered = on_answered,
                                           .failed = on_failed};
 
-static gboolean
-has_leader(const entry_t *e)
-{
-    for (guint i = 0; i < e->links->len; i++) {
-        if (((control_link_t *)e->links->pdata[i])->leads) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
-/* A new configuration comes from one control instance, the leader: if all of
- * them sent it at once, they would fill a narrow link for seconds. If there is
- * no leader or it does not deliver, the other control instances are polled for
- * it, one at a time. */
-static gboolean
-wants_config(const control_link_t *link)
-{
-    entry_t *e = link->entry;
-    gint64 now = entry_now(e);
-    gboolean late = e->newer_config_since_us != 0 &&
-                    now - e->newer_config_since_us > DELIVERY_TIMEOUT_US;
-    if (has_leader(e) && !late) {
-        return link->leads;
-    }
-    guint turn = (guint)(now / DELIVERY_TIMEOUT_US);
-    return link == e->links->pdata[turn % e->links->len] || link->leads;
-}
-
 static guint32
 max_wait_ms(const control_link_t *link)
 {
@@ -399,15 +514,24 @@
 link_poll(control_link_t *link)
 {
     entry_t *e = link->entry;
+    gboolean whole = e->needs_whole_config && e->newer_config_since_us != 0;
+    guint32 wait_ms = max_wait_ms(link);
+    link->asks_config = asks_config(link);
+    link->asks_next = FALSE;
+    if (link->asks_config) {
+        link->asked_us = entry_now(e);
+    }
     sync_request_t request = {
         .instance = e->settings->instance,
-        .version = e->config != NULL ? e->config->version : 0,
+        .version = e->config != NULL && !(whole && link->asks_config)
+                       ? e->config->version
+                       : 0,
         .epoch = link->epoch,
         .cursor = link->cursor,
         .quarantine_cursor = link->quarantine_cursor,
         .limit_cursor = link->limit_cursor,
-        .wait_ms = max_wait_ms(link),
-        .wants_config = wants_config(link),
+        .wait_ms = wait_ms,
+        .wants_config = link->asks_config,
         .more = link->more,
     };
     GBytes *body = sync_request_write(&request);
@@ -421,7 +545,11 @@
     g_bytes_unref(body);
     if (!posted) {
         link_failed(link);
+        return;
     }
+    link->overdue_timer = timers_subscribe(
+        e->timers, (wait_ms + sync_overdue_ms(e->entries)) * (gint64)MS, 0,
+        link_overdue, link);
 }
 
 /* ---- all links ---- */
@@ -445,6 +573,7 @@
 void
 control_links_destroy(entry_t *e)
 {
+    timers_cancel(e->timers, e->late_config_timer);
     for (guint i = 0; i < e->links->len; i++) {
         link_destroy(e->links->pdata[i]);
     }
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -2,6 +2,7 @@
  *
  * entry.c           listeners, readiness, draining
  * control_link.c    updates from the control instances
+ * config_update.c   configurations among them
  * load_link.c       reports and updates of the requests in flight
  * limit_link.c      limits that endpoints name, shared by all instances
  * limit_log.c       log lines about these limits
@@ -114,6 +115,10 @@
     char *confirmed_by; /* address of that control instance; NULL: never */
     /* since when a newer configuration is known to exist; 0: none */
     gint64 newer_config_since_us;
+    /* the next configuration is asked for whole, since one could not be
+     * applied */
+    gboolean needs_whole_config;
+    guint64 late_config_timer; /* 0: no newer configuration is known */
     /* when the loads of the other instances were last received */
     gint64 loads_received_us;
     guint entries; /* number of entry instances, as reported by control */
@@ -159,6 +164,12 @@
 /* Sets the counters of quarantined requests and prompt parts. */
 void entry_count_quarantined(const entry_t *entry);
 
+/* config_update.c */
+/* Applies the configuration that an answer of a control instance brought, if
+ * any. Returns FALSE, and logs why, if it can't be used. */
+gboolean entry_apply_update(entry_t *entry, const sync_answer_t *answer,
+                            const char *control);
+
 /* control_link.c */
 void control_links_add_seeds(entry_t *entry);
 void control_links_destroy(entry_t *entry);
--- a/carobloomd/gateway/inner_line.c
+++ b/carobloomd/gateway/inner_line.c
@@ -15,6 +15,7 @@
     guint held_ms;
     GByteArray *body;
     gboolean progress; /* bytes arrived since the timer was set */
+    gint64 posted_us;  /* on the timers' clock */
 };
 
 static void
@@ -44,8 +45,10 @@
 on_timeout(void *data)
 {
     inner_line_t *line = data;
+    gint64 waited_us = timers_now(line->setup.timers) - line->posted_us;
     line->timer = 0;
-    if (line->progress && line->setup.progress_us > 0) {
+    if (line->progress && line->setup.progress_us > 0 &&
+        waited_us < INNER_ANSWER_MAX_US) {
         line->progress = FALSE;
         line->timer = timers_subscribe(
             line->setup.timers, line->setup.progress_us, 0, on_timeout, line);
@@ -156,11 +159,30 @@
     return line->call != NULL;
 }
 
+gsize
+inner_line_received(const inner_line_t *line)
+{
+    return line->call != NULL ? line->body->len : 0;
+}
+
+void
+inner_line_cancel(inner_line_t *line)
+{
+    client_call_t *call = line->call;
+    if (call == NULL) {
+        return;
+    }
+    line_end(line);
+    line_empty_body(line);
+    client_call_cancel(call);
+}
+
 gboolean
 inner_line_post(inner_line_t *line, const char *path, GBytes *body,
                 gint64 wait_us)
 {
     line->progress = FALSE;
+    line->posted_us = timers_now(line->setup.timers);
     line->call = inner_post(line->peer, path, line->address,
                             str_from_bytes(body), &LINE_OPS, line);
     if (line->call == NULL) {
--- a/include/carobloom/gateway/inner_line.h
+++ b/include/carobloom/gateway/inner_line.h
@@ -9,6 +9,10 @@
  * answer. */
 #define HELD_FIELD "Held-Ms"
 
+/* Maximum time from a request to the end of its answer, however many bytes
+ * arrive. */
+enum { INNER_ANSWER_MAX_US = 20 * G_USEC_PER_SEC };
+
 typedef struct inner_line inner_line_t;
 
 /* Callbacks for the end of a call; exactly one of them is called for each
@@ -27,8 +31,8 @@
     http_peer_limits_t peer;
     gsize answer_max; /* bytes */
     /* Microseconds by which the timeout of a call is extended if bytes
-     * arrived since it was set, for a long answer over a slow link. 0: no
-     * extension. */
+     * arrived since it was set, for a long answer over a slow link, up to
+     * INNER_ANSWER_MAX_US. 0: no extension. */
     gint64 progress_us;
     const inner_line_ops_t *ops;
     void *user;
@@ -46,6 +50,11 @@
  * answered, from HELD_FIELD. Valid in `answered`. */
 guint inner_line_held_ms(const inner_line_t *line);
 gboolean inner_line_is_busy(const inner_line_t *line);
+/* Bytes of the answer to the call in flight that have arrived. */
+gsize inner_line_received(const inner_line_t *line);
+/* Ends the call in flight, if there is one, without a callback. Not to be
+ * called within a callback of this line. */
+void inner_line_cancel(inner_line_t *line);
 /* Posts `body`, to be answered within `wait_us`. Returns FALSE if no
  * connection is available; `failed` is not called then. No call may be
  * in flight. */
--- a/include/carobloom/policy/sync_pace.h
+++ b/include/carobloom/policy/sync_pace.h
@@ -17,5 +17,8 @@
 
 /* Maximum time to hold a poll, in ms. */
 guint32 sync_wait_ms(const sync_pace_t *pace);
+/* Time after that from which the answer to a poll is overdue, in ms: the
+ * updates that it should bring are asked for elsewhere. */
+guint32 sync_overdue_ms(guint entries);
 
 #endif
--- a/policy/sync_pace.c
+++ b/policy/sync_pace.c
@@ -15,6 +15,10 @@
      * that of polls at the leader: otherwise 291 instances without a
      * configuration keep all control instances too busy to elect a leader. */
     UNHEALTHY_WAIT_MIN_MS = 100,
+    /* A round trip between regions, and the delay of a busy control instance,
+     * which grows with the number of entry instances that poll it. */
+    OVERDUE_MIN_MS = 300,
+    OVERDUE_PER_ENTRY_MS = 1,
 };
 
 /* Maximum wait at the leader, as a fraction of the revocation bound. An entry
@@ -40,3 +44,9 @@
     max_ms = CLAMP(max_ms, WAIT_MIN_MS, WAIT_MAX_MS);
     return (guint32)CLAMP(leader_ms, WAIT_MIN_MS, max_ms);
 }
+
+guint32
+sync_overdue_ms(guint entries)
+{
+    return OVERDUE_MIN_MS + entries * OVERDUE_PER_ENTRY_MS;
+}
--- a/tests/proxy.c
+++ b/tests/proxy.c
@@ -12,7 +12,8 @@
     DELAY_US = 80 * 1000,
     TURN_MS = 2,
     SOURCES_MAX = 32,
-    GARBLED_MIN = 256, /* bytes of a piece that is garbled */
+    GARBLED_MIN = 256,      /* bytes of a piece that is garbled */
+    TRICKLE_US = 50 * 1000, /* from one byte to the next */
 };
 
 static const char *const MODE_NAMES[] = {
@@ -21,6 +22,7 @@
     [PROXY_CUT_FROM] = "cut-from", [PROXY_SILENT] = "silent",
     [PROXY_STALE] = "stale",       [PROXY_REFUSE] = "refuse",
     [PROXY_HOLD] = "hold",         [PROXY_GARBLE] = "garble",
+    [PROXY_TRICKLE] = "trickle",
 };
 
 /* A mode, and whether it took effect. */
@@ -59,6 +61,7 @@
     gboolean stale;
     gboolean over;
     guint late; /* pieces on their way, with DELAY; the last frees it */
+    gint64 trickled_us; /* when the last byte was passed on, with TRICKLE */
 };
 
 typedef struct {
@@ -135,10 +138,13 @@
            mode == (to_far ? PROXY_CUT_TO : PROXY_CUT_FROM);
 }
 
+/* Whether what comes from that end is held up. */
 static gboolean
-is_held(const pair_t *pair)
+is_held(const end_t *from)
 {
-    return mode_of(pair) == PROXY_HOLD;
+    proxy_mode_t mode = mode_of(from->pair);
+    return mode == PROXY_HOLD ||
+           (mode == PROXY_TRICKLE && from == &from->pair->far);
 }
 
 static void
@@ -196,7 +202,7 @@
         end->lossy = TRUE; /* nothing may come after a gap */
         return;
     }
-    if (is_held(pair) || end->held != NULL) {
+    if (is_held(end) || end->held != NULL) {
         hold(end, bytes);
         return;
     }
@@ -229,7 +235,7 @@
         end->closed = TRUE;
         return;
     }
-    if (end->socket != NULL && (is_held(pair) || end->held != NULL)) {
+    if (end->socket != NULL && (is_held(end) || end->held != NULL)) {
         g_clear_pointer(&end->socket, stream_socket_destroy);
         end->closed = TRUE;
         end->reset = error != 0;
@@ -320,7 +326,8 @@
     if ((gint)mode == source->done) {
         return;
     }
-    gboolean was_held = source->done == PROXY_HOLD;
+    gboolean was_held =
+        source->done == PROXY_HOLD || source->done == PROXY_TRICKLE;
     source->done = (gint)mode;
     GList *next;
     for (GList *l = proxy->pairs; l != NULL; l = next) {
@@ -340,6 +347,22 @@
     }
 }
 
+static void
+trickle(pair_t *pair)
+{
+    gint64 now = g_get_monotonic_time();
+    GByteArray *held = pair->far.held;
+    if (held == NULL || held->len == 0 || pair->far.socket == NULL ||
+        mode_of(pair) != PROXY_TRICKLE ||
+        now - pair->trickled_us < TRICKLE_US) {
+        return;
+    }
+    char byte = (char)held->data[0];
+    pair->trickled_us = now;
+    g_byte_array_remove_index(held, 0);
+    pass(pair, FALSE, (str_t){.data = &byte, .length = 1});
+}
+
 static void
 proxy_turn(proxy_t *proxy)
 {
@@ -351,6 +374,9 @@
     for (guint i = 0; i < SOURCES_MAX; i++) {
         source_turn(proxy, &proxy->sources[i]);
     }
+    for (GList *l = proxy->pairs; l != NULL; l = l->next) {
+        trickle(l->data);
+    }
 }
 
 static void
--- a/tests/proxy.h
+++ b/tests/proxy.h
@@ -23,6 +23,8 @@
     /* One byte in the middle of each larger piece that goes back to the
      * connecting side is changed. */
     PROXY_GARBLE,
+    /* What goes back to the connecting side comes a byte at a time. */
+    PROXY_TRICKLE,
 } proxy_mode_t;
 
 typedef struct proxy proxy_t;
--- a/tests/test_config_delivery.c
+++ b/tests/test_config_delivery.c
@@ -23,7 +23,12 @@
 
 /* The control instances whose connections from the first entry instances are
  * harmed. */
-typedef enum { HARM_LEADER, HARM_FOLLOWERS, HARM_ALL } harm_t;
+typedef enum {
+    HARM_LEADER,
+    HARM_TWO, /* the leader and another one */
+    HARM_FOLLOWERS,
+    HARM_ALL,
+} harm_t;
 
 typedef struct {
     const char *name;
@@ -44,6 +49,8 @@
     {"connections to the leader are reset", HARM_LEADER, PROXY_RESET, 0},
     {"the leader is slow", HARM_LEADER, PROXY_DELAY, 0},
     {"the leader's answer has a wrong byte", HARM_LEADER, PROXY_GARBLE, 0},
+    {"the leader's answer trickles", HARM_LEADER, PROXY_TRICKLE, 0},
+    {"the leader and another one are silent", HARM_TWO, PROXY_SILENT, 0},
     {"connections to the others go silent", HARM_FOLLOWERS, PROXY_STALE, 0},
     {"the others are silent", HARM_FOLLOWERS, PROXY_SILENT, 0},
     {"all connections go silent", HARM_ALL, PROXY_STALE, 0},
@@ -84,14 +91,26 @@
     return 0;
 }
 
+static gboolean
+is_harmed(harm_t harm, guint leads, guint control)
+{
+    switch (harm) {
+    case HARM_LEADER:
+        return control == leads;
+    case HARM_TWO:
+        return control == leads || control == (leads + 1) % CONTROLS;
+    case HARM_FOLLOWERS:
+        return control != leads;
+    default:
+        return TRUE;
+    }
+}
+
 static void
 site_harm(site_t *site, harm_t harm, guint leads, proxy_mode_t mode)
 {
     for (guint i = 0; i < CONTROLS; i++) {
-        if (harm != HARM_ALL && (harm == HARM_LEADER) != (i == leads)) {
-            continue;
-        }
-        for (guint k = 0; k < ENTRIES; k++) {
+        for (guint k = 0; is_harmed(harm, leads, i) && k < ENTRIES; k++) {
             proxy_set_from(site->proxies[i][PEERS],
                            fleet_entry(site->fleet, k)->bind, mode);
         }
