A request is not denied by a configuration that is known to be overtaken

An instance that knows of a newer version which it does not have yet answered 404 or 401 for routes and keys of that version: final answers that the newer one contradicts. Requests that the version in force allows are served as before.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -467,6 +467,24 @@
 
 /* ---- admission ---- */
 
+/* Returns the status with which a request is denied. A configuration that is
+ * or may be outdated is no reason to deny it: the route or the key may exist
+ * in a newer one. The caller gets 503. */
+static guint
+deny(const entry_t *e, guint status, const char *fault, const char **reason)
+{
+    if (!entry_is_confirmed(e)) {
+        *reason = "the configuration may be old";
+        return 503;
+    }
+    if (e->newer_config_since_us != 0) {
+        *reason = "a newer configuration has not arrived yet";
+        return 503;
+    }
+    *reason = fault;
+    return status;
+}
+
 /* Returns 0 if the request is admitted, else the status and reason of its
  * refusal. */
 static guint
@@ -494,22 +512,17 @@
     f->route =
         route_config_match(f->config, f->info.host,
                            http_head_target(http_exchange_head(f->exchange)));
-    /* A configuration that may be outdated is no reason to deny a request: the
-     * route or the key may exist in a newer one. The caller gets 503. */
-    gboolean confirmed = entry_is_confirmed(e);
     if (f->route == NULL) {
-        *reason = confirmed ? "no route" : "the configuration may be old";
-        return confirmed ? 404 : 503;
+        return deny(e, 404, "no route", reason);
     }
     if (f->config->keyed && !f->route->open) {
-        if (!confirmed) {
+        if (!entry_is_confirmed(e)) {
             *reason = "the configuration may be old";
             return 503;
         }
         f->team = route_config_team(f->config, f->info.key);
         if (f->team == NULL) {
-            *reason = "unknown key";
-            return 401;
+            return deny(e, 401, "unknown key", reason);
         }
     }
     return 0;
