--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -404,10 +404,27 @@
     endless_step(run);
 }
 
+/* The time that a path with /for-MS/ asks for; 0: it does not. */
+static gint64
+asked_work_us(const http_exchange_t *exchange)
+{
+    str_t target = http_head_target(http_exchange_head(exchange));
+    gssize at = str_find(target, STR("/for-"), 0);
+    guint64 ms = 0;
+    if (at >= 0) {
+        str_t digits = str_tail(target, (gsize)at + strlen("/for-"));
+        gssize end = str_find(digits, STR("/"), 0);
+        digits.length = end < 0 ? digits.length : (gsize)end;
+        http_number(digits, &ms);
+    }
+    return (gint64)ms * MS;
+}
+
 static void
 stream_begin(run_t *run)
 {
     endpoint_t *e = run->endpoint;
+    gint64 asked_us = asked_work_us(run->exchange);
     str_t last;
     guint64 number = 0;
     if (http_head_find(http_exchange_head(run->exchange), "Last-Event-Id",
@@ -422,7 +439,9 @@
     run->events = run->is_large ? LARGE_EVENTS
                   : is_long     ? LONG_EVENTS
                                 : EVENTS;
-    run->event_us = is_long ? LONG_EVENT_US : EVENT_US;
+    run->event_us = asked_us > 0 ? asked_us / run->events
+                    : is_long    ? LONG_EVENT_US
+                                 : EVENT_US;
     char *fields =
         answer_fields(e, run->exchange, "Content-Type: text/event-stream\r\n");
     http_exchange_begin(run->exchange, 200, str_from_cstr(fields));
@@ -470,7 +489,9 @@
         return;
     }
     gboolean slow = str_find(target, STR("/slow"), 0) >= 0;
+    gint64 asked_us = asked_work_us(exchange);
     gint64 work_us = fault == FAULT_LATE ? LATE_WORK_US
+                     : asked_us > 0      ? asked_us
                      : slow              ? SLOW_WORK_US
                                          : WORK_US;
     run->timer = timers_subscribe(e->timers, work_us, 0, plain_over, run);
