An event in small pieces costs its length, not the square of it

Another operator's report of bytes without end, in a form that happens here: requests of other callers waited for seconds, or got nothing, while an endpoint sent an event without end in chunks of a few bytes.

Cause: the end of an event was looked for from its start with each piece. The search now goes on where it ended.

--- a/carobloomd/gateway/event_stream.c
+++ b/carobloomd/gateway/event_stream.c
@@ -18,14 +18,15 @@
 event_stream_reset(event_stream_t *s)
 {
     g_byte_array_set_size(s->pending, 0);
+    s->searched = 0;
 }
 
-/* Returns the length of the first event including its blank line, or 0 if the
- * event is incomplete. */
+/* Returns the length of the first event including its blank line, which does
+ * not begin before `from`, or 0 if the event is incomplete. */
 static gsize
-event_length(const char *data, gsize length)
+event_length(const char *data, gsize length, gsize from)
 {
-    for (gsize i = 0; i + 1 < length; i++) {
+    for (gsize i = from; i + 1 < length; i++) {
         if (data[i] != '\n') {
             continue;
         }
@@ -76,7 +77,8 @@
     gsize at = 0;
     for (;;) {
         const char *data = (const char *)s->pending->data + at;
-        gsize length = event_length(data, s->pending->len - at);
+        gsize length = event_length(data, s->pending->len - at,
+                                    at == 0 ? s->searched : 0);
         if (length == 0) {
             break;
         }
@@ -87,6 +89,9 @@
     if (at > 0) {
         g_byte_array_remove_range(s->pending, 0, (guint)at);
     }
+    /* A blank line may have begun with the last two bytes. Without this, an
+     * event that comes in small pieces would cost the square of its length. */
+    s->searched = s->pending->len > 2 ? s->pending->len - 2 : 0;
     return s->pending->len > EVENT_BYTES_MAX ? EVENT_STREAM_ERROR_LONG
                                              : EVENT_STREAM_OK;
 }
--- a/carobloomd/gateway/event_stream.h
+++ b/carobloomd/gateway/event_stream.h
@@ -17,6 +17,7 @@
 
 typedef struct {
     GByteArray *pending; /* bytes of the event that is still incomplete */
+    gsize searched;      /* so many of them are known not to hold its end */
 } event_stream_t;
 
 /* Receives one complete event. `id` is G_MAXUINT64 when the event has none. */
