A caller that reads slowly keeps its connection

Cause: a connection ended once sent bytes had been unacknowledged for 4 s, and bytes that wait for room at a slow reader count as that. The bound is meant for peers that are gone, which instances and endpoints have to notice soon. Callers' connections have 60 s now; other connections keep 4 s, idle ones of callers end by their own bound.

--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -27,6 +27,9 @@
     /* Delay after a start, in which more than one control instance can report
      * its endpoints. */
     READY_DELAY_US = 300 * MS,
+    /* Callers that read slowly, or late, still read: only one that reads
+     * nothing for so long has its connection ended. */
+    CALLER_UNREAD_MAX_US = 60 * G_USEC_PER_SEC,
     /* Loads of the other instances that are older are not used. */
     LOADS_AGE_MAX_US = 2000 * MS,
 };
@@ -122,6 +125,7 @@
         .connections = (guint)MAX(descriptors / 2, 32),
         .buffered_max =
             (gsize)((double)entry_memory_bytes(e) * BODIES_FRACTION),
+        .unread_us = CALLER_UNREAD_MAX_US,
     };
     return limits;
 }
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -471,6 +471,9 @@
         return;
     }
     stream_socket_count(c->socket, &server->unread);
+    if (server->limits.unread_us > 0) {
+        stream_socket_set_unread_max(c->socket, server->limits.unread_us);
+    }
     c->idle_since_us = timers_now(server->timers);
     http_reader_init(&c->reader, TRUE, server->limits.head_max, &READER_OPS,
                      c);
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -271,6 +271,14 @@
     return s;
 }
 
+void
+stream_socket_set_unread_max(stream_socket_t *s, gint64 us)
+{
+    int timeout_ms = (int)(us / 1000);
+    setsockopt(s->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+}
+
 void
 stream_socket_count(stream_socket_t *s, gsize *sum)
 {
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -21,6 +21,8 @@
     gint64 idle_us;     /* between requests */
     guint connections;  /* more are closed at once */
     gsize buffered_max; /* bytes of requests in all; no more bodies are read */
+    /* For which a client may read nothing of its answer; 0: four seconds. */
+    gint64 unread_us;
 } http_limits_t;
 
 typedef struct {
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -58,6 +58,9 @@
 void stream_socket_write(stream_socket_t *socket, str_t bytes);
 /* FALSE when the connection failed; `closed` is not called then. */
 gboolean stream_socket_flush(stream_socket_t *socket);
+/* Sets for how long the other side may leave sent bytes unacknowledged, or
+ * read none, before the connection ends. */
+void stream_socket_set_unread_max(stream_socket_t *socket, gint64 us);
 /* Adds the bytes in line, as they come and go, to a sum of its owner's. */
 void stream_socket_count(stream_socket_t *socket, gsize *sum);
 /* Bytes in line. */
