Requests in a row are read in a loop

A client that sends many requests in a row that the instance answers by itself (401, 404, 503) made one call stand in the other for each, with a copy of all that was left: 25 MB for 48 KB of short requests.

--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -37,9 +37,12 @@
     GList *link;
     stream_socket_t *socket;
     http_reader_t reader;
-    GByteArray *body;   /* NULL while it is empty */
-    gsize reserved;     /* bytes of `buffered` for the body */
-    gsize body_max;     /* the limit when the request's head arrived */
+    GByteArray *body; /* NULL while it is empty */
+    gsize reserved;   /* bytes of `buffered` for the body */
+    gsize body_max;   /* the limit when the request's head arrived */
+    /* Of the loop that reads `unread`: set once this is freed. NULL: none
+     * does. */
+    gboolean *freed;
     GByteArray *unread; /* bytes after the request, or NULL */
     connection_state_t state;
     gint64 started_us;
@@ -111,6 +114,12 @@
     return g_steal_pointer(&c->unread);
 }
 
+static gboolean
+is_unread_full(const http_exchange_t *c)
+{
+    return c->unread != NULL && c->unread->len > c->server->limits.head_max;
+}
+
 static void
 unread_append(http_exchange_t *c, str_t bytes)
 {
@@ -123,7 +132,7 @@
     g_byte_array_append(c->unread, (const guint8 *)bytes.data,
                         (guint)bytes.length);
     c->server->buffered += bytes.length;
-    if (c->unread->len > c->server->limits.head_max) {
+    if (is_unread_full(c)) {
         stream_socket_read(c->socket, FALSE);
     }
 }
@@ -143,6 +152,9 @@
         g_byte_array_unref(unread_take(c));
     }
     http_reader_clear(&c->reader);
+    if (c->freed != NULL) {
+        *c->freed = TRUE;
+    }
     g_free(c);
 }
 
@@ -424,6 +436,30 @@
                                                .closed = on_closed,
                                                .hung_up = on_hung_up};
 
+/* Reads the requests that came behind the one that was answered, up to the
+ * first that is not answered at once. The answers of those that are return to
+ * this loop, however many they are. */
+static void
+connection_feed_unread(http_exchange_t *c)
+{
+    gboolean freed = FALSE;
+    c->freed = &freed;
+    while (!freed && c->state == CONNECTION_READING && c->unread != NULL) {
+        GByteArray *bytes = unread_take(c);
+        connection_feed(c, (str_t){.data = (const char *)bytes->data,
+                                   .length = bytes->len});
+        g_byte_array_unref(bytes);
+    }
+    if (freed) {
+        return;
+    }
+    c->freed = NULL;
+    if (c->state == CONNECTION_READING ||
+        (c->state == CONNECTION_ANSWERING && !is_unread_full(c))) {
+        stream_socket_read(c->socket, TRUE);
+    }
+}
+
 /* The answer is written: the connection takes the next request or ends. */
 static void
 connection_answered(http_exchange_t *c)
@@ -449,12 +485,8 @@
     }
     http_reader_reset(&c->reader);
     c->idle_since_us = timers_now(server->timers);
-    if (c->unread != NULL) {
-        GByteArray *bytes = unread_take(c);
-        stream_socket_read(c->socket, TRUE);
-        connection_feed(c, (str_t){.data = (const char *)bytes->data,
-                                   .length = bytes->len});
-        g_byte_array_unref(bytes);
+    if (c->unread != NULL && c->freed == NULL) {
+        connection_feed_unread(c);
     }
 }
 
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -3,6 +3,7 @@
 #include <gio/gio.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "check.h"
@@ -47,6 +48,65 @@
     return pages * (gsize)sysconf(_SC_PAGESIZE);
 }
 
+static gsize
+peak_bytes(const fleet_process_t *process)
+{
+    const char *id = g_subprocess_get_identifier(process->process);
+    char *path = g_strdup_printf("/proc/%s/status", id != NULL ? id : "none");
+    char *text = NULL;
+    g_file_get_contents(path, &text, NULL, NULL);
+    const char *at = text != NULL ? strstr(text, "VmHWM:") : NULL;
+    gsize kb = at != NULL
+                   ? (gsize)g_ascii_strtoull(at + strlen("VmHWM:"), NULL, 10)
+                   : 0;
+    g_free(text);
+    g_free(path);
+    return kb * 1024;
+}
+
+/* Requests that are sent in a row, whatever is answered meanwhile. */
+typedef struct {
+    int fd;
+    const GString *bytes;
+} row_t;
+
+static gpointer
+row_run(gpointer data)
+{
+    const row_t *row = data;
+    gsize at = 0;
+    while (at < row->bytes->len) {
+        ssize_t count = send(row->fd, row->bytes->str + at,
+                             row->bytes->len - at, MSG_NOSIGNAL);
+        if (count <= 0) {
+            break;
+        }
+        at += (gsize)count;
+    }
+    return NULL;
+}
+
+/* Reads until so many answers with a status have come, or none comes. */
+static guint
+count_answers(int fd, const char *status, guint wanted)
+{
+    GString *text = g_string_new(NULL);
+    char bytes[16384];
+    guint count = 0;
+    ssize_t length;
+    while (count < wanted &&
+           (length = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+        g_string_append_len(text, bytes, length);
+        count = 0;
+        for (const char *at = text->str; (at = strstr(at, status)) != NULL;
+             at++) {
+            count++;
+        }
+    }
+    g_string_free(text, TRUE);
+    return count;
+}
+
 static char *
 filled(gsize length)
 {
@@ -109,8 +169,47 @@
     }
 }
 
+/* Guards against an instance that is killed for its memory since a client sent
+ * many requests in a row that the instance answers by itself. */
+static void
+test_requests_in_a_row(void)
+{
+    enum { REQUESTS = 20000 };
+    fleet_t *f = fleet_create(1, 1, 1);
+    CU_ASSERT_FATAL(fleet_up(f, 1));
+    fleet_process_t *entry = fleet_entry(f, 0);
+    gsize before = peak_bytes(entry);
+    GString *all = g_string_new(NULL);
+    /* The others wait behind one that an endpoint answers. */
+    g_string_append_printf(all,
+                           "GET /safe/slow HTTP/1.1\r\nHost: h.example\r\n"
+                           "Request-Id: row\r\nAuthorization: Bearer %s\r\n"
+                           "\r\n",
+                           FLEET_KEY);
+    for (int i = 0; i < REQUESTS; i++) {
+        g_string_append(all, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    row_t row = {.fd = fleet_connect(entry->ip, FLEET_CALLERS_PORT, WAIT_MS),
+                 .bytes = all};
+    GThread *sender = g_thread_new("row", row_run, &row);
+    guint answers = count_answers(row.fd, " 404 ", REQUESTS);
+    shutdown(row.fd, SHUT_RDWR);
+    g_thread_join(sender);
+    close(row.fd);
+    gsize after = peak_bytes(entry);
+    if (answers != REQUESTS || after > before + KEPT_MAX) {
+        printf("%u answers, %zu MB at most, %zu before; ", answers, after / MB,
+               before / MB);
+    }
+    CU_ASSERT_EQUAL(answers, REQUESTS);
+    CU_ASSERT(after > 0 && after <= before + KEPT_MAX);
+    g_string_free(all, TRUE);
+    fleet_destroy(f);
+}
+
 static const test_case_t CASES[] = {
     {"idle connections keep no bytes of what they carried", test_kept},
+    {"requests in a row cost no memory", test_requests_in_a_row},
 };
 
 CHECK_MAIN("memory", CASES)
