--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -66,7 +66,9 @@
     guint64 overdue_timer; /* 0: no poll is in flight, or it is overdue */
     gint64 overdue_since_us; /* 0: the time for its answer is not over */
     gsize received; /* bytes of the answer, when it was last looked at */
-    gint64 barred_until_us; /* what it sent before can't be used */
+    /* It is not asked for the configuration before: it did not deliver one, or
+     * one that can't be used. */
+    gint64 barred_until_us;
 };
 
 static const inner_line_ops_t LINK_OPS;
