Answers of control instances are read before what callers and endpoints send

Callers were refused or served as only an older version allows, for seconds, by an instance that has more requests than it can handle, though it reaches all control instances and the others obey the new version at once.

Cause: the answers waited in one queue with all other events, and the next poll was sent by a timer, which on a late instance comes after nine rounds of 128 events. Each took about a second, and a change needs two or three of them.

Now descriptors may be urgent: their events are taken first, and again after each 16 others, and the control instances that answered are polled again right then. The cost is one epoll_wait for 16 events.

--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -38,6 +38,7 @@
     .idle_us = 5 * G_USEC_PER_SEC,
     .idle_max = 1,
     .head_max = 4096,
+    .urgent = TRUE,
 };
 
 struct control_link {
@@ -46,8 +47,9 @@
     char *data_centre; /* from the answers; NULL: no answer yet */
     guint source;      /* index in the directory */
     inner_line_t *line;
-    guint64 timer;    /* of the next poll */
-    gint64 polled_us; /* clock_boot_us of the poll in flight */
+    guint64 timer;        /* of the next poll */
+    gboolean polls_again; /* as soon as its connection is free */
+    gint64 polled_us;     /* clock_boot_us of the poll in flight */
     gint64 retry_us;
     gint64 answered_us; /* of the last answer, on the timers' clock; 0: none */
     gint64 listed_us;   /* last listed by a control instance */
@@ -485,6 +487,7 @@
     apply_answer(link, &answer);
     sync_answer_clear(&answer);
     /* The connection is free only after this call returns. */
+    link->polls_again = TRUE;
     link->timer = timers_subscribe(e->timers, 0, 0, link_poll_due, link);
 }
 
@@ -516,6 +519,7 @@
 link_poll(control_link_t *link)
 {
     entry_t *e = link->entry;
+    link->polls_again = FALSE;
     gboolean whole = e->needs_whole_config && e->newer_config_since_us != 0;
     guint32 wait_ms = max_wait_ms(link);
     link->asks_config = asks_config(link);
@@ -556,6 +560,20 @@
 
 /* ---- all links ---- */
 
+void
+control_links_poll_again(void *data)
+{
+    const entry_t *e = data;
+    for (guint i = 0; i < e->links->len; i++) {
+        control_link_t *link = e->links->pdata[i];
+        if (link->polls_again) {
+            timers_cancel(e->timers, link->timer);
+            link->timer = 0;
+            link_poll(link);
+        }
+    }
+}
+
 void
 control_links_add_seeds(entry_t *e)
 {
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -453,6 +453,7 @@
     }
     e->tunnel_server = tunnel_server_create(e);
     timers_subscribe(e->timers, SWEEP_US, SWEEP_US, on_sweep, e);
+    poller_set_after_urgent(e->poller, control_links_poll_again, e);
     control_links_add_seeds(e);
     e->load_link = load_link_create(e);
     e->usage_link = usage_link_create(e);
@@ -464,6 +465,7 @@
 {
     g_clear_pointer(&e->load_link, load_link_destroy);
     g_clear_pointer(&e->usage_link, usage_link_destroy);
+    poller_set_after_urgent(e->poller, NULL, NULL);
     control_links_destroy(e);
     g_clear_pointer(&e->callers, http_server_destroy);
     g_clear_pointer(&e->probe, http_server_destroy);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -172,6 +172,9 @@
 
 /* control_link.c */
 void control_links_add_seeds(entry_t *entry);
+/* Polls the control instances that have just answered again. `data` is the
+ * entry_t. Timers would do that too, but late on a busy instance. */
+void control_links_poll_again(void *data);
 void control_links_destroy(entry_t *entry);
 void control_links_dump(const entry_t *entry, GString *text);
 /* Appends the state of each control instance as a collector of loads. Returns
--- a/carobloomd/http/client.c
+++ b/carobloomd/http/client.c
@@ -595,6 +595,9 @@
     if (peer->limits.unsent != NULL) {
         stream_socket_count(call->socket, peer->limits.unsent);
     }
+    if (peer->limits.urgent) {
+        stream_socket_set_urgent(call->socket);
+    }
     /* Also if this process is killed. */
     stream_socket_reset_on_close(call->socket, TRUE);
     call->busy = TRUE;
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -271,6 +271,12 @@
     return s;
 }
 
+void
+stream_socket_set_urgent(stream_socket_t *s)
+{
+    poll_watch_set_urgent(s->watch);
+}
+
 void
 stream_socket_set_unread_max(stream_socket_t *s, gint64 us)
 {
--- a/common/poller.c
+++ b/common/poller.c
@@ -3,22 +3,30 @@
 #include <unistd.h>
 
 /* Events taken from the kernel at once; more wait for the next turn. */
-enum { EVENTS_A_TURN = 128 };
+enum {
+    EVENTS_A_TURN = 128,
+    /* Other events that are taken before urgent ones are looked for again. */
+    EVENTS_BETWEEN_URGENT = 16,
+};
 /* Bounds of poller_catch_up while new events keep arriving: what waits for it
  * is late already. */
 enum { CATCH_UP_TURNS = 8, CATCH_UP_US = 50 * 1000 };
 
 struct poller {
     int fd;
+    int urgent_fd; /* epoll set of the urgent descriptors, itself in `fd` */
     GSource *source;
     poll_turn_fn_t turn;
     void *data;
+    poll_turn_fn_t after_urgent; /* or NULL */
+    void *after_urgent_data;
     gboolean dispatching;
     GPtrArray *dead; /* watches destroyed within a batch */
 };
 
 struct poll_watch {
     poller_t *poller;
+    int set; /* epoll set that the descriptor is in */
     int fd;
     guint32 events;
     poll_fn_t fn; /* NULL once destroyed */
@@ -38,6 +46,30 @@
     return g_source_query_unix_fd(source, self->tag) != 0;
 }
 
+static void
+take_event(poller_t *poller, const struct epoll_event *event)
+{
+    poll_watch_t *watch = event->data.ptr;
+    poller->turn(poller->data);
+    if (watch->fn != NULL) {
+        watch->fn(event->events, watch->data);
+    }
+}
+
+static void
+take_urgent(poller_t *poller)
+{
+    struct epoll_event events[EVENTS_BETWEEN_URGENT];
+    int count =
+        epoll_wait(poller->urgent_fd, events, EVENTS_BETWEEN_URGENT, 0);
+    for (int i = 0; i < count; i++) {
+        take_event(poller, &events[i]);
+    }
+    if (count > 0 && poller->after_urgent != NULL) {
+        poller->after_urgent(poller->after_urgent_data);
+    }
+}
+
 /* Returns the number of events. */
 static int
 take_events(poller_t *poller)
@@ -46,10 +78,11 @@
     int count = epoll_wait(poller->fd, events, EVENTS_A_TURN, 0);
     poller->dispatching = TRUE;
     for (int i = 0; i < count; i++) {
-        poll_watch_t *watch = events[i].data.ptr;
-        poller->turn(poller->data);
-        if (watch->fn != NULL) {
-            watch->fn(events[i].events, watch->data);
+        if (i % EVENTS_BETWEEN_URGENT == 0) {
+            take_urgent(poller);
+        }
+        if (events[i].data.ptr != NULL) { /* NULL: the urgent ones */
+            take_event(poller, &events[i]);
         }
     }
     poller->dispatching = FALSE;
@@ -74,12 +107,18 @@
 poller_t *
 poller_create(GMainContext *context, poll_turn_fn_t turn, void *data)
 {
+    struct epoll_event urgent = {.events = EPOLLIN};
     int fd = epoll_create1(EPOLL_CLOEXEC);
-    if (fd < 0) {
+    int urgent_fd = epoll_create1(EPOLL_CLOEXEC);
+    if (fd < 0 || urgent_fd < 0 ||
+        epoll_ctl(fd, EPOLL_CTL_ADD, urgent_fd, &urgent) != 0) {
+        close(fd);
+        close(urgent_fd);
         return NULL;
     }
     poller_t *poller = g_new0(poller_t, 1);
-    *poller = (poller_t){.fd = fd, .turn = turn, .data = data};
+    *poller = (poller_t){
+        .fd = fd, .urgent_fd = urgent_fd, .turn = turn, .data = data};
     poller->dead = g_ptr_array_new_with_free_func(g_free);
     poller->source = g_source_new(&poller_funcs, sizeof(poller_source_t));
     poller_source_t *self = (poller_source_t *)poller->source;
@@ -96,6 +135,7 @@
     g_source_unref(poller->source);
     g_ptr_array_unref(poller->dead);
     close(poller->fd);
+    close(poller->urgent_fd);
     g_free(poller);
 }
 
@@ -114,8 +154,12 @@
                   void *data)
 {
     poll_watch_t *watch = g_new0(poll_watch_t, 1);
-    *watch = (poll_watch_t){
-        .poller = poller, .fd = fd, .events = events, .fn = fn, .data = data};
+    *watch = (poll_watch_t){.poller = poller,
+                            .set = poller->fd,
+                            .fd = fd,
+                            .events = events,
+                            .fn = fn,
+                            .data = data};
     struct epoll_event event = {.events = events, .data.ptr = watch};
     if (epoll_ctl(poller->fd, EPOLL_CTL_ADD, fd, &event) != 0) {
         g_free(watch);
@@ -128,7 +172,7 @@
 poll_watch_destroy(poll_watch_t *watch)
 {
     poller_t *poller = watch->poller;
-    epoll_ctl(poller->fd, EPOLL_CTL_DEL, watch->fd, NULL);
+    epoll_ctl(watch->set, EPOLL_CTL_DEL, watch->fd, NULL);
     watch->fn = NULL;
     if (poller->dispatching) {
         g_ptr_array_add(poller->dead, watch);
@@ -146,5 +190,25 @@
     }
     struct epoll_event event = {.events = events, .data.ptr = watch};
     watch->events = events;
-    epoll_ctl(watch->poller->fd, EPOLL_CTL_MOD, watch->fd, &event);
+    epoll_ctl(watch->set, EPOLL_CTL_MOD, watch->fd, &event);
+}
+
+void
+poll_watch_set_urgent(poll_watch_t *watch)
+{
+    poller_t *poller = watch->poller;
+    struct epoll_event event = {.events = watch->events, .data.ptr = watch};
+    if (watch->set == poller->urgent_fd ||
+        epoll_ctl(poller->urgent_fd, EPOLL_CTL_ADD, watch->fd, &event) != 0) {
+        return;
+    }
+    epoll_ctl(poller->fd, EPOLL_CTL_DEL, watch->fd, NULL);
+    watch->set = poller->urgent_fd;
+}
+
+void
+poller_set_after_urgent(poller_t *poller, poll_turn_fn_t fn, void *data)
+{
+    poller->after_urgent = fn;
+    poller->after_urgent_data = data;
 }
--- a/include/carobloom/common/poller.h
+++ b/include/carobloom/common/poller.h
@@ -31,5 +31,10 @@
 /* May be called from within any callback of the poller. */
 void poll_watch_destroy(poll_watch_t *watch);
 void poll_watch_set(poll_watch_t *watch, guint32 events);
+/* From now on events of this descriptor are taken before those of others, also
+ * while many of these wait. */
+void poll_watch_set_urgent(poll_watch_t *watch);
+/* `fn` is called after urgent events were taken. */
+void poller_set_after_urgent(poller_t *poller, poll_turn_fn_t fn, void *data);
 
 #endif
--- a/include/carobloom/http/client.h
+++ b/include/carobloom/http/client.h
@@ -55,6 +55,9 @@
     gsize head_max;
     gsize body_max; /* of an answer; 0: bounded by the owner of the call */
     gsize *unsent;  /* sum of the bytes that wait to be sent, or NULL */
+    /* Its answers are read before what others sent: they say how the rest is
+     * to be handled. */
+    gboolean urgent;
 } http_peer_limits_t;
 
 /* NULL unless `address` is IP:PORT. */
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -58,6 +58,8 @@
 void stream_socket_write(stream_socket_t *socket, str_t bytes);
 /* FALSE when the connection failed; `closed` is not called then. */
 gboolean stream_socket_flush(stream_socket_t *socket);
+/* Its events are taken before those of others. */
+void stream_socket_set_urgent(stream_socket_t *socket);
 /* Sets for how long the other side may leave sent bytes unacknowledged, or
  * read none, before the connection ends. */
 void stream_socket_set_unread_max(stream_socket_t *socket, gint64 us);
--- a/tests/test_config_delivery.c
+++ b/tests/test_config_delivery.c
@@ -1,5 +1,7 @@
 /* Tests, with real processes, that entry instances obey a configuration within
  * its bound, whatever happens to their connections to control instances. */
+#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "check.h"
@@ -230,9 +232,121 @@
     site_down(&site);
 }
 
+/* ---- a busy instance ---- */
+
+enum {
+    CALLERS = 200,
+    CHANGES = 8,
+    CHANGE_MS = 1430, /* from one to the next */
+    BUSY_MS = 1500,
+    /* It gets a hundredth of a processor. */
+    RUNS_MS = 3,
+    STOPS_MS = 290,
+};
+
+typedef struct {
+    fleet_t *fleet;
+    gint stop;    /* atomic */
+    gint callers; /* that have not ended; atomic */
+} busy_t;
+
+static gpointer
+throttle_run(gpointer data)
+{
+    busy_t *b = data;
+    fleet_process_t *entry = fleet_entry(b->fleet, 0);
+    while (!g_atomic_int_get(&b->stop)) {
+        fleet_signal(entry, SIGSTOP);
+        fleet_sleep(STOPS_MS);
+        fleet_signal(entry, SIGCONT);
+        fleet_sleep(RUNS_MS);
+    }
+    fleet_signal(entry, SIGCONT);
+    return NULL;
+}
+
+static gpointer
+caller_run(gpointer data)
+{
+    busy_t *b = data;
+    for (guint i = 0; !g_atomic_int_get(&b->stop); i++) {
+        char id[64];
+        g_snprintf(id, sizeof(id), "busy-%p-%u", (void *)g_thread_self(), i);
+        reply_free(
+            fleet_request(fleet_entry(b->fleet, 0), "/stream/long/x", id, ""));
+    }
+    g_atomic_int_add(&b->callers, -1);
+    return NULL;
+}
+
+/* When, by the clock of the log, a version or a later one was in force; 0:
+ * never. */
+static gint64
+in_force_ms(const fleet_process_t *entry, guint64 version)
+{
+    static const char EVENT[] = "\"config_in_force\",\"version\":";
+    char *text = NULL;
+    gint64 found_ms = 0;
+    g_file_get_contents(entry->log, &text, NULL, NULL);
+    char **lines = g_strsplit(text != NULL ? text : "", "\n", -1);
+    for (guint i = 0; lines[i] != NULL && found_ms == 0; i++) {
+        const char *at = strstr(lines[i], EVENT);
+        if (at != NULL &&
+            g_ascii_strtoull(at + strlen(EVENT), NULL, 10) >= version) {
+            found_ms =
+                g_ascii_strtoll(lines[i] + strlen("{\"time_ms\":"), NULL, 10);
+        }
+    }
+    g_strfreev(lines);
+    g_free(text);
+    return found_ms;
+}
+
+/* Guards against a change that waits behind requests at an instance that has
+ * more of them than it can handle. */
+static void
+test_busy_instance(void)
+{
+    gint64 acked_ms[CHANGES];
+    busy_t b = {.fleet = fleet_create(CONTROLS, 2, 4), .callers = CALLERS};
+    b.fleet->slots = CALLERS;
+    CU_ASSERT_FATAL(fleet_up(b.fleet, 1));
+    for (guint i = 0; i < CALLERS; i++) {
+        g_thread_unref(g_thread_new("caller", caller_run, &b));
+    }
+    fleet_sleep(BUSY_MS); /* until all streams flow */
+    GThread *throttle = g_thread_new("throttle", throttle_run, &b);
+    fleet_sleep(BUSY_MS);
+    for (guint i = 0; i < CHANGES; i++) {
+        char *text = fleet_config(i + 2, NULL);
+        CU_ASSERT_EQUAL(fleet_put(b.fleet, text, 0), 200);
+        acked_ms[i] = g_get_real_time() / 1000;
+        g_free(text);
+        fleet_sleep(CHANGE_MS);
+    }
+    fleet_sleep(APPLY_MS);
+    g_atomic_int_set(&b.stop, 1);
+    g_thread_join(throttle);
+    while (g_atomic_int_get(&b.callers) > 0) {
+        fleet_sleep(ASK_MS);
+    }
+    for (guint i = 0; i < CHANGES; i++) {
+        gint64 at_ms = in_force_ms(fleet_entry(b.fleet, 0), i + 2);
+        gint64 late_ms = at_ms - acked_ms[i];
+        if (at_ms == 0 || late_ms > APPLY_MS ||
+            g_getenv("DELIVERY_PRINT") != NULL) {
+            printf("version %u in force after %" G_GINT64_FORMAT " ms; ",
+                   i + 2, at_ms != 0 ? late_ms : -1);
+        }
+        CU_ASSERT(at_ms != 0 && late_ms <= APPLY_MS);
+    }
+    fleet_destroy(b.fleet);
+}
+
 static const test_case_t CASES[] = {
     {"a change is obeyed in time, whatever a connection does",
      test_harmed_connections},
+    {"a busy instance obeys a change in time", test_busy_instance},
 };
 
 CHECK_MAIN("configuration delivery", CASES)
