Urgent events are looked for only where some may wait

Each wake-up asked the kernel for urgent events, also in control instances and stand-ins that have none: one system call for most events. The set of the urgent descriptors is itself in the batch when some wait, unless the batch is full, so that says it. The order in which events are taken is the same.

test_stalls, test_http, test_gateway under the sanitizers, test_config_delivery in the plain build pass, the busy instance among it.

--- a/common/poller.c
+++ b/common/poller.c
@@ -70,6 +70,19 @@
     }
 }
 
+/* Whether urgent events may wait besides those of a batch. The set of the
+ * urgent ones is in it as NULL, unless more events wait than it holds. */
+static gboolean
+has_urgent(const struct epoll_event *events, int count)
+{
+    for (int i = 0; i < count; i++) {
+        if (events[i].data.ptr == NULL) {
+            return TRUE;
+        }
+    }
+    return count == EVENTS_A_TURN;
+}
+
 /* Returns the number of events. */
 static int
 take_events(poller_t *poller)
@@ -77,11 +90,14 @@
     struct epoll_event events[EVENTS_A_TURN];
     int count = epoll_wait(poller->fd, events, EVENTS_A_TURN, 0);
     poller->dispatching = TRUE;
+    if (has_urgent(events, count)) {
+        take_urgent(poller);
+    }
     for (int i = 0; i < count; i++) {
-        if (i % EVENTS_BETWEEN_URGENT == 0) {
+        if (i > 0 && i % EVENTS_BETWEEN_URGENT == 0) {
             take_urgent(poller);
         }
-        if (events[i].data.ptr != NULL) { /* NULL: the urgent ones */
+        if (events[i].data.ptr != NULL) {
             take_event(poller, &events[i]);
         }
     }
