--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -2,7 +2,8 @@
  *
  * entry.c           listeners, readiness, draining
  * control_link.c    updates from the control instances
- * config_update.c   configurations among them
+ * config_fetch.c    which of these are asked for the configuration
+ * config_update.c   configurations among the updates
  * load_link.c       reports and updates of the requests in flight
  * limit_link.c      limits that endpoints name, shared by all instances
  * limit_log.c       log lines about these limits
