No new array for a body that is empty or about to be freed

Each request allocated two arrays for bodies only to free them again: one when the head of its answer came, one at its end. And one condition less after requests in a row: when none is being answered, none is left unread. No change of behaviour.

test_http, test_gateway, test_silences under the sanitizers, test_memory and test_endless_endpoints in the plain build pass.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -160,6 +160,9 @@
 void
 request_send_drop_body(request_send_t *s)
 {
+    if (s->body->len == 0) {
+        return;
+    }
     s->request->entry->buffered_bytes -= s->body->len;
     /* An array that is emptied keeps its memory, which nobody would count. */
     g_byte_array_unref(s->body);
@@ -176,7 +179,7 @@
     if (s->fields != NULL) {
         g_string_free(s->fields, TRUE);
     }
-    request_send_drop_body(s);
+    s->request->entry->buffered_bytes -= s->body->len;
     g_byte_array_unref(s->body);
     event_stream_clear(&s->events);
     g_free(s);
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -454,8 +454,7 @@
         return;
     }
     c->freed = NULL;
-    if (c->state == CONNECTION_READING ||
-        (c->state == CONNECTION_ANSWERING && !is_unread_full(c))) {
+    if (c->state != CONNECTION_CLOSING && !is_unread_full(c)) {
         stream_socket_read(c->socket, TRUE);
     }
 }
