Tests: a process that was sent SIGSTOP is waited for

Cause: the signal is sent, and the test goes on before the process has stopped. Where a processor was held up, an endpoint read a request 1.6 ms after the signal was sent, began to run it, and served it after SIGCONT instead of refusing it, so that no second repeat was due (4 of 152 runs, eight at once; in the two whose logs were looked at, 'arrived' and 'ran' precede the stop and 'spoke' follows SIGCONT; in one the time of the signal was printed too). The program does as it should.

The check is as it was.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -1,5 +1,5 @@
 #include "fleet.h"
-#include "disk_loss.h"
+#include "child_process.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -353,7 +353,7 @@
 fleet_signal(fleet_process_t *p, int signal)
 {
     if (p->process != NULL) {
-        g_subprocess_send_signal(p->process, signal);
+        child_process_signal(p->process, signal);
     }
 }
 
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -1,4 +1,5 @@
 #include "harness.h"
+#include "child_process.h"
 
 #include <glib/gstdio.h>
 #include <jansson.h>
@@ -241,7 +242,7 @@
 void
 site_signal(site_t *site, guint at, int signal)
 {
-    g_subprocess_send_signal(site->instances[at].process, signal);
+    child_process_signal(site->instances[at].process, signal);
 }
 
 int
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "check.h"
+#include "child_process.h"
 #include "harness.h"
 #include "proxy.h"
 #include "standin.h"
@@ -146,7 +147,7 @@
     strike_t *s = data;
     (void)open;
     if (--s->after == 0) {
-        g_subprocess_send_signal(s->engine->process, s->signal);
+        child_process_signal(s->engine->process, s->signal);
     }
 }
 
