Tests: a fleet is up once its entry instances know all endpoints

Cause: fleet_up returned once each instance was ready, which it is with the first endpoint that it knows.

fleet_up now waits until each entry instance knows all endpoints that were started.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -820,6 +820,30 @@
     return version;
 }
 
+gboolean
+fleet_wait_counter(const fleet_process_t *p, const char *name, guint64 least)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    while (g_get_monotonic_time() < until) {
+        guint64 value = fleet_counter(p, name);
+        if (value >= least && value != G_MAXUINT64) {
+            return TRUE;
+        }
+        fleet_sleep(20);
+    }
+    return FALSE;
+}
+
+static guint
+endpoint_count(const fleet_t *f)
+{
+    guint count = 0;
+    for (guint i = 0; i < f->count; i++) {
+        count += f->processes[i].role == FLEET_ENDPOINT;
+    }
+    return count;
+}
+
 gboolean
 fleet_up(fleet_t *f, guint64 version)
 {
@@ -828,7 +852,9 @@
     guint status = fleet_put(f, text, 0);
     g_free(text);
     for (guint i = 0; status == 200 && i < f->entries; i++) {
-        if (!fleet_wait_ready(fleet_entry(f, i))) {
+        fleet_process_t *entry = fleet_entry(f, i);
+        if (!fleet_wait_ready(entry) ||
+            !fleet_wait_counter(entry, "endpoints", endpoint_count(f))) {
             return FALSE;
         }
     }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -424,24 +424,9 @@
     }
 }
 
-/* Waits until the entry instance knows all endpoints. */
-static gboolean
-wait_endpoints_known(const fleet_process_t *entry)
-{
-    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
-    while (fleet_counter(entry, "endpoints") != SILENT_ENDPOINTS) {
-        if (g_get_monotonic_time() > until) {
-            return FALSE;
-        }
-        fleet_sleep(20);
-    }
-    return TRUE;
-}
-
 static void
 silent_client_start(silent_client_t *client)
 {
-    CU_ASSERT_FATAL(wait_endpoints_known(fleet_entry(client->fleet, 0)));
     signal_endpoints(client->fleet, SIGSTOP);
     client->thread = g_thread_new("client", silent_client, client);
 }
