--- a/carobloomd/gateway/helper_link.c
+++ b/carobloomd/gateway/helper_link.c
@@ -17,7 +17,7 @@
     ANNOUNCE_TIMEOUT_US = 1000 * MS,
     /* The known helpers are replaced this often. */
     REFRESH_INTERVAL_US = 30 * G_USEC_PER_SEC,
-    /* The same while no known helper is usable. */
+    /* The same while none is known, or none is usable where one is needed. */
     REFRESH_URGENT_US = 500 * MS,
     ANSWER_MAX = 8192,
 };
@@ -181,20 +181,26 @@
     link->line_done = FALSE;
 }
 
+static gboolean
+is_refresh_due(const helper_link_t *link)
+{
+    gint64 age_us = entry_now(link->entry) - link->refreshed_us;
+    gboolean is_urgent = helper_set_count(link->helpers) == 0 ||
+                         (link->wants_helper && !has_usable_helper(link));
+    return age_us > (is_urgent ? REFRESH_URGENT_US : REFRESH_INTERVAL_US);
+}
+
 /* A control instance that does not know what is announced, or any one if the
  * helpers are due to be replaced; NULL: none. The start is random, so that one
  * that does not answer holds up none of the others. */
 static const char *
 next_control(const helper_link_t *link)
 {
-    const entry_t *e = link->entry;
-    gint64 age_us = entry_now(e) - link->refreshed_us;
-    gboolean refresh = age_us > REFRESH_INTERVAL_US ||
-                       (link->wants_helper && age_us > REFRESH_URGENT_US &&
-                        !has_usable_helper(link));
+    GRand *random = link->entry->random;
+    gboolean refresh = is_refresh_due(link);
     guint count = g_hash_table_size(link->controls);
     guint skipped =
-        count > 0 ? (guint)g_rand_int_range(e->random, 0, (gint)count) : 0;
+        count > 0 ? (guint)g_rand_int_range(random, 0, (gint)count) : 0;
     const char *chosen = NULL;
     GHashTableIter iter;
     gpointer address;
@@ -231,7 +237,9 @@
         announce_to(link, address);
         return;
     }
-    announce_schedule(link, ANNOUNCE_TICK_US);
+    announce_schedule(link, helper_set_count(link->helpers) > 0
+                                ? ANNOUNCE_TICK_US
+                                : REFRESH_URGENT_US);
 }
 
 void
--- a/tests/test_cuts.c
+++ b/tests/test_cuts.c
@@ -74,6 +74,14 @@
     g_mutex_unlock(&p->lock);
 }
 
+static void
+wait_helpers_known(fleet_t *f)
+{
+    for (guint i = 0; i < f->entries; i++) {
+        CU_ASSERT(fleet_wait_counter(fleet_entry(f, i), "helpers", 1));
+    }
+}
+
 static void
 scenario_start(scenario_t *p, const char *target)
 {
@@ -88,6 +96,7 @@
                       .not_run = g_ptr_array_new_with_free_func(g_free)};
     fleet_proxies_create(f, p->proxies);
     CU_ASSERT_FATAL(fleet_up(f, 1));
+    wait_helpers_known(f);
     for (guint i = 0; target == NULL && i < LOAD_CALLERS; i++) {
         p->callers[i].target = i % 3 == 0 ? "/once/slow" : "/safe/slow";
     }
@@ -475,6 +484,17 @@
     fleet_destroy(f);
 }
 
+/* Guards against an instance that started before the others and, cut off soon
+ * after, knows no helper to confirm the cut with. */
+static void
+test_first_instance_learns_helpers(void)
+{
+    fleet_t *f = fleet_create(1, 2, 1);
+    CU_ASSERT_FATAL(fleet_up(f, 1));
+    wait_helpers_known(f);
+    fleet_destroy(f);
+}
+
 static const test_case_t CASES[] = {
     {"callers of an instance cut off from endpoints are served",
      test_served_during_cut},
@@ -488,6 +508,8 @@
     {"no request goes round when all instances are cut off", test_all_cut_off},
     {"bodies and hang-ups pass a tunnel whole", test_bodies_in_tunnels},
     {"strangers open no tunnels", test_strangers_are_denied},
+    {"the instance that starts first learns of helpers",
+     test_first_instance_learns_helpers},
 };
 
 CHECK_MAIN("cuts", CASES)
