test_gateway: callers that read late read at the same time

The earlier trace (the stand-in endpoint's bound of 4 s on a peer that does not read) was one of two causes; with that bound at 60 s, 39 of 40 runs, twenty at once, still failed: the three callers read one after another, each needed over a second, since the test looked for the end of an answer of 8 MB from its beginning after each 64 KB, and the last one was past the route's timeout of 6 s ("time is up" in the log). Each reads in a thread of its own now, the end is looked for where it is, and the streams have begun before the endpoints ask for rest. What is checked is the same; READ_AFTER_MS too.

--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -627,6 +627,7 @@
     .idle_us = 10 * G_USEC_PER_SEC,
     .connections = 1000,
     .buffered_max = 64 * 1024 * 1024,
+    .unread_us = 60 * G_USEC_PER_SEC,
 };
 
 /* ---- the lease ---- */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1335,16 +1335,25 @@
     fleet_destroy(f);
 }
 
+static gboolean
+ends_with_last_chunk(const GString *text)
+{
+    static const char LAST[] = "\r\n0\r\n\r\n";
+    gsize length = strlen(LAST);
+    return text->len >= length &&
+           memcmp(text->str + text->len - length, LAST, length) == 0;
+}
+
 /* Reads until the end of the chunked answer or the close. Returns the number
  * of events, or 0 if one is missing, comes twice, or the answer is not
  * whole. */
 static guint
 read_events(GSocketConnection *connection)
 {
-    static char buffer[64 * 1024];
+    char buffer[64 * 1024];
     GString *text = g_string_new(NULL);
     gssize count = 1;
-    while (count > 0 && !g_str_has_suffix(text->str, "\r\n0\r\n\r\n")) {
+    while (count > 0 && !ends_with_last_chunk(text)) {
         count = g_input_stream_read(
             g_io_stream_get_input_stream(G_IO_STREAM(connection)), buffer,
             sizeof(buffer), NULL, NULL);
@@ -1359,6 +1368,21 @@
     return in_order ? events : 0;
 }
 
+static void
+wait_run(const fleet_t *f, const char *id)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    while (fleet_ran(f, "run", id) == 0 && g_get_monotonic_time() < until) {
+        fleet_sleep(10);
+    }
+}
+
+static gpointer
+read_events_run(gpointer connection)
+{
+    return GUINT_TO_POINTER(read_events(connection));
+}
+
 /* Guards against taking an endpoint for silent while this instance does not
  * read from it, because the caller reads late. With `others_refuse` no other
  * endpoint would take the stream up. */
@@ -1379,16 +1403,21 @@
         readers[i] =
             connect_silent_reader(fleet_entry(f, 0), "/stream/large", id);
         CU_ASSERT_PTR_NOT_NULL_FATAL(readers[i]);
+        wait_run(f, id);
     }
     fleet_sleep(BEGUN_MS);
     for (guint i = 0; others_refuse && i < 2; i++) {
         fleet_rest(fleet_endpoint(f, i), "1");
     }
     fleet_sleep(READ_AFTER_MS);
+    GThread *threads[STREAMS];
+    for (guint i = 0; i < STREAMS; i++) {
+        threads[i] = g_thread_new("reader", read_events_run, readers[i]);
+    }
     for (guint i = 0; i < STREAMS; i++) {
         char id[32];
         g_snprintf(id, sizeof(id), "behind-%u", i);
-        guint events = read_events(readers[i]);
+        guint events = GPOINTER_TO_UINT(g_thread_join(threads[i]));
         guint runs = fleet_ran(f, "run", id);
         if (events != LARGE_EVENTS || runs != 1) {
             printf("%s: %u events, %u runs\n", id, events, runs);
