Tests: programs that run at the same time share no loopback network

A fleet's addresses came from the process id times seven plus the fleet's number, and ports from the id times 97: two programs with neighbouring ids that make more fleets than that used the same addresses. Then instances end at their start ("listen_failed", code 4), or one program's requests reach the other's endpoints. Found as test_gateway, test_silences and test_abandoned ran at once, started one after the other: 12 of 33 cases of test_silences, one each of the others failed; "an answer by endpoint-4.1" came to a fleet whose endpoint-4 had not run it.

Numbers are claimed by an abstract socket until the program ends. A first form that gave them back with the fleet had one failure: proxies of a fleet listen until their program ends, and another program had taken the number ("listen_failed").

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -13,6 +13,10 @@
 
 #include "carobloom/http/reader.h"
 #include "disk_loss.h"
+#include "loopback_claim.h"
+
+/* Networks are 127.16.1.0/24 to 127.215.250.0/24. */
+enum { NETS_HIGH = 200, NETS_LOW = 250 };
 
 const char FLEET_KEY[] = "sample-key";
 const char FLEET_OTHER_KEY[] = "other-key";
@@ -79,11 +83,11 @@
     fleet_process_t *p = &f->processes[f->count];
     p->role = role;
     p->name = g_strdup_printf("%s-%u", NAMES[role], f->count);
-    p->ip = g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
-                            1 + f->net % 250, 1 + f->count);
+    guint high = 16 + f->net / NETS_LOW;
+    guint low = 1 + f->net % NETS_LOW;
+    p->ip = g_strdup_printf("127.%u.%u.%u", high, low, 1 + f->count);
     p->bind = f->proxied
-                  ? g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
-                                    1 + f->net % 250, 101 + f->count)
+                  ? g_strdup_printf("127.%u.%u.%u", high, low, 101 + f->count)
                   : g_strdup(p->ip);
     p->folder = g_build_filename(f->folder, p->name, NULL);
     p->log = g_build_filename(p->folder, "log", NULL);
@@ -105,10 +109,24 @@
     return g_dir_make_tmp("carobloom-fleet-XXXXXX", NULL);
 }
 
+/* A network that no other test program uses. */
+static guint
+claim_net(void)
+{
+    static guint next;
+    guint net;
+    if (next == 0) {
+        next = (guint)getpid() * 7;
+    }
+    do {
+        net = next++ % (NETS_HIGH * NETS_LOW);
+    } while (!loopback_claim("net", net));
+    return net;
+}
+
 static fleet_t *
 create(guint controls, guint entries, guint endpoints, gboolean proxied)
 {
-    static guint made;
     fleet_t *f = g_new0(fleet_t, 1);
     f->proxied = proxied;
     f->slots = 8;
@@ -116,7 +134,7 @@
     f->memory_mb = 256;
     f->retry_slack = 500;
     f->folder = fleet_folder_create();
-    f->net = (guint)getpid() * 7 + made++;
+    f->net = claim_net();
     for (guint i = 0; i < controls; i++) {
         fleet_add(f, FLEET_CONTROL)->founding = TRUE;
     }
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -1,5 +1,6 @@
 #include "harness.h"
 #include "child_process.h"
+#include "loopback_claim.h"
 
 #include <glib/gstdio.h>
 #include <jansson.h>
@@ -21,8 +22,9 @@
     g_usleep((gulong)ms * 1000);
 }
 
-/* Ports below the kernel's ephemeral range, each handed out once: one of that
- * range may be taken by somebody's outgoing connection before it is used. */
+/* Ports below the kernel's ephemeral range, each handed out once, claimed
+ * until this process ends: one of that range may be taken by somebody's
+ * outgoing connection before it is used. */
 int
 free_port(void)
 {
@@ -32,6 +34,9 @@
     }
     for (;;) {
         int port = FIRST_PORT + (int)(next++ % PORT_COUNT);
+        if (!loopback_claim("port", (guint)port)) {
+            continue; /* of another test program, or handed out before */
+        }
         GSocketAddress *address =
             g_inet_socket_address_new_from_string("127.0.0.1", (guint)port);
         GSocket *socket =
