A stream that goes on elsewhere is ended at the silent endpoint in time

Cause: the call to the silent endpoint was ended 0.2 s after the second one's answer began, which may never be.

The 0.2 s now run from when the request of a stream that has begun leaves for the second endpoint, unless that one refuses it by then. Streams of which nothing has come yet, and other answers, are hedged as before.

--- a/carobloomd/gateway/forward_answer.c
+++ b/carobloomd/gateway/forward_answer.c
@@ -458,8 +458,12 @@
 on_may_send(client_call_t *call, void *user)
 {
     (void)call;
-    const request_send_t *s = user;
-    return !http_exchange_has_left(s->request->exchange);
+    request_send_t *s = user;
+    if (http_exchange_has_left(s->request->exchange)) {
+        return FALSE;
+    }
+    request_send_record_sent(s);
+    return TRUE;
 }
 
 static void
--- a/carobloomd/gateway/forward_hedge.c
+++ b/carobloomd/gateway/forward_hedge.c
@@ -3,16 +3,19 @@
  * A silent endpoint may go on, and the one that gets the repeat may refuse it
  * or fail. The call to the silent endpoint therefore stays open until another
  * endpoint has taken its place. The first send that brings an event, or a
- * whole answer, is chosen, and all others are cancelled. */
+ * whole answer, is chosen, and all others are cancelled. A stream that has
+ * begun is handed over soon after it was sent to another endpoint: that one
+ * may work on it without any answer. */
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
 #include "forward_state.h"
 
 enum {
     MS = 1000,
-    /* From the head of a stream's answer until the other sends are cancelled,
-     * if no event comes first. Two endpoints may not work on the same stream
-     * for more than 400 ms. */
+    /* From the head of a stream's answer, or from when a stream that has begun
+     * was sent to another endpoint, until the other sends are cancelled if no
+     * event comes first. Two endpoints may not work on the same stream for
+     * more than 400 ms. */
     HANDOVER_US = 200 * MS,
 };
 
@@ -161,6 +164,15 @@
     forward_set_timer(f);
 }
 
+void
+request_send_record_sent(request_send_t *s)
+{
+    const forward_t *f = s->request;
+    if (f->has_event && s == f->send) {
+        request_send_take_up(s);
+    }
+}
+
 void
 request_send_choose(request_send_t *s)
 {
@@ -179,7 +191,7 @@
     s->silent_from_us = forward_now(f);
     log_hedge(f, "send_chosen", s,
               was_silent ? "the silent endpoint goes on"
-                         : "another endpoint answers");
+                         : "another endpoint goes on");
     forward_cancel_silent(f);
     forward_set_timer(f);
 }
--- a/carobloomd/gateway/forward_send.c
+++ b/carobloomd/gateway/forward_send.c
@@ -388,5 +388,8 @@
         limit_link_record_send(f->entry->limit_link, endpoint);
     }
     attach_endpoint(f, &placement, &request);
+    if (client_call_sent(s->call)) {
+        request_send_record_sent(s);
+    }
     forward_set_timer(f);
 }
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -79,8 +79,8 @@
     guint64 timer;
     request_send_t *send; /* the latest, or the one that answers */
     GPtrArray *silent;    /* request_send_t, see forward_hedge.c; NULL: none */
-    /* the send that a stream's answer has begun for beside other open sends;
-     * these are cancelled at `handover_us` at the latest */
+    /* the send whose endpoint runs a stream, or may go on with it, beside
+     * other open sends; these are cancelled at `handover_us` at the latest */
     request_send_t *taken_up_by;
     gint64 handover_us;
     char last_endpoint[ENDPOINT_NAME_MAX]; /* endpoint id, for the log */
@@ -234,6 +234,9 @@
                            const char *reason);
 /* Handles the head of a stream's answer: the endpoint runs the request. */
 void request_send_take_up(request_send_t *s);
+/* Handles that the request leaves for the endpoint. One that is to go on with
+ * a stream may work on it from now on. */
+void request_send_record_sent(request_send_t *s);
 /* Uses the answer of this send, and cancels all others. */
 void request_send_choose(request_send_t *s);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -519,6 +519,38 @@
     fleet_destroy(f);
 }
 
+static void
+wait_run(const fleet_t *f, const char *id)
+{
+    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
+    while (fleet_ran(f, "run", id) == 0 && g_get_monotonic_time() < until) {
+        fleet_sleep(10);
+    }
+}
+
+/* Guards against two endpoints that both work on a stream, because the one
+ * that is to go on with it has not answered yet. */
+static void
+test_stream_handed_over(void)
+{
+    enum { BEGUN_MS = 200, HANDED_OVER_MS = 400, GONE_MS = 400 };
+    fleet_t *f = fleet_of(1, 1, SILENT_ENDPOINTS);
+    silent_client_t client = {
+        .fleet = f, .target = "/stream/long", .fields = ""};
+    client.thread = g_thread_new("client", silent_client, &client);
+    wait_run(f, "s");
+    fleet_sleep(BEGUN_MS);
+    signal_endpoints(f, SIGSTOP);
+    fleet_process_t *first = wait_hedged(f);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(first);
+    fleet_sleep(HANDED_OVER_MS);
+    fleet_signal(first, SIGCONT);
+    fleet_sleep(GONE_MS);
+    CU_ASSERT_EQUAL(fleet_ran(f, "gone", "s"), 1);
+    silent_client_end(&client);
+    fleet_destroy(f);
+}
+
 /* Guards against waiting until the deadline for an endpoint that is silent,
  * after an earlier one has refused the request: it may be hedged again. */
 static void
@@ -1368,15 +1400,6 @@
     return in_order ? events : 0;
 }
 
-static void
-wait_run(const fleet_t *f, const char *id)
-{
-    gint64 until = g_get_monotonic_time() + FLEET_WAIT_MS * 1000;
-    while (fleet_ran(f, "run", id) == 0 && g_get_monotonic_time() < until) {
-        fleet_sleep(10);
-    }
-}
-
 static gpointer
 read_events_run(gpointer connection)
 {
@@ -1526,6 +1549,8 @@
     {"an instance that did not run keeps connections",
      test_paused_entry_with_kept_connection},
     {"a stream that a silent endpoint takes up again", test_taken_up_again},
+    {"a stream that goes on at another endpoint ends at the silent one",
+     test_stream_handed_over},
     {"a silent endpoint after one that refused", test_hedged_after_refusal},
     {"endpoints that refused are asked again while one is silent",
      test_asked_again_after_refusals},
