--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -852,12 +852,15 @@
     return FALSE;
 }
 
+/* The endpoints of the sample's service. */
 static guint
 endpoint_count(const fleet_t *f)
 {
     guint count = 0;
     for (guint i = 0; i < f->count; i++) {
-        count += f->processes[i].role == FLEET_ENDPOINT;
+        const fleet_process_t *p = &f->processes[i];
+        count += p->role == FLEET_ENDPOINT &&
+                 g_strcmp0(p->service != NULL ? p->service : "a", "a") == 0;
     }
     return count;
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -137,8 +137,8 @@
 /* Waits until a counter is `least` or more; see fleet_counter. */
 gboolean fleet_wait_counter(const fleet_process_t *process, const char *name,
                             guint64 least);
-/* All entries ready with the sample of `version` in force, and all endpoints
- * known to them. */
+/* All entries ready with the sample of `version` in force, and the endpoints
+ * of its service known to them. */
 gboolean fleet_up(fleet_t *fleet, guint64 version);
 
 /* What an endpoint of service "a", at a port of 127.0.0.1, says in a
