Tests: a fleet's addresses and an endpoint's service are said in one place

test_gateway computed an address of the fleet's network by the same figures as fleet.c, which a change of the networks would have left behind; the service that an endpoint has by default stood twice in fleet.c. No change of behaviour.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -18,6 +18,8 @@
 /* Networks are 127.16.1.0/24 to 127.215.250.0/24. */
 enum { NETS_HIGH = 200, NETS_LOW = 250 };
 
+static const char SAMPLE_SERVICE[] = "a"; /* see ROUTE_FORMAT */
+
 const char FLEET_KEY[] = "sample-key";
 const char FLEET_OTHER_KEY[] = "other-key";
 
@@ -75,6 +77,13 @@
     g_string_free(seeds, TRUE);
 }
 
+char *
+fleet_address(const fleet_t *f, guint host)
+{
+    return g_strdup_printf("127.%u.%u.%u", 16 + f->net / NETS_LOW,
+                           1 + f->net % NETS_LOW, host);
+}
+
 fleet_process_t *
 fleet_add(fleet_t *f, fleet_role_t role)
 {
@@ -83,12 +92,8 @@
     fleet_process_t *p = &f->processes[f->count];
     p->role = role;
     p->name = g_strdup_printf("%s-%u", NAMES[role], f->count);
-    guint high = 16 + f->net / NETS_LOW;
-    guint low = 1 + f->net % NETS_LOW;
-    p->ip = g_strdup_printf("127.%u.%u.%u", high, low, 1 + f->count);
-    p->bind = f->proxied
-                  ? g_strdup_printf("127.%u.%u.%u", high, low, 101 + f->count)
-                  : g_strdup(p->ip);
+    p->ip = fleet_address(f, 1 + f->count);
+    p->bind = f->proxied ? fleet_address(f, 101 + f->count) : g_strdup(p->ip);
     p->folder = g_build_filename(f->folder, p->name, NULL);
     p->log = g_build_filename(p->folder, "log", NULL);
     g_mkdir(p->folder, 0700);
@@ -266,6 +271,12 @@
     return process;
 }
 
+static const char *
+service_of(const fleet_process_t *endpoint)
+{
+    return endpoint->service != NULL ? endpoint->service : SAMPLE_SERVICE;
+}
+
 static void
 start_endpoint(fleet_t *f, fleet_process_t *p)
 {
@@ -279,11 +290,11 @@
     char *address = g_strdup_printf("%s:%d", p->ip, FLEET_ENDPOINT_PORT);
     char *listen = g_strdup_printf("%s:%d", p->bind, FLEET_ENDPOINT_PORT);
     char *slots = g_strdup_printf("%u", f->slots);
-    const char *service = p->service != NULL ? p->service : "a";
-    const char *argv[] = {ENDPOINT,      "--id",      id,      "--address",
-                          address,       "--service", service, "--controls",
-                          controls->str, "--slots",   slots,   "--listen",
-                          listen,        "--log",     p->log,  NULL};
+    const char *argv[] = {
+        ENDPOINT,    "--id",        id,           "--address",   address,
+        "--service", service_of(p), "--controls", controls->str, "--slots",
+        slots,       "--listen",    listen,       "--log",       p->log,
+        NULL};
     p->process = spawn(p, argv);
     g_free(id);
     g_free(address);
@@ -860,7 +871,7 @@
     for (guint i = 0; i < f->count; i++) {
         const fleet_process_t *p = &f->processes[i];
         count += p->role == FLEET_ENDPOINT &&
-                 g_strcmp0(p->service != NULL ? p->service : "a", "a") == 0;
+                 g_str_equal(service_of(p), SAMPLE_SERVICE);
     }
     return count;
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -99,6 +99,8 @@
 fleet_process_t *fleet_control(fleet_t *fleet, guint at);
 fleet_process_t *fleet_entry(fleet_t *fleet, guint at);
 fleet_process_t *fleet_endpoint(fleet_t *fleet, guint at);
+/* An address in the fleet's network; freed with g_free. */
+char *fleet_address(const fleet_t *fleet, guint host);
 /* One more of a role, not started yet. */
 fleet_process_t *fleet_add(fleet_t *fleet, fleet_role_t role);
 /* A stand-in of the platform that asks for duties, before the instances
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -22,9 +22,9 @@
     g_usleep((gulong)ms * 1000);
 }
 
-/* Ports below the kernel's ephemeral range, each handed out once, claimed
- * until this process ends: one of that range may be taken by somebody's
- * outgoing connection before it is used. */
+/* Ports below the kernel's ephemeral range: one of that range may be taken by
+ * somebody's outgoing connection before it is used. Each is handed out once,
+ * to one test program. */
 int
 free_port(void)
 {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1148,8 +1148,7 @@
          * new address. */
         g_free(gone->ip);
         g_free(gone->bind);
-        gone->ip = g_strdup_printf("127.%u.%u.%u", 16 + f->net / 250 % 200,
-                                   1 + f->net % 250, 200 + round);
+        gone->ip = fleet_address(f, 200 + round);
         gone->bind = g_strdup(gone->ip);
         fleet_lose_disk(gone);
         fleet_start(f, gone);
