Log: what was under way when a caller left, processes, steps of the clock

A request with 499 now names its stage, the endpoints whose sends ended with it, since when its close had arrived and since when nothing had been read of its connection. An instance that stops reading a connection says so. Each line names its process by a number that is new with each start; a step of the time of day is a line of its own.

log_outcome moved to forward_log.c, unchanged but for the new fields.

--- a/carobloomd/gateway/forward.c
+++ b/carobloomd/gateway/forward.c
@@ -1,5 +1,4 @@
 #include "carobloom/common/counters.h"
-#include "carobloom/common/event_log.h"
 #include "carobloom/policy/placement.h"
 #include "forward_state.h"
 
@@ -53,68 +52,6 @@
 
 /* ---- end of a request ---- */
 
-static void
-log_outcome(forward_t *f, guint status, const char *reason)
-{
-    gboolean success = status < 400;
-    if (!event_log_begin(success ? EVENT_ROUTINE : EVENT_FAILURE, "request")) {
-        return;
-    }
-    event_log_text("request", f->info.id);
-    event_log_number("status", status);
-    event_log_cstr("reason", reason);
-    event_log_cstr("route", f->route ? f->route->name : "");
-    event_log_cstr("team", f->team ? f->team->name : "");
-    event_log_cstr("service", f->service ? f->service : "");
-    event_log_cstr("endpoint", f->last_endpoint);
-    event_log_number("config_version",
-                     f->config ? (gint64)f->config->version : 0);
-    event_log_number("config_age_ms", entry_config_age_ms(f->entry));
-    if (f->entry->confirmed_by != NULL) {
-        event_log_cstr("config_control", f->entry->confirmed_by);
-    }
-    if (f->entry->newer_config_since_us != 0) {
-        event_log_number("newer_config_ms", entry_newer_config_ms(f->entry));
-    }
-    event_log_number("loads_age_ms",
-                     (forward_now(f) - f->entry->loads_received_us) / MS);
-    event_log_number("sends", f->sends);
-    event_log_number("runs", f->runs);
-    event_log_number("refusals", f->refusals);
-    event_log_number("elapsed_ms", (forward_now(f) - f->started_us) / MS);
-    if (!success && f->route != NULL) {
-        forward_log_fingerprint(f);
-    }
-    if (f->quarantined != NULL) {
-        gint64 now = forward_now(f);
-        event_log_cstr("endpoints_ended", f->quarantined->endpoints);
-        event_log_number("held_since_ms",
-                         (now - f->quarantined->since_us) / MS);
-        event_log_number("held_for_ms", (f->quarantined->until_us - now) / MS);
-        event_log_number("held_part", quarantined_is_part(f->quarantined));
-    }
-    if (f->placement_counts.known > 0) {
-        event_log_number("endpoints", f->placement_counts.known);
-        event_log_number("unusable", f->placement_counts.unusable);
-        event_log_number("resting", f->placement_counts.resting);
-        event_log_number("tried", f->placement_counts.tried);
-        event_log_number("full", f->placement_counts.full);
-        event_log_number("limited", f->placement_counts.limited);
-        event_log_number("no_place", f->placement_counts.no_slot);
-        event_log_number("prompt_tokens", f->info.prompt_tokens);
-    }
-    if (f->first_output_us != 0) {
-        event_log_number("first_ms",
-                         (f->first_output_us - f->started_us) / MS);
-        event_log_number("longest_pause_ms", f->longest_pause_us / MS);
-    }
-    if (f->sends > 0) {
-        event_log_number("found_running", f->send->running_at_send);
-        event_log_number("found_waiting", f->send->waiting_tokens_at_send);
-    }
-    event_log_end();
-}
-
 /* Counters live as long as the process, so each is looked up once. */
 static counter_t *
 outcome_counter(guint status)
@@ -333,7 +270,7 @@
         g_string_append_printf(fields, "Retry-After: %.3f\r\n",
                                (double)ms / 1000);
     }
-    log_outcome(f, status, reason);
+    forward_log_outcome(f, status, reason);
     count_outcome(f, status);
     if (placement_is_limited(&f->placement_counts)) {
         counter_add(counter_get("requests_refused_limited_total", NULL, FALSE),
@@ -356,7 +293,7 @@
     }
     forward_cancel_silent(f);
     if (f->head_sent) {
-        log_outcome(f, 502, reason);
+        forward_log_outcome(f, 502, reason);
         count_outcome(f, 502);
         http_exchange_set_data(exchange, NULL);
         forward_free(f);
@@ -377,7 +314,7 @@
     if (status < 500 && !f->send->not_run) {
         forward_record_answered(f);
     }
-    log_outcome(f, status, "answered");
+    forward_log_outcome(f, status, "answered");
     count_outcome(f, status);
     http_exchange_set_data(exchange, NULL);
     forward_free(f);
@@ -393,7 +330,7 @@
 {
     http_exchange_t *exchange = f->exchange;
     forward_record_answered(f);
-    log_outcome(f, f->send->status, "answered");
+    forward_log_outcome(f, f->send->status, "answered");
     count_outcome(f, f->send->status);
     http_exchange_set_data(exchange, NULL);
     forward_free(f);
@@ -590,7 +527,7 @@
 give_up(forward_t *f)
 {
     each_send(f, leave_endpoint);
-    log_outcome(f, 499, "the caller left");
+    forward_log_outcome(f, 499, "the caller left");
     count_outcome(f, 499);
     forward_free(f);
 }
--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -7,6 +7,7 @@
  * forward_reach.c   direct connections and tunnels to endpoints
  * forward_wait.c    requests that wait for a slot of a brittle endpoint
  * forward_answer.c  the endpoint's answer
+ * forward_log.c     the line of the log on its end
  * forward_runs.c    fingerprint, and runs for crash detection */
 #ifndef CAROBLOOMD_GATEWAY_FORWARD_STATE_H
 #define CAROBLOOMD_GATEWAY_FORWARD_STATE_H
@@ -146,6 +147,9 @@
  * due by now; a prompt that was still queued was not run. */
 void request_send_count_interrupted(request_send_t *s);
 
+/* forward_log.c */
+void forward_log_outcome(forward_t *f, guint status, const char *reason);
+
 /* forward_runs.c */
 /* Returns a fingerprint of the request that does not depend on its id.
  * Computed on first use. */
--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -3,6 +3,7 @@
 #include <glib-unix.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/event_log.h"
@@ -324,6 +325,7 @@
     if (event_log_begin(EVENT_STATE, "start")) {
         event_log_cstr("outcome", started ? "runs" : "failed");
         event_log_cstr("data_centre", settings->data_centre);
+        event_log_number("pid", getpid());
         event_log_end();
     }
     event_log_flush();
--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "carobloom/common/counters.h"
+#include "carobloom/common/event_log.h"
 #include "carobloom/common/log.h"
 #include "carobloom/http/reader.h"
 #include "carobloom/http/stream_socket.h"
@@ -43,7 +44,8 @@
     /* Of the loop that reads `unread`: set once this is freed. NULL: none
      * does. */
     gboolean *freed;
-    GByteArray *unread; /* bytes after the request, or NULL */
+    GByteArray *unread;    /* bytes after the request, or NULL */
+    gint64 unread_full_us; /* since when no more is read; 0: more is */
     connection_state_t state;
     gint64 started_us;
     gint64 idle_since_us; /* empty lines before a request change nothing */
@@ -120,6 +122,21 @@
     return c->unread != NULL && c->unread->len > c->server->limits.head_max;
 }
 
+/* A close of the client is not seen either, if it lies behind bytes that the
+ * kernel has no room for. */
+static void
+stop_reading(http_exchange_t *c)
+{
+    stream_socket_read(c->socket, FALSE);
+    c->unread_full_us = timers_now(c->server->timers);
+    counter_add(counter_get("http_reading_stopped_total", NULL, FALSE), 1);
+    if (event_log_begin(EVENT_FAILURE, "reading_stopped")) {
+        event_log_number("bytes_ahead", c->unread->len);
+        event_log_number("buffered_bytes", (gint64)c->server->buffered);
+        event_log_end();
+    }
+}
+
 static void
 unread_append(http_exchange_t *c, str_t bytes)
 {
@@ -133,7 +150,7 @@
                         (guint)bytes.length);
     c->server->buffered += bytes.length;
     if (is_unread_full(c)) {
-        stream_socket_read(c->socket, FALSE);
+        stop_reading(c);
     }
 }
 
@@ -455,6 +472,7 @@
     }
     c->freed = NULL;
     if (c->state != CONNECTION_CLOSING && !is_unread_full(c)) {
+        c->unread_full_us = 0;
         stream_socket_read(c->socket, TRUE);
     }
 }
@@ -806,6 +824,15 @@
     return stream_socket_has_hung_up(c->socket);
 }
 
+http_departure_t
+http_exchange_departure(const http_exchange_t *c)
+{
+    gint64 now = timers_now(c->server->timers);
+    gint64 hidden_us = c->unread_full_us != 0 ? now - c->unread_full_us : 0;
+    return (http_departure_t){.waited_ms = stream_socket_hang_up_ms(c->socket),
+                              .hidden_ms = hidden_us / 1000};
+}
+
 gsize
 http_exchange_backlog(const http_exchange_t *c)
 {
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -415,6 +415,19 @@
     return s->hung_up || poll(&poll_fd, 1, 0) > 0;
 }
 
+gint64
+stream_socket_hang_up_ms(const stream_socket_t *s)
+{
+    struct tcp_info info;
+    socklen_t length = sizeof(info);
+    /* Of a connection closed by its peer, that is the last segment. */
+    if (getsockopt(s->fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 ||
+        info.tcpi_state != TCP_CLOSE_WAIT) {
+        return -1;
+    }
+    return info.tcpi_last_ack_recv;
+}
+
 void
 stream_socket_read(stream_socket_t *s, gboolean on)
 {
--- a/include/carobloom/common/event_log.h
+++ b/include/carobloom/common/event_log.h
@@ -3,7 +3,7 @@
  * One JSON object a line on standard output. Writing never blocks: lines wait
  * in a bounded buffer, and what does not fit is counted and said. Lines about
  * what went well are bounded to a rate; those about failures have a larger
- * allowance of their own. */
+ * allowance of their own. A step of the time of day is a line of its own. */
 #ifndef CAROBLOOM_COMMON_EVENT_LOG_H
 #define CAROBLOOM_COMMON_EVENT_LOG_H
 
@@ -17,7 +17,7 @@
     EVENT_STATE,   /* what the process believes has changed */
 } event_class_t;
 
-/* `instance` is in every line. */
+/* `instance` is in every line, and so is a random number for this process. */
 void event_log_start(const char *instance);
 void event_log_stop(void);
 /* Begins a line; fields follow; event_log_end writes it. FALSE when the line
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -25,6 +25,14 @@
     gint64 unread_us;
 } http_limits_t;
 
+/* How late it became known that a client has left. */
+typedef struct {
+    gint64 waited_ms; /* since the close arrived here; -1: unknown */
+    gint64 hidden_ms; /* for which nothing had been read of the connection, so
+                         that the close may have lain behind it; 0: it was
+                         read */
+} http_departure_t;
+
 typedef struct {
     /* A request is in. */
     void (*request)(http_exchange_t *exchange, void *user);
@@ -89,6 +97,7 @@
 /* Whether the client has left, as far as the kernel knows by now. The owner is
  * told in its turn. */
 gboolean http_exchange_has_left(const http_exchange_t *exchange);
+http_departure_t http_exchange_departure(const http_exchange_t *exchange);
 /* Bytes written but not yet taken by the kernel. */
 gsize http_exchange_backlog(const http_exchange_t *exchange);
 
