--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -829,7 +829,7 @@
 {
     gint64 now = timers_now(c->server->timers);
     gint64 hidden_us = c->unread_full_us != 0 ? now - c->unread_full_us : 0;
-    return (http_departure_t){.waited_ms = stream_socket_hang_up_ms(c->socket),
+    return (http_departure_t){.waited_ms = stream_socket_quiet_ms(c->socket),
                               .hidden_ms = hidden_us / 1000};
 }
 
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -416,13 +416,11 @@
 }
 
 gint64
-stream_socket_hang_up_ms(const stream_socket_t *s)
+stream_socket_quiet_ms(const stream_socket_t *s)
 {
     struct tcp_info info;
     socklen_t length = sizeof(info);
-    /* Of a connection closed by its peer, that is the last segment. */
-    if (getsockopt(s->fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 ||
-        info.tcpi_state != TCP_CLOSE_WAIT) {
+    if (getsockopt(s->fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
         return -1;
     }
     return info.tcpi_last_ack_recv;
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -27,7 +27,8 @@
 
 /* How late it became known that a client has left. */
 typedef struct {
-    gint64 waited_ms; /* since the close arrived here; -1: unknown */
+    gint64 waited_ms; /* since the close arrived here, or, of a reset, the
+                         segment before it; -1: unknown */
     gint64 hidden_ms; /* for which nothing had been read of the connection, so
                          that the close may have lain behind it; 0: it was
                          read */
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -75,9 +75,9 @@
 /* Whether the peer has closed its side or reset the connection, as far as the
  * kernel knows by now; bytes that it sent before may not be read yet. */
 gboolean stream_socket_has_hung_up(const stream_socket_t *socket);
-/* Milliseconds since the peer's close arrived; -1 when unknown, as after a
- * reset. */
-gint64 stream_socket_hang_up_ms(const stream_socket_t *socket);
+/* Milliseconds since the peer's last segment arrived but for a reset; -1 when
+ * unknown. */
+gint64 stream_socket_quiet_ms(const stream_socket_t *socket);
 void stream_socket_read(stream_socket_t *socket, gboolean on);
 /* Tells the peer that nothing more is sent; it may still send. */
 void stream_socket_end_writing(stream_socket_t *socket);
--- a/tests/test_abandoned.c
+++ b/tests/test_abandoned.c
@@ -32,6 +32,12 @@
     GRACE_MS = 6000, /* of the fleet's settings */
     LARGE_BODY = 700 * 1024,
     BEHIND_BYTES = 40 * 1024, /* more than a head may have */
+    /* More than the instance's side of a connection takes, read or not; and
+     * more than the largest request. */
+    BEHIND_WINDOW_BYTES = 1024 * 1024,
+    BEHIND_ANY_BYTES = 16 * 1024 * 1024,
+    CHUNKS = 6,
+    CHUNK_MS = 20, /* between two of them */
     DETAILED_MAX = 4,
 };
 
@@ -42,10 +48,14 @@
 /* What a caller sends on its connection. */
 typedef enum {
     SENDS_ONE,
-    SENDS_TWO,   /* a second whole request behind the first */
-    SENDS_MUCH,  /* a part of a second request, longer than any head */
-    SENDS_KEPT,  /* the same as SENDS_ONE, after an answered request */
-    SENDS_LARGE, /* with a large body */
+    SENDS_TWO,    /* a second whole request behind the first */
+    SENDS_MUCH,   /* a part of a second request, longer than any head */
+    SENDS_MORE,   /* the same, more than the connection takes */
+    SENDS_ANY,    /* the same, without end */
+    SENDS_KEPT,   /* the same as SENDS_ONE, after an answered request */
+    SENDS_LARGE,  /* with a large body */
+    SENDS_CHUNKS, /* a body in chunks that come one by one, and a trailer */
+    SENDS_HALF,   /* half of its body */
 } sends_t;
 
 typedef struct scenario scenario_t;
@@ -63,7 +73,8 @@
     int deadline_ms;    /* 0: DEADLINE_MS */
     gboolean is_cut;    /* requests go through a helper */
     gboolean is_proxied;
-    int leave_ms; /* 0: LEAVE_MIN_MS and more */
+    int leave_ms;           /* 0: LEAVE_MIN_MS and more */
+    gboolean reads_nothing; /* of its answer */
 } abandoned_case_t;
 
 static void stop_endpoints(scenario_t *s);
@@ -92,6 +103,25 @@
      .sends = SENDS_MUCH,
      .target = "/safe/x",
      .fault = "late"},
+    {.name = "a run goes on behind which more waits than the window holds",
+     .sends = SENDS_MORE,
+     .target = "/safe/x",
+     .fault = "late"},
+    {.name = "a run goes on behind which requests wait without end",
+     .sends = SENDS_ANY,
+     .target = "/safe/x",
+     .fault = "late"},
+    {.name = "a stream goes on behind which more waits than the window holds",
+     .sends = SENDS_MORE,
+     .target = "/stream/long"},
+    {.name = "runs of requests in chunks go on", .sends = SENDS_CHUNKS},
+    {.name = "a request runs of which half was sent", .sends = SENDS_HALF},
+    {.name = "a run goes on that has not answered yet",
+     .target = "/stream/x",
+     .fault = "mute"},
+    {.name = "a stream goes on whose caller reads nothing",
+     .target = "/stream/large",
+     .reads_nothing = TRUE},
     {.name = "a silent endpoint reads requests of callers that left",
      .begin = stop_endpoints,
      .end = continue_endpoints,
@@ -248,39 +278,92 @@
 }
 
 static void
-append_head(GString *bytes, const request_t *r, const char *suffix,
-            gsize body_length)
+append_fields(GString *bytes, const request_t *r, const char *suffix)
 {
     int deadline_ms =
         r->setup->deadline_ms != 0 ? r->setup->deadline_ms : DEADLINE_MS;
     g_string_append_printf(
         bytes,
         "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s%s\r\n"
-        "Authorization: Bearer %s\r\nDeadline-Ms: %d\r\nFault: %s\r\n"
-        "Content-Length: %zu\r\n\r\n",
+        "Authorization: Bearer %s\r\nDeadline-Ms: %d\r\nFault: %s\r\n",
         r->target, r->id, suffix, FLEET_KEY, deadline_ms,
-        r->setup->fault != NULL ? r->setup->fault : "none", body_length);
+        r->setup->fault != NULL ? r->setup->fault : "none");
+}
+
+static void
+append_head(GString *bytes, const request_t *r, const char *suffix,
+            gsize body_length)
+{
+    append_fields(bytes, r, suffix);
+    g_string_append_printf(bytes, "Content-Length: %zu\r\n\r\n", body_length);
+}
+
+/* A part of a second request whose body would have `length` bytes. */
+static void
+append_behind(GString *bytes, const request_t *r, gsize length)
+{
+    append_head(bytes, r, "-behind", MIN(length, LARGE_BODY));
+    g_string_set_size(bytes, bytes->len + length);
+    memset(bytes->str + bytes->len - length, 'x', length);
+}
+
+/* Requests one behind the other, of `length` bytes in all. */
+static void
+append_requests_behind(GString *bytes, const request_t *r, gsize length)
+{
+    gsize start = bytes->len;
+    while (bytes->len - start < length) {
+        append_head(bytes, r, "-behind", 0);
+    }
 }
 
 static GString *
 request_bytes(const request_t *r)
 {
     GString *bytes = g_string_new(NULL);
-    gsize body = r->setup->sends == SENDS_LARGE ? LARGE_BODY : 0;
+    sends_t sends = r->setup->sends;
+    if (sends == SENDS_CHUNKS) {
+        append_fields(bytes, r, "");
+        g_string_append(bytes, "Transfer-Encoding: chunked\r\n\r\n");
+        return bytes;
+    }
+    gsize body = sends == SENDS_LARGE || sends == SENDS_HALF ? LARGE_BODY : 0;
     append_head(bytes, r, "", body);
+    body = sends == SENDS_HALF ? body / 2 : body;
     g_string_set_size(bytes, bytes->len + body);
     memset(bytes->str + bytes->len - body, 'x', body);
-    if (r->setup->sends == SENDS_TWO) {
+    switch (sends) {
+    case SENDS_TWO:
         append_head(bytes, r, "-behind", 0);
-    }
-    if (r->setup->sends == SENDS_MUCH) {
-        append_head(bytes, r, "-behind", LARGE_BODY);
-        g_string_set_size(bytes, bytes->len + BEHIND_BYTES);
-        memset(bytes->str + bytes->len - BEHIND_BYTES, 'x', BEHIND_BYTES);
+        break;
+    case SENDS_MUCH:
+        append_behind(bytes, r, BEHIND_BYTES);
+        break;
+    case SENDS_MORE:
+        append_behind(bytes, r, BEHIND_WINDOW_BYTES);
+        break;
+    case SENDS_ANY:
+        append_requests_behind(bytes, r, BEHIND_ANY_BYTES);
+        break;
+    default:
+        break;
     }
     return bytes;
 }
 
+static void
+send_chunks(int connection)
+{
+    static const char CHUNK[] = "4;part=1\r\nbody\r\n";
+    static const char END[] = "0\r\nX-Sum: 1\r\n\r\n";
+    for (guint i = 0; i < CHUNKS; i++) {
+        g_usleep((gulong)CHUNK_MS * MS);
+        fleet_send(connection, CHUNK, strlen(CHUNK));
+    }
+    g_usleep((gulong)CHUNK_MS * MS);
+    fleet_send(connection, END, strlen(END));
+}
+
 static void
 answer_before(int connection, const request_t *r)
 {
@@ -299,7 +382,8 @@
     static const struct linger RESET = {.l_onoff = 1};
     char buffer[4096];
     while (g_get_monotonic_time() < r->leave_us) {
-        while (recv(connection, buffer, sizeof(buffer), MSG_DONTWAIT) > 0) {
+        while (!r->setup->reads_nothing &&
+               recv(connection, buffer, sizeof(buffer), MSG_DONTWAIT) > 0) {
         }
         g_usleep(MS);
     }
@@ -353,6 +437,9 @@
         }
     }
     g_string_free(bytes, TRUE);
+    if (r->setup->sends == SENDS_CHUNKS) {
+        send_chunks(connection);
+    }
     leave(connection, r);
     return NULL;
 }
--- a/tests/test_config_delivery.c
+++ b/tests/test_config_delivery.c
@@ -1,10 +1,10 @@
 /* Tests, with real processes, that entry instances obey a configuration within
  * its bound, whatever happens to their connections to control instances. */
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "check.h"
+#include "fleet_busy.h"
 #include "fleet_cut.h"
 
 enum {
@@ -238,47 +238,8 @@
     CALLERS = 200,
     CHANGES = 8,
     CHANGE_MS = 1430, /* from one to the next */
-    BUSY_MS = 1500,
-    /* It gets a hundredth of a processor. */
-    RUNS_MS = 3,
-    STOPS_MS = 290,
 };
 
-typedef struct {
-    fleet_t *fleet;
-    gint stop;    /* atomic */
-    gint callers; /* that have not ended; atomic */
-} busy_t;
-
-static gpointer
-throttle_run(gpointer data)
-{
-    busy_t *b = data;
-    fleet_process_t *entry = fleet_entry(b->fleet, 0);
-    while (!g_atomic_int_get(&b->stop)) {
-        fleet_signal(entry, SIGSTOP);
-        fleet_sleep(STOPS_MS);
-        fleet_signal(entry, SIGCONT);
-        fleet_sleep(RUNS_MS);
-    }
-    fleet_signal(entry, SIGCONT);
-    return NULL;
-}
-
-static gpointer
-caller_run(gpointer data)
-{
-    busy_t *b = data;
-    for (guint i = 0; !g_atomic_int_get(&b->stop); i++) {
-        char id[64];
-        g_snprintf(id, sizeof(id), "busy-%p-%u", (void *)g_thread_self(), i);
-        reply_free(
-            fleet_request(fleet_entry(b->fleet, 0), "/stream/long/x", id, ""));
-    }
-    g_atomic_int_add(&b->callers, -1);
-    return NULL;
-}
-
 /* When, by the clock of the log, a version or a later one was in force; 0:
  * never. */
 static gint64
@@ -308,30 +269,22 @@
 test_busy_instance(void)
 {
     gint64 acked_ms[CHANGES];
-    busy_t b = {.fleet = fleet_create(CONTROLS, 2, 4), .callers = CALLERS};
-    b.fleet->slots = CALLERS;
-    CU_ASSERT_FATAL(fleet_up(b.fleet, 1));
-    for (guint i = 0; i < CALLERS; i++) {
-        g_thread_unref(g_thread_new("caller", caller_run, &b));
-    }
-    fleet_sleep(BUSY_MS); /* until all streams flow */
-    GThread *throttle = g_thread_new("throttle", throttle_run, &b);
-    fleet_sleep(BUSY_MS);
+    fleet_t *fleet = fleet_create(CONTROLS, 2, 4);
+    fleet->slots = CALLERS;
+    CU_ASSERT_FATAL(fleet_up(fleet, 1));
+    fleet_busy_t *busy = fleet_busy_create(fleet_entry(fleet, 0), CALLERS);
+    fleet_busy_throttle(busy);
     for (guint i = 0; i < CHANGES; i++) {
         char *text = fleet_config(i + 2, NULL);
-        CU_ASSERT_EQUAL(fleet_put(b.fleet, text, 0), 200);
+        CU_ASSERT_EQUAL(fleet_put(fleet, text, 0), 200);
         acked_ms[i] = g_get_real_time() / 1000;
         g_free(text);
         fleet_sleep(CHANGE_MS);
     }
     fleet_sleep(APPLY_MS);
-    g_atomic_int_set(&b.stop, 1);
-    g_thread_join(throttle);
-    while (g_atomic_int_get(&b.callers) > 0) {
-        fleet_sleep(ASK_MS);
-    }
+    fleet_busy_destroy(busy);
     for (guint i = 0; i < CHANGES; i++) {
-        gint64 at_ms = in_force_ms(fleet_entry(b.fleet, 0), i + 2);
+        gint64 at_ms = in_force_ms(fleet_entry(fleet, 0), i + 2);
         gint64 late_ms = at_ms - acked_ms[i];
         if (at_ms == 0 || late_ms > APPLY_MS ||
             g_getenv("DELIVERY_PRINT") != NULL) {
@@ -340,7 +293,7 @@
         }
         CU_ASSERT(at_ms != 0 && late_ms <= APPLY_MS);
     }
-    fleet_destroy(b.fleet);
+    fleet_destroy(fleet);
 }
 
 static const test_case_t CASES[] = {
