A caller's close does not wait behind the work that it ends

Callers that left a busy instance: their runs went on at endpoints for up to 1.6 s. The close was an event in the same queue as callers' requests and endpoints' events, and behind timers; at an instance with more work than its processor does, a round of that queue takes seconds.

Closes of connections whose owner wants to know of them (callers, other instances' tunnels) are registered in the poller's urgent set as well, by themselves, so that bytes before them keep their order. The set is looked at after 16 events, as before, and now after 16 timers too.

--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -69,6 +69,15 @@
     poller_catch_up(data);
 }
 
+static void
+take_urgent(void *data)
+{
+    poller_take_urgent(data);
+}
+
+static const task_events_t EVENTS = {.catch_up = catch_up,
+                                     .take_urgent = take_urgent};
+
 static gboolean
 is_set(const char *text)
 {
@@ -273,7 +282,7 @@
         return FALSE;
     }
     g->task = task_create(&TASK_OPS, g, g_main_context_default());
-    task_set_catch_up(g->task, catch_up, g->poller);
+    task_set_events(g->task, &EVENTS, g->poller);
     if (is_set(s->callers)) {
         g->entry = entry_create(s, g->task, g->poller);
         if (g->entry == NULL) {
--- a/carobloomd/http/stream_socket.c
+++ b/carobloomd/http/stream_socket.c
@@ -233,6 +233,10 @@
     if (s->watch == NULL) {
         close(fd);
         g_clear_pointer(&s, g_free);
+        return NULL;
+    }
+    if (ops->hung_up != NULL) {
+        poll_watch_set_close_urgent(s->watch);
     }
     return s;
 }
--- a/common/poller.c
+++ b/common/poller.c
@@ -29,7 +29,8 @@
     int set; /* epoll set that the descriptor is in */
     int fd;
     guint32 events;
-    poll_fn_t fn; /* NULL once destroyed */
+    gboolean has_urgent_close; /* it is in the urgent set as well */
+    poll_fn_t fn;              /* NULL once destroyed */
     void *data;
 };
 
@@ -56,6 +57,7 @@
     }
 }
 
+/* Callable from within a batch. */
 static void
 take_urgent(poller_t *poller)
 {
@@ -83,13 +85,26 @@
     return count == EVENTS_A_TURN;
 }
 
+static void
+begin_batch(poller_t *poller)
+{
+    poller->dispatching = TRUE;
+}
+
+static void
+end_batch(poller_t *poller)
+{
+    poller->dispatching = FALSE;
+    g_ptr_array_set_size(poller->dead, 0);
+}
+
 /* Returns the number of events. */
 static int
 take_events(poller_t *poller)
 {
     struct epoll_event events[EVENTS_A_TURN];
     int count = epoll_wait(poller->fd, events, EVENTS_A_TURN, 0);
-    poller->dispatching = TRUE;
+    begin_batch(poller);
     if (has_urgent(events, count)) {
         take_urgent(poller);
     }
@@ -101,8 +116,7 @@
             take_event(poller, &events[i]);
         }
     }
-    poller->dispatching = FALSE;
-    g_ptr_array_set_size(poller->dead, 0);
+    end_batch(poller);
     return count;
 }
 
@@ -165,6 +179,14 @@
     }
 }
 
+void
+poller_take_urgent(poller_t *poller)
+{
+    begin_batch(poller);
+    take_urgent(poller);
+    end_batch(poller);
+}
+
 poll_watch_t *
 poll_watch_create(poller_t *poller, int fd, guint32 events, poll_fn_t fn,
                   void *data)
@@ -189,6 +211,9 @@
 {
     poller_t *poller = watch->poller;
     epoll_ctl(watch->set, EPOLL_CTL_DEL, watch->fd, NULL);
+    if (watch->has_urgent_close) {
+        epoll_ctl(poller->urgent_fd, EPOLL_CTL_DEL, watch->fd, NULL);
+    }
     watch->fn = NULL;
     if (poller->dispatching) {
         g_ptr_array_add(poller->dead, watch);
@@ -214,7 +239,7 @@
 {
     poller_t *poller = watch->poller;
     struct epoll_event event = {.events = watch->events, .data.ptr = watch};
-    if (watch->set == poller->urgent_fd ||
+    if (watch->set == poller->urgent_fd || watch->has_urgent_close ||
         epoll_ctl(poller->urgent_fd, EPOLL_CTL_ADD, watch->fd, &event) != 0) {
         return;
     }
@@ -222,6 +247,19 @@
     watch->set = poller->urgent_fd;
 }
 
+void
+poll_watch_set_close_urgent(poll_watch_t *watch)
+{
+    /* Edge-triggered: bytes may have to be read before the close counts. */
+    struct epoll_event event = {.events = EPOLLRDHUP | EPOLLET,
+                                .data.ptr = watch};
+    if (watch->set != watch->poller->urgent_fd &&
+        epoll_ctl(watch->poller->urgent_fd, EPOLL_CTL_ADD, watch->fd,
+                  &event) == 0) {
+        watch->has_urgent_close = TRUE;
+    }
+}
+
 void
 poller_set_after_urgent(poller_t *poller, poll_turn_fn_t fn, void *data)
 {
--- a/common/task.c
+++ b/common/task.c
@@ -14,8 +14,8 @@
     GThread *thread;
     GAsyncQueue *mailbox;
     timers_t *timers;
-    void (*catch_up)(void *data); /* before late timers; may be NULL */
-    void *catch_up_data;
+    const task_events_t *events; /* may be NULL */
+    void *events_data;
     GSource *source;
     void (*begin)(void *state);
     void (*end)(void *state);
@@ -26,6 +26,7 @@
 enum {
     MESSAGES_A_TURN = 256,
     LATE_US = 10 * 1000, /* by which a timer is late */
+    TIMERS_BETWEEN_URGENT = 16,
 };
 
 static gboolean
@@ -58,12 +59,18 @@
 run_timers(task_t *task)
 {
     gint64 now = g_get_monotonic_time();
-    if (task->catch_up != NULL &&
-        now - timers_next(task->timers) >= (gint64)LATE_US) {
-        task->catch_up(task->catch_up_data);
+    if (task->events == NULL) {
+        timers_advance(task->timers, now);
+        return;
+    }
+    if (now - timers_next(task->timers) >= (gint64)LATE_US) {
+        task->events->catch_up(task->events_data);
         now = g_get_monotonic_time();
     }
-    timers_advance(task->timers, now);
+    while (timers_advance_some(task->timers, now, TIMERS_BETWEEN_URGENT) ==
+           TIMERS_BETWEEN_URGENT) {
+        task->events->take_urgent(task->events_data);
+    }
 }
 
 static gboolean
@@ -167,10 +174,10 @@
 }
 
 void
-task_set_catch_up(task_t *task, void (*catch_up)(void *data), void *data)
+task_set_events(task_t *task, const task_events_t *events, void *data)
 {
-    task->catch_up = catch_up;
-    task->catch_up_data = data;
+    task->events = events;
+    task->events_data = data;
 }
 
 int
--- a/common/timers.c
+++ b/common/timers.c
@@ -88,17 +88,17 @@
 }
 
 guint
-timers_advance(timers_t *timers, gint64 now_us)
+timers_advance_some(timers_t *timers, gint64 now_us, guint most)
 {
     guint ran = 0;
     timers_set_now(timers, now_us);
-    for (;;) {
+    while (ran < most) {
         GSequenceIter *first = g_sequence_get_begin_iter(timers->queue);
         if (g_sequence_iter_is_end(first)) {
             return ran;
         }
         timer_item_t item = *(timer_item_t *)g_sequence_get(first);
-        if (item.due_us > timers->now_us) {
+        if (item.due_us > now_us) {
             return ran;
         }
         g_hash_table_remove(timers->by_id, &item.id);
@@ -114,6 +114,13 @@
         item.fn(item.data);
         ran++;
     }
+    return ran;
+}
+
+guint
+timers_advance(timers_t *timers, gint64 now_us)
+{
+    return timers_advance_some(timers, MAX(now_us, timers->now_us), G_MAXUINT);
 }
 
 gint64
--- a/include/carobloom/common/poller.h
+++ b/include/carobloom/common/poller.h
@@ -34,6 +34,11 @@
 /* From now on events of this descriptor are taken before those of others, also
  * while many of these wait. */
 void poll_watch_set_urgent(poll_watch_t *watch);
+/* The same for the other side's close alone (EPOLLRDHUP, EPOLLERR, EPOLLHUP),
+ * which may be told before bytes that came before it. */
+void poll_watch_set_close_urgent(poll_watch_t *watch);
+/* Takes urgent events that wait; for whoever does other work for long. */
+void poller_take_urgent(poller_t *poller);
 /* `fn` is called after urgent events were taken. */
 void poller_set_after_urgent(poller_t *poller, poll_turn_fn_t fn, void *data);
 
--- a/include/carobloom/common/task.h
+++ b/include/carobloom/common/task.h
@@ -37,10 +37,15 @@
 /* Ends the thread after the messages already sent; `end` runs last on it. */
 void task_stop(task_t *task, void (*end)(void *state));
 void task_destroy(task_t *task);
-/* Sets what is called before timers that are late are run, e.g. after the
- * processor was away. It takes what arrived in the meantime: a timeout must
- * not give up what is already there. */
-void task_set_catch_up(task_t *task, void (*catch_up)(void *data), void *data);
+/* How the events of the task's descriptors are taken while its timers run. */
+typedef struct {
+    /* Before timers that are late, e.g. after the processor was away: a
+     * timeout must not give up what has arrived in the meantime. */
+    void (*catch_up)(void *data);
+    /* Between many timers: urgent events don't wait behind them. */
+    void (*take_urgent)(void *data);
+} task_events_t;
+void task_set_events(task_t *task, const task_events_t *events, void *data);
 /* Hands over a message. On an error the message is destroyed. */
 int task_send(task_t *task, message_t *message);
 timers_t *task_timers(task_t *task);
--- a/include/carobloom/common/timers.h
+++ b/include/carobloom/common/timers.h
@@ -21,6 +21,9 @@
 void timers_set_now(timers_t *timers, gint64 now_us);
 /* Runs what is due at `now_us`, in order of time; returns how many ran. */
 guint timers_advance(timers_t *timers, gint64 now_us);
+/* The same for at most so many. What a timer itself moves the clock to is left
+ * for later. */
+guint timers_advance_some(timers_t *timers, gint64 now_us, guint most);
 /* The next due time, or G_MAXINT64. */
 gint64 timers_next(const timers_t *timers);
 gint64 timers_now(const timers_t *timers);
--- a/tests/test_stalls.c
+++ b/tests/test_stalls.c
@@ -49,6 +49,15 @@
     poller_catch_up(data);
 }
 
+static void
+take_urgent(void *data)
+{
+    poller_take_urgent(data);
+}
+
+static const task_events_t EVENTS = {.catch_up = catch_up,
+                                     .take_urgent = take_urgent};
+
 static void
 on_answer(guint32 events, void *data)
 {
@@ -212,7 +221,7 @@
     *s = (stalled_t){.context = g_main_context_new()};
     s->poller = poller_create(s->context, on_turn, s);
     s->task = task_create(&TASK_OPS, s, s->context);
-    task_set_catch_up(s->task, catch_up, s->poller);
+    task_set_events(s->task, &EVENTS, s->poller);
     CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, s->awaited), 0);
     CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, s->busy), 0);
 }
@@ -261,8 +270,125 @@
     }
 }
 
+/* ---- a close among much other work ---- */
+
+enum {
+    MUCH = 300,             /* pieces of other work */
+    WORK_BEFORE_CLOSE = 32, /* of it that may be done first */
+};
+
+typedef struct {
+    stalled_t s;
+    int pairs[MUCH][2];
+    poll_watch_t *watches[MUCH];
+    guint done;       /* pieces of work */
+    guint done_first; /* before the close was told */
+    gboolean told;
+} close_t;
+
+typedef struct {
+    const char *name;
+    void (*prepare)(close_t *c);
+} close_case_t;
+
+static void
+on_closed(guint32 events, void *data)
+{
+    close_t *c = data;
+    CU_ASSERT_TRUE(events & EPOLLRDHUP);
+    g_clear_pointer(&c->s.awaited_watch, poll_watch_destroy);
+    c->told = TRUE;
+    c->done_first = c->done;
+}
+
+/* The close comes amid the work. */
+static void
+work(close_t *c)
+{
+    if (c->done++ == MUCH / 3) {
+        c->done_first = c->done;
+        shutdown(c->s.awaited[0], SHUT_RDWR);
+    }
+}
+
+static void
+on_work_event(guint32 events, void *data)
+{
+    (void)events;
+    work(data);
+}
+
+static void
+prepare_events(close_t *c)
+{
+    for (guint i = 0; i < MUCH; i++) {
+        CU_ASSERT_EQUAL(write(c->pairs[i][0], "w", 1), 1);
+        c->watches[i] = poll_watch_create(c->s.poller, c->pairs[i][1], EPOLLIN,
+                                          on_work_event, c);
+    }
+}
+
+static void
+on_work_timer(void *data)
+{
+    work(data);
+}
+
+static void
+prepare_timers(close_t *c)
+{
+    for (guint i = 0; i < MUCH; i++) {
+        timers_subscribe(task_timers(c->s.task), 0, 0, on_work_timer, c);
+    }
+}
+
+static const close_case_t CLOSE_CASES[] = {
+    {"events", prepare_events},
+    {"timers", prepare_timers},
+};
+
+static void
+close_case(const close_case_t *setup)
+{
+    close_t *c = g_new0(close_t, 1);
+    stalled_open(&c->s);
+    for (guint i = 0; i < MUCH; i++) {
+        CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, c->pairs[i]),
+                              0);
+    }
+    c->s.awaited_watch = poll_watch_create(c->s.poller, c->s.awaited[1],
+                                           EPOLLIN | EPOLLRDHUP, on_closed, c);
+    poll_watch_set_close_urgent(c->s.awaited_watch);
+    setup->prepare(c);
+    gint64 until = g_get_monotonic_time() + WAIT_US;
+    while (!c->told && g_get_monotonic_time() < until) {
+        g_main_context_iteration(c->s.context, TRUE);
+    }
+    printf("%s: %u before the close; ", setup->name,
+           c->done_first - MUCH / 3 - 1);
+    CU_ASSERT_TRUE(c->told);
+    CU_ASSERT(c->done_first - MUCH / 3 - 1 <= WORK_BEFORE_CLOSE);
+    for (guint i = 0; i < MUCH; i++) {
+        g_clear_pointer(&c->watches[i], poll_watch_destroy);
+        close(c->pairs[i][0]);
+        close(c->pairs[i][1]);
+    }
+    stalled_close(&c->s);
+    g_free(c);
+}
+
+/* Guards against a close that waits behind the work that it may end. */
+static void
+test_urgent_close(void)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(CLOSE_CASES); i++) {
+        close_case(&CLOSE_CASES[i]);
+    }
+}
+
 static const test_case_t CASES[] = {
     {"late timers give up nothing that has arrived", test_late_timers},
+    {"a close does not wait behind much other work", test_urgent_close},
 };
 
 CHECK_MAIN("stalls", CASES)
