An entry instance follows a log that was founded anew

Entry instances that ran on while all control instances lost their disks and were founded anew refused the new configuration, 404 by the old one, for ever: the old version was the higher one. They counted it as confirmed, and a difference to a version of the same number could have been applied to another text.

Polls and answers between entry and control instances name it. An instance whose own log has not been confirmed for a second follows a confirmed leader of another log, whatever its version, and counts what is in force as unconfirmed until then. A confirmed leader without any configuration confirms nothing. Differences are made only within a log.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -466,6 +466,26 @@
 
 /* ---- the task ---- */
 
+static guint64
+random_id(void)
+{
+    return (guint64)g_random_int() << 32 | g_random_int() | 1;
+}
+
+/* Before the first configuration, and each one until an id is committed. */
+static int
+propose_log_id(config_log_t *log, gint64 now)
+{
+    guint64 index;
+    if (log->state.log_id != 0) {
+        return VOTER_OK;
+    }
+    GBytes *command = log_id_command(random_id());
+    int result = voter_propose(log->core, command, &index, now);
+    g_bytes_unref(command);
+    return result;
+}
+
 static void
 handle_put(config_log_t *log, const config_put_message_t *m)
 {
@@ -476,7 +496,10 @@
     }
     guint64 index;
     GBytes *command = log_config_command(m->version, m->text);
-    int result = voter_propose(log->core, command, &index, now);
+    int result = propose_log_id(log, now);
+    if (result == VOTER_OK) {
+        result = voter_propose(log->core, command, &index, now);
+    }
     g_bytes_unref(command);
     if (result != VOTER_OK) {
         config_log_send_result(log, m->call, FALSE);
--- a/carobloomd/control/config_log_messages.c
+++ b/carobloomd/control/config_log_messages.c
@@ -121,6 +121,7 @@
     }
     config_applied_message_t *m = g_new0(config_applied_message_t, 1);
     *m = (config_applied_message_t){.base = {CONFIG_LOG_APPLIED, applied_free},
+                                    .log_id = log->state.log_id,
                                     .version = log->state.version,
                                     .text = g_bytes_ref(log->state.text)};
     task_send(log->owner, &m->base);
--- a/carobloomd/control/control.c
+++ b/carobloomd/control/control.c
@@ -243,6 +243,7 @@
     if (control_newest(c) != NULL && m->version <= control_newest_version(c)) {
         return;
     }
+    c->log_id = m->log_id;
     committed_config_t *config = g_new0(committed_config_t, 1);
     *config = (committed_config_t){.version = m->version,
                                    .text = g_bytes_ref(m->text)};
--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -81,13 +81,24 @@
     return g_bytes_ref(cached->bytes);
 }
 
+/* Versions of different logs can't be compared. The entry instance takes this
+ * log's configuration once it knows that its own log is gone. */
+static gboolean
+has_config_update(const control_t *c, const sync_request_t *request)
+{
+    gboolean other_log =
+        request->log_id != 0 && c->log_id != 0 && request->log_id != c->log_id;
+    return request->wants_config && !other_log &&
+           request->version < control_newest_version(c);
+}
+
 static void
 fill_config(control_t *c, const sync_request_t *request, sync_answer_t *answer)
 {
     const committed_config_t *now = control_newest(c);
+    answer->log_id = c->log_id;
     answer->version = control_newest_version(c);
-    if (now == NULL || !request->wants_config ||
-        answer->version <= request->version) {
+    if (now == NULL || !has_config_update(c, request)) {
         return;
     }
     const committed_config_t *base = config_find(c, request->version);
@@ -136,6 +147,7 @@
         .orders = crash_ledger_cursor(c->crashes),
         .limits_since = full ? 0 : request->limit_cursor,
         .limits = limit_quota_cursor(c->limits),
+        .request_log_id = request->log_id,
         .request_version = request->version,
         .version = control_newest_version(c),
         .entries = collector_entries_rounded(active_entries_count(c)),
@@ -243,13 +255,6 @@
     return g_bytes_ref(cached->bytes);
 }
 
-static gboolean
-has_config_update(const control_t *c, const sync_request_t *request)
-{
-    return request->wants_config &&
-           request->version < control_newest_version(c);
-}
-
 static gboolean
 has_updates(const control_t *c, const sync_request_t *request)
 {
--- a/carobloomd/control/log_state.c
+++ b/carobloomd/control/log_state.c
@@ -8,9 +8,14 @@
  * these kinds existed contain only configurations. */
 static const guint64 KIND_USAGE = G_MAXUINT64;
 static const guint64 KIND_SNAPSHOT = G_MAXUINT64 - 1;
+static const guint64 KIND_LOG_ID = G_MAXUINT64 - 2;
+/* The same as KIND_SNAPSHOT, of a log that has an id. */
+static const guint64 KIND_LOG_SNAPSHOT = G_MAXUINT64 - 3;
 
 #define COMMAND_TYPE "(tay)"
-#define SNAPSHOT_TYPE "(tayay)" /* version, text, usage */
+#define LOG_ID_TYPE "(t)"
+#define SNAPSHOT_TYPE "(tayay)"                  /* version, text, usage */
+#define LOG_SNAPSHOT_TYPE "(t" SNAPSHOT_TYPE ")" /* id of the log */
 
 static GBytes *
 command_write(guint64 kind, GBytes *bytes)
@@ -30,6 +35,15 @@
     return command_write(KIND_USAGE, command);
 }
 
+GBytes *
+log_id_command(guint64 log_id)
+{
+    GBytes *bytes = codec_write(g_variant_new(LOG_ID_TYPE, log_id));
+    GBytes *command = command_write(KIND_LOG_ID, bytes);
+    g_bytes_unref(bytes);
+    return command;
+}
+
 void
 log_state_init(log_state_t *s)
 {
@@ -55,13 +69,23 @@
     return LOG_STATE_CONFIG;
 }
 
-static guint
-apply_snapshot(log_state_t *s, GBytes *snapshot)
+/* Two leaders may propose one: the first that is committed counts. */
+static void
+apply_log_id(log_state_t *s, GBytes *bytes)
 {
-    GVariant *v = codec_read(snapshot, SNAPSHOT_TYPE);
+    GVariant *v = codec_read(bytes, LOG_ID_TYPE);
     if (v == NULL) {
-        return 0;
+        return;
     }
+    if (s->log_id == 0) {
+        g_variant_get(v, LOG_ID_TYPE, &s->log_id);
+    }
+    g_variant_unref(v);
+}
+
+static guint
+apply_snapshot_content(log_state_t *s, GVariant *v)
+{
     guint64 version;
     GVariant *text;
     GVariant *usage;
@@ -80,6 +104,32 @@
     }
     g_bytes_unref(text_bytes);
     g_bytes_unref(usage_bytes);
+    return changed;
+}
+
+static guint
+apply_snapshot(log_state_t *s, GBytes *snapshot)
+{
+    GVariant *v = codec_read(snapshot, SNAPSHOT_TYPE);
+    if (v == NULL) {
+        return 0;
+    }
+    guint changed = apply_snapshot_content(s, v);
+    g_variant_unref(v);
+    return changed;
+}
+
+static guint
+apply_log_snapshot(log_state_t *s, GBytes *snapshot)
+{
+    GVariant *v = codec_read(snapshot, LOG_SNAPSHOT_TYPE);
+    if (v == NULL) {
+        return 0;
+    }
+    GVariant *content;
+    g_variant_get(v, "(t@" SNAPSHOT_TYPE ")", &s->log_id, &content);
+    guint changed = apply_snapshot_content(s, content);
+    g_variant_unref(content);
     g_variant_unref(v);
     return changed;
 }
@@ -102,6 +152,12 @@
     else if (kind == KIND_SNAPSHOT) {
         changed = apply_snapshot(s, bytes);
     }
+    else if (kind == KIND_LOG_SNAPSHOT) {
+        changed = apply_log_snapshot(s, bytes);
+    }
+    else if (kind == KIND_LOG_ID) {
+        apply_log_id(s, bytes);
+    }
     else {
         changed = apply_config(s, kind, bytes);
     }
@@ -114,9 +170,14 @@
 log_state_snapshot(const log_state_t *s)
 {
     GBytes *usage = usage_ledger_write(s->usage);
-    GBytes *snapshot = codec_write(g_variant_new(
-        "(t@ay@ay)", s->version, codec_bytes(s->text), codec_bytes(usage)));
-    GBytes *command = command_write(KIND_SNAPSHOT, snapshot);
+    GVariant *content = g_variant_new(
+        "(t@ay@ay)", s->version, codec_bytes(s->text), codec_bytes(usage));
+    gboolean has_id = s->log_id != 0;
+    GBytes *snapshot = codec_write(
+        has_id ? g_variant_new("(t@" SNAPSHOT_TYPE ")", s->log_id, content)
+               : content);
+    GBytes *command =
+        command_write(has_id ? KIND_LOG_SNAPSHOT : KIND_SNAPSHOT, snapshot);
     g_bytes_unref(snapshot);
     g_bytes_unref(usage);
     return command;
--- a/carobloomd/control/log_state.h
+++ b/carobloomd/control/log_state.h
@@ -6,6 +6,10 @@
 #include "carobloom/policy/usage_ledger.h"
 
 typedef struct {
+    /* Drawn when the log was founded, so that whoever holds a configuration of
+     * another log does not compare versions; 0: not yet, or the log is older
+     * than these ids. */
+    guint64 log_id;
     guint64 version; /* of the configuration */
     GBytes *text;    /* NULL before the first configuration */
     usage_ledger_t *usage;
@@ -29,5 +33,6 @@
 /* Serialize commands for the log. */
 GBytes *log_config_command(guint64 version, GBytes *text);
 GBytes *log_usage_command(GBytes *command);
+GBytes *log_id_command(guint64 log_id);
 
 #endif
--- a/carobloomd/gateway/config_fetch.c
+++ b/carobloomd/gateway/config_fetch.c
@@ -206,7 +206,7 @@
 config_fetch_record_version(control_link_t *link, guint64 version)
 {
     entry_t *e = link->entry;
-    guint64 known_version = e->config != NULL ? e->config->version : 0;
+    guint64 known_version = entry_known_version(e);
     link->version = version;
     if (version > known_version && e->newer_config_since_us == 0) {
         e->newer_config_since_us = entry_now(e);
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -203,7 +203,10 @@
 {
     entry_t *e = link->entry;
     gint64 now = entry_now(e);
-    config_fetch_record_version(link, answer->version);
+    gboolean follows = entry_follows_log(e, answer, link->address);
+    if (follows) {
+        config_fetch_record_version(link, answer->version);
+    }
     if (answer->full && link->epoch != answer->epoch) {
         directory_source_reset(e->directory, link->source, now);
     }
@@ -224,16 +227,16 @@
     if (answer->confirmed) {
         limit_link_set_owners(e->limit_link, answer->controls);
     }
-    link->leads = answer->confirmed;
+    link->leads = answer->confirmed && follows;
     g_free(link->data_centre);
     link->data_centre = g_strdup(answer->data_centre);
     traffic_set_data_centre(e->traffic, link->address, answer->data_centre);
-    gboolean applied = entry_apply_update(e, answer, link->address);
-    if (!applied) {
+    gboolean applied = follows && entry_apply_update(e, answer, link->address);
+    if (follows && !applied) {
         config_fetch_reject(link);
     }
     if (applied && answer->confirmed && e->config != NULL &&
-        e->config->version >= answer->version) {
+        entry_known_version(e) >= answer->version) {
         entry_record_confirmation(e, earliest_written_us(link), link->address);
     }
     e->entries = MAX(answer->entries, 1);
@@ -305,9 +308,8 @@
     }
     sync_request_t request = {
         .instance = e->settings->instance,
-        .version = e->config != NULL && !(whole && link->asks_config)
-                       ? e->config->version
-                       : 0,
+        .log_id = e->log_id,
+        .version = whole && link->asks_config ? 0 : entry_known_version(e),
         .epoch = link->epoch,
         .cursor = link->cursor,
         .quarantine_cursor = link->quarantine_cursor,
@@ -332,6 +334,12 @@
     config_fetch_start_poll(link, wait_ms);
 }
 
+void
+control_link_forget_version(control_link_t *link)
+{
+    link->version = 0;
+}
+
 /* ---- all links ---- */
 
 void
--- a/carobloomd/gateway/control_link_state.h
+++ b/carobloomd/gateway/control_link_state.h
@@ -42,6 +42,8 @@
 /* control_link.c */
 void control_link_poll(control_link_t *link);
 gboolean control_link_is_local(const control_link_t *link);
+/* What it reported was of another log. */
+void control_link_forget_version(control_link_t *link);
 
 /* config_fetch.c */
 /* Whether the next poll asks for the configuration. */
--- a/carobloomd/gateway/entry.c
+++ b/carobloomd/gateway/entry.c
@@ -150,6 +150,7 @@
     e->text = g_bytes_ref(text);
     e->newer_config_since_us = 0;
     e->needs_whole_config = FALSE;
+    e->is_of_other_log = FALSE;
     http_limits_t limits = caller_limits(e);
     http_server_set_limits(e->callers, &limits);
     slot_link_apply_config(e->slot_link);
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -110,6 +110,10 @@
     /* the configuration in force at this instance */
     route_config_t *config; /* NULL until the first one is received */
     GBytes *text;
+    /* id of the replicated log whose configurations are taken; 0: unknown */
+    guint64 log_id;
+    gboolean is_of_other_log; /* the configuration in force is older than that
+                                 log */
     /* clock_boot_us at which the configuration was last known to be the
      * newest */
     gint64 confirmed_us;
@@ -166,6 +170,13 @@
 void entry_count_quarantined(const entry_t *entry);
 
 /* config_update.c */
+/* Version of the configuration in force, as control instances count them; 0:
+ * none of the log that this instance follows. */
+guint64 entry_known_version(const entry_t *entry);
+/* Whether an answer is of the log that this instance follows. It follows
+ * another one if that is confirmed, and its own is not any more. */
+gboolean entry_follows_log(entry_t *entry, const sync_answer_t *answer,
+                           const char *control);
 /* Applies the configuration that an answer of a control instance brought, if
  * any. Returns FALSE, and logs why, if it can't be used. */
 gboolean entry_apply_update(entry_t *entry, const sync_answer_t *answer,
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -4,13 +4,14 @@
 #include "carobloom/common/pack.h"
 #include "carobloom/gateway/crash_wire.h"
 
-#define REQUEST_TYPE "(stttttubb)"
+#define REQUEST_TYPE "(sttttttubb)"
 #define LEASES_TYPE "a(ssssxtuybxx)"
 /* Leases are a nested byte array, compressed if there are many. */
 #define ANSWER_TYPE                                                           \
-    "(ttbbbttbaybayassut" QUARANTINE_ORDERS_TYPE "t" LIMIT_STATES_TYPE ")"
+    "(ttbbbtttbaybayassut" QUARANTINE_ORDERS_TYPE "t" LIMIT_STATES_TYPE ")"
 #define ANSWER_FORMAT                                                         \
-    "(ttbbbttb@ayb@ay@assut@" QUARANTINE_ORDERS_TYPE "t@" LIMIT_STATES_TYPE ")"
+    "(ttbbbtttb@ayb@ay@assut@" QUARANTINE_ORDERS_TYPE "t@" LIMIT_STATES_TYPE  \
+    ")"
 #define ENVELOPE_TYPE "(stay)"
 
 enum {
@@ -22,10 +23,10 @@
 GBytes *
 sync_request_write(const sync_request_t *r)
 {
-    return codec_write(g_variant_new(REQUEST_TYPE, r->instance, r->version,
-                                     r->epoch, r->cursor, r->quarantine_cursor,
-                                     r->limit_cursor, r->wait_ms,
-                                     r->wants_config, r->more));
+    return codec_write(g_variant_new(REQUEST_TYPE, r->instance, r->log_id,
+                                     r->version, r->epoch, r->cursor,
+                                     r->quarantine_cursor, r->limit_cursor,
+                                     r->wait_ms, r->wants_config, r->more));
 }
 
 gboolean
@@ -36,9 +37,9 @@
     if (v == NULL) {
         return FALSE;
     }
-    g_variant_get(v, REQUEST_TYPE, &r->instance, &r->version, &r->epoch,
-                  &r->cursor, &r->quarantine_cursor, &r->limit_cursor,
-                  &r->wait_ms, &r->wants_config, &r->more);
+    g_variant_get(v, REQUEST_TYPE, &r->instance, &r->log_id, &r->version,
+                  &r->epoch, &r->cursor, &r->quarantine_cursor,
+                  &r->limit_cursor, &r->wait_ms, &r->wants_config, &r->more);
     g_variant_unref(v);
     return TRUE;
 }
@@ -97,11 +98,11 @@
     GBytes *leases = leases_write(a->leases, &packed);
     GBytes *bytes = codec_write(g_variant_new(
         ANSWER_FORMAT, a->epoch, a->cursor, a->full, a->more, a->confirmed,
-        a->version, a->base, a->delta != NULL, codec_bytes(a->delta), packed,
-        codec_bytes(leases), names_variant(a->controls), a->data_centre,
-        a->entries, a->quarantine_cursor,
-        quarantine_orders_variant(a->quarantine_orders), a->limit_cursor,
-        limit_states_variant(a->limits)));
+        a->log_id, a->version, a->base, a->delta != NULL,
+        codec_bytes(a->delta), packed, codec_bytes(leases),
+        names_variant(a->controls), a->data_centre, a->entries,
+        a->quarantine_cursor, quarantine_orders_variant(a->quarantine_orders),
+        a->limit_cursor, limit_states_variant(a->limits)));
     g_bytes_unref(leases);
     return bytes;
 }
@@ -179,9 +180,10 @@
     gboolean has_delta;
     gboolean packed;
     g_variant_get(v, ANSWER_FORMAT, &a->epoch, &a->cursor, &a->full, &a->more,
-                  &a->confirmed, &a->version, &a->base, &has_delta, &delta,
-                  &packed, &leases, &controls, &a->data_centre, &a->entries,
-                  &a->quarantine_cursor, &orders, &a->limit_cursor, &limits);
+                  &a->confirmed, &a->log_id, &a->version, &a->base, &has_delta,
+                  &delta, &packed, &leases, &controls, &a->data_centre,
+                  &a->entries, &a->quarantine_cursor, &orders,
+                  &a->limit_cursor, &limits);
     a->quarantine_orders = quarantine_orders_read(orders);
     a->limits = limit_states_read(limits);
     a->delta = codec_take_bytes(delta);
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -389,6 +389,35 @@
     log_state_clear(&restored);
 }
 
+/* Guards against a log that has two ids, or loses its own: the first counts,
+ * and is part of the snapshot. */
+static void
+test_log_id(void)
+{
+    log_state_t state;
+    log_state_t restored;
+    log_state_init(&state);
+    log_state_init(&restored);
+    GBytes *first = log_id_command(11);
+    GBytes *second = log_id_command(12);
+    GBytes *old = old_command(7, "{\"a\":1}");
+    CU_ASSERT_EQUAL(log_state_apply(&state, old), LOG_STATE_CONFIG);
+    CU_ASSERT_EQUAL(state.log_id, 0);
+    CU_ASSERT_EQUAL(log_state_apply(&state, first), 0);
+    CU_ASSERT_EQUAL(log_state_apply(&state, second), 0);
+    CU_ASSERT_EQUAL(state.log_id, 11);
+    GBytes *snapshot = log_state_snapshot(&state);
+    log_state_apply(&restored, snapshot);
+    CU_ASSERT_EQUAL(restored.log_id, 11);
+    CU_ASSERT_EQUAL(restored.version, 7);
+    g_bytes_unref(first);
+    g_bytes_unref(second);
+    g_bytes_unref(old);
+    g_bytes_unref(snapshot);
+    log_state_clear(&state);
+    log_state_clear(&restored);
+}
+
 /* Guards against unbounded memory: teams and windows beyond the maximum are
  * left out. */
 static void
@@ -520,6 +549,7 @@
     {"windows without gaps", test_windows_in_order},
     {"counts of a final window don't change", test_figures_never_change},
     {"logs of old and new versions", test_log_state},
+    {"a log has one id", test_log_id},
     {"counts are bounded", test_tally_is_bounded},
     {"reports on the wire", test_report_wire},
     {"damaged bytes", test_report_damaged},
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -740,6 +740,7 @@
     for (int bits = 0; bits < 2; bits++) {
         sync_request_t request = {
             .instance = "entry-1",
+            .log_id = 8,
             .version = 4,
             .epoch = 5,
             .cursor = 6,
@@ -751,6 +752,7 @@
         GBytes *bytes = sync_request_write(&request);
         CU_ASSERT_FATAL(sync_request_read(bytes, &read));
         CU_ASSERT_STRING_EQUAL(read.instance, "entry-1");
+        CU_ASSERT_EQUAL(read.log_id, 8);
         CU_ASSERT_EQUAL(read.version, 4);
         CU_ASSERT_EQUAL(read.epoch, 5);
         CU_ASSERT_EQUAL(read.cursor, 6);
@@ -770,6 +772,7 @@
                             .cursor = 9,
                             .more = TRUE,
                             .confirmed = TRUE,
+                            .log_id = 7,
                             .version = 4,
                             .base = 2,
                             .delta = g_bytes_new("text", 4),
@@ -796,6 +799,7 @@
     CU_ASSERT_EQUAL(read.confirmed, TRUE);
     CU_ASSERT_EQUAL(read.full, FALSE);
     CU_ASSERT_EQUAL(read.more, TRUE);
+    CU_ASSERT_EQUAL(read.log_id, 7);
     CU_ASSERT_EQUAL(read.version, 4);
     CU_ASSERT_EQUAL(read.entries, 8);
     CU_ASSERT_STRING_EQUAL(read.data_centre, "dc-2");
