Urgent events are looked for by time as well

The poller looks for urgent events after 2 ms too. It reads the clock once for each event, as before, and hands it to its owner.

--- a/carobloomd/gateway/gateway.c
+++ b/carobloomd/gateway/gateway.c
@@ -57,10 +57,10 @@
 /* Brings the clock up to date. Timers run after the events, since a timeout
  * must not give up what has arrived. */
 static void
-on_poller_turn(void *data)
+on_poller_turn(gint64 now_us, void *data)
 {
     gateway_t *g = data;
-    timers_set_now(task_timers(g->task), g_get_monotonic_time());
+    timers_set_now(task_timers(g->task), now_us);
 }
 
 static void
@@ -228,7 +228,7 @@
 on_drain_poll(gpointer data)
 {
     gateway_t *g = data;
-    on_poller_turn(g);
+    on_poller_turn(g_get_monotonic_time(), g);
     if ((g->entry == NULL || entry_idle(g->entry)) &&
         (g->control == NULL || control_idle(g->control))) {
         g_main_loop_quit(g->loop);
@@ -249,7 +249,7 @@
         event_log_end();
     }
     event_log_flush();
-    on_poller_turn(g);
+    on_poller_turn(g_get_monotonic_time(), g);
     if (g->entry != NULL) {
         entry_drain(g->entry);
     }
--- a/common/poller.c
+++ b/common/poller.c
@@ -5,8 +5,11 @@
 /* Events taken from the kernel at once; more wait for the next turn. */
 enum {
     EVENTS_A_TURN = 128,
-    /* Other events that are taken before urgent ones are looked for again. */
-    EVENTS_BETWEEN_URGENT = 16,
+    /* Other events, or timers, before urgent events are looked for again, and
+     * the time after which they are in any case: some take long, and a process
+     * may not run for a while. */
+    WORK_BETWEEN_URGENT = 16,
+    URGENT_INTERVAL_US = 2000,
 };
 /* Bounds of poller_catch_up while new events keep arriving: what waits for it
  * is late already. */
@@ -18,8 +21,11 @@
     GSource *source;
     poll_turn_fn_t turn;
     void *data;
-    poll_turn_fn_t after_urgent; /* or NULL */
+    poll_urgent_fn_t after_urgent; /* or NULL */
     void *after_urgent_data;
+    gint64 now_us;
+    gint64 urgent_looked_us; /* when urgent events were looked for last */
+    guint work_since;        /* events and timers since then */
     gboolean dispatching;
     GPtrArray *dead; /* watches destroyed within a batch */
 };
@@ -51,7 +57,8 @@
 take_event(poller_t *poller, const struct epoll_event *event)
 {
     poll_watch_t *watch = event->data.ptr;
-    poller->turn(poller->data);
+    poller->now_us = g_get_monotonic_time();
+    poller->turn(poller->now_us, poller->data);
     if (watch->fn != NULL) {
         watch->fn(event->events, watch->data);
     }
@@ -61,17 +68,25 @@
 static void
 take_urgent(poller_t *poller)
 {
-    struct epoll_event events[EVENTS_BETWEEN_URGENT];
-    int count =
-        epoll_wait(poller->urgent_fd, events, EVENTS_BETWEEN_URGENT, 0);
+    struct epoll_event events[WORK_BETWEEN_URGENT];
+    int count = epoll_wait(poller->urgent_fd, events, WORK_BETWEEN_URGENT, 0);
     for (int i = 0; i < count; i++) {
         take_event(poller, &events[i]);
     }
+    poller->urgent_looked_us = poller->now_us;
+    poller->work_since = 0;
     if (count > 0 && poller->after_urgent != NULL) {
         poller->after_urgent(poller->after_urgent_data);
     }
 }
 
+static gboolean
+is_urgent_look_due(const poller_t *poller)
+{
+    return poller->work_since >= WORK_BETWEEN_URGENT ||
+           poller->now_us - poller->urgent_looked_us >= URGENT_INTERVAL_US;
+}
+
 /* Whether urgent events may wait besides those of a batch. The set of the
  * urgent ones is in it as NULL, unless more events wait than it holds. */
 static gboolean
@@ -105,14 +120,18 @@
     struct epoll_event events[EVENTS_A_TURN];
     int count = epoll_wait(poller->fd, events, EVENTS_A_TURN, 0);
     begin_batch(poller);
+    poller->now_us = g_get_monotonic_time();
+    poller->urgent_looked_us = poller->now_us;
+    poller->work_since = 0;
     if (has_urgent(events, count)) {
         take_urgent(poller);
     }
     for (int i = 0; i < count; i++) {
-        if (i > 0 && i % EVENTS_BETWEEN_URGENT == 0) {
+        if (is_urgent_look_due(poller)) {
             take_urgent(poller);
         }
         if (events[i].data.ptr != NULL) {
+            poller->work_since++;
             take_event(poller, &events[i]);
         }
     }
@@ -182,6 +201,11 @@
 void
 poller_take_urgent(poller_t *poller)
 {
+    poller->now_us = g_get_monotonic_time();
+    poller->work_since++;
+    if (!is_urgent_look_due(poller)) {
+        return;
+    }
     begin_batch(poller);
     take_urgent(poller);
     end_batch(poller);
@@ -261,7 +285,7 @@
 }
 
 void
-poller_set_after_urgent(poller_t *poller, poll_turn_fn_t fn, void *data)
+poller_set_after_urgent(poller_t *poller, poll_urgent_fn_t fn, void *data)
 {
     poller->after_urgent = fn;
     poller->after_urgent_data = data;
--- a/common/task.c
+++ b/common/task.c
@@ -26,7 +26,6 @@
 enum {
     MESSAGES_A_TURN = 256,
     LATE_US = 10 * 1000, /* by which a timer is late */
-    TIMERS_BETWEEN_URGENT = 16,
 };
 
 static gboolean
@@ -67,8 +66,7 @@
         task->events->catch_up(task->events_data);
         now = g_get_monotonic_time();
     }
-    while (timers_advance_some(task->timers, now, TIMERS_BETWEEN_URGENT) ==
-           TIMERS_BETWEEN_URGENT) {
+    while (timers_advance_some(task->timers, now, 1) > 0) {
         task->events->take_urgent(task->events_data);
     }
 }
--- a/include/carobloom/common/poller.h
+++ b/include/carobloom/common/poller.h
@@ -14,9 +14,10 @@
 /* `events` are EPOLLIN, EPOLLOUT, EPOLLERR, EPOLLHUP. */
 typedef void (*poll_fn_t)(guint32 events, void *data);
 
-/* Called before each event, to bring the owner's clock up to date: the event
- * before may have taken long. */
-typedef void (*poll_turn_fn_t)(void *data);
+/* Called before each event with the monotonic time, to bring the owner's clock
+ * up to date: the event before may have taken long. */
+typedef void (*poll_turn_fn_t)(gint64 now_us, void *data);
+typedef void (*poll_urgent_fn_t)(void *data);
 
 /* NULL when the kernel gives no epoll set. */
 poller_t *poller_create(GMainContext *context, poll_turn_fn_t turn,
@@ -37,9 +38,11 @@
 /* The same for the other side's close alone (EPOLLRDHUP, EPOLLERR, EPOLLHUP),
  * which may be told before bytes that came before it. */
 void poll_watch_set_close_urgent(poll_watch_t *watch);
-/* Takes urgent events that wait; for whoever does other work for long. */
+/* Takes urgent events that wait, unless it did a moment ago; for whoever does
+ * other work for long. */
 void poller_take_urgent(poller_t *poller);
 /* `fn` is called after urgent events were taken. */
-void poller_set_after_urgent(poller_t *poller, poll_turn_fn_t fn, void *data);
+void poller_set_after_urgent(poller_t *poller, poll_urgent_fn_t fn,
+                             void *data);
 
 #endif
--- a/include/carobloom/common/task.h
+++ b/include/carobloom/common/task.h
@@ -42,7 +42,7 @@
     /* Before timers that are late, e.g. after the processor was away: a
      * timeout must not give up what has arrived in the meantime. */
     void (*catch_up)(void *data);
-    /* Between many timers: urgent events don't wait behind them. */
+    /* After each timer: urgent events don't wait behind many of them. */
     void (*take_urgent)(void *data);
 } task_events_t;
 void task_set_events(task_t *task, const task_events_t *events, void *data);
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -779,10 +779,10 @@
     .name = "endpoint", .mailbox_bound = 1, .handle = on_message};
 
 static void
-on_turn(void *data)
+on_turn(gint64 now_us, void *data)
 {
     endpoint_t *e = data;
-    timers_advance(e->timers, g_get_monotonic_time());
+    timers_advance(e->timers, now_us);
 }
 
 static int
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -303,10 +303,10 @@
     .name = "platform", .mailbox_bound = 1, .handle = on_message};
 
 static void
-on_turn(void *data)
+on_turn(gint64 now_us, void *data)
 {
     platform_t *p = data;
-    timers_advance(p->timers, g_get_monotonic_time());
+    timers_advance(p->timers, now_us);
 }
 
 static void
--- a/tests/loop.h
+++ b/tests/loop.h
@@ -14,9 +14,9 @@
 } loop_t;
 
 static inline void
-loop_turn(void *data)
+loop_turn(gint64 now_us, void *data)
 {
-    timers_advance(((loop_t *)data)->timers, g_get_monotonic_time());
+    timers_advance(((loop_t *)data)->timers, now_us);
 }
 
 static inline void
--- a/tests/proxy.c
+++ b/tests/proxy.c
@@ -380,10 +380,10 @@
 }
 
 static void
-on_turn(void *data)
+on_turn(gint64 now_us, void *data)
 {
     (void)data;
-    timers_advance(all.timers, g_get_monotonic_time());
+    timers_advance(all.timers, now_us);
 }
 
 static gpointer
@@ -398,7 +398,7 @@
         g_mutex_unlock(&all.lock);
         while (g_main_context_iteration(all.context, FALSE)) {
         }
-        on_turn(NULL);
+        on_turn(g_get_monotonic_time(), NULL);
         g_usleep(TURN_MS * 1000 / 4);
     }
     return NULL;
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -27,6 +27,7 @@
     gboolean sent_busy;    /* the requests come while it is busy already */
     gboolean through_busy; /* the busy one helps the one that was called */
     gboolean in_chunks;
+    int leave_after_ms; /* of being busy */
 } overload_case_t;
 
 static const overload_case_t OVERLOAD_CASES[] = {
@@ -34,6 +35,8 @@
     {.name = "the same of requests in chunks", .in_chunks = TRUE},
     {.name = "a busy instance sends requests of callers that left",
      .sent_busy = TRUE},
+    {.name = "an instance that has been busy for long lets runs go on",
+     .leave_after_ms = 4000},
     {.name = "a busy helper lets runs of callers that left go on",
      .through_busy = TRUE},
 };
@@ -158,6 +161,7 @@
     }
     CU_ASSERT_TRUE(o->setup->sent_busy || all_run(o));
     fleet_busy_throttle(o->busy);
+    fleet_sleep(o->setup->leave_after_ms);
     gint64 start_us = g_get_monotonic_time();
     guint ahead = (guint)(LEAVE_MIN_MS * (gint64)MS / apart_us);
     for (guint i = 0; i < LEAVERS + ahead; i++) {
--- a/tests/test_stalls.c
+++ b/tests/test_stalls.c
@@ -37,10 +37,10 @@
     .name = "stalled", .mailbox_bound = 1, .handle = ignore_message};
 
 static void
-on_turn(void *data)
+on_turn(gint64 now_us, void *data)
 {
     const stalled_t *s = data;
-    timers_set_now(task_timers(s->task), g_get_monotonic_time());
+    timers_set_now(task_timers(s->task), now_us);
 }
 
 static void
