--- a/carobloomd/gateway/forward_state.h
+++ b/carobloomd/gateway/forward_state.h
@@ -214,8 +214,8 @@
  * sent. */
 gboolean forward_try_repeat(forward_t *f, gboolean received,
                             const char *reason);
-/* Sends the request of a silent endpoint to another endpoint as well. One whose
- * bytes this busy instance has not read yet is not silent. */
+/* Sends the request of a silent endpoint to another endpoint as well. One
+ * whose bytes this busy instance has not read yet is not silent. */
 void forward_handle_silence(forward_t *f);
 
 /* forward_hedge.c */
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -3,8 +3,8 @@
  * A connection carries one exchange at a time; pipelined requests wait in its
  * buffer, as many bytes as one request may have. It is read while more come,
  * to see the client's close, but these are dropped, and it ends with the
- * answer to the last request that is held. The owner gets a request whole and answers it once, whole or in
- * parts. */
+ * answer to the last request that is held. The owner gets a request whole and
+ * answers it once, whole or in parts. */
 #ifndef CAROBLOOM_HTTP_SERVER_H
 #define CAROBLOOM_HTTP_SERVER_H
 
--- a/include/carobloom/http/stream_socket.h
+++ b/include/carobloom/http/stream_socket.h
@@ -26,7 +26,8 @@
     void (*closed)(void *user, int error);
     /* The peer has closed its side, or reset the connection, while bytes that
      * it sent before may not be read yet. Taken before other events of the
-     * poller. Returns TRUE if the socket was destroyed. NULL: those bytes are read first, `closed` comes after. */
+     * poller. Returns TRUE if the socket was destroyed. NULL: those bytes are
+     * read first, `closed` comes after. */
     gboolean (*hung_up)(void *user, gboolean reset);
     /* Asked before bytes that waited are sent. Returns FALSE if the socket was
      * destroyed instead. NULL: they are always sent. */
