Only a log without a configuration gets an id

Control instances that are updated one by one: a leader of the new version would have given a log that was founded before an id with the next change, and voters of the version before read the unknown command as a configuration of version 2^64 - 3 (found by reading, before it landed). A log that has a configuration keeps the id it has, 0 where it was founded without; the id 0 is compared like any other, so that a log founded anew differs from it.

--- a/carobloomd/control/config_log.c
+++ b/carobloomd/control/config_log.c
@@ -472,12 +472,14 @@
     return (guint64)g_random_int() << 32 | g_random_int() | 1;
 }
 
-/* Before the first configuration, and each one until an id is committed. */
+/* Before the first configuration. A log that has one keeps the id that it has,
+ * 0 if it was founded by a version that knew no ids: other voters may still
+ * be of that version, and would misread the command. */
 static int
 propose_log_id(config_log_t *log, gint64 now)
 {
     guint64 index;
-    if (log->state.log_id != 0) {
+    if (log->state.log_id != 0 || log->state.text != NULL) {
         return VOTER_OK;
     }
     GBytes *command = log_id_command(random_id());
--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -127,14 +127,14 @@
     config_view_message_t view;
     duties_t *duties; /* NULL: the platform defines none */
     cached_delta_t deltas[CONTROL_CACHED_DELTAS_MAX];
-    guint64 log_id;        /* of the log that `configs` are of; 0: unknown */
-    GQueue configs;        /* committed_config_t, newest at the tail */
-    GHashTable *peers;     /* address -> peer_t */
-    GList *pending_syncs;  /* pending_sync_t */
-    guint64 publish_timer; /* next batch of updates; 0: none is scheduled */
-    gint64 published_us;   /* time of the last publication */
-    guint64 config_timer;  /* publication of a configuration; 0: none is
-                              scheduled */
+    guint64 log_id;    /* of the log that `configs` are of, see log_state.h */
+    GQueue configs;    /* committed_config_t, newest at the tail */
+    GHashTable *peers; /* address -> peer_t */
+    GList *pending_syncs;     /* pending_sync_t */
+    guint64 publish_timer;    /* next batch of updates; 0: none is scheduled */
+    gint64 published_us;      /* time of the last publication */
+    guint64 config_timer;     /* publication of a configuration; 0: none is
+                                 scheduled */
     guint64 published_cursor; /* lease cursor at the last publication */
     cached_answer_t answers[CONTROL_CACHED_ANSWERS_MAX];
     guint next_cached_answer; /* the cache entry to replace next, modulo the
--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -86,8 +86,7 @@
 static gboolean
 has_config_update(const control_t *c, const sync_request_t *request)
 {
-    gboolean other_log =
-        request->log_id != 0 && c->log_id != 0 && request->log_id != c->log_id;
+    gboolean other_log = request->version != 0 && request->log_id != c->log_id;
     return request->wants_config && !other_log &&
            request->version < control_newest_version(c);
 }
--- a/carobloomd/control/log_state.h
+++ b/carobloomd/control/log_state.h
@@ -6,9 +6,9 @@
 #include "carobloom/policy/usage_ledger.h"
 
 typedef struct {
-    /* Drawn when the log was founded, so that whoever holds a configuration of
-     * another log does not compare versions; 0: not yet, or the log is older
-     * than these ids. */
+    /* Drawn before the first configuration, so that whoever holds one of
+     * another log does not compare versions; 0: none yet, or of a log that is
+     * older than these ids. */
     guint64 log_id;
     guint64 version; /* of the configuration */
     GBytes *text;    /* NULL before the first configuration */
--- a/carobloomd/gateway/config_update.c
+++ b/carobloomd/gateway/config_update.c
@@ -51,14 +51,13 @@
 {
     if (event_log_begin(EVENT_STATE, "config_log_changed")) {
         event_log_cstr("control", control);
-        event_log_number("config_version",
-                         e->config ? (gint64)e->config->version : 0);
+        event_log_number("config_version", (gint64)e->config->version);
         event_log_number("new_version", (gint64)answer->version);
         event_log_number("config_age_ms", entry_config_age_ms(e));
         event_log_end();
     }
     e->log_id = answer->log_id;
-    e->is_of_other_log = e->config != NULL;
+    e->is_of_other_log = TRUE;
     e->confirmed_us = 0;
     e->newer_config_since_us = 0;
     for (guint i = 0; i < e->links->len; i++) {
@@ -69,15 +68,14 @@
 gboolean
 entry_follows_log(entry_t *e, const sync_answer_t *answer, const char *control)
 {
-    if (answer->log_id == 0) {
-        /* A leader whose log has never had a configuration. */
-        return answer->version > 0 || !answer->confirmed || e->config == NULL;
+    if (answer->version == 0) {
+        /* A leader whose log has no configuration confirms none. */
+        return !answer->confirmed || e->config == NULL;
     }
-    if (answer->log_id == e->log_id) {
-        return TRUE;
-    }
-    if (e->log_id == 0) {
+    if (e->config == NULL) {
         e->log_id = answer->log_id;
+    }
+    if (answer->log_id == e->log_id) {
         return TRUE;
     }
     gint64 age_us = clock_boot_us() - e->confirmed_us;
--- a/carobloomd/gateway/entry_state.h
+++ b/carobloomd/gateway/entry_state.h
@@ -110,7 +110,8 @@
     /* the configuration in force at this instance */
     route_config_t *config; /* NULL until the first one is received */
     GBytes *text;
-    /* id of the replicated log whose configurations are taken; 0: unknown */
+    /* id of the replicated log whose configurations are taken, once there is
+     * one */
     guint64 log_id;
     gboolean is_of_other_log; /* the configuration in force is older than that
                                  log */
--- a/include/carobloom/control/config_log.h
+++ b/include/carobloom/control/config_log.h
@@ -58,7 +58,7 @@
 /* CONFIG_LOG_APPLIED: a version was committed. */
 typedef struct {
     message_t base;
-    guint64 log_id; /* drawn when the log was founded; 0: unknown */
+    guint64 log_id; /* see log_state.h */
     guint64 version;
     GBytes *text;
 } config_applied_message_t;
--- a/include/carobloom/gateway/sync_wire.h
+++ b/include/carobloom/gateway/sync_wire.h
@@ -24,8 +24,7 @@
 
 typedef struct {
     char *instance;
-    guint64 log_id;  /* of the replicated log that its configuration is of; 0:
-                        unknown */
+    guint64 log_id;  /* of the replicated log that its configuration is of */
     guint64 version; /* of its configuration; 0: none, or none of that log */
     guint64 epoch;   /* incarnation of the control instance that the cursors
                         belong to */
@@ -49,8 +48,8 @@
     gboolean more;      /* more leases follow */
     gboolean confirmed; /* no newer configuration was acknowledged by the time
                            this answer was written */
-    guint64 log_id;     /* of the replicated log; 0: unknown */
-    guint64 version;    /* of the committed configuration */
+    guint64 log_id;     /* of the replicated log, see log_state.h */
+    guint64 version;    /* of the committed configuration; 0: none */
     guint64 base;  /* version that `delta` applies to; 0: the empty text */
     GBytes *delta; /* from text_delta_between; NULL: no configuration update */
     GPtrArray *leases;   /* endpoint_lease_t * */
