--- a/tests/soak.c
+++ b/tests/soak.c
@@ -307,6 +307,7 @@
     say(s, "kill", p->name);
     excuse(s, p, DISTURBED_ABRUPTLY, down);
     fleet_signal(p, SIGCONT);
+    soak_leaving_continued(s->leaving, p);
     fleet_kill(p);
     gint64 now = g_get_monotonic_time();
     gboolean spaced = now - s->disk_us > (gint64)DISK_PAUSE_MS * 1000;
@@ -335,6 +336,7 @@
         excuse(s, p, DISTURBED_ABRUPTLY, down);
     }
     fleet_signal(p, SIGSTOP);
+    soak_leaving_stopped(s->leaving, p);
     return (undo_t){
         .at_ms = since_ms(s) + down, .process = p, .stopped = TRUE};
 }
@@ -464,6 +466,7 @@
         return;
     }
     fleet_signal(undo->process, SIGCONT);
+    soak_leaving_continued(s->leaving, undo->process);
     if (undo->stopped) {
         return;
     }
--- a/tests/soak_leaving.c
+++ b/tests/soak_leaving.c
@@ -22,19 +22,27 @@
     GThread *thread;
 } leaver_t;
 
+/* Of a process, for the time in which something was the matter with it. */
 typedef struct {
     guint process; /* in the fleet */
     gint64 from_us;
     gint64 until_us;
 } excuse_t;
 
+/* A request whose client left. */
+typedef struct {
+    guint entry; /* process in the fleet */
+    gint64 left_us;
+} left_t;
+
 struct soak_leaving {
     fleet_t *fleet;
     leaver_t clients[CLIENTS];
     gint stop;        /* atomic */
     GMutex lock;      /* over `left` */
-    GHashTable *left; /* id -> gint64, when its client left */
-    GArray *excuses;  /* excuse_t */
+    GHashTable *left; /* id -> left_t */
+    GArray *excuses;  /* excuse_t: what is sent to it may be lost */
+    GArray *stops;    /* excuse_t: it does not run */
 };
 
 soak_leaving_t *
@@ -44,6 +52,7 @@
     l->fleet = fleet;
     l->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     l->excuses = g_array_new(FALSE, FALSE, sizeof(excuse_t));
+    l->stops = g_array_new(FALSE, FALSE, sizeof(excuse_t));
     for (guint i = 0; i < CLIENTS; i++) {
         l->clients[i] =
             (leaver_t){.leaving = l,
@@ -65,6 +74,7 @@
     }
     g_hash_table_unref(l->left);
     g_array_unref(l->excuses);
+    g_array_unref(l->stops);
     g_free(l);
 }
 
@@ -97,10 +107,11 @@
     if (resets) {
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &RESET, sizeof(RESET));
     }
-    gint64 now_us = g_get_monotonic_time();
+    left_t left = {.entry = l->fleet->controls + (guint)entry,
+                   .left_us = g_get_monotonic_time()};
     close(fd);
     g_mutex_lock(&l->lock);
-    g_hash_table_insert(l->left, id, g_memdup2(&now_us, sizeof(now_us)));
+    g_hash_table_insert(l->left, id, g_memdup2(&left, sizeof(left)));
     g_mutex_unlock(&l->lock);
     g_free(text);
 }
@@ -151,6 +162,93 @@
     g_array_append_val(l->excuses, excuse);
 }
 
+void
+soak_leaving_stopped(soak_leaving_t *l, const fleet_process_t *p)
+{
+    if (l == NULL) {
+        return;
+    }
+    excuse_t stop = {.process = (guint)(p - l->fleet->processes),
+                     .from_us = g_get_monotonic_time(),
+                     .until_us = G_MAXINT64};
+    g_array_append_val(l->stops, stop);
+}
+
+void
+soak_leaving_continued(soak_leaving_t *l, const fleet_process_t *p)
+{
+    for (guint i = 0; l != NULL && i < l->stops->len; i++) {
+        excuse_t *stop = &g_array_index(l->stops, excuse_t, i);
+        if (stop->process == (guint)(p - l->fleet->processes)) {
+            stop->until_us = MIN(stop->until_us, g_get_monotonic_time());
+        }
+    }
+}
+
+/* For how long a process was stopped between two moments. */
+static gint64
+stopped_us(const soak_leaving_t *l, guint process, gint64 from_us,
+           gint64 until_us)
+{
+    gint64 sum_us = 0;
+    for (guint i = 0; i < l->stops->len; i++) {
+        const excuse_t *stop = &g_array_index(l->stops, excuse_t, i);
+        gint64 begin_us = MAX(stop->from_us, from_us);
+        gint64 end_us = MIN(stop->until_us, until_us);
+        if (stop->process == process && end_us > begin_us) {
+            sum_us += end_us - begin_us;
+        }
+    }
+    return sum_us;
+}
+
+/* Whether a request went through a tunnel of another entry instance, by the
+ * log of the one that its client had called. */
+static gboolean
+is_tunnelled(const soak_leaving_t *l, const left_t *left, const char *id,
+             const fleet_process_t *helper)
+{
+    char *text = NULL;
+    char *name = g_strdup_printf("\"tunnelled\",\"request\":\"%s\"", id);
+    char *address = g_strdup_printf("\"helper\":\"%s:", helper->ip);
+    g_file_get_contents(l->fleet->processes[left->entry].log, &text, NULL,
+                        NULL);
+    const char *line = text != NULL ? strstr(text, name) : NULL;
+    gboolean found = FALSE;
+    while (line != NULL && !found) {
+        const char *at = strstr(line, address);
+        const char *end = strchr(line, '\n');
+        found = at != NULL && (end == NULL || at < end);
+        line = strstr(line + 1, name);
+    }
+    g_free(address);
+    g_free(name);
+    g_free(text);
+    return found;
+}
+
+/* How long the instances that had the request, none of them stopped, let it
+ * pass after its client had left. */
+static gint64
+late_us(const soak_leaving_t *l, const left_t *left, const char *id,
+        gint64 at_us)
+{
+    gint64 late = at_us - left->left_us;
+    if (late <= (gint64)GIVEN_UP_US) {
+        return late;
+    }
+    late -= stopped_us(l, left->entry, left->left_us, at_us);
+    for (guint i = 0; i < l->fleet->entries; i++) {
+        guint process = l->fleet->controls + i;
+        gint64 stopped = stopped_us(l, process, left->left_us, at_us);
+        if (process != left->entry && stopped > 0 &&
+            is_tunnelled(l, left, id, &l->fleet->processes[process])) {
+            late -= stopped;
+        }
+    }
+    return late;
+}
+
 static gboolean
 is_excused(const soak_leaving_t *l, guint process, gint64 at_us)
 {
@@ -172,16 +270,17 @@
     GArray *found = fleet_moments(p, "arrived");
     for (guint i = 0; i < found->len; i++) {
         const fleet_moment_t *m = &g_array_index(found, fleet_moment_t, i);
-        const gint64 *left_us = g_hash_table_lookup(l->left, m->request);
-        verdict->arrived += left_us != NULL;
-        if (left_us == NULL || m->at_us - *left_us <= (gint64)GIVEN_UP_US ||
+        const left_t *left = g_hash_table_lookup(l->left, m->request);
+        verdict->arrived += left != NULL;
+        if (left == NULL ||
+            late_us(l, left, m->request, m->at_us) <= (gint64)GIVEN_UP_US ||
             is_excused(l, process, m->at_us)) {
             continue;
         }
         verdict->late++;
         g_snprintf(verdict->example, sizeof(verdict->example),
                    "%s reached %s %d ms after its client left", m->request,
-                   p->name, (int)((m->at_us - *left_us) / MS));
+                   p->name, (int)((m->at_us - left->left_us) / MS));
     }
     g_array_unref(found);
 }
--- a/tests/soak_leaving.h
+++ b/tests/soak_leaving.h
@@ -24,6 +24,12 @@
  * a connection. */
 void soak_leaving_excuse(soak_leaving_t *leaving,
                          const fleet_process_t *process, int ms);
+/* The process does not run, or runs again: an entry instance ends nothing
+ * meanwhile. */
+void soak_leaving_stopped(soak_leaving_t *leaving,
+                          const fleet_process_t *process);
+void soak_leaving_continued(soak_leaving_t *leaving,
+                            const fleet_process_t *process);
 /* By the endpoints' logs, once all has ended. */
 soak_leaving_verdict_t soak_leaving_check(const soak_leaving_t *leaving);
 
