test_abandoned tells how late a caller sent its request

For the case of requests over their deadline that is listed as known red: by reading, its late answers are to requests that were sent late.

--- a/tests/test_abandoned.c
+++ b/tests/test_abandoned.c
@@ -261,7 +261,8 @@
     const char *target;
     leave_t way;
     char *id;
-    gint64 send_us;
+    gint64 send_us; /* when it is due */
+    gint64 sent_us; /* when it was sent, of a caller that stays */
     gint64 leave_us;
     gint64 over_us; /* when its caller left, or had the answer */
     guint status;   /* of a caller that stays */
@@ -403,6 +404,7 @@
         "Request-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n",
         r->id, FLEET_KEY,
         r->setup->deadline_ms != 0 ? r->setup->deadline_ms : DEADLINE_MS);
+    r->sent_us = g_get_monotonic_time();
     reply_t *reply =
         fleet_call_on(connection, "POST", r->target, fields, "", WAIT_MS);
     r->over_us = g_get_monotonic_time();
@@ -730,9 +732,12 @@
 {
     if (o->late + o->went_on <= DETAILED_MAX || g_getenv("TEST_ONLY")) {
         g_string_append_printf(
-            o->details, "%s %s (%s, status %u) %s after %d ms\n", r->id,
-            r->target, r->way == LEAVE_RESET ? "reset" : "closed", r->status,
-            what, (int)(after_us / MS));
+            o->details,
+            "%s %s (%s, sent %d ms after it was due, status %u) %s after %d "
+            "ms\n",
+            r->id, r->target, r->way == LEAVE_RESET ? "reset" : "closed",
+            r->sent_us != 0 ? (int)((r->sent_us - r->send_us) / MS) : 0,
+            r->status, what, (int)(after_us / MS));
     }
 }
 
