--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -29,6 +29,15 @@
     g_usleep((gulong)ms * 1000);
 }
 
+void
+fleet_sleep_until(gint64 until_us)
+{
+    gint64 left_us = until_us - g_get_monotonic_time();
+    if (left_us > 0) {
+        g_usleep((gulong)left_us);
+    }
+}
+
 /* ---- processes ---- */
 
 void
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -231,6 +231,8 @@
 /* The most memory that the process had resident so far; 0: unknown. */
 gsize fleet_peak_bytes(const fleet_process_t *process);
 void fleet_sleep(int ms);
+/* Until a moment of monotonic time. */
+void fleet_sleep_until(gint64 until_us);
 /* A new folder in memory, freed with g_free; and its removal with all in it.
  */
 char *fleet_folder_create(void);
--- a/tests/test_abandoned.c
+++ b/tests/test_abandoned.c
@@ -269,15 +269,6 @@
     GThread *thread;
 } request_t;
 
-static void
-sleep_until(gint64 until_us)
-{
-    gint64 left_us = until_us - g_get_monotonic_time();
-    if (left_us > 0) {
-        g_usleep((gulong)left_us);
-    }
-}
-
 static void
 append_fields(GString *bytes, const request_t *r, const char *suffix)
 {
@@ -425,7 +416,7 @@
     if (r->setup->sends == SENDS_KEPT) {
         answer_before(connection, r);
     }
-    sleep_until(r->send_us);
+    fleet_sleep_until(r->send_us);
     if (r->setup->stays) {
         stay(connection, r);
         return NULL;
@@ -683,9 +674,9 @@
     send_requests(s, start_us);
     s->trouble_end_us = start_us;
     if (c->begin != NULL) {
-        sleep_until(begin_us);
+        fleet_sleep_until(begin_us);
         c->begin(s);
-        sleep_until(start_us + (gint64)c->end_ms * MS);
+        fleet_sleep_until(start_us + (gint64)c->end_ms * MS);
         c->end(s);
         s->trouble_end_us = g_get_monotonic_time();
     }
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -57,15 +57,6 @@
 
 enum { BUSY, OTHER }; /* entry instances */
 
-static void
-sleep_until(gint64 until_us)
-{
-    gint64 left_us = until_us - g_get_monotonic_time();
-    if (left_us > 0) {
-        g_usleep((gulong)left_us);
-    }
-}
-
 static void
 send_request(overload_t *o, guint at)
 {
@@ -165,7 +156,7 @@
     gint64 start_us = g_get_monotonic_time();
     guint ahead = (guint)(LEAVE_MIN_MS * (gint64)MS / apart_us);
     for (guint i = 0; i < LEAVERS + ahead; i++) {
-        sleep_until(start_us + i * apart_us);
+        fleet_sleep_until(start_us + i * apart_us);
         if (o->setup->sent_busy && i < LEAVERS) {
             send_request(o, i);
         }
--- a/tests/test_silences.c
+++ b/tests/test_silences.c
@@ -398,15 +398,6 @@
     reply_t *reply;
 } request_t;
 
-static void
-sleep_until(gint64 until_us)
-{
-    gint64 left_us = until_us - g_get_monotonic_time();
-    if (left_us > 0) {
-        g_usleep((gulong)left_us);
-    }
-}
-
 static reply_t *
 call_on(int connection, const char *target, const char *id)
 {
@@ -430,7 +421,7 @@
         reply_free(call_on(connection, "/safe/x", id));
         g_free(id);
     }
-    sleep_until(r->send_us);
+    fleet_sleep_until(r->send_us);
     r->reply = call_on(connection, KIND_TABLE[r->kind].target, r->id);
     if (connection >= 0) {
         close(connection);
@@ -568,12 +559,12 @@
     const silences_t *s = data;
     gint64 stop_us = s->stop_us;
     for (guint i = 0; i < MAX(s->setup->times, 1); i++) {
-        sleep_until(stop_us);
+        fleet_sleep_until(stop_us);
         fleet_signal(s->endpoint, SIGSTOP);
         if (s->silent_ms < 0) {
             break;
         }
-        sleep_until(stop_us + (gint64)s->silent_ms * MS);
+        fleet_sleep_until(stop_us + (gint64)s->silent_ms * MS);
         fleet_signal(s->endpoint, SIGCONT);
         stop_us += (gint64)(s->silent_ms + BETWEEN_SILENCES_MS) * MS;
     }
@@ -599,7 +590,7 @@
         silences[i].thread =
             g_thread_new("silences", silences_run, &silences[i]);
     }
-    sleep_until(stop_us + (gint64)TROUBLE_MS * MS);
+    fleet_sleep_until(stop_us + (gint64)TROUBLE_MS * MS);
     call_others(s, round, others->begin);
     for (guint i = 0; i < silent_count(c); i++) {
         g_thread_join(silences[i].thread);
