Tests: a busy instance gets its share by the processor's clock

The instance was given 3 ms by the clock of the wall, in which a loaded machine may not run it at all, so that it got less than the hundredth of a processor that the test says (by inference: no log was kept; the other 14 rows of these three end within 290 ms). It is given 3 ms by its own processor clock now.

--- a/tests/fleet_busy.c
+++ b/tests/fleet_busy.c
@@ -1,10 +1,15 @@
 #include "fleet_busy.h"
 
 #include <signal.h>
+#include <stdlib.h>
+#include <time.h>
 
 enum {
     FLOW_MS = 1500, /* until all streams flow */
-    RUNS_MS = 3,
+    /* It runs until it has used so much of a processor, which takes longer on
+     * a machine that has other work, and then not at all. */
+    RUNS_US = 3000,
+    RUNS_MAX_MS = 100, /* for one that has nothing to do */
     STOPS_MS = 290,
     WAIT_MS = 20, /* between two looks */
 };
@@ -16,6 +21,32 @@
     gint callers; /* that have not ended; atomic */
 };
 
+/* Time of processors that the process has used. */
+static gint64
+used_us(const fleet_process_t *p)
+{
+    const char *id =
+        p->process != NULL ? g_subprocess_get_identifier(p->process) : NULL;
+    clockid_t clock;
+    struct timespec used = {0};
+    if (id != NULL && clock_getcpuclockid((pid_t)atoi(id), &clock) == 0) {
+        clock_gettime(clock, &used);
+    }
+    return (gint64)used.tv_sec * G_USEC_PER_SEC + used.tv_nsec / 1000;
+}
+
+static void
+run_for_a_while(const fleet_busy_t *b)
+{
+    gint64 until_us = g_get_monotonic_time() + RUNS_MAX_MS * (gint64)1000;
+    gint64 before_us = used_us(b->entry);
+    fleet_signal(b->entry, SIGCONT);
+    while (used_us(b->entry) - before_us < RUNS_US &&
+           g_get_monotonic_time() < until_us) {
+        g_usleep(RUNS_US / 6);
+    }
+}
+
 static gpointer
 throttle_run(gpointer data)
 {
@@ -23,8 +54,7 @@
     while (!g_atomic_int_get(&b->stop)) {
         fleet_signal(b->entry, SIGSTOP);
         fleet_sleep(STOPS_MS);
-        fleet_signal(b->entry, SIGCONT);
-        fleet_sleep(RUNS_MS);
+        run_for_a_while(b);
     }
     fleet_signal(b->entry, SIGCONT);
     return NULL;
