A client that sends without end behind its request is cut off

Found by test_endless in the script, "what is behind a request": since connections are read while their request is answered, an instance took bytes of such a client without end, over the 16 MB of the check. What is dropped of it is bounded by the size of a body now, as it is for connections that close; then its request is given up and its connection reset.

--- a/carobloomd/http/server.c
+++ b/carobloomd/http/server.c
@@ -178,8 +178,8 @@
 }
 
 /* From now on what the client sends is dropped; the connection ends once what
- * is held of it was answered. It is read on, since the close of the client
- * would not be seen behind bytes that are not read. */
+ * is held of it was answered. It is read on, up to a bound, since the close of
+ * the client would not be seen behind bytes that are not read. */
 static void
 unread_cut(http_exchange_t *c)
 {
@@ -197,9 +197,6 @@
 static void
 unread_append(http_exchange_t *c, str_t bytes)
 {
-    if (c->is_cut) {
-        return;
-    }
     gsize held = MIN(bytes.length, unread_room(c));
     if (held > 0 && c->unread == NULL) {
         c->unread = g_byte_array_new();
@@ -458,6 +455,29 @@
     }
 }
 
+/* Returns TRUE once more was dropped of a connection than it may send. */
+static gboolean
+drop(http_exchange_t *c, gsize bytes)
+{
+    c->dropped += bytes;
+    return c->dropped > c->body_max;
+}
+
+/* Gives up the request of a client that sends without end. Its close could
+ * only be seen behind bytes that are read for ever. */
+static void
+end_flood(http_exchange_t *c)
+{
+    counter_add(counter_get("http_floods_ended_total", NULL, FALSE), 1);
+    if (event_log_begin(EVENT_FAILURE, "requests_ahead_without_end")) {
+        event_log_number("dropped_bytes", (gint64)c->dropped);
+        event_log_end();
+    }
+    c->server->ops->gone(c, c->server->user);
+    stream_socket_reset(c->socket);
+    connection_free(c);
+}
+
 static void
 on_bytes(void *user, str_t bytes)
 {
@@ -468,13 +488,18 @@
     }
     if (c->state == CONNECTION_CLOSING) {
         c->has_dropped = TRUE;
-        c->dropped += bytes.length;
-        if (c->dropped > c->body_max) {
+        if (drop(c, bytes.length)) {
             connection_close(c);
         }
         return;
     }
-    unread_append(c, bytes);
+    if (!c->is_cut) {
+        unread_append(c, bytes);
+        return;
+    }
+    if (drop(c, bytes.length)) {
+        end_flood(c);
+    }
 }
 
 static void
--- a/include/carobloom/http/server.h
+++ b/include/carobloom/http/server.h
@@ -3,8 +3,9 @@
  * A connection carries one exchange at a time; pipelined requests wait in its
  * buffer, as many bytes as one request may have. It is read while more come,
  * to see the client's close, but these are dropped, and it ends with the
- * answer to the last request that is held. The owner gets a request whole and
- * answers it once, whole or in parts. */
+ * answer to the last request that is held; at once if there are more than a
+ * body may have. The owner gets a request whole and answers it once, whole or
+ * in parts. */
 #ifndef CAROBLOOM_HTTP_SERVER_H
 #define CAROBLOOM_HTTP_SERVER_H
 
@@ -30,8 +31,8 @@
 typedef struct {
     /* A request is in. */
     void (*request)(http_exchange_t *exchange, void *user);
-    /* The client left before its answer was complete. The exchange is gone
-     * after this call. */
+    /* The client left before its answer was complete, or sent too much behind
+     * its request. The exchange is gone after this call. */
     void (*gone)(http_exchange_t *exchange, void *user);
     /* What was written in parts has left; more may be written. */
     void (*drained)(http_exchange_t *exchange, void *user);
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -327,7 +327,7 @@
     g_atomic_int_set(&hose.stop, 1);
     g_thread_join(thread);
     if (c->waits) {
-        /* The client is served until it leaves. */
+        /* Until it leaves, or sends more than is read. */
         CU_ASSERT(loop_until(&loop, &gone));
         CU_ASSERT(hose.sent < TAKEN_MAX);
     }
