The end of a connection is not the end of a message on the product's own path

Callers of a service got 200 with an empty or short body, framed as whole, where its endpoint closed inside the head of its answer or between chunks; requests that ended so were answered as if they were whole.

Cause: libsoup takes the end of a connection for the end of a head or of chunks. Evidence: test_failures, 'a cut answer is not whole' (2 of 77 and 8 of 95 bytes) and 'a cut request is none' (2 and 8), known red, once more on the code before.

The connections that libsoup makes and accepts get an input stream on which the end of the bytes is an error. Only an answer with neither a length nor chunks, behind a complete head, ends so. Whole requests whose caller has closed its side get the answer that they got before.

--- a/carobloomd/connection/orders.c
+++ b/carobloomd/connection/orders.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "carobloom/connection/framed_connection.h"
 #include "carobloom/connection/http.h"
 
 /* One order in flight. */
@@ -30,10 +31,13 @@
 on_answer(GObject *source, GAsyncResult *result, gpointer data)
 {
     flight_t *f = data;
-    GBytes *body =
-        soup_session_send_and_read_finish(SOUP_SESSION(source), result, NULL);
-    flight_end(f, body ? (int)soup_message_get_status(f->message) : 0);
+    GError *error = NULL;
+    GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(source),
+                                                     result, &error);
+    gboolean whole = framed_connection_is_whole(f->message, error);
+    flight_end(f, whole ? (int)soup_message_get_status(f->message) : 0);
     g_clear_pointer(&body, g_bytes_unref);
+    g_clear_error(&error);
 }
 
 /* Past its latest arrival the connection is cut: what has not arrived by
--- a/carobloomd/process/main.c
+++ b/carobloomd/process/main.c
@@ -8,6 +8,7 @@
 #include "carobloom/common/log.h"
 #include "carobloom/common/memory.h"
 #include "carobloom/common/signals.h"
+#include "carobloom/connection/framed_connection.h"
 #include "carobloom/connection/http.h"
 #include "carobloom/gateway/gateway.h"
 #include "carobloom/gateway/settings.h"
@@ -180,6 +181,7 @@
     p->policy = task_create(&POLICY_OPS, d->policy, NULL);
     p->voter = task_create(&VOTER_OPS, d->voter, NULL);
     guint16 port = 0;
+    framed_connection_register();
     for (guint i = 0; i < p->http_count; i++) {
         d->http[i] = http_create(p, i);
         p->http[i] = task_create(&HTTP_OPS, d->http[i], NULL);
--- a/carobloomd/request/attempt.c
+++ b/carobloomd/request/attempt.c
@@ -2,6 +2,7 @@
 
 #include "carobloom/common/counters.h"
 #include "carobloom/common/log.h"
+#include "carobloom/connection/framed_connection.h"
 #include "carobloom/policy/sse.h"
 
 enum {
@@ -188,10 +189,10 @@
     a->reading = FALSE;
     if (a->request != NULL && !a->ended) {
         a->quiet_checks = 0;
-        if (bytes == NULL) {
+        if (!framed_connection_is_whole(a->message, error)) {
             fail(a, error->message);
         }
-        else if (g_bytes_get_size(bytes) == 0) {
+        else if (bytes == NULL || g_bytes_get_size(bytes) == 0) {
             end_of_body(a);
         }
         else {
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -22,7 +22,7 @@
 
 static const char *const FAULT_NAMES[] = {
     "none",   "truncate", "swap",   "delay", "close",      "silent",
-    "refuse", "stall",    "repeat", "cut",   "cut-chunks",
+    "refuse", "stall",    "repeat", "cut",   "cut-chunks", "cut-unframed",
 };
 
 static const char *
@@ -54,7 +54,8 @@
     if (s->fault_count <= 0) {
         return FAULT_NONE;
     }
-    if (s->fault == FAULT_CUT || s->fault == FAULT_CUT_CHUNKS) {
+    if (s->fault == FAULT_CUT || s->fault == FAULT_CUT_CHUNKS ||
+        s->fault == FAULT_CUT_UNFRAMED) {
         s->cut_at = s->fault_count;
         s->fault_count = 0;
         return s->fault;
@@ -268,6 +269,9 @@
     case FAULT_CUT_CHUNKS:
         cut = STANDIN_CHUNKS;
         break;
+    case FAULT_CUT_UNFRAMED:
+        cut = STANDIN_UNFRAMED;
+        break;
     default:
         return FALSE;
     }
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -9,26 +9,29 @@
 #include <libsoup/soup.h>
 #include <stdio.h>
 
-/* What FAULT_CUT and FAULT_CUT_CHUNKS send, less what they cut off. */
+/* What FAULT_CUT and its variants send, less what they cut off. */
 #define STANDIN_ANSWER                                                        \
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: "         \
     "12\r\n\r\nwhole answer"
 #define STANDIN_CHUNKS                                                        \
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: "      \
     "chunked\r\n\r\nc\r\nwhole answer\r\n0\r\n\r\n"
+#define STANDIN_UNFRAMED                                                      \
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole answer"
 
 typedef enum {
     FAULT_NONE,
-    FAULT_TRUNCATE,   /* a stream ends early, without its end mark */
-    FAULT_SWAP,       /* answers carry another attempt's id */
-    FAULT_DELAY,      /* the first token comes late */
-    FAULT_CLOSE,      /* reads the call and closes */
-    FAULT_SILENT,     /* reads the call and never answers */
-    FAULT_REFUSE,     /* 503 before running */
-    FAULT_STALL,      /* a stream stops halfway, the connection stays */
-    FAULT_REPEAT,     /* sends the end of another stream after its own */
-    FAULT_CUT,        /* closes after `count` bytes of its next answer */
-    FAULT_CUT_CHUNKS, /* the same, of an answer in chunks */
+    FAULT_TRUNCATE,     /* a stream ends early, without its end mark */
+    FAULT_SWAP,         /* answers carry another attempt's id */
+    FAULT_DELAY,        /* the first token comes late */
+    FAULT_CLOSE,        /* reads the call and closes */
+    FAULT_SILENT,       /* reads the call and never answers */
+    FAULT_REFUSE,       /* 503 before running */
+    FAULT_STALL,        /* a stream stops halfway, the connection stays */
+    FAULT_REPEAT,       /* sends the end of another stream after its own */
+    FAULT_CUT,          /* closes after `count` bytes of its next answer */
+    FAULT_CUT_CHUNKS,   /* the same, of an answer in chunks */
+    FAULT_CUT_UNFRAMED, /* the same, of one that ends with its connection */
 } fault_kind_t;
 
 typedef struct {
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -495,6 +495,33 @@
     site_destroy(site);
 }
 
+/* An answer with neither a length nor chunks ends with its connection, once
+ * its head is complete. */
+static void
+test_unframed_answer_is_whole(void)
+{
+    site_t *site = site_up(1, 0);
+    engine_t *tag = engine_start(site, "tag", "tagging", "service", NULL);
+    CU_ASSERT_FATAL(site_wait_slots(site, "tagging", 16));
+    gsize head = strlen(STANDIN_UNFRAMED) - strlen("whole answer");
+    for (gsize at = 1; at <= strlen(STANDIN_UNFRAMED); at++) {
+        char key[32];
+        g_snprintf(key, sizeof(key), "unframed-%zu", at);
+        engine_fault(site, tag, "cut-unframed", (int)at);
+        answer_t *a = call_whole(site, 0, "/services/tagging/x", key, "x");
+        if (at < head) {
+            CU_ASSERT_EQUAL(a->status, 502);
+        }
+        else {
+            CU_ASSERT_EQUAL(a->status, 200);
+            CU_ASSERT_EQUAL(strlen(a->body), at - head);
+        }
+        answer_free(a);
+    }
+    engine_destroy(tag);
+    site_destroy(site);
+}
+
 /* A request that ends at each of its bytes, its caller still reading, is no
  * request: it doesn't run, and gets no answer of a whole one. */
 static const char *const CUT_REQUESTS[] = {
@@ -781,6 +808,8 @@
     {"a key runs at most once", test_key_runs_at_most_once},
     {"read and close goes out once", test_read_and_close_goes_out_once},
     {"a cut answer is not whole", test_cut_answer_is_not_whole},
+    {"an answer that ends with its connection is whole",
+     test_unframed_answer_is_whole},
     {"a cut request is none", test_cut_request_is_none},
     {"not-run means not run", test_not_run_means_not_run},
     {"a caller leaving cancels", test_caller_leaving_cancels},
