test_overload: requests that wait behind a run, at a busy instance

A close that lies behind 200 kB of further requests at an instance that has more work than it can do: both at once were not tried.

--- a/carobloomd/connection/framed_connection.c
+++ b/carobloomd/connection/framed_connection.c
@@ -1,7 +1,6 @@
 #include "carobloom/connection/framed_connection.h"
 
 #include <string.h>
-#include <sys/socket.h>
 
 /* GObject makes the names of class structures of the types'. */
 
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -15,7 +15,8 @@
     CALLERS = 200,
     LEAVERS = 48,
     LEAVE_SPREAD_MS = 1500,
-    LEAVE_MIN_MS = 250, /* after the request, of one sent to a busy instance */
+    LEAVE_MIN_MS = 250, /* after what was sent to a busy instance */
+    AHEAD_BYTES = 200 * 1024,
     WAIT_MS = 5000,
     GIVEN_UP_MS = 500, /* within which nothing may be left of a request */
     SETTLE_MS = 2500,  /* for endpoints to log */
@@ -27,7 +28,8 @@
     gboolean sent_busy;    /* the requests come while it is busy already */
     gboolean through_busy; /* the busy one helps the one that was called */
     gboolean in_chunks;
-    int leave_after_ms; /* of being busy */
+    gboolean sends_ahead; /* more requests, shortly before they leave */
+    int leave_after_ms;   /* of being busy */
 } overload_case_t;
 
 static const overload_case_t OVERLOAD_CASES[] = {
@@ -37,6 +39,8 @@
      .sent_busy = TRUE},
     {.name = "an instance that has been busy for long lets runs go on",
      .leave_after_ms = 4000},
+    {.name = "a busy instance lets runs go on behind which requests wait",
+     .sends_ahead = TRUE},
     {.name = "a busy helper lets runs of callers that left go on",
      .through_busy = TRUE},
 };
@@ -78,6 +82,26 @@
     g_free(text);
 }
 
+/* Sends requests, one behind the other, as many as its kernel takes. */
+static void
+send_ahead(const leaver_t *l)
+{
+    static const int BUFFER = AHEAD_BYTES;
+    GString *bytes = g_string_new(NULL);
+    while (bytes->len < AHEAD_BYTES) {
+        g_string_append_printf(bytes,
+                               "POST /stream/for-9000/x HTTP/1.1\r\n"
+                               "Host: h.example\r\nRequest-Id: %s-ahead\r\n"
+                               "Authorization: Bearer %s\r\n"
+                               "Content-Length: 4\r\n\r\nbody",
+                               l->id, FLEET_KEY);
+    }
+    setsockopt(l->connection, SOL_SOCKET, SO_SNDBUF, &BUFFER, sizeof(BUFFER));
+    CU_ASSERT_TRUE(send(l->connection, bytes->str, bytes->len,
+                        MSG_NOSIGNAL | MSG_DONTWAIT) > 0);
+    g_string_free(bytes, TRUE);
+}
+
 /* Half of them by a reset. */
 static void
 leave(leaver_t *l, gboolean by_reset)
@@ -160,6 +184,9 @@
         if (o->setup->sent_busy && i < LEAVERS) {
             send_request(o, i);
         }
+        if (o->setup->sends_ahead && i < LEAVERS) {
+            send_ahead(&o->leavers[i]);
+        }
         if (i >= ahead) {
             leave(&o->leavers[i - ahead], i % 2 == 0);
         }
