Control instances serve entry instances that know no log ids

Cause: the id of the log was put among the fields of polls and their answers, so that either side refuses the other's form as malformed.

The id comes before the message as it was. A control instance reads both forms and answers in the one that it was asked in; whoever asks without an id is served by version numbers, as before.

--- a/carobloomd/control/control_state.h
+++ b/carobloomd/control/control_state.h
@@ -55,6 +55,7 @@
     guint64 orders;
     guint64 limits_since; /* cursors as above, for limits of endpoints */
     guint64 limits;
+    guint64 has_log_id; /* the requester knows log ids */
     guint64 request_log_id;
     guint64 request_version;
     guint64 version;
--- a/carobloomd/control/entry_news.c
+++ b/carobloomd/control/entry_news.c
@@ -86,7 +86,8 @@
 static gboolean
 has_config_update(const control_t *c, const sync_request_t *request)
 {
-    gboolean other_log = request->version != 0 && request->log_id != c->log_id;
+    gboolean other_log = request->version != 0 && request->has_log_id &&
+                         request->log_id != c->log_id;
     return request->wants_config && !other_log &&
            request->version < control_newest_version(c);
 }
@@ -147,6 +148,7 @@
         .limits_since = full ? 0 : request->limit_cursor,
         .limits = limit_quota_cursor(c->limits),
         .request_log_id = request->log_id,
+        .has_log_id = (guint64)request->has_log_id,
         .request_version = request->version,
         .version = control_newest_version(c),
         .entries = collector_entries_rounded(active_entries_count(c)),
@@ -206,6 +208,7 @@
         .full = full,
         .more = more,
         .confirmed = control_may_read(c),
+        .has_log_id = request->has_log_id,
         .entries = collector_entries_rounded(active_entries_count(c)),
         .leases = leases,
         .controls = g_ptr_array_new(),
--- a/carobloomd/gateway/config_update.c
+++ b/carobloomd/gateway/config_update.c
@@ -75,7 +75,7 @@
     if (e->config == NULL) {
         e->log_id = answer->log_id;
     }
-    if (answer->log_id == e->log_id) {
+    if (!answer->has_log_id || answer->log_id == e->log_id) {
         return TRUE;
     }
     gint64 age_us = clock_boot_us() - e->confirmed_us;
--- a/carobloomd/gateway/control_link.c
+++ b/carobloomd/gateway/control_link.c
@@ -308,6 +308,7 @@
     }
     sync_request_t request = {
         .instance = e->settings->instance,
+        .has_log_id = TRUE,
         .log_id = e->log_id,
         .version = whole && link->asks_config ? 0 : entry_known_version(e),
         .epoch = link->epoch,
--- a/carobloomd/gateway/sync_wire.c
+++ b/carobloomd/gateway/sync_wire.c
@@ -4,14 +4,16 @@
 #include "carobloom/common/pack.h"
 #include "carobloom/gateway/crash_wire.h"
 
-#define REQUEST_TYPE "(sttttttubb)"
+#define REQUEST_TYPE "(stttttubb)"
 #define LEASES_TYPE "a(ssssxtuybxx)"
 /* Leases are a nested byte array, compressed if there are many. */
 #define ANSWER_TYPE                                                           \
-    "(ttbbbtttbaybayassut" QUARANTINE_ORDERS_TYPE "t" LIMIT_STATES_TYPE ")"
+    "(ttbbbttbaybayassut" QUARANTINE_ORDERS_TYPE "t" LIMIT_STATES_TYPE ")"
 #define ANSWER_FORMAT                                                         \
-    "(ttbbbtttb@ayb@ay@assut@" QUARANTINE_ORDERS_TYPE "t@" LIMIT_STATES_TYPE  \
-    ")"
+    "(ttbbbttb@ayb@ay@assut@" QUARANTINE_ORDERS_TYPE "t@" LIMIT_STATES_TYPE ")"
+/* Messages in which a log id comes first. Instances of earlier versions have
+ * none, so that a control instance knows which form they read. */
+#define WITH_LOG_TYPE(type) "(t" type ")"
 #define ENVELOPE_TYPE "(stay)"
 
 enum {
@@ -20,26 +22,52 @@
     LEASES_BYTES_MAX = SYNC_LEASES_MAX * 1024,
 };
 
+static GBytes *
+write_with_log(gboolean has_log_id, guint64 log_id, GVariant *message)
+{
+    return codec_write(has_log_id ? g_variant_new("(t*)", log_id, message)
+                                  : message);
+}
+
+/* Reads a message in either form. NULL if malformed. */
+static GVariant *
+read_with_log(GBytes *bytes, const char *type, const char *with_log_type,
+              gboolean *has_log_id, guint64 *log_id)
+{
+    GVariant *v = codec_read(bytes, with_log_type);
+    *has_log_id = v != NULL;
+    if (v == NULL) {
+        return codec_read(bytes, type);
+    }
+    GVariant *message;
+    g_variant_get(v, "(t*)", log_id, &message);
+    g_variant_unref(v);
+    return message;
+}
+
 GBytes *
 sync_request_write(const sync_request_t *r)
 {
-    return codec_write(g_variant_new(REQUEST_TYPE, r->instance, r->log_id,
-                                     r->version, r->epoch, r->cursor,
-                                     r->quarantine_cursor, r->limit_cursor,
-                                     r->wait_ms, r->wants_config, r->more));
+    return write_with_log(r->has_log_id, r->log_id,
+                          g_variant_new(REQUEST_TYPE, r->instance, r->version,
+                                        r->epoch, r->cursor,
+                                        r->quarantine_cursor, r->limit_cursor,
+                                        r->wait_ms, r->wants_config, r->more));
 }
 
 gboolean
 sync_request_read(GBytes *bytes, sync_request_t *r)
 {
     *r = (sync_request_t){0};
-    GVariant *v = codec_read(bytes, REQUEST_TYPE);
+    GVariant *v =
+        read_with_log(bytes, REQUEST_TYPE, WITH_LOG_TYPE(REQUEST_TYPE),
+                      &r->has_log_id, &r->log_id);
     if (v == NULL) {
         return FALSE;
     }
-    g_variant_get(v, REQUEST_TYPE, &r->instance, &r->log_id, &r->version,
-                  &r->epoch, &r->cursor, &r->quarantine_cursor,
-                  &r->limit_cursor, &r->wait_ms, &r->wants_config, &r->more);
+    g_variant_get(v, REQUEST_TYPE, &r->instance, &r->version, &r->epoch,
+                  &r->cursor, &r->quarantine_cursor, &r->limit_cursor,
+                  &r->wait_ms, &r->wants_config, &r->more);
     g_variant_unref(v);
     return TRUE;
 }
@@ -96,15 +124,15 @@
 {
     gboolean packed;
     GBytes *leases = leases_write(a->leases, &packed);
-    GBytes *bytes = codec_write(g_variant_new(
+    GVariant *message = g_variant_new(
         ANSWER_FORMAT, a->epoch, a->cursor, a->full, a->more, a->confirmed,
-        a->log_id, a->version, a->base, a->delta != NULL,
-        codec_bytes(a->delta), packed, codec_bytes(leases),
-        names_variant(a->controls), a->data_centre, a->entries,
-        a->quarantine_cursor, quarantine_orders_variant(a->quarantine_orders),
-        a->limit_cursor, limit_states_variant(a->limits)));
+        a->version, a->base, a->delta != NULL, codec_bytes(a->delta), packed,
+        codec_bytes(leases), names_variant(a->controls), a->data_centre,
+        a->entries, a->quarantine_cursor,
+        quarantine_orders_variant(a->quarantine_orders), a->limit_cursor,
+        limit_states_variant(a->limits));
     g_bytes_unref(leases);
-    return bytes;
+    return write_with_log(a->has_log_id, a->log_id, message);
 }
 
 /* Returns NULL if the bytes are not a list of leases. */
@@ -167,7 +195,8 @@
 {
     *a = (sync_answer_t){0};
     a->controls = g_ptr_array_new_with_free_func(g_free);
-    GVariant *v = codec_read(bytes, ANSWER_TYPE);
+    GVariant *v = read_with_log(bytes, ANSWER_TYPE, WITH_LOG_TYPE(ANSWER_TYPE),
+                                &a->has_log_id, &a->log_id);
     if (v == NULL) {
         sync_answer_clear(a);
         return FALSE;
@@ -180,10 +209,9 @@
     gboolean has_delta;
     gboolean packed;
     g_variant_get(v, ANSWER_FORMAT, &a->epoch, &a->cursor, &a->full, &a->more,
-                  &a->confirmed, &a->log_id, &a->version, &a->base, &has_delta,
-                  &delta, &packed, &leases, &controls, &a->data_centre,
-                  &a->entries, &a->quarantine_cursor, &orders,
-                  &a->limit_cursor, &limits);
+                  &a->confirmed, &a->version, &a->base, &has_delta, &delta,
+                  &packed, &leases, &controls, &a->data_centre, &a->entries,
+                  &a->quarantine_cursor, &orders, &a->limit_cursor, &limits);
     a->quarantine_orders = quarantine_orders_read(orders);
     a->limits = limit_states_read(limits);
     a->delta = codec_take_bytes(delta);
--- a/include/carobloom/gateway/sync_wire.h
+++ b/include/carobloom/gateway/sync_wire.h
@@ -24,6 +24,7 @@
 
 typedef struct {
     char *instance;
+    gboolean has_log_id; /* FALSE: of an earlier version */
     guint64 log_id;  /* of the replicated log that its configuration is of */
     guint64 version; /* of its configuration; 0: none, or none of that log */
     guint64 epoch;   /* incarnation of the control instance that the cursors
@@ -43,13 +44,14 @@
     guint64 quarantine_cursor;
     GArray *quarantine_orders; /* quarantine_order_t, only changes */
     guint64 limit_cursor;
-    GArray *limits;     /* limit_state_t, only changes */
-    gboolean full;      /* `leases` starts over from the first */
-    gboolean more;      /* more leases follow */
-    gboolean confirmed; /* no newer configuration was acknowledged by the time
-                           this answer was written */
-    guint64 log_id;     /* of the replicated log, see log_state.h */
-    guint64 version;    /* of the committed configuration; 0: none */
+    GArray *limits;      /* limit_state_t, only changes */
+    gboolean full;       /* `leases` starts over from the first */
+    gboolean more;       /* more leases follow */
+    gboolean confirmed;  /* no newer configuration was acknowledged by the time
+                            this answer was written */
+    gboolean has_log_id; /* as in the request */
+    guint64 log_id;      /* of the replicated log, see log_state.h */
+    guint64 version;     /* of the committed configuration; 0: none */
     guint64 base;  /* version that `delta` applies to; 0: the empty text */
     GBytes *delta; /* from text_delta_between; NULL: no configuration update */
     GPtrArray *leases;   /* endpoint_lease_t * */
--- a/tests/test_costs.c
+++ b/tests/test_costs.c
@@ -253,7 +253,7 @@
     guint leases = 0;
     gsize bytes = 0;
     while (cursor < registry_cursor(r)) {
-        sync_answer_t answer = {.data_centre = "dc"};
+        sync_answer_t answer = {.has_log_id = TRUE, .data_centre = "dc"};
         answer.leases =
             registry_changes_since(r, cursor, SYNC_LEASES_MAX, &answer.cursor);
         CU_ASSERT_FATAL(answer.cursor > cursor);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -734,12 +734,27 @@
 
 /* ---- messages between instances ---- */
 
+/* What instances read that know no log ids. */
+static gboolean
+is_of_type(GBytes *bytes, const char *type)
+{
+    GVariant *v = g_variant_ref_sink(
+        g_variant_new_from_bytes(G_VARIANT_TYPE(type), bytes, FALSE));
+    gboolean normal = g_variant_is_normal_form(v);
+    g_variant_unref(v);
+    return normal;
+}
+
+#define EARLIER_REQUEST_TYPE "(stttttubb)"
+#define EARLIER_ANSWER_TYPE "(ttbbbttbaybayassuta(tstbbxxsubus)ta(tbd))"
+
 static void
 test_sync_request(void)
 {
     for (int bits = 0; bits < 2; bits++) {
         sync_request_t request = {
             .instance = "entry-1",
+            .has_log_id = bits,
             .log_id = 8,
             .version = 4,
             .epoch = 5,
@@ -752,7 +767,9 @@
         GBytes *bytes = sync_request_write(&request);
         CU_ASSERT_FATAL(sync_request_read(bytes, &read));
         CU_ASSERT_STRING_EQUAL(read.instance, "entry-1");
-        CU_ASSERT_EQUAL(read.log_id, 8);
+        CU_ASSERT_EQUAL(read.has_log_id, request.has_log_id);
+        CU_ASSERT_EQUAL(read.log_id, bits ? 8 : 0);
+        CU_ASSERT_EQUAL(is_of_type(bytes, EARLIER_REQUEST_TYPE), !bits);
         CU_ASSERT_EQUAL(read.version, 4);
         CU_ASSERT_EQUAL(read.epoch, 5);
         CU_ASSERT_EQUAL(read.cursor, 6);
@@ -765,13 +782,14 @@
 }
 
 static void
-check_sync_wire(guint leases)
+check_sync_wire(guint leases, gboolean has_log_id)
 {
     endpoint_lease_t lease = lease_of("e", 7, LEASE_DRAINING);
     sync_answer_t answer = {.epoch = 3,
                             .cursor = 9,
                             .more = TRUE,
                             .confirmed = TRUE,
+                            .has_log_id = has_log_id,
                             .log_id = 7,
                             .version = 4,
                             .base = 2,
@@ -799,7 +817,9 @@
     CU_ASSERT_EQUAL(read.confirmed, TRUE);
     CU_ASSERT_EQUAL(read.full, FALSE);
     CU_ASSERT_EQUAL(read.more, TRUE);
-    CU_ASSERT_EQUAL(read.log_id, 7);
+    CU_ASSERT_EQUAL(read.has_log_id, has_log_id);
+    CU_ASSERT_EQUAL(read.log_id, has_log_id ? 7 : 0);
+    CU_ASSERT_EQUAL(is_of_type(bytes, EARLIER_ANSWER_TYPE), !has_log_id);
     CU_ASSERT_EQUAL(read.version, 4);
     CU_ASSERT_EQUAL(read.entries, 8);
     CU_ASSERT_STRING_EQUAL(read.data_centre, "dc-2");
@@ -831,8 +851,10 @@
 static void
 test_sync_wire(void)
 {
-    check_sync_wire(1);
-    check_sync_wire(40);
+    for (int has_log_id = 0; has_log_id < 2; has_log_id++) {
+        check_sync_wire(1, has_log_id);
+        check_sync_wire(40, has_log_id);
+    }
 }
 
 static const test_case_t CASES[] = {
