--- a/carobloom/client.c
+++ b/carobloom/client.c
@@ -1,6 +1,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "carobloom/connection/framed_connection.h"
 #include "command.h"
 
 enum { EXIT_UNREACHED = 3, EXIT_REFUSED = 4 };
@@ -50,6 +51,7 @@
     if (message == NULL) {
         return result_error(2, "%s is not an address", context->address);
     }
+    framed_connection_register();
     SoupSession *session = soup_session_new_with_options("timeout", 10, NULL);
     char *bearer = g_strdup_printf("Bearer %s", context->key);
     soup_message_headers_replace(soup_message_get_request_headers(message),
--- a/include/carobloom/connection/framed_connection.h
+++ b/include/carobloom/connection/framed_connection.h
@@ -9,7 +9,7 @@
 
 #include <libsoup/soup.h>
 
-/* Makes all outgoing connections of this process framed. */
+/* Makes the connections of this process framed, those that it accepts too. */
 void framed_connection_register(void);
 /* Whether an answer is whole: its last read failed with `error`, or with none
  * (NULL). */
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -6,6 +6,7 @@
 #include "check.h"
 #include "child_process.h"
 #include "harness.h"
+#include "listener.h"
 #include "proxy.h"
 #include "standin.h"
 
@@ -522,6 +523,64 @@
     site_destroy(site);
 }
 
+/* The client takes an answer that ends at any of its bytes for none. */
+typedef struct {
+    int listener;
+    GString *answer;
+} cut_server_t;
+
+static gpointer
+cut_server_run(gpointer data)
+{
+    cut_server_t *s = data;
+    char request[4096];
+    int fd = accept(s->listener, NULL, NULL);
+    CU_ASSERT(recv(fd, request, sizeof(request), 0) > 0);
+    CU_ASSERT(send(fd, s->answer->str, s->answer->len, MSG_NOSIGNAL) >= 0);
+    close(fd);
+    return NULL;
+}
+
+/* What the client exits with when it gets `answer` and an end. */
+static int
+client_exit(cut_server_t *server, guint16 port)
+{
+    char *address = g_strdup_printf("127.0.0.1:%u", port);
+    const char *argv[] = {CLIENT, "-a", address, "-k", "key", "dump", NULL};
+    GThread *thread = g_thread_new("server", cut_server_run, server);
+    GSubprocess *client = g_subprocess_newv(
+        argv,
+        G_SUBPROCESS_FLAGS_STDOUT_SILENCE | G_SUBPROCESS_FLAGS_STDERR_SILENCE,
+        NULL);
+    g_subprocess_wait(client, NULL, NULL);
+    g_thread_join(thread);
+    int code = g_subprocess_get_exit_status(client);
+    g_object_unref(client);
+    g_free(address);
+    return code;
+}
+
+static void
+test_client_takes_whole_answers(void)
+{
+    guint16 port;
+    cut_server_t server = {.listener = listen_any(&port)};
+    for (gsize i = 0; i < G_N_ELEMENTS(CUT_CASES); i++) {
+        gsize length = strlen(CUT_CASES[i].answer);
+        for (gsize at = 1; at <= length; at++) {
+            server.answer = g_string_new_len(CUT_CASES[i].answer, (gssize)at);
+            int code = client_exit(&server, port);
+            if ((code == 0) != (at == length)) {
+                printf("%d for %s at byte %zu; ", code, CUT_CASES[i].fault,
+                       at);
+                CU_FAIL("an answer that is cut, or a whole one that is not");
+            }
+            g_string_free(server.answer, TRUE);
+        }
+    }
+    close(server.listener);
+}
+
 /* A request that ends at each of its bytes, its caller still reading, is no
  * request: it doesn't run, and gets no answer of a whole one. */
 static const char *const CUT_REQUESTS[] = {
@@ -810,6 +869,7 @@
     {"a cut answer is not whole", test_cut_answer_is_not_whole},
     {"an answer that ends with its connection is whole",
      test_unframed_answer_is_whole},
+    {"the client takes whole answers only", test_client_takes_whole_answers},
     {"a cut request is none", test_cut_request_is_none},
     {"not-run means not run", test_not_run_means_not_run},
     {"a caller leaving cancels", test_caller_leaving_cancels},
