Tests: a reset on close, and reading a clock, are said once each

Three tests of callers that leave, and that of answers without a length, set the same option to end a connection with a reset; the clocks that tests set were read by two copies of the same lines. No change of behaviour.

--- a/tests/faulty_system.c
+++ b/tests/faulty_system.c
@@ -61,23 +61,25 @@
     return faults;
 }
 
+static gint64
+read_clock_us(clockid_t clock)
+{
+    struct timespec now;
+    clock_gettime(clock, &now);
+    return (gint64)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
 gint64
 clock_boot_us(void)
 {
-    struct timespec now;
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return (gint64)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000 +
-           faults_now().ahead_us;
+    return read_clock_us(CLOCK_BOOTTIME) + faults_now().ahead_us;
 }
 
 /* In place of GLib's. */
 gint64
 g_get_real_time(void)
 {
-    struct timespec now;
-    clock_gettime(CLOCK_REALTIME, &now);
-    return (gint64)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000 +
-           faults_now().day_us;
+    return read_clock_us(CLOCK_REALTIME) + faults_now().day_us;
 }
 
 static void
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -38,6 +38,13 @@
     }
 }
 
+void
+fleet_reset_on_close(int connection)
+{
+    static const struct linger RESET = {.l_onoff = 1};
+    setsockopt(connection, SOL_SOCKET, SO_LINGER, &RESET, sizeof(RESET));
+}
+
 /* ---- processes ---- */
 
 void
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -233,6 +233,8 @@
 void fleet_sleep(int ms);
 /* Until a moment of monotonic time. */
 void fleet_sleep_until(gint64 until_us);
+/* Has a connection end with a reset once it is closed. */
+void fleet_reset_on_close(int connection);
 /* A new folder in memory, freed with g_free; and its removal with all in it.
  */
 char *fleet_folder_create(void);
--- a/tests/soak_leaving.c
+++ b/tests/soak_leaving.c
@@ -84,7 +84,6 @@
 {
     static const char *const TARGETS[] = {"/safe/slow", "/once/slow",
                                           "/stream/long", "/safe/x"};
-    static const struct linger RESET = {.l_onoff = 1};
     soak_leaving_t *l = c->leaving;
     gint entry = g_rand_int_range(c->random, 0, (gint)l->fleet->entries);
     gint target = g_rand_int_range(c->random, 0, G_N_ELEMENTS(TARGETS));
@@ -105,7 +104,7 @@
     (void)!send(fd, text, strlen(text), MSG_NOSIGNAL);
     fleet_sleep(stay_ms);
     if (resets) {
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &RESET, sizeof(RESET));
+        fleet_reset_on_close(fd);
     }
     left_t left = {.entry = l->fleet->controls + (guint)entry,
                    .left_us = g_get_monotonic_time()};
--- a/tests/test_abandoned.c
+++ b/tests/test_abandoned.c
@@ -401,7 +401,6 @@
 static void
 leave(int connection, request_t *r)
 {
-    static const struct linger RESET = {.l_onoff = 1};
     char buffer[4096];
     while (g_get_monotonic_time() < r->leave_us) {
         while (!r->setup->reads_nothing &&
@@ -410,7 +409,7 @@
         g_usleep(MS);
     }
     if (r->way == LEAVE_RESET) {
-        setsockopt(connection, SOL_SOCKET, SO_LINGER, &RESET, sizeof(RESET));
+        fleet_reset_on_close(connection);
     }
     r->over_us = g_get_monotonic_time();
     close(connection);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -106,10 +106,8 @@
 static void
 leave(leaver_t *l, gboolean by_reset)
 {
-    static const struct linger RESET = {.l_onoff = 1};
     if (by_reset) {
-        setsockopt(l->connection, SOL_SOCKET, SO_LINGER, &RESET,
-                   sizeof(RESET));
+        fleet_reset_on_close(l->connection);
     }
     l->left_us = g_get_monotonic_time();
     close(l->connection);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -136,8 +136,7 @@
         send_plain(fd, ending);
     }
     if (ending == ENDS_RESET) {
-        struct linger linger = {.l_onoff = 1};
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+        fleet_reset_on_close(fd);
     }
     g_free(fields);
     g_free(last);
